--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := coordination node ctl standins
+
+.PHONY: demo test lint format soak capacity clean
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt setuptools
+	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation $(PACKAGES:%=--editable packages/%)
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python -m eelgrass_standins demo
+
+test: $(VENV)/installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: $(VENV)/installed
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+capacity: $(VENV)/installed
+	$(BIN)/python -m eelgrass_standins capacity
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -0,0 +1,57 @@
+"""Coordination parts of a serving system, for embedding in other programs.
+
+Nothing here starts a process or needs a running daemon. What has to be agreed
+or kept goes through a transactional table service (:class:`Table`).
+"""
+
+from .change_log import ChangeLog, ChangeOutcome, ChangeResult
+from .claims import Claim, Claims, ClaimState, Held
+from .configuration import Action, Change, ChangeItem, Entry, Problem, Snapshot
+from .follower import Follower
+from .group_commit import GroupCommit
+from .http_table import HttpTable
+from .limits import MovingAverage, RetryBudget, share_of_limit
+from .members import Member, MemberState
+from .membership import Mark, Membership
+from .table import (
+    Condition,
+    Row,
+    RowKey,
+    Table,
+    Transaction,
+    TransactionResult,
+    Write,
+)
+
+__all__ = [
+    "Action",
+    "Change",
+    "ChangeItem",
+    "ChangeLog",
+    "ChangeOutcome",
+    "ChangeResult",
+    "Claim",
+    "ClaimState",
+    "Claims",
+    "Condition",
+    "Entry",
+    "Follower",
+    "GroupCommit",
+    "Held",
+    "HttpTable",
+    "Mark",
+    "Member",
+    "MemberState",
+    "Membership",
+    "MovingAverage",
+    "Problem",
+    "RetryBudget",
+    "Row",
+    "RowKey",
+    "Snapshot",
+    "Table",
+    "Transaction",
+    "TransactionResult",
+    "Write",
+    "share_of_limit",
+]
--- /dev/null
+++ b/packages/coordination/src/eelgrass_coordination/change_log.py
@@ -0,0 +1,173 @@
+"""The log of configuration changes in the table service.
+
+One head row carries the revision. A change commits its own row, its id and the
+head in one transaction that is conditional on the head, so changes are serial:
+no two can be checked against the same state and both be accepted.
+
+Where the answer of a commit is lost, the same transaction is repeated until its
+fate is known: its conditions let it take effect once at most, and once the head
+has moved on it can no longer take effect late.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from .configuration import Change, Problem, Snapshot, apply_change, stale_items
+from .exceptions import PlatformError
+from .ids import ChangeId, Revision
+from .table import Condition, Row, RowKey, Table, Transaction, Write
+
+__all__ = ["ChangeLog", "ChangeOutcome", "ChangeResult"]
+
+HEAD = RowKey("configuration_head", "head")
+CHANGES = "configuration_changes"
+CHANGE_IDS = "configuration_change_ids"
+SNAPSHOTS = "configuration_snapshots"
+PAUSE_S = 0.05
+READ_BATCH = 100
+
+
+class ChangeOutcome(Enum):
+    """What became of a change."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class ChangeResult(msgspec.Struct, frozen=True):
+    """The outcome of a change, its revision or the problems it was refused for."""
+
+    outcome: ChangeOutcome
+    revision: Revision = Revision(0)
+    problems: tuple[Problem, ...] = ()
+
+
+Check = Callable[[Snapshot, Snapshot], list[Problem]]
+
+
+class ChangeLog:
+    """Reads and extends the log. ``head_reads`` counts reads of the head row."""
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+        self.head_reads = 0
+
+    async def head(self) -> tuple[Revision, int]:
+        """Return the newest revision and the version of the head row."""
+        self.head_reads += 1
+        (row,) = await self._table.read((HEAD,))
+        return _head_revision(row), row.version
+
+    async def changes_after(self, revision: Revision, head: Revision) -> list[Change]:
+        """Read the changes above ``revision`` up to ``head``, in order."""
+        changes: list[Change] = []
+        for first in range(revision + 1, head + 1, READ_BATCH):
+            last = min(first + READ_BATCH - 1, head)
+            keys = tuple(RowKey(CHANGES, change_key(n)) for n in range(first, last + 1))
+            rows = await self._table.read(keys)
+            changes += [_decoded(row) for row in rows]
+        return changes
+
+    async def find(self, change_id: ChangeId) -> Revision | None:
+        """Return the revision at which a change was accepted, or None."""
+        (row,) = await self._table.read((RowKey(CHANGE_IDS, change_id),))
+        return Revision(row.value["revision"]) if row.value else None
+
+    async def propose(
+        self,
+        change: Change,
+        snapshot_at: Callable[[Revision], "asyncio.Future[Snapshot]"],
+        check: Check,
+        within: float,
+    ) -> ChangeResult:
+        """Check a change and commit it, within that many seconds.
+
+        ``snapshot_at`` returns a snapshot of at least the revision it is given.
+        A repeat of an accepted change id returns its first result.
+        """
+        try:
+            async with asyncio.timeout(within):
+                return await self._propose(change, snapshot_at, check)
+        except TimeoutError:
+            return ChangeResult(ChangeOutcome.UNKNOWN)
+
+    async def _propose(
+        self, change: Change, snapshot_at: Callable, check: Check
+    ) -> ChangeResult:
+        while True:
+            try:
+                head, version = await self.head()
+                known = await self.find(change.change_id)
+                if known is not None:
+                    return ChangeResult(ChangeOutcome.ACCEPTED, known)
+                snapshot = await snapshot_at(head)
+            except PlatformError:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            if snapshot.revision != head:
+                continue
+            numbered = msgspec.structs.replace(
+                change, revision=Revision(head + 1), at=time.time()
+            )
+            problems = find_problems(snapshot, numbered, check)
+            if problems:
+                return ChangeResult(ChangeOutcome.REFUSED, problems=tuple(problems))
+            if await self._commit_until_answered(numbered, version):
+                return ChangeResult(ChangeOutcome.ACCEPTED, numbered.revision)
+
+    async def _commit_until_answered(self, change: Change, head_version: int) -> bool:
+        transaction = _transaction(change, head_version)
+        while True:
+            try:
+                result = await self._table.commit(transaction)
+            except PlatformError:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            # A conflict may be with our own write whose answer was lost; the
+            # caller then finds the change id.
+            return result.committed
+
+
+def change_key(revision: int) -> str:
+    """Return the row key of a revision's change; keys sort as revisions do."""
+    return f"{revision:012d}"
+
+
+def find_problems(snapshot: Snapshot, change: Change, check: Check) -> list[Problem]:
+    """Return every reason to refuse ``change`` on top of ``snapshot``."""
+    problems = stale_items(snapshot, change)
+    if problems:
+        return problems
+    return check(snapshot, apply_change(snapshot, change))
+
+
+def _transaction(change: Change, head_version: int) -> Transaction:
+    key = change_key(change.revision)
+    # As text, so that the values come back to the byte as they were checked.
+    record = {"change": msgspec.json.encode(change).decode()}
+    revision = {"revision": change.revision}
+    return Transaction(
+        conditions=(
+            Condition(HEAD.table, HEAD.key, head_version),
+            Condition(CHANGE_IDS, change.change_id, 0),
+            Condition(CHANGES, key, 0),
+        ),
+        writes=(
+            Write(HEAD.table, HEAD.key, revision),
+            Write(CHANGE_IDS, change.change_id, revision),
+            Write(CHANGES, key, record),
+        ),
+    )
+
+
+def _decoded(row: Row) -> Change:
+    return msgspec.json.decode(row.value["change"], type=Change)
+
+
+def _head_revision(row: Row) -> Revision:
+    return Revision(row.value["revision"]) if row.value else Revision(0)
--- /dev/null
+++ b/packages/coordination/src/eelgrass_coordination/http_table.py
@@ -0,0 +1,96 @@
+"""Client of the table service over HTTP with JSON.
+
+Every call is a POST without redirects, because aiohttp repeats a dropped call
+by itself only for idempotent methods, and follows a 307 by sending the body
+again.
+"""
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from .exceptions import OutcomeUnknown, PlatformUnavailable, Throttled
+from .table import Row, RowKey, Transaction, TransactionResult
+
+__all__ = ["HttpTable"]
+
+DEFAULT_TIMEOUT_S = 0.5
+HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
+
+
+class _Rows(msgspec.Struct, frozen=True):
+    rows: tuple[Row, ...]
+
+
+class HttpTable:
+    """The table service at ``address``, for example ``http://10.0.0.5:9000``.
+
+    The session belongs to the caller, who closes it.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        timeout: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        self._session = session
+        self._address = address
+        self._timeout = timeout
+
+    async def commit(
+        self, transaction: Transaction, timeout: float | None = None
+    ) -> TransactionResult:
+        """Commit a transaction; see :meth:`Table.commit` for its errors."""
+        body = await self._post("/v1/transactions", transaction, timeout)
+        return msgspec.json.decode(body, type=TransactionResult)
+
+    async def read(
+        self, keys: tuple[RowKey, ...], timeout: float | None = None
+    ) -> tuple[Row, ...]:
+        """Read rows by key."""
+        body = await self._read("/v1/read", {"keys": keys}, timeout)
+        return msgspec.json.decode(body, type=_Rows).rows
+
+    async def scan(
+        self, table: str, after: str = "", limit: int = 500
+    ) -> tuple[Row, ...]:
+        """Read a page of a table in key order."""
+        query = {"table": table, "after": after, "limit": limit}
+        body = await self._read("/v1/scan", query, None)
+        return msgspec.json.decode(body, type=_Rows).rows
+
+    async def _read(self, path: str, query: Any, timeout: float | None) -> bytes:
+        # A read has no effect, so a lost answer is as good as no call.
+        try:
+            return await self._post(path, query, timeout)
+        except OutcomeUnknown as error:
+            raise PlatformUnavailable(str(error.__cause__ or error)) from error
+
+    async def _post(self, path: str, message: Any, timeout: float | None) -> bytes:
+        limit = aiohttp.ClientTimeout(total=timeout or self._timeout)
+        try:
+            async with self._session.post(
+                self._address + path,
+                data=msgspec.json.encode(message),
+                headers={"Content-Type": "application/json"},
+                timeout=limit,
+                allow_redirects=False,
+            ) as response:
+                return _checked(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            raise PlatformUnavailable(str(error)) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise OutcomeUnknown(repr(error)) from error
+
+
+def _checked(status: int, body: bytes) -> bytes:
+    if status == HTTP_TOO_MANY:
+        raise Throttled("rate limit")
+    if status == HTTP_UNAVAILABLE:
+        raise PlatformUnavailable("503 from the table service")
+    if status != 200:  # noqa: PLR2004
+        raise OutcomeUnknown(f"status {status}")
+    return body
--- /dev/null
+++ b/packages/coordination/src/eelgrass_coordination/limits.py
@@ -0,0 +1,69 @@
+"""Limits and budgets: retry budgets, shares of a limit, moving averages."""
+
+import math
+
+__all__ = ["MovingAverage", "RetryBudget", "share_of_limit"]
+
+
+class RetryBudget:
+    """Allows retries as a fraction of requests, so that they cannot snowball.
+
+    ``ratio`` is the retries allowed per request in the long run and ``reserve``
+    the number that may be spent at once.
+
+    Example::
+
+        budget = RetryBudget(ratio=0.1, reserve=10)
+        budget.note_request()
+        if budget.try_spend():
+            ...
+    """
+
+    def __init__(self, ratio: float, reserve: float) -> None:
+        self._ratio = ratio
+        self._reserve = reserve
+        self._tokens = reserve
+
+    def note_request(self) -> None:
+        """Earn the share of one request."""
+        self._tokens = min(self._reserve, self._tokens + self._ratio)
+
+    def try_spend(self) -> bool:
+        """Take one retry from the budget; False where it is used up."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class MovingAverage:
+    """An exponentially weighted mean and deviation of observed values."""
+
+    def __init__(self, initial: float, weight: float = 0.1) -> None:
+        self.mean = initial
+        self.deviation = 0.0
+        self._weight = weight
+        self._seen = False
+
+    def note(self, value: float) -> None:
+        """Take in one observation."""
+        if not self._seen:
+            self.mean = value
+            self._seen = True
+            return
+        error = value - self.mean
+        self.mean += self._weight * error
+        self.deviation += self._weight * (abs(error) - self.deviation)
+
+    def upper(self, deviations: float) -> float:
+        """Return the mean plus that many mean deviations."""
+        return self.mean + deviations * self.deviation
+
+
+def share_of_limit(limit: int, live_nodes: int, headroom: float = 1.5) -> int:
+    """Return one node's share of a back end's limit, at least 1.
+
+    ``headroom`` lets the shares add up to more than the limit, since nodes are
+    seldom all busy at the same back end.
+    """
+    return max(1, math.ceil(limit * headroom / max(1, live_nodes)))
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -0,0 +1,126 @@
+"""The connections to one backend server.
+
+Calls are POSTs without redirects: the client library repeats a call by itself
+on a dropped kept-alive connection only for idempotent methods, and a followed
+307 would send the call a second time. A call that may not be repeated gets a
+connection of its own, so that it cannot meet a kept-alive one that the other
+side has just closed.
+"""
+
+import asyncio
+
+import aiohttp
+
+__all__ = ["BackendConnections"]
+
+CONNECT_S = 1.0
+KEEP_ALIVE_S = 15.0
+MAX_LINE = 1 << 20
+
+
+class BackendConnections:
+    """Kept-alive connections to ``address``, an IP address and port."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._session: aiohttp.ClientSession | None = None
+        self._single_use: aiohttp.ClientSession | None = None
+        self._retired: list[aiohttp.ClientSession] = []
+        self._in_use = 0
+        self._closing = False
+
+    def post(
+        self, path: str, body: bytes, attempt_id: str, connect_s: float, reuse: bool
+    ) -> "aiohttp.client._RequestContextManager":
+        """Begin a POST; ``connect_s`` bounds the time to connect, in seconds."""
+        session = self._reusing() if reuse else self._fresh()
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=min(connect_s, CONNECT_S)
+        )
+        return session.post(
+            f"http://{self.address}{path}",
+            data=body,
+            headers={"Content-Type": "application/json", "Attempt-Id": attempt_id},
+            timeout=timeout,
+            allow_redirects=False,
+        )
+
+    def replace(self) -> None:
+        """Use new connections from now on; those in use go on to their end.
+
+        Called when one connection went silent: its idle neighbours may have
+        been forgotten by whatever lies between in the same way.
+        """
+        if self._session is not None:
+            self._retire(self._session)
+            self._session = None
+
+    def enter(self) -> None:
+        """Note the start of a call."""
+        self._in_use += 1
+
+    def leave(self) -> None:
+        """Note the end of a call."""
+        self._in_use -= 1
+        if self._in_use == 0:
+            self._close_retired()
+
+    def retire(self) -> None:
+        """Close once the last call has ended."""
+        self._closing = True
+        if self._in_use == 0:
+            self._close_retired()
+
+    async def close(self) -> None:
+        """Close everything now."""
+        sessions = [self._session, self._single_use, *self._retired]
+        self._session = self._single_use = None
+        self._retired = []
+        for session in sessions:
+            if session is not None:
+                await session.close()
+
+    def _reusing(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False
+            )
+            self._session = _session(connector)
+        return self._session
+
+    def _fresh(self) -> aiohttp.ClientSession:
+        if self._single_use is None:
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            self._single_use = _session(connector)
+        return self._single_use
+
+    def _retire(self, session: aiohttp.ClientSession) -> None:
+        self._retired.append(session)
+        if self._in_use == 0:
+            self._close_retired()
+
+    def _close_retired(self) -> None:
+        if self._closing:
+            self._retired += [s for s in (self._session, self._single_use) if s]
+            self._session = self._single_use = None
+        for session in self._retired:
+            _close_soon(session)
+        self._retired = []
+
+
+_closing_tasks: set[asyncio.Task] = set()
+
+
+def _close_soon(session: aiohttp.ClientSession) -> None:
+    task = asyncio.create_task(session.close())
+    _closing_tasks.add(task)
+    task.add_done_callback(_closing_tasks.discard)
+
+
+def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        read_bufsize=MAX_LINE,
+    )
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/peers.py
@@ -0,0 +1,86 @@
+"""What nodes ask of each other over HTTP."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from eelgrass_coordination import Member, Membership
+from eelgrass_coordination.ids import ClaimId, Revision
+
+from ..process.claimed import ClaimedRequests
+from ..process.configuration import ConfigurationSync
+
+__all__ = ["PeersInterface", "json_response"]
+
+MAX_WAIT_S = 30.0
+
+
+class _After(msgspec.Struct):
+    after: Revision
+
+
+class _WaitForRevision(msgspec.Struct):
+    revision: Revision
+    wait_s: float
+
+
+class _WaitForClaim(msgspec.Struct):
+    claim_id: ClaimId
+    wait_s: float
+
+
+def json_response(message: object, status: int = 200) -> web.Response:
+    """Return a JSON response; structs, enums and raw values are understood."""
+    body = msgspec.json.encode(message)
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+class PeersInterface:
+    """Answers peers for one process."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationSync,
+        membership: Membership,
+        claimed: ClaimedRequests,
+    ) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._claimed = claimed
+
+    async def handle_changes(self, request: web.Request) -> web.Response:
+        """Answer ``POST /peer/v1/changes``."""
+        query = msgspec.json.decode(await request.read(), type=_After)
+        return json_response(self._configuration.changes_for_peer(query.after))
+
+    async def handle_revision(self, request: web.Request) -> web.Response:
+        """Answer ``POST /peer/v1/revision`` once the revision is in force."""
+        query = msgspec.json.decode(await request.read(), type=_WaitForRevision)
+        follower = self._configuration.follower
+        try:
+            async with asyncio.timeout(min(query.wait_s, MAX_WAIT_S)):
+                await follower.wait_for(query.revision)
+        except TimeoutError:
+            pass
+        return json_response({"revision": follower.revision})
+
+    async def handle_claim(self, request: web.Request) -> web.Response:
+        """Answer ``POST /peer/v1/claims/wait``."""
+        query = msgspec.json.decode(await request.read(), type=_WaitForClaim)
+        wait_s = min(query.wait_s, MAX_WAIT_S)
+        return json_response(await self._claimed.wait_for_owner(query.claim_id, wait_s))
+
+    async def handle_members(self, request: web.Request) -> web.Response:
+        """Answer ``POST /peer/v1/members`` with every record, and take theirs."""
+        theirs = msgspec.json.decode(await request.read(), type=list[Member])
+        self._membership.merge_all(theirs)
+        membership = self._membership
+        return json_response([membership.own, *membership.members.by_id.values()])
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the peers' routes."""
+        app.router.add_post("/peer/v1/changes", self.handle_changes)
+        app.router.add_post("/peer/v1/revision", self.handle_revision)
+        app.router.add_post("/peer/v1/claims/wait", self.handle_claim)
+        app.router.add_post("/peer/v1/members", self.handle_members)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/log.py
@@ -0,0 +1,33 @@
+"""Structured logs: short sentences, each with the fixed prefix of its part."""
+
+import sys
+from enum import Enum
+from typing import Any
+
+import eliot
+
+__all__ = ["Part", "log", "log_to_stderr"]
+
+
+class Part(Enum):
+    """The parts of the node that write logs; the value is the prefix."""
+
+    NODE = "node"
+    CONFIGURATION = "configuration"
+    HOSTS = "hosts"
+    MEMBERSHIP = "membership"
+    CLAIMS = "claims"
+    CALLERS = "callers"
+    OPERATORS = "operators"
+
+
+def log_to_stderr() -> None:
+    """Write logs as JSON lines to standard error."""
+    eliot.to_file(sys.stderr)
+
+
+def log(part: Part, sentence: str, **fields: Any) -> None:
+    """Write one line, for example ``log(Part.NODE, "Ready.", revision=4)``."""
+    eliot.log_message(
+        message_type=part.value, message=f"{part.value}: {sentence}", **fields
+    )
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process."""
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -0,0 +1,157 @@
+"""The backend servers known to this process, and what is known of each."""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from eelgrass_coordination import MovingAverage, share_of_limit
+from eelgrass_coordination.ids import BackendId, DataCentre
+
+from ..connection.backend import BackendConnections
+
+__all__ = ["Backend", "BackendState", "Backends", "HostEntry"]
+
+INITIAL_CALL_S = 0.05
+SUSPECT_S = 1.0
+
+
+class BackendState(Enum):
+    """Whether a backend server gets new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """A backend server in the platform's host list.
+
+    ``started`` tells apart two servers that had the same id one after the
+    other; ``limit`` is how many calls it takes at a time.
+    """
+
+    id: BackendId
+    service: str
+    address: str
+    data_centre: DataCentre
+    limit: int = 8
+    state: BackendState = BackendState.LIVE
+    started: int = 0
+    checks_fencing: bool = True
+
+
+class Backend:
+    """One backend server: its entry, our calls to it, and when it last failed."""
+
+    def __init__(self, entry: HostEntry) -> None:
+        self.entry = entry
+        self.connections = BackendConnections(entry.address)
+        self.in_flight = 0
+        self.share = 1
+        self.suspect_until = 0.0
+        self.call_s = MovingAverage(INITIAL_CALL_S)
+
+    def suspect(self) -> None:
+        """Prefer other servers for a while, after a failure."""
+        self.suspect_until = asyncio.get_running_loop().time() + SUSPECT_S
+
+    def has_room(self) -> bool:
+        """Return whether our share of its limit has room for one more call."""
+        return self.in_flight < self.share
+
+
+class Backends:
+    """All backend servers by id and by service.
+
+    Knowledge that one is leaving is kept for as long as that server (the pair
+    of id and start number) may still be listed as live by a lagging list.
+    """
+
+    def __init__(self, on_change: Callable[[str], None] = lambda service: None):
+        self.on_change = on_change
+        self.by_id: dict[BackendId, Backend] = {}
+        self.by_service: dict[str, list[Backend]] = {}
+        self.leaving: dict[BackendId, int] = {}
+        self._live_nodes = 1
+
+    def update(self, entries: list[HostEntry]) -> list[HostEntry]:
+        """Take in a host list; returns the entries newly seen as leaving."""
+        listed = {entry.id: entry for entry in entries}
+        news = [
+            entry
+            for entry in entries
+            if entry.state is BackendState.LEAVING and self._note_leaving(entry)
+        ]
+        for backend_id in self.by_id.keys() - listed.keys():
+            self._remove(backend_id)
+        for entry in entries:
+            self._put(entry)
+        for backend_id in self.leaving.keys() - listed.keys():
+            del self.leaving[backend_id]
+        self._rebuild()
+        return news
+
+    def mark_leaving(self, backend_id: BackendId, started: int) -> bool:
+        """Note that a server is leaving; returns whether that was news."""
+        known = self.leaving.get(backend_id)
+        if known is not None and known >= started:
+            return False
+        self.leaving[backend_id] = started
+        backend = self.by_id.get(backend_id)
+        if backend is not None:
+            self.on_change(backend.entry.service)
+        return True
+
+    def is_leaving(self, backend: Backend) -> bool:
+        """Return whether a server gets no new work."""
+        entry = backend.entry
+        if entry.state is BackendState.LEAVING:
+            return True
+        return self.leaving.get(entry.id, -1) >= entry.started
+
+    def usable(self, service: str) -> list[Backend]:
+        """Return the servers of a service that may get new work."""
+        servers = self.by_service.get(service, ())
+        return [backend for backend in servers if not self.is_leaving(backend)]
+
+    def set_live_nodes(self, count: int) -> None:
+        """Share the servers' limits among that many nodes."""
+        if count == self._live_nodes:
+            return
+        self._live_nodes = count
+        for backend in self.by_id.values():
+            backend.share = share_of_limit(backend.entry.limit, count)
+        for service in self.by_service:
+            self.on_change(service)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for backend in self.by_id.values():
+            await backend.connections.close()
+
+    def _note_leaving(self, entry: HostEntry) -> bool:
+        return self.mark_leaving(entry.id, entry.started)
+
+    def _put(self, entry: HostEntry) -> None:
+        backend = self.by_id.get(entry.id)
+        if backend is not None and backend.entry.address != entry.address:
+            self._remove(entry.id)
+            backend = None
+        if backend is None:
+            backend = Backend(entry)
+            self.by_id[entry.id] = backend
+        backend.entry = entry
+        backend.share = share_of_limit(entry.limit, self._live_nodes)
+
+    def _remove(self, backend_id: BackendId) -> None:
+        # Calls in flight keep the object, and its connections, until they end.
+        self.by_id.pop(backend_id).connections.retire()
+
+    def _rebuild(self) -> None:
+        by_service: dict[str, list[Backend]] = {}
+        for backend in self.by_id.values():
+            by_service.setdefault(backend.entry.service, []).append(backend)
+        self.by_service = by_service
+        for service in by_service:
+            self.on_change(service)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/changes.py
@@ -0,0 +1,98 @@
+"""Operators' changes: checked here, committed through the change log."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from eelgrass_coordination import (
+    Change,
+    ChangeLog,
+    ChangeOutcome,
+    ChangeResult,
+    Member,
+    Membership,
+)
+from eelgrass_coordination.exceptions import PlatformError
+from eelgrass_coordination.ids import NodeId, Revision
+
+from ..log import Part, log
+from ..version import check_result
+from .configuration import ConfigurationSync
+
+__all__ = ["ChangeReport", "Changes"]
+
+IN_FORCE_WAIT_S = 5.0
+
+
+class ChangeReport(msgspec.Struct, frozen=True):
+    """The result of a change, and the nodes on which it is in force or not yet."""
+
+    result: ChangeResult
+    in_force: tuple[NodeId, ...] = ()
+    not_yet: tuple[NodeId, ...] = ()
+
+
+class Changes:
+    """Submits changes and waits until they are in force."""
+
+    def __init__(
+        self,
+        change_log: ChangeLog,
+        configuration: ConfigurationSync,
+        membership: Membership,
+        session: aiohttp.ClientSession,
+        settle_s: float,
+    ) -> None:
+        self._change_log = change_log
+        self._configuration = configuration
+        self._membership = membership
+        self._session = session
+        self._settle_s = settle_s
+
+    async def submit(self, change: Change) -> ChangeReport:
+        """Commit a change and report where it is in force."""
+        result = await self._change_log.propose(
+            change, self._configuration.catch_up, check_result, self._settle_s
+        )
+        if result.outcome is not ChangeOutcome.ACCEPTED:
+            return ChangeReport(result)
+        await self._take_up(result.revision)
+        return await self._report(result)
+
+    async def _take_up(self, revision: Revision) -> None:
+        # Read back rather than applied from the request: a repeated change id
+        # stands for the change that was accepted under it first.
+        try:
+            await self._configuration.catch_up(revision)
+        except PlatformError as error:
+            log(Part.CONFIGURATION, "A change waits for a poll.", error=str(error))
+
+    async def _report(self, result: ChangeResult) -> ChangeReport:
+        revision = result.revision
+        members = self._membership.members.reachable()
+        reached = await asyncio.gather(
+            *(self._wait_for_member(member, revision) for member in members)
+        )
+        own = self._membership.own.id
+        in_force = [m.id for m, there in zip(members, reached, strict=True) if there]
+        not_yet = [m.id for m, there in zip(members, reached, strict=True) if not there]
+        if self._configuration.follower.revision >= revision:
+            in_force.append(own)
+        else:
+            not_yet.append(own)
+        return ChangeReport(result, tuple(sorted(in_force)), tuple(sorted(not_yet)))
+
+    async def _wait_for_member(self, member: Member, revision: Revision) -> bool:
+        message = {"revision": revision, "wait_s": IN_FORCE_WAIT_S}
+        try:
+            async with self._session.post(
+                f"http://{member.internal}/peer/v1/revision",
+                data=msgspec.json.encode(message),
+                timeout=aiohttp.ClientTimeout(total=IN_FORCE_WAIT_S + 1),
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+            return msgspec.json.decode(body)["revision"] >= revision
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            return False
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/claimed.py
@@ -0,0 +1,234 @@
+"""Requests under an idempotency key: one run, and one answer for every repeat."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from eelgrass_coordination import Claim, Claims, ClaimState, Held
+from eelgrass_coordination.exceptions import ClaimUnsettled
+from eelgrass_coordination.ids import ClaimId, Incarnation, NodeId, new_id
+
+from ..exceptions import Refused
+from ..log import Part, log
+from ..request.model import CallerRequest
+from ..request.reasons import Outcome, RefusalReason
+
+__all__ = ["ClaimedRequests", "OwnerReply", "OwnerState"]
+
+FINISHED_KEPT_S = 60.0
+STORE_BEFORE_ANSWER_S = 0.25
+OWNER_MARGIN_S = 0.05
+RETRY_AFTER_S = 1.0
+
+Execute = Callable[[], Awaitable[Any]]
+
+
+class OwnerState:
+    """What an owner says of a claim, as plain strings on the wire."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    NOT_MINE = "not_mine"
+
+
+class OwnerReply(msgspec.Struct):
+    """An owner's reply to a node that waits for one of its claims."""
+
+    state: str
+
+
+class _Running:
+    """A claim that this process runs, or ran a while ago."""
+
+    def __init__(self) -> None:
+        self.finished = asyncio.Event()
+
+
+class ClaimedRequests:
+    """The keyed requests of this process."""
+
+    def __init__(
+        self,
+        claims: Claims,
+        session: aiohttp.ClientSession,
+        node: NodeId,
+        incarnation: Incarnation,
+        address: str,
+        settle_s: float,
+    ) -> None:
+        self._claims = claims
+        self._session = session
+        self._node = node
+        self._incarnation = incarnation
+        self._address = address
+        self._settle_s = settle_s
+        self._running_by_id: dict[ClaimId, _Running] = {}
+
+    async def run(self, request: CallerRequest, execute: Execute) -> tuple[Any, bool]:
+        """Run the request unless its key was used; return the answer.
+
+        The second value says whether the answer is that of an earlier run.
+        """
+        while True:
+            held = await self._acquire(request)
+            if held.acquired:
+                return await self._execute(held, execute), False
+            settled = await self._settled_answer(request, held.claim)
+            if settled is not None:
+                return settled.answer, True
+
+    async def wait_for_owner(self, claim_id: ClaimId, wait_s: float) -> OwnerReply:
+        """Answer a peer that asks for a claim of ours; waits for its end."""
+        running = self._running_by_id.get(claim_id)
+        if running is None:
+            return OwnerReply(OwnerState.NOT_MINE)
+        try:
+            async with asyncio.timeout(wait_s):
+                await running.finished.wait()
+        except TimeoutError:
+            return OwnerReply(OwnerState.RUNNING)
+        return OwnerReply(OwnerState.FINISHED)
+
+    async def _acquire(self, request: CallerRequest) -> Held:
+        claim = self._new_claim(request)
+        # Registered before the write: a peer may see the row before we do.
+        self._running_by_id[claim.claim_id] = running = _Running()
+        within = min(self._settle_s, request.remaining())
+        try:
+            held = await self._claims.acquire(claim, within)
+        except ClaimUnsettled as error:
+            self._forget(claim.claim_id, running)
+            raise Refused(
+                RefusalReason.PLATFORM_DOWN, Outcome.NOT_RUN, "", RETRY_AFTER_S
+            ) from error
+        except BaseException:
+            self._forget(claim.claim_id, running)
+            raise
+        if not held.acquired:
+            self._forget(claim.claim_id, running)
+        return held
+
+    async def _execute(self, held: Held, execute: Execute) -> Any:
+        running = self._running_by_id[held.claim.claim_id]
+        try:
+            answer = await execute()
+        except Refused as refused:
+            await self._store(held, self._after_refusal(held, refused))
+            raise
+        except BaseException:
+            note = "the node met an error"
+            await self._store(held, self._claims.mark_unknown(held, note))
+            raise
+        else:
+            await self._store(held, self._claims.complete(held, answer))
+            return answer
+        finally:
+            self._forget_later(held.claim.claim_id, running)
+
+    def _after_refusal(self, held: Held, refused: Refused) -> Awaitable[bool]:
+        if refused.outcome is Outcome.UNKNOWN:
+            log(
+                Part.CLAIMS,
+                "A keyed request has an unknown outcome.",
+                account=held.claim.account,
+                claim=held.claim.claim_id,
+                reason=refused.reason.value,
+            )
+            return self._claims.mark_unknown(held, str(refused))
+        # NO_EFFECT is as good as not run: only repeatable stages began.
+        return self._claims.release(held)
+
+    async def _store(self, held: Held, storing: Awaitable[bool]) -> None:
+        """Store the end of a claim; goes on in the background if it is slow."""
+        task = self._claims.finish_in_background(storing)
+        await asyncio.wait({task}, timeout=STORE_BEFORE_ANSWER_S)
+
+    async def _settled_answer(
+        self, request: CallerRequest, claim: Claim
+    ) -> Claim | None:
+        """Return the completed claim, None to look again, or raise Refused."""
+        if claim.digest != request.digest or claim.pipeline != request.pipeline.name:
+            raise Refused(RefusalReason.KEY_REUSED, Outcome.NOT_RUN)
+        if claim.state is ClaimState.COMPLETED:
+            return claim
+        if claim.state is ClaimState.UNKNOWN:
+            raise Refused(
+                RefusalReason.CLAIM_OUTCOME_UNKNOWN, Outcome.UNKNOWN, claim.note
+            )
+        if claim.state is ClaimState.RESOLVED:
+            raise Refused(RefusalReason.CLAIM_RESOLVED, Outcome.UNKNOWN, claim.note)
+        await self._wait_on_owner(request, claim)
+        return None
+
+    async def _wait_on_owner(self, request: CallerRequest, claim: Claim) -> None:
+        wait_s = request.remaining() - OWNER_MARGIN_S
+        if wait_s <= 0:
+            raise Refused(
+                RefusalReason.CLAIM_STILL_RUNNING, Outcome.UNKNOWN, "", RETRY_AFTER_S
+            )
+        if claim.owner_incarnation == self._incarnation:
+            reply = await self.wait_for_owner(claim.claim_id, wait_s)
+        else:
+            reply = await self._ask_owner(claim, wait_s)
+        if reply.state == OwnerState.RUNNING:
+            raise Refused(
+                RefusalReason.CLAIM_STILL_RUNNING, Outcome.UNKNOWN, "", RETRY_AFTER_S
+            )
+        if reply.state == OwnerState.FINISHED:
+            # Its final row may be a moment behind its answer.
+            await asyncio.sleep(OWNER_MARGIN_S)
+            return
+        row = await self._claims.find(claim.account, claim.key)
+        if row.value is not None and row.value["state"] != ClaimState.RUNNING.value:
+            return
+        raise Refused(
+            RefusalReason.CLAIM_OUTCOME_UNKNOWN,
+            Outcome.UNKNOWN,
+            "The node that began it has since stopped.",
+        )
+
+    async def _ask_owner(self, claim: Claim, wait_s: float) -> OwnerReply:
+        message = {"claim_id": claim.claim_id, "wait_s": wait_s}
+        try:
+            async with self._session.post(
+                f"http://{claim.owner_address}/peer/v1/claims/wait",
+                data=msgspec.json.encode(message),
+                timeout=aiohttp.ClientTimeout(total=wait_s + OWNER_MARGIN_S),
+                allow_redirects=False,
+            ) as response:
+                return msgspec.json.decode(await response.read(), type=OwnerReply)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+            raise Refused(
+                RefusalReason.CLAIM_OWNER_UNREACHABLE,
+                Outcome.UNKNOWN,
+                f"Node {claim.owner!r}: {e!r}.",
+                RETRY_AFTER_S,
+            ) from e
+
+    def _new_claim(self, request: CallerRequest) -> Claim:
+        now = time.time()
+        return Claim(
+            claim_id=ClaimId(new_id("claim")),
+            account=request.account,
+            key=request.key or "",
+            digest=request.digest,
+            pipeline=request.pipeline.name,
+            owner=self._node,
+            owner_incarnation=self._incarnation,
+            owner_address=self._address,
+            started_at=now,
+            deadline_at=now + request.remaining(),
+        )
+
+    def _forget(self, claim_id: ClaimId, running: _Running) -> None:
+        running.finished.set()
+        self._running_by_id.pop(claim_id, None)
+
+    def _forget_later(self, claim_id: ClaimId, running: _Running) -> None:
+        running.finished.set()
+        loop = asyncio.get_running_loop()
+        loop.call_later(FINISHED_KEPT_S, self._running_by_id.pop, claim_id, None)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/configuration.py
@@ -0,0 +1,170 @@
+"""Keeps the node at the newest configuration revision.
+
+A few nodes per data centre poll the head row; the others hear of a new revision
+from their peers and fetch the changes from whoever told them. So the reads of
+the table service do not grow with the number of nodes.
+"""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from eelgrass_coordination import Change, ChangeLog, Follower, Member, Snapshot
+from eelgrass_coordination.exceptions import PlatformError
+from eelgrass_coordination.follower import follow_or_gap
+from eelgrass_coordination.ids import NodeId, Revision
+
+from ..log import Part, log
+from ..version import Version
+
+__all__ = ["ConfigurationSync", "PeerChanges", "is_poller"]
+
+POLLERS_PER_DATA_CENTRE = 2
+PEER_TIMEOUT_S = 2.0
+START_PEERS = 8
+SETTLE_PAUSE_S = 0.2
+
+
+class PeerChanges(msgspec.Struct, frozen=True):
+    """A peer's answer: the changes asked for, or a whole snapshot."""
+
+    changes: tuple[Change, ...] | None = None
+    snapshot: Snapshot | None = None
+
+
+def is_poller(own: Member, members: list[Member]) -> bool:
+    """Return whether ``own`` is among the pollers of its data centre.
+
+    The choice is by a hash of the node id, so it moves only where nodes come
+    or go. Nodes that see different members may both poll, which does no harm.
+    """
+    near = [m for m in members if m.data_centre == own.data_centre]
+    ranked = sorted([*near, own], key=lambda member: _rank(member.id))
+    return own.id in [member.id for member in ranked[:POLLERS_PER_DATA_CENTRE]]
+
+
+def _rank(node: NodeId) -> bytes:
+    return hashlib.blake2b(node.encode(), digest_size=8).digest()
+
+
+class ConfigurationSync:
+    """Follows the change log, directly or through peers.
+
+    ``version`` is what new requests use. ``on_advance`` is told each new
+    revision.
+    """
+
+    def __init__(
+        self,
+        change_log: ChangeLog,
+        session: aiohttp.ClientSession,
+        polls: Callable[[], bool],
+        interval_s: float,
+    ) -> None:
+        self._change_log = change_log
+        self._session = session
+        self._polls = polls
+        self._interval_s = interval_s
+        self._fetching: set[asyncio.Task] = set()
+        self._fetch_lock = asyncio.Lock()
+        self._failing = False
+        self.follower = Follower()
+        self.version = Version(self.follower.snapshot)
+        self.on_advance: Callable[[Revision], None] = lambda revision: None
+
+    async def run(self) -> None:
+        """Poll while this node is a poller, until cancelled."""
+        while True:
+            if self._polls() or not self.follower.ready:
+                await self.poll()
+            await asyncio.sleep(self._interval_s)
+
+    async def poll(self) -> None:
+        """Read the head row once, and the changes up to it."""
+        try:
+            head, _ = await self._change_log.head()
+            await self.catch_up(head)
+        except PlatformError as error:
+            if not self._failing:
+                log(Part.CONFIGURATION, "The head is unreadable.", error=str(error))
+            self._failing = True
+            return
+        if self._failing:
+            log(Part.CONFIGURATION, "The head is readable again.")
+        self._failing = False
+        self.follower.confirm(head)
+
+    async def catch_up(self, head: Revision) -> Snapshot:
+        """Read the changes up to ``head`` from the table service."""
+        if head > self.follower.revision:
+            revision = self.follower.revision
+            changes = await self._change_log.changes_after(revision, head)
+            self.advance(changes)
+        return self.follower.snapshot
+
+    def advance(self, changes: list[Change] | tuple[Change, ...]) -> bool:
+        """Apply changes; returns False where some are missing in between."""
+        before = self.follower.revision
+        complete = follow_or_gap(self.follower, changes)
+        self._renew(before)
+        return complete
+
+    def heard(self, revision: Revision, member: Member, age_s: float) -> None:
+        """Take in what a peer said of its revision."""
+        if revision > self.follower.revision:
+            task = asyncio.create_task(self._fetch(member))
+            self._fetching.add(task)
+            task.add_done_callback(self._fetching.discard)
+        else:
+            self.follower.confirm(revision, age_s)
+
+    async def start_from_peers(self, members: list[Member]) -> None:
+        """Take the newest snapshot among some peers, for a start in an outage."""
+        await asyncio.gather(*(self._fetch(m) for m in members[:START_PEERS]))
+
+    def changes_for_peer(self, after: Revision) -> PeerChanges:
+        """Return what a peer at revision ``after`` needs."""
+        changes = self.follower.changes_after(after)
+        if changes is not None:
+            return PeerChanges(changes=tuple(changes))
+        return PeerChanges(snapshot=self.follower.snapshot)
+
+    async def _fetch(self, member: Member) -> None:
+        async with self._fetch_lock:
+            after = self.follower.revision
+            try:
+                async with self._session.post(
+                    f"http://{member.internal}/peer/v1/changes",
+                    data=msgspec.json.encode({"after": after}),
+                    timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
+                    allow_redirects=False,
+                ) as response:
+                    body = await response.read()
+                answer = msgspec.json.decode(body, type=PeerChanges)
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                log(
+                    Part.CONFIGURATION,
+                    "A peer gave no changes.",
+                    peer=member.id,
+                    error=repr(error),
+                )
+                return
+            self._take(answer)
+
+    def _take(self, answer: PeerChanges) -> None:
+        before = self.follower.revision
+        if answer.snapshot is not None:
+            self.follower.replace(answer.snapshot)
+        elif answer.changes:
+            follow_or_gap(self.follower, answer.changes)
+        self._renew(before)
+
+    def _renew(self, before: Revision) -> None:
+        revision = self.follower.revision
+        if revision == before:
+            return
+        self.version = Version(self.follower.snapshot)
+        self.on_advance(revision)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/dispatch.py
@@ -0,0 +1,225 @@
+"""The queues before the services: who waits, who goes where, who is refused.
+
+One queue per service. A waiter gets a backend server as soon as our share of
+one has room; it is refused at once where its deadline can no longer be met.
+"""
+
+import asyncio
+import bisect
+from collections.abc import Callable
+
+from eelgrass_coordination import MovingAverage
+from eelgrass_coordination.ids import BackendId
+
+from ..exceptions import Refused
+from ..request.model import CallerRequest
+from ..request.reasons import Outcome, RefusalReason
+from ..version import Stage, StageKind
+from .backends import Backend, Backends
+from .policy import Admission, ChoiceFunction, OrderFunction, OrderKey
+
+__all__ = ["Dispatch", "ServiceQueue"]
+
+MAX_WAITING = 2000
+MIN_RETRY_AFTER_S = 0.1
+NO_BACKEND_RETRY_S = 1.0
+
+
+class _Waiter:
+    """A stage that waits for a backend server."""
+
+    def __init__(self, key: OrderKey, tried: frozenset[BackendId]) -> None:
+        self.key = key
+        self.tried = tried
+        self.granted: asyncio.Future[Backend] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class ServiceQueue:
+    """The waiters for one service, in their order."""
+
+    def __init__(
+        self,
+        service: str,
+        backends: Backends,
+        choose: ChoiceFunction,
+        order: OrderFunction,
+    ) -> None:
+        self.service = service
+        self._backends = backends
+        self._choose = choose
+        self._order = order
+        self._waiters: list[_Waiter] = []
+        self._arrivals = 0
+        self.held_s = MovingAverage(0.0)
+        self.first_s = MovingAverage(0.0)
+        self.between_s = MovingAverage(0.0)
+
+    @property
+    def waiting(self) -> int:
+        """How many wait."""
+        return len(self._waiters)
+
+    def slots(self) -> int:
+        """Return how many calls we may have at this service at a time."""
+        return sum(backend.share for backend in self._backends.usable(self.service))
+
+    def expected_wait(self, ahead: int | None = None) -> float:
+        """Return the seconds until a place comes free behind ``ahead`` waiters."""
+        ahead = self.waiting if ahead is None else ahead
+        slots = self.slots()
+        if not slots or self._has_room():
+            return 0.0
+        return (ahead + 1) * self.held_s.mean / slots
+
+    def wait_of(self, priority: int, deadline: float) -> float:
+        """Return the expected wait of a newcomer, in seconds."""
+        key = self._order(priority, deadline, self._arrivals)
+        ahead = bisect.bisect(self._waiters, key, key=lambda waiter: waiter.key)
+        return self.expected_wait(ahead)
+
+    def expected_run(self, stage: Stage) -> float:
+        """Return the seconds that a stage takes once it has a server."""
+        if stage.kind is StageKind.GENERATE:
+            return self.first_s.mean + self.between_s.mean * int(stage.max_tokens)
+        return self.held_s.mean
+
+    async def acquire(
+        self,
+        request: CallerRequest,
+        tried: frozenset[BackendId],
+        latest: float,
+    ) -> Backend:
+        """Wait for a server until ``latest``, a time of the event loop.
+
+        Raises :class:`TimeoutError` then, and :class:`Refused` where there is no
+        server or the queue is full. The caller must :meth:`release` the server.
+        """
+        if not self._backends.usable(self.service):
+            raise Refused(
+                RefusalReason.NO_BACKEND,
+                Outcome.NOT_RUN,
+                f"Service {self.service!r} has no server in use.",
+                NO_BACKEND_RETRY_S,
+            )
+        if len(self._waiters) >= MAX_WAITING:
+            raise Refused(
+                RefusalReason.QUEUE_FULL,
+                Outcome.NOT_RUN,
+                f"{MAX_WAITING} stages wait for {self.service!r}.",
+                self.retry_after(),
+            )
+        self._arrivals += 1
+        priority = request.pipeline.priority
+        key = self._order(priority, request.deadline, self._arrivals)
+        waiter = _Waiter(key, tried)
+        bisect.insort(self._waiters, waiter, key=lambda other: other.key)
+        self.grant()
+        try:
+            async with asyncio.timeout_at(latest):
+                return await waiter.granted
+        except BaseException:
+            self._withdraw(waiter)
+            raise
+
+    def release(self, backend: Backend) -> None:
+        """Give a server back."""
+        backend.in_flight -= 1
+        self.grant()
+
+    def grant(self) -> None:
+        """Give servers with room to the first waiters."""
+        while self._waiters:
+            waiter = self._waiters[0]
+            backend = self._pick(waiter.tried)
+            if backend is None:
+                return
+            del self._waiters[0]
+            backend.in_flight += 1
+            waiter.granted.set_result(backend)
+
+    def retry_after(self) -> float:
+        """Return after how many seconds a refused caller should come back."""
+        return max(MIN_RETRY_AFTER_S, self.expected_wait())
+
+    def _has_room(self) -> bool:
+        if self._waiters:
+            return False
+        usable = self._backends.usable(self.service)
+        return any(backend.has_room() for backend in usable)
+
+    def _pick(self, tried: frozenset[BackendId]) -> Backend | None:
+        usable = self._backends.usable(self.service)
+        roomy = [backend for backend in usable if backend.has_room()]
+        if not roomy:
+            return None
+        now = asyncio.get_running_loop().time()
+        untried = [b for b in roomy if b.entry.id not in tried]
+        trusted = [b for b in untried if b.suspect_until <= now]
+        return self._choose(trusted or untried or roomy)
+
+    def _withdraw(self, waiter: _Waiter) -> None:
+        granted = waiter.granted
+        if granted.done() and not granted.cancelled():
+            # Granted in the very moment in which the wait was given up.
+            self.release(granted.result())
+            return
+        granted.cancel()
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+
+class Dispatch:
+    """The queues by service, and the feasibility of a deadline across them."""
+
+    def __init__(
+        self,
+        backends: Backends,
+        choose: Callable[[], ChoiceFunction],
+        order: OrderFunction,
+        admission: Admission,
+    ) -> None:
+        self._backends = backends
+        self._choose = choose
+        self._order = order
+        self._admission = admission
+        self.by_service: dict[str, ServiceQueue] = {}
+
+    def queue(self, service: str) -> ServiceQueue:
+        """Return the queue of a service."""
+        found = self.by_service.get(service)
+        if found is None:
+            found = ServiceQueue(service, self._backends, self._choose(), self._order)
+            self.by_service[service] = found
+        return found
+
+    def servers_changed(self, service: str) -> None:
+        """Serve waiters that a change of servers has made room for."""
+        if service in self.by_service:
+            self.by_service[service].grant()
+
+    def expected_rest(self, stages: tuple[Stage, ...]) -> float:
+        """Return the seconds that stages take without waiting."""
+        return sum(self.queue(stage.service).expected_run(stage) for stage in stages)
+
+    def check_feasible(
+        self, request: CallerRequest, stages: tuple[Stage, ...], outcome: Outcome
+    ) -> None:
+        """Refuse a request whose deadline cannot be met by ``stages``."""
+        if self._admission is Admission.ALL or not stages:
+            return
+        priority = request.pipeline.priority
+        waits = {
+            stage.service: self.queue(stage.service).wait_of(priority, request.deadline)
+            for stage in stages
+        }
+        expected = sum(waits.values()) + self.expected_rest(stages)
+        missing = expected - request.remaining()
+        if missing > 0 and any(waits.values()):
+            raise Refused(
+                RefusalReason.DEADLINE_INFEASIBLE,
+                outcome,
+                f"The stages left are expected to take {expected * 1000:.0f} ms.",
+                max(MIN_RETRY_AFTER_S, *waits.values()),
+            )
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/host_list.py
@@ -0,0 +1,64 @@
+"""Follows the platform's lagging list of backend servers."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from ..log import Part, log
+from .backends import Backends, HostEntry
+
+__all__ = ["HostListPoller"]
+
+
+class HostListPoller:
+    """Polls the host list; during an outage the last one stays in force.
+
+    ``on_leaving`` is told each entry that is newly listed as leaving.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        platform_address: str,
+        backends: Backends,
+        interval_s: float,
+        timeout_s: float,
+    ) -> None:
+        self._session = session
+        self._url = f"{platform_address}/v1/hosts"
+        self._backends = backends
+        self._interval_s = interval_s
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._failing = False
+        self.on_leaving = lambda backend_id, started: None
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(self._interval_s)
+
+    async def poll(self) -> None:
+        """Read the list once."""
+        try:
+            async with self._session.post(
+                self._url, timeout=self._timeout, allow_redirects=False
+            ) as response:
+                response.raise_for_status()
+                body = await response.read()
+            entries = msgspec.json.decode(body, type=list[HostEntry])
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+            self._note_failure(e)
+            return
+        if self._failing:
+            log(Part.HOSTS, "The host list is readable again.")
+            self._failing = False
+        for entry in self._backends.update(entries):
+            log(Part.HOSTS, "A backend server is leaving.", backend=entry.id)
+            self.on_leaving(entry.id, entry.started)
+
+    def _note_failure(self, error: Exception) -> None:
+        if not self._failing:
+            log(Part.HOSTS, "The host list cannot be read.", error=repr(error))
+        self._failing = True
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -0,0 +1,327 @@
+"""A node put together from its parts, from its start to its planned stop."""
+
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+import statsd
+from aiohttp import web
+
+from eelgrass_coordination import (
+    ChangeLog,
+    Claims,
+    HttpTable,
+    Mark,
+    Member,
+    Membership,
+    RetryBudget,
+)
+from eelgrass_coordination.ids import Incarnation, Revision, new_id
+
+from ..connection.callers import CallersInterface, build_callers
+from ..connection.operators import OperatorsInterface
+from ..connection.peers import PeersInterface
+from ..log import Part, log
+from ..request.reasons import DiscardReason, RetryReason
+from ..request.stages import StageEnvironment
+from ..settings import Settings
+from .backends import Backend, Backends
+from .changes import Changes
+from .claimed import ClaimedRequests
+from .configuration import ConfigurationSync, is_poller
+from .costs import CostLedger
+from .counters import Counters
+from .dispatch import Dispatch
+from .host_list import HostListPoller
+from .policy import choice_function, order_function
+from .status import StatusReport
+from .stopping import Stopping
+
+__all__ = ["Node"]
+
+LEAVING_MARK = "leaving"
+MEMBER_EXCHANGE_S = 30.0
+MEMBER_EXCHANGE_TIMEOUT_S = 2.0
+DRAIN_CLAIMS_S = 10.0
+
+
+class Node:
+    """One node: ``start`` it, then ``run_until_stopped``.
+
+    Everything that lives as long as the process hangs here.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = Incarnation(new_id("run"))
+        self.counters = Counters(_statsd_client(settings))
+        self.ledger = CostLedger()
+        timing = settings.timing
+        self.stopping = Stopping(
+            timing.drain_notice_ms / 1000, timing.drain_limit_ms / 1000
+        )
+        self.backends = Backends()
+        policy = settings.policy
+        self.dispatch = Dispatch(
+            self.backends,
+            lambda: choice_function(policy.choice),
+            order_function(policy.order),
+            policy.admission,
+        )
+        self.backends.on_change = self.dispatch.servers_changed
+        self.membership = Membership(
+            self._own_member(),
+            seeds=[peer.gossip for peer in settings.peers],
+            interval_s=timing.heartbeat_ms / 1000,
+        )
+        self._tasks: list[asyncio.Task] = []
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Build what needs an event loop, listen, and join the others."""
+        self._build()
+        self._connect()
+        await self.membership.start()
+        await self._exchange_members()
+        await self._listen()
+        await self.host_list.poll()
+        await self._first_configuration()
+        for work in (
+            self.configuration.run(),
+            self.host_list.run(),
+            self.counters.run(),
+            self._exchange_members_regularly(),
+        ):
+            self._tasks.append(asyncio.create_task(work))
+        log(
+            Part.NODE,
+            "Started.",
+            node=self.settings.node,
+            revision=self.configuration.follower.revision,
+        )
+
+    async def run_until_stopped(self) -> bool:
+        """Serve until a stop is asked for; returns whether nothing was cut off."""
+        await self.stopping.wait_requested()
+        log(Part.NODE, "Stopping.", in_flight=self.stopping.count)
+        clean = await self.stopping.finish()
+        left = await self.claims.drain(DRAIN_CLAIMS_S)
+        await self.membership.leave()
+        await self.close()
+        log(Part.NODE, "Stopped.", clean=clean, claims_left=left)
+        return clean and left == 0
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.membership.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.claims.close()
+        await self.backends.close()
+        await self._session.close()
+        self.counters.flush()
+
+    def _build(self) -> None:
+        settings = self.settings
+        timing = settings.timing
+        platform = settings.platform
+        call_s = platform.call_timeout_ms / 1000
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self.table = HttpTable(self._session, platform.address, call_s)
+        self.change_log = ChangeLog(self.table)
+        self.claims = Claims(
+            self.table, lambda reason: self.counters.count(f"retry.{reason}")
+        )
+        self.configuration = ConfigurationSync(
+            self.change_log,
+            self._session,
+            self._polls,
+            timing.head_poll_ms / 1000,
+        )
+        self.host_list = HostListPoller(
+            self._session,
+            platform.address,
+            self.backends,
+            timing.hosts_poll_ms / 1000,
+            call_s,
+        )
+        self.claimed = ClaimedRequests(
+            self.claims,
+            self._session,
+            settings.node,
+            self.incarnation,
+            settings.listen.internal,
+            timing.claim_settle_ms / 1000,
+        )
+        self.changes = Changes(
+            self.change_log,
+            self.configuration,
+            self.membership,
+            self._session,
+            timing.change_settle_ms / 1000,
+        )
+        self.environment = self._environment()
+
+    def _environment(self) -> StageEnvironment:
+        settings = self.settings
+        timing = settings.timing
+        policy = settings.policy
+        return StageEnvironment(
+            backends=self.backends,
+            dispatch=self.dispatch,
+            budget=RetryBudget(policy.retry_budget_ratio, policy.retry_budget_reserve),
+            first_byte_floor_s=timing.first_byte_floor_ms / 1000,
+            between_floor_s=timing.between_pieces_floor_ms / 1000,
+            on_retry=self._count_retry,
+            on_discard=self._count_discard,
+            on_leaving=self._backend_leaves,
+        )
+
+    def _connect(self) -> None:
+        membership = self.membership
+        membership.on_revision = self.configuration.heard
+        membership.on_mark = self._hear_mark
+        membership.on_change = self._members_changed
+        membership.confirmed_s = self.configuration.follower.age
+        self.configuration.on_advance = self._announce_revision
+        self.host_list.on_leaving = self._announce_leaving
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        callers = CallersInterface(
+            settings.node,
+            self.configuration,
+            self.environment,
+            self.claimed,
+            self.ledger,
+            self.counters,
+            self.stopping,
+            settings.limits.max_body_bytes,
+            settings.limits.max_in_flight,
+        )
+        await self._serve(
+            build_callers(callers), settings.listen.callers, handler_cancellation=True
+        )
+        await self._serve(self._internal(), settings.listen.internal)
+
+    def _internal(self) -> web.Application:
+        status = StatusReport(
+            self.membership,
+            self.configuration,
+            self.backends,
+            self.dispatch,
+            self.counters,
+            self.stopping,
+            lambda: self.change_log.head_reads,
+        )
+        operators = OperatorsInterface(
+            self.settings.operator_token,
+            self.changes,
+            self.change_log,
+            self.configuration,
+            self.claims,
+            self.ledger,
+            status,
+            self.stopping,
+        )
+        peers = PeersInterface(self.configuration, self.membership, self.claimed)
+        app = web.Application(middlewares=[operators.guard], client_max_size=1 << 26)
+        operators.add_routes(app)
+        peers.add_routes(app)
+        return app
+
+    async def _serve(self, app: web.Application, address: str, **options: bool) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0, **options)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, host.strip("[]"), int(port)).start()
+
+    async def _first_configuration(self) -> None:
+        members = self.membership.members.reachable()
+        await asyncio.gather(
+            self.configuration.poll(), self.configuration.start_from_peers(members)
+        )
+
+    async def _exchange_members_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(MEMBER_EXCHANGE_S)
+            await self._exchange_members()
+
+    async def _exchange_members(self) -> None:
+        """Exchange all records with some peer, from the settings at the start."""
+        known = self.membership.members.reachable()
+        addresses = [member.internal for member in known]
+        if not addresses:
+            addresses = [peer.internal for peer in self.settings.peers]
+        for address in addresses[:3]:
+            if await self._exchange_with(address):
+                return
+
+    async def _exchange_with(self, address: str) -> bool:
+        records = [self.membership.own, *self.membership.members.by_id.values()]
+        try:
+            async with self._session.post(
+                f"http://{address}/peer/v1/members",
+                data=msgspec.json.encode(records),
+                timeout=aiohttp.ClientTimeout(total=MEMBER_EXCHANGE_TIMEOUT_S),
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+            self.membership.merge_all(msgspec.json.decode(body, type=list[Member]))
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            return False
+        return True
+
+    def _polls(self) -> bool:
+        return is_poller(self.membership.own, self.membership.members.reachable())
+
+    def _members_changed(self) -> None:
+        self.backends.set_live_nodes(len(self.membership.members.reachable()) + 1)
+
+    def _announce_revision(self, revision: Revision) -> None:
+        self.membership.announce_revision(revision)
+        log(Part.CONFIGURATION, "A revision is in force.", revision=revision)
+
+    def _announce_leaving(self, backend_id: str, started: int) -> None:
+        self.membership.announce_mark(Mark(LEAVING_MARK, backend_id, started))
+
+    def _hear_mark(self, mark: Mark) -> None:
+        if mark.kind == LEAVING_MARK:
+            self.backends.mark_leaving(mark.name, mark.number)
+
+    def _backend_leaves(self, backend: Backend) -> None:
+        entry = backend.entry
+        if self.backends.mark_leaving(entry.id, entry.started):
+            log(Part.HOSTS, "A backend server says it leaves.", backend=entry.id)
+            self._announce_leaving(entry.id, entry.started)
+
+    def _count_retry(self, reason: RetryReason) -> None:
+        self.counters.count(f"retry.{reason.value}")
+
+    def _count_discard(self, reason: DiscardReason) -> None:
+        self.counters.count(f"discard.{reason.value}")
+
+    def _own_member(self) -> Member:
+        settings = self.settings
+        return Member(
+            id=settings.node,
+            data_centre=settings.data_centre,
+            internal=settings.listen.internal,
+            gossip=settings.listen.gossip,
+            epoch=time.time_ns() // 1000,
+        )
+
+
+def _statsd_client(settings: Settings) -> statsd.StatsClient | None:
+    if settings.statsd is None:
+        return None
+    target = settings.statsd
+    return statsd.StatsClient(target.host, target.port, prefix=target.prefix)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/status.py
@@ -0,0 +1,112 @@
+"""The status of a node, as operators see it."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from eelgrass_coordination import Member, Membership
+
+from .backends import Backend, Backends
+from .configuration import ConfigurationSync
+from .counters import Counters
+from .dispatch import Dispatch
+from .stopping import Stopping
+
+__all__ = ["BackendStatus", "NodeStatus", "QueueStatus", "StatusReport"]
+
+
+class BackendStatus(msgspec.Struct, frozen=True):
+    """A backend server: our calls there, our share, and how long calls take."""
+
+    id: str
+    service: str
+    data_centre: str
+    leaving: bool
+    in_flight: int
+    share: int
+    call_ms: float
+
+
+class QueueStatus(msgspec.Struct, frozen=True):
+    """A service's queue; ``wait_ms`` is what a newcomer is to expect."""
+
+    service: str
+    waiting: int
+    slots: int
+    wait_ms: float
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """Everything that ``eelgrassctl status`` shows."""
+
+    own: Member
+    revision: int
+    revision_age_ms: int
+    head_reads: int
+    stopping: bool
+    in_flight: int
+    peers: list[Member]
+    backends: list[BackendStatus]
+    queues: list[QueueStatus]
+    counters: dict[str, int]
+
+
+class StatusReport:
+    """Collects the status of one process."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        configuration: ConfigurationSync,
+        backends: Backends,
+        dispatch: Dispatch,
+        counters: Counters,
+        stopping: Stopping,
+        head_reads: Callable[[], int],
+    ) -> None:
+        self._membership = membership
+        self._configuration = configuration
+        self._backends = backends
+        self._dispatch = dispatch
+        self._counters = counters
+        self._stopping = stopping
+        self._head_reads = head_reads
+
+    def collect(self) -> NodeStatus:
+        """Return the status of this moment."""
+        follower = self._configuration.follower
+        return NodeStatus(
+            own=self._membership.own,
+            revision=follower.revision,
+            revision_age_ms=int(follower.age() * 1000),
+            head_reads=self._head_reads(),
+            stopping=self._stopping.stopping,
+            in_flight=self._stopping.count,
+            peers=list(self._membership.members.by_id.values()),
+            backends=[self._backend(b) for b in self._backends.by_id.values()],
+            queues=self._queues(),
+            counters=dict(self._counters.totals),
+        )
+
+    def _backend(self, backend: Backend) -> BackendStatus:
+        entry = backend.entry
+        return BackendStatus(
+            id=entry.id,
+            service=entry.service,
+            data_centre=entry.data_centre,
+            leaving=self._backends.is_leaving(backend),
+            in_flight=backend.in_flight,
+            share=backend.share,
+            call_ms=backend.call_s.mean * 1000,
+        )
+
+    def _queues(self) -> list[QueueStatus]:
+        return [
+            QueueStatus(
+                service=service,
+                waiting=queue.waiting,
+                slots=queue.slots(),
+                wait_ms=queue.expected_wait() * 1000,
+            )
+            for service, queue in self._dispatch.by_service.items()
+        ]
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request."""
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -0,0 +1,176 @@
+"""Reasons of refusals, retries and discards; each has a counter of its own."""
+
+from enum import Enum
+
+import msgspec
+
+__all__ = [
+    "DiscardReason",
+    "Outcome",
+    "RefusalKind",
+    "RefusalReason",
+    "RetryReason",
+    "refusal_kind",
+]
+
+
+class Outcome(Enum):
+    """What a refused request may have done."""
+
+    NOT_RUN = "not_run"
+    NO_EFFECT = "no_effect"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(Enum):
+    """Why a request is refused; the value is the last part of the problem type."""
+
+    MALFORMED_BODY = "malformed-body"
+    BAD_FIELD = "bad-field"
+    BAD_DEADLINE = "bad-deadline"
+    BAD_HEADER = "bad-header"
+    DUPLICATE_HEADER = "duplicate-header"
+    BODY_TOO_LARGE = "body-too-large"
+    NOT_AUTHENTICATED = "not-authenticated"
+    WRONG_ACCOUNT = "wrong-account"
+    UNKNOWN_PIPELINE = "unknown-pipeline"
+    KEY_REQUIRED = "key-required"
+    KEY_REUSED = "key-reused"
+    NOT_CONFIGURED = "not-configured"
+    NODE_STOPPING = "node-stopping"
+    NODE_FULL = "node-full"
+    DEADLINE_INFEASIBLE = "deadline-infeasible"
+    QUEUE_FULL = "queue-full"
+    DEADLINE_PASSED = "deadline-passed"
+    NO_BACKEND = "no-backend"
+    RETRY_BUDGET_SPENT = "retry-budget-spent"
+    ATTEMPTS_EXHAUSTED = "attempts-exhausted"
+    PLATFORM_DOWN = "platform-down"
+    STAGE_OUTCOME_UNKNOWN = "stage-outcome-unknown"
+    CLAIM_OWNER_UNREACHABLE = "claim-owner-unreachable"
+    CLAIM_OUTCOME_UNKNOWN = "claim-outcome-unknown"
+    CLAIM_STILL_RUNNING = "claim-still-running"
+    CLAIM_RESOLVED = "claim-resolved"
+    INTERNAL_ERROR = "internal-error"
+
+
+class RetryReason(Enum):
+    """Why an attempt at a stage is repeated."""
+
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    CONNECTION_SILENT = "connection_silent"
+    BACKEND_LEAVING = "backend_leaving"
+    BACKEND_OVERLOADED = "backend_overloaded"
+    BACKEND_REFUSED = "backend_refused"
+    WRONG_ATTEMPT = "wrong_attempt"
+    BAD_ANSWER = "bad_answer"
+    STREAM_CUT = "stream_cut"
+    CANCELLED_BY_BACKEND = "cancelled_by_backend"
+
+
+class DiscardReason(Enum):
+    """Why something that a back end sent is not taken."""
+
+    WRONG_ATTEMPT = "wrong_attempt"
+    REPEATED_PIECE = "repeated_piece"
+    TOO_FAR_AHEAD = "too_far_ahead"
+
+
+class RefusalKind(msgspec.Struct, frozen=True):
+    """The HTTP status, title and remedy of a refusal reason."""
+
+    status: int
+    title: str
+    remedy: str
+
+
+_R = RefusalReason
+_LATER = "Repeat the request after the time in Retry-After."
+_KINDS = {
+    _R.MALFORMED_BODY: (400, "The body is not valid JSON", "Send one JSON object."),
+    _R.BAD_FIELD: (400, "A field is wrong", "Correct the field that is named."),
+    _R.BAD_DEADLINE: (
+        400,
+        "The deadline is out of range",
+        "Give deadline_ms from 1 to the pipeline's own deadline, or leave it out.",
+    ),
+    _R.BAD_HEADER: (400, "A header is wrong", "Correct the header that is named."),
+    _R.DUPLICATE_HEADER: (400, "A header came twice", "Send the named header once."),
+    _R.BODY_TOO_LARGE: (413, "The body is too large", "Send a smaller body."),
+    _R.NOT_AUTHENTICATED: (
+        401,
+        "The account or its key is not known",
+        "Send the account's key as 'Authorization: Bearer KEY'.",
+    ),
+    _R.WRONG_ACCOUNT: (
+        403,
+        "The answer belongs to another account",
+        "Ask with the account that made the request.",
+    ),
+    _R.UNKNOWN_PIPELINE: (
+        404,
+        "The account has no pipeline of that name",
+        "Check the name, or ask an operator to add parameters for the account.",
+    ),
+    _R.KEY_REQUIRED: (
+        400,
+        "The pipeline asks for an idempotency key",
+        "Send an Idempotency-Key header, a new one for each new request.",
+    ),
+    _R.KEY_REUSED: (
+        422,
+        "The idempotency key belongs to another request",
+        "Use a new key for a new request.",
+    ),
+    _R.NOT_CONFIGURED: (503, "The node has no configuration yet", _LATER),
+    _R.NODE_STOPPING: (503, "The node is stopping", "Repeat it at once elsewhere."),
+    _R.NODE_FULL: (503, "The node has too many requests in flight", _LATER),
+    _R.DEADLINE_INFEASIBLE: (503, "The deadline cannot be met now", _LATER),
+    _R.QUEUE_FULL: (503, "The queue of a stage is full", _LATER),
+    _R.DEADLINE_PASSED: (
+        504,
+        "The deadline passed",
+        "Repeat it with a longer deadline, if the outcome allows it.",
+    ),
+    _R.NO_BACKEND: (503, "No backend server can take the stage", _LATER),
+    _R.RETRY_BUDGET_SPENT: (503, "A stage failed and may not be retried now", _LATER),
+    _R.ATTEMPTS_EXHAUSTED: (503, "A stage failed at every attempt", _LATER),
+    _R.PLATFORM_DOWN: (503, "The request could not be registered", _LATER),
+    _R.STAGE_OUTCOME_UNKNOWN: (
+        502,
+        "A stage that may not be repeated has an unknown outcome",
+        "Repeat it with the same key to learn more; ask an operator to resolve it.",
+    ),
+    _R.CLAIM_OWNER_UNREACHABLE: (
+        503,
+        "The node that runs this request does not answer",
+        "Repeat it with the same key after the time in Retry-After.",
+    ),
+    _R.CLAIM_OUTCOME_UNKNOWN: (
+        502,
+        "The request was begun and its outcome is unknown",
+        "Ask an operator to resolve the key; a new key would run it again.",
+    ),
+    _R.CLAIM_STILL_RUNNING: (
+        503,
+        "The request is still running",
+        "Repeat it with the same key after the time in Retry-After.",
+    ),
+    _R.CLAIM_RESOLVED: (
+        409,
+        "An operator has closed the request under this key",
+        "Read the operator's note; use a new key for a new request.",
+    ),
+    _R.INTERNAL_ERROR: (
+        500,
+        "The node met an error of its own",
+        "Repeat it with the same key; report the request id.",
+    ),
+}
+_KIND_BY_REASON = {reason: RefusalKind(*parts) for reason, parts in _KINDS.items()}
+
+
+def refusal_kind(reason: RefusalReason) -> RefusalKind:
+    """Return the status, title and remedy of ``reason``."""
+    return _KIND_BY_REASON[reason]
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -0,0 +1,198 @@
+"""Runs one stage of a request: attempts, retries and their limits.
+
+There is one layer of retries, and this is it. An attempt that did not run is
+repeated elsewhere; one that may have run only where the stage is idempotent.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from eelgrass_coordination import RetryBudget
+
+from ..exceptions import Refused
+from ..process.backends import Backend, Backends
+from ..process.dispatch import Dispatch, ServiceQueue
+from ..version import Stage, StageKind
+from .attempt import Attempt, AttemptOutcome, AttemptResult, new_attempt_id, run_call
+from .generation import Generation
+from .model import CallerRequest, Emit, StageCost, StageResult
+from .reasons import DiscardReason, Outcome, RefusalReason, RetryReason
+
+__all__ = ["StageEnvironment", "StageRun"]
+
+MAX_ATTEMPTS = 4
+FREE_REASONS = frozenset({RetryReason.BACKEND_LEAVING})
+SILENCE_DEVIATIONS = 6.0
+
+
+class StageEnvironment(msgspec.Struct, frozen=True):
+    """What the process lends to a stage.
+
+    ``first_byte_floor_s`` and ``between_floor_s`` are the shortest bounds on a
+    connection's silence, in seconds.
+    """
+
+    backends: Backends
+    dispatch: Dispatch
+    budget: RetryBudget
+    first_byte_floor_s: float
+    between_floor_s: float
+    on_retry: Callable[[RetryReason], None]
+    on_discard: Callable[[DiscardReason], None]
+    on_leaving: Callable[[Backend], None]
+
+
+class StageRun:
+    """One stage of one request under way.
+
+    ``dispatched`` says whether an attempt that may have had an effect began.
+    """
+
+    def __init__(
+        self,
+        environment: StageEnvironment,
+        request: CallerRequest,
+        stage: Stage,
+        rest_s: float,
+        emit: Emit | None,
+    ) -> None:
+        self._environment = environment
+        self._request = request
+        self._stage = stage
+        self._rest_s = rest_s
+        self._queue: ServiceQueue = environment.dispatch.queue(stage.service)
+        self._tried: frozenset[str] = frozenset()
+        self._generation = self._new_generation(emit)
+        self.dispatched = False
+        self.cost = StageCost(stage.name)
+
+    async def run(self, stage_input: Any) -> StageResult:
+        """Run the stage to its whole result; raises :class:`Refused`."""
+        self._environment.budget.note_request()
+        while True:
+            backend = await self._acquire()
+            try:
+                result = await self._attempt(backend, stage_input)
+            finally:
+                self._queue.release(backend)
+            if result.outcome is AttemptOutcome.COMPLETED:
+                return StageResult(result.output, result.pieces)
+            backend.suspect()
+            self._tried |= {backend.entry.id}
+            self._check_retry(result)
+
+    async def _acquire(self) -> Backend:
+        request = self._request
+        latest = request.deadline - self._rest_s
+        try:
+            return await self._queue.acquire(request, self._tried, latest)
+        except TimeoutError as error:
+            raise Refused(
+                RefusalReason.DEADLINE_INFEASIBLE,
+                self._outcome(),
+                f"Stage {self._stage.name!r} got no server in time.",
+                self._queue.retry_after(),
+            ) from error
+        except Refused as refused:
+            # Attempts before this one may have run.
+            raise Refused(
+                refused.reason, self._outcome(), refused.detail, refused.retry_after
+            ) from refused
+
+    async def _attempt(self, backend: Backend, stage_input: Any) -> AttemptResult:
+        # Checked here and not before the wait: the process may have been
+        # paused since, and the caller may have given up long ago.
+        if self._request.remaining() <= 0:
+            raise Refused(RefusalReason.DEADLINE_PASSED, self._outcome())
+        attempt = self._new_attempt(backend)
+        started = self._now()
+        was_dispatched = self.dispatched
+        self.dispatched = True
+        if self._generation is not None:
+            result = await self._generation.run(attempt, stage_input)
+        else:
+            result = await run_call(attempt, stage_input)
+        if result.outcome is AttemptOutcome.NOT_RUN:
+            self.dispatched = was_dispatched
+        self._note(backend, result, self._now() - started)
+        return result
+
+    def _new_attempt(self, backend: Backend) -> Attempt:
+        environment = self._environment
+        return Attempt(
+            attempt_id=new_attempt_id(),
+            request=self._request,
+            stage=self._stage,
+            backend=backend,
+            silence_s=self._silence_bound(),
+            on_leaving=environment.on_leaving,
+            on_discard=environment.on_discard,
+        )
+
+    def _silence_bound(self) -> float:
+        remaining = max(0.001, self._request.remaining())
+        if not self._stage.idempotent:
+            # Nothing is won by giving up early: it may not be repeated.
+            return remaining
+        average = self._queue.held_s
+        if self._generation is not None:
+            average = self._queue.first_s
+        expected = average.upper(SILENCE_DEVIATIONS) * 2
+        return min(remaining, max(self._environment.first_byte_floor_s, expected))
+
+    def _note(self, backend: Backend, result: AttemptResult, took_s: float) -> None:
+        cost = self.cost
+        cost.attempts += 1
+        if result.outcome is AttemptOutcome.COMPLETED:
+            cost.useful_ms += result.cost_ms or 0.0
+            cost.tokens += result.pieces
+        elif result.cost_ms is None:
+            cost.unreported += 1
+        else:
+            cost.wasted_ms += result.cost_ms
+        if result.outcome is not AttemptOutcome.NOT_RUN:
+            backend.call_s.note(took_s)
+            self._queue.held_s.note(took_s)
+
+    def _check_retry(self, result: AttemptResult) -> None:
+        reason = result.reason or RetryReason.BAD_ANSWER
+        may_have_run = result.outcome is AttemptOutcome.UNKNOWN
+        if may_have_run and not self._stage.idempotent:
+            raise Refused(
+                RefusalReason.STAGE_OUTCOME_UNKNOWN,
+                Outcome.UNKNOWN,
+                f"Stage {self._stage.name!r}: {reason.value}.",
+            )
+        if self._request.remaining() <= self._rest_s:
+            raise Refused(
+                RefusalReason.DEADLINE_PASSED,
+                self._outcome(),
+                f"Stage {self._stage.name!r}: {reason.value}.",
+                self._queue.retry_after(),
+            )
+        if self.cost.attempts >= MAX_ATTEMPTS and reason not in FREE_REASONS:
+            raise self._give_up(RefusalReason.ATTEMPTS_EXHAUSTED, reason)
+        if reason not in FREE_REASONS and not self._environment.budget.try_spend():
+            raise self._give_up(RefusalReason.RETRY_BUDGET_SPENT, reason)
+        self._environment.on_retry(reason)
+
+    def _give_up(self, refusal: RefusalReason, reason: RetryReason) -> Refused:
+        detail = f"Stage {self._stage.name!r}: {reason.value}."
+        return Refused(refusal, self._outcome(), detail, self._queue.retry_after())
+
+    def _outcome(self) -> Outcome:
+        if not self.dispatched:
+            return Outcome.NOT_RUN
+        return Outcome.NO_EFFECT if self._stage.idempotent else Outcome.UNKNOWN
+
+    def _new_generation(self, emit: Emit | None) -> Generation | None:
+        if self._stage.kind is not StageKind.GENERATE:
+            return None
+        expected = self._queue.between_s.upper(SILENCE_DEVIATIONS) * 4
+        between_s = max(self._environment.between_floor_s, expected)
+        return Generation(emit, between_s, self._queue.first_s, self._queue.between_s)
+
+    def _now(self) -> float:
+        return self._request.deadline - self._request.remaining()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests: deployments as separate processes and in one process."""
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,172 @@
+"""Runs a deployment as separate processes on loopback."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+import yaml
+
+from eelgrass_standins.client import Client
+from eelgrass_standins.deployment import DeploymentSpec
+from eelgrass_standins.samples import node_settings, sample_configuration
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 20.0
+
+
+class Process:
+    """A process that a test started, ended by its own id."""
+
+    def __init__(self, arguments: list[str], log: Path) -> None:
+        self._arguments = arguments
+        self._log = log
+        self._process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it, also again after it ended."""
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", *self._arguments], stdout=log, stderr=log
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        os.kill(self._process.pid, number)
+
+    async def wait(self, within: float = STOP_LIMIT_S) -> int:
+        """Wait for its end and return its exit code."""
+        return await asyncio.to_thread(self._process.wait, within)
+
+    async def kill(self) -> None:
+        """End it at once."""
+        if self._process is not None and self._process.poll() is None:
+            self.signal(signal.SIGKILL)
+            await self.wait()
+
+    def log_text(self) -> str:
+        """Return all that it wrote."""
+        return self._log.read_text()
+
+
+class ProcessDeployment:
+    """The platform, each backend server and each node as its own process.
+
+    ``grouped`` puts all backend servers into one process, which starts faster.
+    """
+
+    def __init__(
+        self,
+        spec: DeploymentSpec,
+        folder: Path,
+        nodes: int = 3,
+        data_centres: tuple[str, ...] = ("cau-giay", "long-bien"),
+        grouped: bool = True,
+        settings: dict[str, Any] | None = None,
+    ) -> None:
+        self.spec = spec
+        self._folder = folder
+        self.settings = node_settings(spec.platform.address, nodes, data_centres)
+        for node in self.settings:
+            for part, values in (settings or {}).items():
+                node[part] = {**node.get(part, {}), **values}
+        self.nodes = [self._node_process(node) for node in self.settings]
+        self.platform = self._stand_in_process("platform", ["platform"])
+        ids = [backend.id for backend in spec.backends]
+        groups = {"backends": ids} if grouped else {name: [name] for name in ids}
+        self.backends = {
+            name: self._stand_in_process(name, members)
+            for name, members in groups.items()
+        }
+        self.client = Client()
+
+    async def __aenter__(self) -> "ProcessDeployment":
+        """Start all and configure them."""
+        await self.client.__aenter__()
+        for process in (self.platform, *self.backends.values()):
+            process.start()
+        for address in self._stand_in_addresses():
+            await self._until_listening(address)
+        for node in self.nodes:
+            node.start()
+        for number in range(len(self.nodes)):
+            await self.until_ready(number)
+        report = await self.client.configure(self.internal(0), sample_configuration())
+        assert report["result"]["outcome"] == "accepted", report
+        assert report["not_yet"] == [], report
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """End all processes."""
+        for process in (*self.nodes, self.platform, *self.backends.values()):
+            await process.kill()
+        await self.client.__aexit__()
+
+    def callers(self, number: int) -> str:
+        """Return a node's address for callers."""
+        return self.settings[number]["listen"]["callers"]
+
+    def internal(self, number: int) -> str:
+        """Return a node's address for peers and operators."""
+        return self.settings[number]["listen"]["internal"]
+
+    def address(self, backend_id: str) -> str:
+        """Return the address of a backend server."""
+        return next(b.address for b in self.spec.backends if b.id == backend_id)
+
+    def addresses(self, service: str) -> list[str]:
+        """Return the addresses of a service's servers."""
+        return [b.address for b in self.spec.backends if b.service == service]
+
+    async def journal(self, service: str) -> list:
+        """Return what all servers of a service executed."""
+        journals = [await self.client.journal(a) for a in self.addresses(service)]
+        return [entry for journal in journals for entry in journal]
+
+    async def until_ready(self, number: int) -> None:
+        """Wait until a node's platform data is there and it answers."""
+        await self._until_listening(self.internal(number))
+
+    def _stand_in_addresses(self) -> list[str]:
+        return [self.spec.platform.address, *(b.address for b in self.spec.backends)]
+
+    async def _until_listening(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(START_LIMIT_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    await asyncio.sleep(0.05)
+                    continue
+                writer.close()
+                return
+
+    def _node_process(self, settings: dict[str, Any]) -> Process:
+        name = settings["node"]
+        file = self._folder / f"{name}.yaml"
+        file.write_text(yaml.safe_dump(settings))
+        return Process(["eelgrass_node", str(file)], self._folder / f"{name}.log")
+
+    def _stand_in_process(self, name: str, only: list[str]) -> Process:
+        file = self._folder / "deployment.yaml"
+        file.write_text(yaml.safe_dump(msgspec.to_builtins(self.spec)))
+        arguments = ["eelgrass_standins", "serve", str(file), "--only", *only]
+        return Process(arguments, self._folder / f"{name}.log")
+
+
+async def until(condition: Any, within: float = 10.0) -> None:
+    """Wait until an asynchronous condition holds."""
+    async with asyncio.timeout(within):
+        while True:
+            try:
+                if await condition():
+                    return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
