At most once and true refusals, proved under faults

Change: the outcome of a keyed request speaks of its key; before the claim is held it is 'unknown', with this_call 'not_run' beside it; after a released claim it is 'no_effect' at least.

--- a/packages/node/src/eelgrass_node/connection/callers.py
+++ b/packages/node/src/eelgrass_node/connection/callers.py
@@ -92,8 +92,7 @@
             return await self._run(call, stream, standing, keyed)
         except Refused as refused:
             if keyed and not dispatched:
-                # An earlier call under this key may have run all the same.
-                refused.outcome = Outcome.UNKNOWN
+                refused.before_claim()
             return await self._refuse(refused, request_id, stream, standing)
         except (ConnectionResetError, asyncio.CancelledError):
             self._counters.count("caller.gone")
@@ -162,8 +161,7 @@
     ) -> web.StreamResponse:
         self._counters.count(f"refusal.{refused.reason.value}")
         self._counters.count(f"outcome.{refused.outcome.value}")
-        this_call_ran = refused.reason not in _NEVER_RUN_HERE
-        problem = problem_of(refused, request_id, this_call_ran)
+        problem = problem_of(refused, request_id)
         if stream.begun:
             return await stream.fail(problem)
         return problem_response(problem, standing)
@@ -174,30 +172,6 @@
         return Standing(follower.revision, age_ms, self._node)
 
 
-# Refusals given before this call could have dispatched anything itself.
-_NEVER_RUN_HERE = frozenset(
-    {
-        RefusalReason.MALFORMED_BODY,
-        RefusalReason.BAD_FIELD,
-        RefusalReason.BAD_DEADLINE,
-        RefusalReason.BAD_HEADER,
-        RefusalReason.DUPLICATE_HEADER,
-        RefusalReason.BODY_TOO_LARGE,
-        RefusalReason.NOT_AUTHENTICATED,
-        RefusalReason.WRONG_ACCOUNT,
-        RefusalReason.UNKNOWN_PIPELINE,
-        RefusalReason.NOT_CONFIGURED,
-        RefusalReason.NODE_STOPPING,
-        RefusalReason.NODE_FULL,
-        RefusalReason.PLATFORM_DOWN,
-        RefusalReason.CLAIM_OWNER_UNREACHABLE,
-        RefusalReason.CLAIM_OUTCOME_UNKNOWN,
-        RefusalReason.CLAIM_STILL_RUNNING,
-        RefusalReason.CLAIM_RESOLVED,
-    }
-)
-
-
 def _unless_gone(emit: Emit | None) -> Emit | None:
     """Return ``emit`` without its failure where the caller has gone away."""
     if emit is None:
--- a/packages/node/src/eelgrass_node/connection/replies.py
+++ b/packages/node/src/eelgrass_node/connection/replies.py
@@ -52,12 +52,8 @@
         return cls(request_id, result.output, result.pieces, costs=costs)
 
 
-def problem_of(refused: Refused, request_id: str, called_at_all: bool) -> dict:
-    """Return a refusal as problem details (RFC 9457).
-
-    ``called_at_all`` is False where it is known that this very call ran
-    nothing, though an earlier one under the same key may have.
-    """
+def problem_of(refused: Refused, request_id: str) -> dict:
+    """Return a refusal as problem details (RFC 9457)."""
     problem = {
         "type": PROBLEM_TYPE + refused.reason.value,
         "title": refused.kind.title,
@@ -67,7 +63,7 @@
         "outcome": refused.outcome.value,
         "request_id": request_id,
     }
-    if not called_at_all and refused.outcome is Outcome.UNKNOWN:
+    if not refused.this_call_ran:
         problem["this_call"] = Outcome.NOT_RUN.value
     if refused.retry_after is not None:
         problem["retry_after_ms"] = round(refused.retry_after * 1000)
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -21,6 +21,9 @@
     """A request gets no answer from its pipeline.
 
     ``retry_after`` is in seconds, None where a repeat would not help.
+    ``outcome`` speaks of the request: where it has an idempotency key, of all
+    calls under that key. ``this_call_ran`` is False where this very call is
+    known to have run nothing, whatever an earlier one did.
     """
 
     def __init__(
@@ -37,3 +40,14 @@
         self.outcome = outcome
         self.detail = detail
         self.retry_after = retry_after
+        self.this_call_ran = True
+
+    def before_claim(self) -> "Refused":
+        """Return this refusal as one of a call that did not hold its key.
+
+        An earlier call under the key may have run, so "not run" would be a
+        claim about the request that nobody here can make.
+        """
+        self.outcome = Outcome.UNKNOWN
+        self.this_call_ran = False
+        return self
--- a/packages/node/src/eelgrass_node/process/claimed.py
+++ b/packages/node/src/eelgrass_node/process/claimed.py
@@ -102,8 +102,8 @@
             held = await self._claims.acquire(claim, within)
         except ClaimUnsettled as error:
             self._forget(claim.claim_id, running)
-            raise Refused(
-                RefusalReason.PLATFORM_DOWN, Outcome.NOT_RUN, "", RETRY_AFTER_S
+            raise _refused(
+                RefusalReason.PLATFORM_DOWN, retry_after=RETRY_AFTER_S
             ) from error
         except BaseException:
             self._forget(claim.claim_id, running)
@@ -117,6 +117,10 @@
         try:
             answer = await execute()
         except Refused as refused:
+            if held.version > 1 and refused.outcome is Outcome.NOT_RUN:
+                # The released claim of an earlier call: its repeatable stages
+                # may have run.
+                refused.outcome = Outcome.NO_EFFECT
             await self._store(held, self._after_refusal(held, refused))
             raise
         except BaseException:
@@ -156,28 +160,22 @@
         if claim.state is ClaimState.COMPLETED:
             return claim
         if claim.state is ClaimState.UNKNOWN:
-            raise Refused(
-                RefusalReason.CLAIM_OUTCOME_UNKNOWN, Outcome.UNKNOWN, claim.note
-            )
+            raise _refused(RefusalReason.CLAIM_OUTCOME_UNKNOWN, claim.note)
         if claim.state is ClaimState.RESOLVED:
-            raise Refused(RefusalReason.CLAIM_RESOLVED, Outcome.UNKNOWN, claim.note)
+            raise _refused(RefusalReason.CLAIM_RESOLVED, claim.note)
         await self._wait_on_owner(request, claim)
         return None
 
     async def _wait_on_owner(self, request: CallerRequest, claim: Claim) -> None:
         wait_s = request.remaining() - OWNER_MARGIN_S
         if wait_s <= 0:
-            raise Refused(
-                RefusalReason.CLAIM_STILL_RUNNING, Outcome.UNKNOWN, "", RETRY_AFTER_S
-            )
+            raise _refused(RefusalReason.CLAIM_STILL_RUNNING, retry_after=RETRY_AFTER_S)
         if claim.owner_incarnation == self._incarnation:
             reply = await self.wait_for_owner(claim.claim_id, wait_s)
         else:
             reply = await self._ask_owner(claim, wait_s)
         if reply.state == OwnerState.RUNNING:
-            raise Refused(
-                RefusalReason.CLAIM_STILL_RUNNING, Outcome.UNKNOWN, "", RETRY_AFTER_S
-            )
+            raise _refused(RefusalReason.CLAIM_STILL_RUNNING, retry_after=RETRY_AFTER_S)
         if reply.state == OwnerState.FINISHED:
             # Its final row may be a moment behind its answer.
             await asyncio.sleep(OWNER_MARGIN_S)
@@ -185,9 +183,8 @@
         row = await self._claims.find(claim.account, claim.key)
         if row.value is not None and row.value["state"] != ClaimState.RUNNING.value:
             return
-        raise Refused(
+        raise _refused(
             RefusalReason.CLAIM_OUTCOME_UNKNOWN,
-            Outcome.UNKNOWN,
             "The node that began it has since stopped.",
         )
 
@@ -202,9 +199,8 @@
             ) as response:
                 return msgspec.json.decode(await response.read(), type=OwnerReply)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
-            raise Refused(
+            raise _refused(
                 RefusalReason.CLAIM_OWNER_UNREACHABLE,
-                Outcome.UNKNOWN,
                 f"Node {claim.owner!r}: {e!r}.",
                 RETRY_AFTER_S,
             ) from e
@@ -232,3 +228,9 @@
         running.finished.set()
         loop = asyncio.get_running_loop()
         loop.call_later(FINISHED_KEPT_S, self._running_by_id.pop, claim_id, None)
+
+
+def _refused(
+    reason: RefusalReason, detail: str = "", retry_after: float | None = None
+) -> Refused:
+    return Refused(reason, Outcome.UNKNOWN, detail, retry_after).before_claim()
--- /dev/null
+++ b/packages/node/tests/test_attempts.py
@@ -0,0 +1,132 @@
+"""One attempt against servers that drop, redirect or repeat connections."""
+
+import asyncio
+
+import pytest
+
+from eelgrass_node.connection.backend import BackendConnections
+from eelgrass_node.process.backends import Backend, HostEntry
+from eelgrass_node.request.attempt import Attempt, AttemptOutcome, run_call
+from eelgrass_node.request.model import CallerRequest
+from eelgrass_node.version import Pipeline, Stage, StageKind
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+
+
+class RawServer:
+    """A TCP server that answers each call by a script, and counts the calls."""
+
+    def __init__(self, *script):
+        self._script = list(script)
+        self.calls = 0
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *exc):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        while True:
+            head = await reader.read(65536)
+            if not head:
+                break
+            if b"POST" not in head:
+                continue
+            if b"attempt_id" not in head:
+                await reader.read(65536)
+            self.calls += 1
+            answer = self._script.pop(0) if self._script else b""
+            if not answer:
+                break
+            if answer != b"silent":
+                writer.write(answer)
+        writer.close()
+
+
+def new_attempt(address, idempotent, attempt_id="attempt-1", silence_s=0.3):
+    loop = asyncio.get_running_loop()
+    stage = Stage("call", StageKind.CALL, "desk", idempotent, operation="lodge")
+    pipeline = Pipeline("p", "account", "", (stage,), 1000, 0, False)
+    request = CallerRequest(
+        "request-1", pipeline, "in", loop.time() + 1.0, 1000, False, None, ""
+    )
+    backend = Backend(HostEntry("desk-1", "desk", address, "cau-giay"))
+    return Attempt(
+        attempt_id, request, stage, backend, silence_s, lambda b: None, lambda r: None
+    )
+
+
+def answer(attempt_id):
+    body = b'{"attempt_id":"%s","output":1}' % attempt_id.encode()
+    return OK % (len(body), body)
+
+
+class TestClientLibrary:
+    @pytest.mark.parametrize("idempotent", [True, False])
+    async def test_a_call_is_sent_once_on_a_dropped_kept_alive_connection(
+        self, idempotent
+    ):
+        async with RawServer(answer("attempt-1"), b"") as server:
+            attempt = new_attempt(server.address, idempotent)
+            first = await run_call(attempt, "in")
+            assert first.outcome is AttemptOutcome.COMPLETED
+            second = await run_call(attempt, "in")
+            await attempt.backend.connections.close()
+            assert second.outcome is AttemptOutcome.UNKNOWN
+            assert server.calls == 2
+
+    async def test_a_redirect_is_not_followed(self):
+        redirect = b"HTTP/1.1 307 X\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n"
+        async with RawServer(redirect, answer("attempt-1")) as server:
+            attempt = new_attempt(server.address, idempotent=False)
+            result = await run_call(attempt, "in")
+            await attempt.backend.connections.close()
+            assert result.outcome is AttemptOutcome.UNKNOWN
+            assert server.calls == 1
+
+    async def test_get_would_be_repeated_by_the_library(self):
+        """The reason for using POST throughout; fails once the library changes."""
+        connections = BackendConnections("")
+        session = connections._reusing()
+        assert session._retry_connection
+        await connections.close()
+
+
+class TestOutcomes:
+    async def test_no_connection_is_not_run(self):
+        async with RawServer() as server:
+            address = server.address
+        result = await run_call(new_attempt(address, idempotent=False), "in")
+        assert result.outcome is AttemptOutcome.NOT_RUN
+
+    async def test_a_refusal_of_another_attempt_is_unknown(self):
+        body = b'{"error":"leaving","started":false,"attempt_id":"attempt-2"}'
+        refusal = b"HTTP/1.1 503 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        async with RawServer(refusal) as server:
+            attempt = new_attempt(server.address, idempotent=False)
+            result = await run_call(attempt, "in")
+            await attempt.backend.connections.close()
+            assert result.outcome is AttemptOutcome.UNKNOWN
+
+    async def test_an_answer_to_another_attempt_is_discarded(self):
+        async with RawServer(answer("attempt-2")) as server:
+            attempt = new_attempt(server.address, idempotent=True)
+            result = await run_call(attempt, "in")
+            await attempt.backend.connections.close()
+            assert result.outcome is AttemptOutcome.UNKNOWN
+            assert result.output is None
+
+    async def test_a_silent_connection_is_left_and_a_fresh_one_works(self):
+        async with RawServer(answer("attempt-1"), b"silent", answer("attempt-1")) as s:
+            attempt = new_attempt(s.address, idempotent=True)
+            outcomes = [(await run_call(attempt, "in")).outcome for _ in range(3)]
+            await attempt.backend.connections.close()
+        assert outcomes == [
+            AttemptOutcome.COMPLETED,
+            AttemptOutcome.UNKNOWN,
+            AttemptOutcome.COMPLETED,
+        ]
