Whole answers from broken streams, and ports that stay free

Streams that are cut, silent, out of order, crossed or short of a piece are joined into one whole answer.

One run of 22 tests failed at its set-up: free ports were taken from the range of outgoing connections, one of which can take the port before it is listened on. They now come from below that range.

--- a/packages/node/tests/test_attempts.py
+++ b/packages/node/tests/test_attempts.py
@@ -2,12 +2,25 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from eelgrass_coordination import RetryBudget
 from eelgrass_node.connection.backend import BackendConnections
-from eelgrass_node.process.backends import Backend, HostEntry
+from eelgrass_node.exceptions import Refused
+from eelgrass_node.process.backends import Backend, Backends, HostEntry
+from eelgrass_node.process.dispatch import Dispatch
+from eelgrass_node.process.policy import (
+    Admission,
+    Choice,
+    Order,
+    choice_function,
+    order_function,
+)
 from eelgrass_node.request.attempt import Attempt, AttemptOutcome, run_call
 from eelgrass_node.request.model import CallerRequest
+from eelgrass_node.request.reasons import Outcome
+from eelgrass_node.request.stages import StageEnvironment, StageRun
 from eelgrass_node.version import Pipeline, Stage, StageKind
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
@@ -60,6 +73,23 @@
     )
 
 
+def new_environment(entry):
+    backends = Backends()
+    backends.update([entry])
+    choose = choice_function(Choice.ROUND_ROBIN)
+    order = order_function(Order.FIRST_COME)
+    return StageEnvironment(
+        backends=backends,
+        dispatch=Dispatch(backends, lambda: choose, order, Admission.ALL),
+        budget=RetryBudget(0.1, 10),
+        first_byte_floor_s=0.25,
+        between_floor_s=0.25,
+        on_retry=lambda reason: None,
+        on_discard=lambda reason: None,
+        on_leaving=lambda backend: None,
+    )
+
+
 def answer(attempt_id):
     body = b'{"attempt_id":"%s","output":1}' % attempt_id.encode()
     return OK % (len(body), body)
@@ -96,6 +126,24 @@
         await connections.close()
 
 
+class TestDeadline:
+    async def test_nothing_is_dispatched_once_it_passed(self):
+        async with RawServer(answer("attempt-1")) as server:
+            attempt = new_attempt(server.address, idempotent=False)
+            request = msgspec.structs.replace(attempt.request, deadline=0.0)
+            run = StageRun(
+                new_environment(attempt.backend.entry),
+                request,
+                attempt.stage,
+                rest_s=0.0,
+                emit=None,
+            )
+            with pytest.raises(Refused) as refused:
+                await run.run("in")
+            assert refused.value.outcome is Outcome.NOT_RUN
+            assert server.calls == 0
+
+
 class TestOutcomes:
     async def test_no_connection_is_not_run(self):
         async with RawServer() as server:
--- a/packages/standins/src/eelgrass_standins/engine.py
+++ b/packages/standins/src/eelgrass_standins/engine.py
@@ -212,6 +212,7 @@
             FaultAction.CUT_STREAM,
             FaultAction.SILENT_STREAM,
             FaultAction.SHUFFLE_STREAM,
+            FaultAction.DROP_PIECE,
             FaultAction.WRONG_ID,
         )
         while True:
@@ -244,8 +245,13 @@
         if fault.action is FaultAction.SILENT_STREAM:
             await stay_silent()
         if fault.action is FaultAction.WRONG_ID:
-            await response.write(_line(sequence, seq, "attempt-of-another-request"))
+            await response.write(_line(sequence, seq, another_request=True))
             return 1
+        if fault.action is FaultAction.DROP_PIECE:
+            return 1
+        while seq + 1 >= len(sequence.pieces) and not sequence.done:
+            sequence.advanced.clear()
+            await sequence.advanced.wait()
         if seq + 1 < len(sequence.pieces):
             swapped = _line(sequence, seq + 1) + _line(sequence, seq)
             await response.write(swapped + _line(sequence, seq))
@@ -254,12 +260,14 @@
         return 1
 
 
-def _line(sequence: _Sequence, seq: int, attempt_id: str | None = None) -> bytes:
+def _line(sequence: _Sequence, seq: int, another_request: bool = False) -> bytes:
     message = {
-        "attempt_id": attempt_id or sequence.call.attempt_id,
+        "attempt_id": sequence.call.attempt_id,
         "seq": seq,
         "text": sequence.pieces[seq],
     }
+    if another_request:
+        message.update(attempt_id="attempt-of-another-request", text="secret ")
     return msgspec.json.encode(message) + b"\n"
 
 
--- a/packages/standins/src/eelgrass_standins/faults.py
+++ b/packages/standins/src/eelgrass_standins/faults.py
@@ -36,6 +36,7 @@
     CUT_STREAM = "cut_stream"
     SILENT_STREAM = "silent_stream"
     SHUFFLE_STREAM = "shuffle_stream"
+    DROP_PIECE = "drop_piece"
     LEAVING = "leaving"
 
 
--- a/packages/standins/src/eelgrass_standins/ports.py
+++ b/packages/standins/src/eelgrass_standins/ports.py
@@ -1,28 +1,31 @@
 """Free ports on the loopback address, for tests, measurements and the demo."""
 
+import random
 import socket
 
 __all__ = ["free_addresses"]
 
 LOOPBACK = "127.0.0.1"
+# Below the range from which the system takes the ports of outgoing connections:
+# one of those could otherwise hold a port by the time it is listened on.
+FIRST_PORT = 10_000
+LAST_PORT = 31_000
 
 
 def free_addresses(count: int) -> list[str]:
     """Return that many addresses whose TCP and UDP ports are free."""
-    held: list[socket.socket] = []
-    addresses: list[str] = []
+    addresses: set[str] = set()
     while len(addresses) < count:
-        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream.bind((LOOPBACK, 0))
-        held.append(stream)
-        port = stream.getsockname()[1]
-        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held.append(datagram)
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if _is_free(socket.SOCK_STREAM, port) and _is_free(socket.SOCK_DGRAM, port):
+            addresses.add(f"{LOOPBACK}:{port}")
+    return list(addresses)
+
+
+def _is_free(kind: socket.SocketKind, port: int) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
         try:
-            datagram.bind((LOOPBACK, port))
+            probe.bind((LOOPBACK, port))
         except OSError:
-            continue
-        addresses.append(f"{LOOPBACK}:{port}")
-    for sock in held:
-        sock.close()
-    return addresses
+            return False
+    return True
