Leaving backend servers and planned stops, proved under load

A server's own word that it leaves is passed on as a mark, so that every node stops using it while the host list lags by a minute. A mark is part of the full exchange too: a node that started later would otherwise send it work.

Cause of the one fault found: a successor under a known id kept the suspicion of its predecessor. Ruled out: the marks, which name the start number.

--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -12,7 +12,7 @@
 from .http_table import HttpTable
 from .limits import MovingAverage, RetryBudget, share_of_limit
 from .members import Member, MemberState
-from .membership import Mark, Membership
+from .membership import Exchange, Mark, Membership
 from .table import (
     Condition,
     Row,
@@ -35,6 +35,7 @@
     "Claims",
     "Condition",
     "Entry",
+    "Exchange",
     "Follower",
     "GroupCommit",
     "Held",
--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -29,7 +29,7 @@
 from .ids import NodeId, Revision
 from .members import Member, MemberState, MemberTable
 
-__all__ = ["Mark", "Membership", "Message", "MessageKind"]
+__all__ = ["Exchange", "Mark", "Membership", "Message", "MessageKind"]
 
 ACK_FRACTION = 0.3
 SUSPICION_PERIODS = 4
@@ -71,6 +71,13 @@
     marks: tuple[Mark, ...] = ()
 
 
+class Exchange(msgspec.Struct, frozen=True):
+    """All that a node knows of members and marks, for a full exchange."""
+
+    members: tuple[Member, ...]
+    marks: tuple[Mark, ...] = ()
+
+
 class _Outbox:
     """News with the number of times each is still to be sent."""
 
@@ -124,7 +131,7 @@
         self._decoder = msgspec.json.Decoder(Message)
         self._updates = _Outbox()
         self._marks_out = _Outbox()
-        self._marks: dict[tuple[str, str], int] = {}
+        self._marks: dict[tuple[str, str], tuple[int, int]] = {}
         self._ring: list[NodeId] = []
         self._number = 0
         self._awaited: dict[int, asyncio.Future] = {}
@@ -170,17 +177,30 @@
     def announce_mark(self, mark: Mark) -> bool:
         """Tell of a mark at once; returns whether it was news here."""
         key = (mark.kind, mark.name)
-        if self._marks.get(key, -1) >= mark.number:
+        known = self._marks.get(key)
+        if known is not None and known[0] >= mark.number:
             return False
-        self._marks[key] = mark.number
+        self._marks[key] = (mark.number, self._period)
         self._marks_out.put(key, mark, self._retransmissions())
         self._push()
         return True
 
-    def merge_all(self, members: Iterable[Member]) -> None:
-        """Take in the records of a full exchange with another node."""
+    def exchange(self) -> Exchange:
+        """Return all that is known here, for another node."""
+        members = (self.own, *self.members.by_id.values())
+        marks = (Mark(*key, known[0]) for key, known in self._marks.items())
+        return Exchange(members, tuple(marks))
+
+    def take_exchange(self, theirs: Exchange) -> None:
+        """Take in all that another node knows."""
+        self._take(theirs.members, theirs.marks)
+
+    def _take(self, members: Iterable[Member], marks: Iterable[Mark]) -> None:
         for member in members:
             self._merge(member)
+        for mark in marks:
+            if self.announce_mark(mark):
+                self.on_mark(mark)
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Handle one datagram; one that cannot be read is dropped."""
@@ -191,11 +211,7 @@
         if message.sender.id == self.own.id:
             self._refute_if_needed(message.sender)
             return
-        self._merge(message.sender)
-        self.merge_all(message.updates)
-        for mark in message.marks:
-            if self.announce_mark(mark):
-                self.on_mark(mark)
+        self._take((message.sender, *message.updates), message.marks)
         if message.sender.state is not MemberState.LEFT:
             age_s = message.confirmed_ms / 1000
             self.on_revision(message.revision, message.sender, age_s)
@@ -285,6 +301,9 @@
             if self._period - since >= FORGET_PERIODS:
                 del self._dead_at[node]
                 self.members.forget(node)
+        for key, (_, since) in list(self._marks.items()):
+            if self._period - since >= FORGET_PERIODS:
+                del self._marks[key]
 
     def _probe_dead(self) -> None:
         dead = self._sample(self.members.unreachable(), 1)
--- a/packages/coordination/tests/test_claims.py
+++ b/packages/coordination/tests/test_claims.py
@@ -8,33 +8,7 @@
 from eelgrass_coordination.exceptions import ClaimUnsettled, OutcomeUnknown
 from eelgrass_coordination.group_commit import GroupCommit
 from eelgrass_coordination.ids import new_id
-from eelgrass_standins.platform import TableStandIn
-
-
-class UnreliableTable(TableStandIn):
-    """A table that can lose answers, or let a write take effect late."""
-
-    def __init__(self):
-        super().__init__()
-        self.lose_answers = 0
-        self.late_by = []
-        self.late_tasks = []
-
-    async def commit(self, transaction, timeout=None):
-        await asyncio.sleep(0)
-        if self.late_by:
-            delay = self.late_by.pop(0)
-            self.late_tasks.append(asyncio.create_task(self._late(transaction, delay)))
-            raise OutcomeUnknown("late")
-        result = self.commit_now(transaction)
-        if self.lose_answers > 0:
-            self.lose_answers -= 1
-            raise OutcomeUnknown("lost")
-        return result
-
-    async def _late(self, transaction, delay):
-        await asyncio.sleep(delay)
-        return self.commit_now(transaction)
+from unreliable import UnreliableTable
 
 
 class UnansweringTable(UnreliableTable):
@@ -46,7 +20,7 @@
 
     async def commit(self, transaction, timeout=None):
         if not self.back.is_set():
-            self.late_tasks.append(asyncio.create_task(self._late(transaction, 0.3)))
+            self.commit_late(transaction, 0.3)
             await asyncio.sleep(0.05)
             raise OutcomeUnknown("no answer")
         return await super().commit(transaction)
--- a/packages/node/src/eelgrass_node/connection/peers.py
+++ b/packages/node/src/eelgrass_node/connection/peers.py
@@ -5,7 +5,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Member, Membership
+from eelgrass_coordination import Exchange, Membership
 from eelgrass_coordination.ids import ClaimId, Revision
 
 from ..process.claimed import ClaimedRequests
@@ -72,11 +72,11 @@
         return json_response(await self._claimed.wait_for_owner(query.claim_id, wait_s))
 
     async def handle_members(self, request: web.Request) -> web.Response:
-        """Answer ``POST /peer/v1/members`` with every record, and take theirs."""
-        theirs = msgspec.json.decode(await request.read(), type=list[Member])
-        self._membership.merge_all(theirs)
-        membership = self._membership
-        return json_response([membership.own, *membership.members.by_id.values()])
+        """Answer ``POST /peer/v1/members`` with all that is known."""
+        theirs = msgspec.json.decode(await request.read(), type=Exchange)
+        ours = self._membership.exchange()
+        self._membership.take_exchange(theirs)
+        return json_response(ours)
 
     def add_routes(self, app: web.Application) -> None:
         """Add the peers' routes."""
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -135,7 +135,7 @@
 
     def _put(self, entry: HostEntry) -> None:
         backend = self.by_id.get(entry.id)
-        if backend is not None and backend.entry.address != entry.address:
+        if backend is not None and _is_successor(entry, backend.entry):
             self._remove(entry.id)
             backend = None
         if backend is None:
@@ -155,3 +155,8 @@
         self.by_service = by_service
         for service in by_service:
             self.on_change(service)
+
+
+def _is_successor(entry: HostEntry, known: HostEntry) -> bool:
+    """Return whether an entry stands for another server under a known id."""
+    return (entry.address, entry.started) != (known.address, known.started)
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -11,6 +11,7 @@
 from eelgrass_coordination import (
     ChangeLog,
     Claims,
+    Exchange,
     HttpTable,
     Mark,
     Member,
@@ -256,7 +257,7 @@
             await self._exchange_members()
 
     async def _exchange_members(self) -> None:
-        """Exchange all records with some peer, from the settings at the start."""
+        """Exchange all that is known with some peer."""
         known = self.membership.members.reachable()
         addresses = [member.internal for member in known]
         if not addresses:
@@ -266,16 +267,15 @@
                 return
 
     async def _exchange_with(self, address: str) -> bool:
-        records = [self.membership.own, *self.membership.members.by_id.values()]
         try:
             async with self._session.post(
                 f"http://{address}/peer/v1/members",
-                data=msgspec.json.encode(records),
+                data=msgspec.json.encode(self.membership.exchange()),
                 timeout=aiohttp.ClientTimeout(total=MEMBER_EXCHANGE_TIMEOUT_S),
                 allow_redirects=False,
             ) as response:
                 body = await response.read()
-            self.membership.merge_all(msgspec.json.decode(body, type=list[Member]))
+            self.membership.take_exchange(msgspec.json.decode(body, type=Exchange))
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
             return False
         return True
--- a/packages/standins/src/eelgrass_standins/backend.py
+++ b/packages/standins/src/eelgrass_standins/backend.py
@@ -17,6 +17,7 @@
 
 __all__ = ["BackendStandIn", "PoolStandIn", "build_pool"]
 
+IDLE_PAUSE_S = 0.02
 STATE_HEADER = "Backend-State"
 
 
@@ -57,6 +58,11 @@
     def _refuse(self, request: web.Request, reason: str) -> web.Response:
         return refusal_response(request, reason, self.headers())
 
+    async def until_idle(self) -> None:
+        """Wait until nothing is in flight."""
+        while self.in_flight:  # noqa: ASYNC110
+            await asyncio.sleep(IDLE_PAUSE_S)
+
     def headers(self) -> dict[str, str]:
         """Return the headers of every answer."""
         return {STATE_HEADER: "leaving" if self.leaving else "live"}
--- a/packages/standins/src/eelgrass_standins/cli.py
+++ b/packages/standins/src/eelgrass_standins/cli.py
@@ -36,6 +36,7 @@
         loop.add_signal_handler(number, stopped.set)
     await stand_ins.start()
     await stopped.wait()
+    await stand_ins.leave()
     await stand_ins.close()
 
 
--- a/packages/standins/src/eelgrass_standins/deployment.py
+++ b/packages/standins/src/eelgrass_standins/deployment.py
@@ -1,5 +1,6 @@
 """A deployment of stand-ins: the platform and backend servers at their addresses."""
 
+import asyncio
 from enum import Enum
 from typing import Any
 
@@ -13,6 +14,9 @@
 __all__ = ["BackendKind", "BackendSpec", "DeploymentSpec", "PlatformSpec", "StandIns"]
 
 
+LEAVE_NOTICE_S = 0.5
+
+
 class BackendKind(Enum):
     """The kinds of backend servers."""
 
@@ -90,6 +94,14 @@
         """Stop one stand-in, cutting off what it has in flight."""
         await self._runners.pop(name).cleanup()
 
+    async def leave(self) -> None:
+        """Stop backend servers as planned: no new work, then finish the old."""
+        for backend in self.backends_by_id.values():
+            backend.leaving = True
+        await asyncio.sleep(LEAVE_NOTICE_S)
+        for backend in self.backends_by_id.values():
+            await backend.until_idle()
+
     async def close(self) -> None:
         """Stop all."""
         for name in list(self._runners):
--- a/packages/standins/src/eelgrass_standins/platform.py
+++ b/packages/standins/src/eelgrass_standins/platform.py
@@ -132,14 +132,15 @@
         self.call_counts: dict[str, int] = {}
         self._writes = _RateLimit(writes_per_s)
         self._reads = _RateLimit(reads_per_s)
-        self._host_lists: deque[tuple[float, bytes]] = deque([(0.0, b"[]")])
+        self._host_lists: deque[tuple[float, bytes]] = deque()
         self._host_lag_s = host_lag_s
         self._latency_s = latency_s
         self._late: set[asyncio.Task] = set()
 
     def set_hosts(self, hosts: list[dict[str, Any]]) -> None:
-        """Replace the true host list; it is served after the lag."""
-        self._host_lists.append((time.monotonic(), msgspec.json.encode(hosts)))
+        """Replace the true host list; all but the first are served after the lag."""
+        since = time.monotonic() if self._host_lists else 0.0
+        self._host_lists.append((since, msgspec.json.encode(hosts)))
 
     async def handle_commit(self, request: web.Request) -> web.Response:
         """Answer ``POST /v1/transactions``."""
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,100 @@
+"""A leaving backend server gets no new work, even while the host list lags."""
+
+import asyncio
+import time
+
+import pytest
+import pytest_asyncio
+
+from eelgrass_standins.samples import association
+from support.local import LocalDeployment
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+NOTICE_S = 2.0
+LOAD_S = 4.0
+
+
+@pytest_asyncio.fixture(loop_scope="module")
+async def deployment(request):
+    lag_s = getattr(request, "param", 60.0)
+    spec = association(1, 3, work=0.0, step_ms=1.0, host_lag_s=lag_s)
+    timing = {"heartbeat_ms": 500}
+    async with LocalDeployment(spec, nodes=6, timing=timing) as running:
+        yield running
+
+
+async def load(deployment, nodes, until):
+    """Call the nodes in turn; return the replies that were not whole answers."""
+    bad = []
+    number = 0
+    while time.monotonic() < until:
+        node = nodes[number % len(nodes)]
+        number += 1
+        reply = await deployment.client.call(
+            deployment.callers(node), "current-issue", f"{number}", key=None
+        )
+        if reply.status != 200:
+            bad.append(reply)
+        await asyncio.sleep(0.004)
+    return bad
+
+
+def leaver(deployment):
+    return deployment.stand_ins.backends_by_id["archive-index-1"]
+
+
+class TestLeavingBackend:
+    @pytest.mark.parametrize("refuses", [True, False])
+    async def test_its_own_word_reaches_every_node(self, deployment, refuses):
+        server = leaver(deployment)
+        server.refuses_when_leaving = refuses
+        server.leaving = True
+        left_at = time.monotonic()
+        bad = await load(deployment, range(6), left_at + LOAD_S)
+        late = [e for e in server.journal.entries if e.started_at > left_at + NOTICE_S]
+        assert bad == []
+        assert late == []
+        assert deployment.count("retry.backend_leaving") <= 6
+
+    async def test_a_node_that_starts_later_knows_it_too(self, deployment):
+        server = leaver(deployment)
+        server.refuses_when_leaving = False
+        server.leaving = True
+        await load(deployment, [0], time.monotonic() + 0.5)
+        await deployment.nodes[5].close()
+        await deployment.start_node(5)
+        deployment.nodes[5] = deployment.nodes.pop()
+        started = len(server.journal.entries)
+        assert await load(deployment, [5], time.monotonic() + 0.5) == []
+        assert len(server.journal.entries) == started
+
+    async def test_a_successor_under_the_same_name_gets_work(self, deployment):
+        server = leaver(deployment)
+        server.leaving = True
+        await load(deployment, [0], time.monotonic() + 0.5)
+        server.leaving = False
+        hosts = [b.host_entry() for b in deployment.stand_ins.spec.backends]
+        for entry in hosts:
+            if entry["id"] == "archive-index-1":
+                entry["started"] = 2
+        deployment.stand_ins.platform._host_lag_s = 0.0
+        deployment.stand_ins.platform.set_hosts(hosts)
+        await asyncio.sleep(0.3)
+        before = len(server.journal.entries)
+        assert await load(deployment, [0], time.monotonic() + 0.5) == []
+        assert len(server.journal.entries) > before
+
+    @pytest.mark.parametrize("deployment", [1.0], indirect=True)
+    async def test_the_host_list_alone_suffices(self, deployment):
+        server = leaver(deployment)
+        hosts = [b.host_entry() for b in deployment.stand_ins.spec.backends]
+        for entry in hosts:
+            if entry["id"] == "archive-index-1":
+                entry["state"] = "leaving"
+        left_at = time.monotonic()
+        deployment.stand_ins.platform.set_hosts(hosts)
+        bad = await load(deployment, range(6), left_at + LOAD_S)
+        late = [e for e in server.journal.entries if e.started_at > left_at + NOTICE_S]
+        assert bad == []
+        assert late == []
