A server that was slow once, or never tried, is tried again

Cause: the choice of the lesser of two weighed calls in flight by the mean call time. A new server began with 50 ms beside measured 2 ms, and an old slow reading never changed, so neither was ever chosen by a caller with one call at a time. Ruled out: suspicion and marks (the server was neither). The expectation now fades with a half-life of 5 s and begins at nothing.

Two tests were too weak to see their mechanism removed and are stricter now: nodes that never called a leaving server, and a request longer than the stop's notice. A port was given twice in one run; no port is now given twice by a process.

--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Backend", "BackendState", "Backends", "HostEntry"]
 
-INITIAL_CALL_S = 0.05
+CALL_HALF_LIFE_S = 5.0
 SUSPECT_S = 1.0
 
 
@@ -50,12 +50,27 @@
         self.in_flight = 0
         self.share = 1
         self.suspect_until = 0.0
-        self.call_s = MovingAverage(INITIAL_CALL_S)
+        self.call_s = MovingAverage(0.0)
+        self._called_at = 0.0
 
     def suspect(self) -> None:
         """Prefer other servers for a while, after a failure."""
         self.suspect_until = asyncio.get_running_loop().time() + SUSPECT_S
 
+    def note_call(self, took_s: float) -> None:
+        """Take in how long a call took, in seconds."""
+        self.call_s.note(took_s)
+        self._called_at = asyncio.get_running_loop().time()
+
+    def expected_call_s(self) -> float:
+        """Return how long a call is expected to take, in seconds.
+
+        The expectation fades while no call is made, and is nothing for a new
+        server: one that was slow once, or never tried, would not be tried again.
+        """
+        age_s = asyncio.get_running_loop().time() - self._called_at
+        return self.call_s.mean * 0.5 ** (age_s / CALL_HALF_LIFE_S)
+
     def has_room(self) -> bool:
         """Return whether our share of its limit has room for one more call."""
         return self.in_flight < self.share
--- a/packages/node/src/eelgrass_node/process/policy.py
+++ b/packages/node/src/eelgrass_node/process/policy.py
@@ -83,4 +83,4 @@
 
 def expected_load(backend: Backend) -> float:
     """Return our calls in flight there, weighed by how slow it has been."""
-    return (backend.in_flight + 1) * backend.call_s.mean
+    return (backend.in_flight + 1) * backend.expected_call_s()
--- a/packages/node/src/eelgrass_node/request/stages.py
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -153,7 +153,7 @@
         else:
             cost.wasted_ms += result.cost_ms
         if result.outcome is not AttemptOutcome.NOT_RUN:
-            backend.call_s.note(took_s)
+            backend.note_call(took_s)
             self._queue.held_s.note(took_s)
 
     def _check_retry(self, result: AttemptResult) -> None:
--- a/packages/standins/src/eelgrass_standins/ports.py
+++ b/packages/standins/src/eelgrass_standins/ports.py
@@ -11,15 +11,23 @@
 FIRST_PORT = 10_000
 LAST_PORT = 31_000
 
+_given: set[int] = set()
+
 
 def free_addresses(count: int) -> list[str]:
-    """Return that many addresses whose TCP and UDP ports are free."""
-    addresses: set[str] = set()
+    """Return that many addresses whose TCP and UDP ports are free.
+
+    No port is given twice by a process, since it may not be listened on yet.
+    """
+    addresses: list[str] = []
     while len(addresses) < count:
         port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in _given:
+            continue
         if _is_free(socket.SOCK_STREAM, port) and _is_free(socket.SOCK_DGRAM, port):
-            addresses.add(f"{LOOPBACK}:{port}")
-    return list(addresses)
+            _given.add(port)
+            addresses.append(f"{LOOPBACK}:{port}")
+    return addresses
 
 
 def _is_free(kind: socket.SocketKind, port: int) -> bool:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -19,7 +19,7 @@
 async def deployment(request):
     lag_s = getattr(request, "param", 60.0)
     spec = association(1, 3, work=0.0, step_ms=1.0, host_lag_s=lag_s)
-    timing = {"heartbeat_ms": 500}
+    timing = {"heartbeat_ms": 100}
     async with LocalDeployment(spec, nodes=6, timing=timing) as running:
         yield running
 
@@ -44,6 +44,16 @@
     return deployment.stand_ins.backends_by_id["archive-index-1"]
 
 
+class TestChoice:
+    async def test_a_server_that_was_slow_is_tried_again(self, deployment):
+        backends = deployment.nodes[0].backends
+        slow = backends.by_id["archive-index-1"]
+        slow.note_call(30.0)
+        slow._called_at -= 120.0
+        await load(deployment, [0], time.monotonic() + 1.0)
+        assert leaver(deployment).journal.entries
+
+
 class TestLeavingBackend:
     @pytest.mark.parametrize("refuses", [True, False])
     async def test_its_own_word_reaches_every_node(self, deployment, refuses):
@@ -57,11 +67,24 @@
         assert late == []
         assert deployment.count("retry.backend_leaving") <= 6
 
+    async def test_a_node_that_never_called_it_knows_it_too(self, deployment):
+        server = leaver(deployment)
+        server.refuses_when_leaving = False
+        server.leaving = True
+        await load(deployment, [0], time.monotonic() + 0.5)
+        await asyncio.sleep(NOTICE_S / 2)
+        started = len(server.journal.entries)
+        assert started > 0
+        assert await load(deployment, range(1, 6), time.monotonic() + 1.0) == []
+        assert len(server.journal.entries) == started
+
     async def test_a_node_that_starts_later_knows_it_too(self, deployment):
         server = leaver(deployment)
         server.refuses_when_leaving = False
         server.leaving = True
         await load(deployment, [0], time.monotonic() + 0.5)
+        # Long enough for the mark to have been sent for the last time.
+        await asyncio.sleep(3.0)
         await deployment.nodes[5].close()
         await deployment.start_node(5)
         deployment.nodes[5] = deployment.nodes.pop()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,6 +7,7 @@
 import pytest
 import pytest_asyncio
 
+from eelgrass_standins.faults import Fault, FaultAction as Action
 from eelgrass_standins.samples import association
 from support.history import History, violations
 from support.processes import ProcessDeployment
@@ -101,6 +102,23 @@
         assert bad == []
         assert violations(history.calls, journal) == []
 
+    async def test_a_request_longer_than_the_notice_is_finished(self, deployment):
+        slow = Fault(Action.DELAY, "/v1/run", delay_s=3.5, times=1)
+        for address in deployment.addresses("register-desk"):
+            await deployment.client.control(address, "faults", [slow])
+        history = History()
+        call = asyncio.create_task(
+            history.call(deployment, 0, "transmittal", "long", key="long")
+        )
+        await asyncio.sleep(0.2)
+        deployment.nodes[0].signal(signal.SIGTERM)
+        assert (await call).status == 200
+        assert await deployment.nodes[0].wait() == 0
+        deployment.nodes[0].start()
+        await deployment.until_ready(0)
+        for address in deployment.addresses("register-desk"):
+            await deployment.client.control(address, "faults", [])
+
     @pytest.mark.parametrize("name", ["retrievers-1", "model-readers", "register"])
     async def test_a_backend_server_leaves(self, deployment, name):
         backend_id = {"model-readers": "reader-1", "register": "register-desk-1"}
