Group commits keep a spacing that follows the table service's rate limit

Cause: each node sent its next transaction as soon as the last returned, and a refused unit went back to its claim, which tried again by itself; nine nodes together asked for far more writes than the service takes. Ruled out: larger groups (a group holds 64 and carried 1.4).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := coordination node ctl standins
 
-.PHONY: demo test lint format soak capacity clean
+.PHONY: demo test lint format capacity benchmark clean
 
 $(VENV)/installed: constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -27,7 +27,10 @@
 	$(BIN)/ruff format .
 
 capacity: $(VENV)/installed
-	$(BIN)/python -m eelgrass_standins capacity
+	$(BIN)/python benchmarks/control_cost.py
+
+benchmark: $(VENV)/installed
+	PYTHONPATH=tests $(BIN)/python benchmarks/hop_cost.py
 
 clean:
 	rm -rf $(VENV) out
--- a/packages/coordination/tests/test_claims.py
+++ b/packages/coordination/tests/test_claims.py
@@ -5,9 +5,14 @@
 import pytest
 
 from eelgrass_coordination import Claim, Claims, ClaimState, Condition, Write
-from eelgrass_coordination.exceptions import ClaimUnsettled, OutcomeUnknown
+from eelgrass_coordination.exceptions import (
+    ClaimUnsettled,
+    OutcomeUnknown,
+    Throttled,
+)
 from eelgrass_coordination.group_commit import GroupCommit
 from eelgrass_coordination.ids import new_id
+from eelgrass_standins.platform import RateLimit
 from unreliable import UnreliableTable
 
 
@@ -110,6 +115,37 @@
         assert not (await claims.acquire(new_claim(), 1.0)).acquired
 
 
+class ThrottlingTable(UnreliableTable):
+    """A table with a rate limit, in transactions a second."""
+
+    def __init__(self, rate):
+        super().__init__()
+        self.limit = RateLimit(rate)
+
+    async def commit(self, transaction, timeout=None):
+        await asyncio.sleep(0.002)
+        if not self.limit.allows():
+            raise Throttled("rate limit")
+        return self.commit_now(transaction)
+
+
+class TestRateLimit:
+    async def test_processes_share_a_limit_and_no_claim_is_given_up(self):
+        table = ThrottlingTable(rate=60)
+        processes = [Claims(table) for _ in range(10)]
+
+        async def one(number):
+            await asyncio.sleep(number * 0.01)
+            claims = processes[number % len(processes)]
+            return await claims.acquire(new_claim(f"key-{number}"), 0.8)
+
+        held = await asyncio.gather(*(one(number) for number in range(200)))
+        assert all(one.acquired for one in held)
+        transactions = sum(claims.group.transactions for claims in processes)
+        throttled = sum(claims.group.throttled for claims in processes)
+        assert throttled < transactions / 2
+
+
 class TestGroupCommit:
     async def test_units_of_one_row_do_not_share_a_transaction(self):
         table = UnreliableTable()
--- a/packages/standins/src/eelgrass_standins/platform.py
+++ b/packages/standins/src/eelgrass_standins/platform.py
@@ -17,7 +17,7 @@
 
 from .faults import FaultAction, Faults, drop_connection, stay_silent
 
-__all__ = ["PlatformStandIn", "TableStandIn", "build_platform"]
+__all__ = ["PlatformStandIn", "RateLimit", "TableStandIn", "build_platform"]
 
 HOST_LIST = web.AppKey("host_list", object)
 
@@ -83,7 +83,7 @@
         return Row(key.table, key.key, version, value)
 
 
-class _RateLimit:
+class RateLimit:
     """A token bucket of ``rate`` calls a second; 0 stands for no limit."""
 
     def __init__(self, rate: float) -> None:
@@ -92,6 +92,7 @@
         self._at = time.monotonic()
 
     def allows(self) -> bool:
+        """Take one call from the bucket; False where it is empty."""
         if not self._rate:
             return True
         now = time.monotonic()
@@ -130,8 +131,8 @@
         self.faults = Faults()
         self.objects: dict[str, bytes] = {}
         self.call_counts: dict[str, int] = {}
-        self._writes = _RateLimit(writes_per_s)
-        self._reads = _RateLimit(reads_per_s)
+        self._writes = RateLimit(writes_per_s)
+        self._reads = RateLimit(reads_per_s)
         self._host_lists: deque[tuple[float, bytes]] = deque()
         self._host_lag_s = host_lag_s
         self._latency_s = latency_s
@@ -207,7 +208,7 @@
         return web.json_response(self.call_counts)
 
     async def _before(
-        self, request: web.Request, limit: _RateLimit
+        self, request: web.Request, limit: RateLimit
     ) -> web.Response | None:
         count = self.call_counts.get(request.path, 0)
         self.call_counts[request.path] = count + 1
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -35,6 +35,11 @@
                 [sys.executable, "-m", *self._arguments], stdout=log, stderr=log
             )
 
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Send it a signal."""
         os.kill(self._process.pid, number)
@@ -68,8 +73,10 @@
         data_centres: tuple[str, ...] = ("cau-giay", "long-bien"),
         grouped: bool = True,
         settings: dict[str, Any] | None = None,
+        configuration: dict[str, Any] | None = None,
     ) -> None:
         self.spec = spec
+        self._configuration = configuration or sample_configuration()
         self._folder = folder
         self.settings = node_settings(spec.platform.address, nodes, data_centres)
         for node in self.settings:
@@ -96,7 +103,7 @@
             node.start()
         for number in range(len(self.nodes)):
             await self.until_ready(number)
-        report = await self.client.configure(self.internal(0), sample_configuration())
+        report = await self.client.configure(self.internal(0), self._configuration)
         assert report["result"]["outcome"] == "accepted", report
         assert report["not_yet"] == [], report
         return self
