--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 capacity: $(VENV)/installed
 	$(BIN)/python benchmarks/control_cost.py
+	PYTHONPATH=tests $(BIN)/python benchmarks/propagation.py
 
 benchmark: $(VENV)/installed
 	PYTHONPATH=tests $(BIN)/python benchmarks/hop_cost.py
--- /dev/null
+++ b/benchmarks/propagation.py
@@ -0,0 +1,80 @@
+"""Measures how fast a change is in force on 3, 9 and 30 nodes, and what idling costs.
+
+All nodes run in one process with the stand-ins. Run as ``make capacity``. Every
+figure is of this run and this machine.
+"""
+
+import asyncio
+import resource
+import time
+
+from eelgrass_standins.samples import DATA_CENTRES, association
+from support.local import LocalDeployment
+
+NODE_COUNTS = (3, 9, 30)
+CHANGES = 10
+IDLE_S = 6.0
+TIMING = {"head_poll_ms": 1000, "hosts_poll_ms": 1000, "heartbeat_ms": 1000}
+
+
+def cpu_s() -> float:
+    """Return the processor time of this process, in seconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+async def amend(deployment: LocalDeployment, number: int) -> None:
+    """Submit a change at one node and wait until the node has answered."""
+    internal = deployment.internal(number % len(deployment.nodes))
+    path = "objects/templates?name=current-issue"
+    (shown,) = await deployment.client.operate(internal, path)
+    item = {
+        "kind": "templates",
+        "name": "current-issue",
+        "action": "amend",
+        "base_revision": shown["revision"],
+        "value": {**shown["value"], "deadline_ms": 1000 + number},
+    }
+    report = await deployment.client.change(internal, f"change-{number}", [item])
+    assert report["result"]["outcome"] == "accepted", report
+    assert report["not_yet"] == [], report
+
+
+async def measure(count: int) -> None:
+    """Measure one deployment."""
+    spec = association(engines=1, pool_size=1)
+    async with LocalDeployment(spec, count, DATA_CENTRES, TIMING) as deployment:
+        await asyncio.sleep(3.0)
+        platform = deployment.stand_ins.platform
+        calls = dict(platform.call_counts)
+        heads = sum(node.change_log.head_reads for node in deployment.nodes)
+        began, began_cpu = time.monotonic(), cpu_s()
+        await asyncio.sleep(IDLE_S)
+        took = time.monotonic() - began
+        idle = (cpu_s() - began_cpu) / took / count * 1e3
+        heads = sum(n.change_log.head_reads for n in deployment.nodes) - heads
+        hosts = platform.call_counts["/v1/hosts"] - calls["/v1/hosts"]
+        times = []
+        for number in range(CHANGES):
+            began = time.monotonic()
+            await amend(deployment, number)
+            times.append(time.monotonic() - began)
+            await asyncio.sleep(0.2)
+        times.sort()
+        print(
+            f"  {count:3} nodes: in force everywhere in {times[CHANGES // 2] * 1e3:.0f}"
+            f" ms (median), {times[-1] * 1e3:.0f} ms (longest of {CHANGES}); idle "
+            f"{idle:.2f} ms CPU/s per node with its share of the stand-ins; "
+            f"{heads / took:.1f} head reads/s, {hosts / took:.1f} host list reads/s"
+        )
+
+
+async def main() -> None:
+    """Measure all sizes."""
+    print("Configuration changes in force, one process")
+    for count in NODE_COUNTS:
+        await measure(count)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/packages/node/src/eelgrass_node/process/host_list.py
+++ b/packages/node/src/eelgrass_node/process/host_list.py
@@ -1,6 +1,13 @@
-"""Follows the platform's lagging list of backend servers."""
+"""Follows the platform's lagging list of backend servers.
+
+The pollers of a data centre read it at every interval and pass on who is
+leaving; the other nodes read it less often, because the list is long and the
+reads would grow with the number of nodes.
+"""
 
 import asyncio
+import itertools
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -11,9 +18,14 @@
 __all__ = ["HostListPoller"]
 
 
+OTHERS_EVERY = 10
+
+
 class HostListPoller:
     """Polls the host list; during an outage the last one stays in force.
 
+    ``polls`` says whether this node is a poller of its data centre now.
+
     ``on_leaving`` is told each entry that is newly listed as leaving.
     """
 
@@ -22,12 +34,14 @@
         session: aiohttp.ClientSession,
         platform_address: str,
         backends: Backends,
+        polls: Callable[[], bool],
         interval_s: float,
         timeout_s: float,
     ) -> None:
         self._session = session
         self._url = f"{platform_address}/v1/hosts"
         self._backends = backends
+        self._polls = polls
         self._interval_s = interval_s
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
         self._failing = False
@@ -35,9 +49,10 @@
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        while True:
-            await self.poll()
+        for turn in itertools.count():
             await asyncio.sleep(self._interval_s)
+            if self._failing or turn % OTHERS_EVERY == 0 or self._polls():
+                await self.poll()
 
     async def poll(self) -> None:
         """Read the list once."""
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -150,6 +150,7 @@
             self._session,
             platform.address,
             self.backends,
+            self._polls,
             timing.hosts_poll_ms / 1000,
             call_s,
         )
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -24,6 +24,17 @@
         yield running
 
 
+class TestHostList:
+    async def test_its_reads_do_not_grow_with_nodes(self, deployment):
+        counts = deployment.stand_ins.platform.call_counts
+        before = counts["/v1/hosts"]
+        await asyncio.sleep(2.0)
+        pollers, others = 4, 2
+        turns = 2.0 / 0.1
+        most = pollers * turns + others * (turns / 10 + 1)
+        assert counts["/v1/hosts"] - before <= most
+
+
 async def load(deployment, nodes, until):
     """Call the nodes in turn; return the replies that were not whole answers."""
     bad = []
