--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -9,10 +9,12 @@
 from .configuration import Action, Change, ChangeItem, Entry, Problem, Snapshot
 from .follower import Follower
 from .group_commit import GroupCommit
+from .http_objects import HttpObjects
 from .http_table import HttpTable
 from .limits import MovingAverage, RetryBudget, share_of_limit
 from .members import Member, MemberState
 from .membership import Exchange, Mark, Membership
+from .snapshots import ObjectStore, SnapshotStore
 from .table import (
     Condition,
     Row,
@@ -39,17 +41,20 @@
     "Follower",
     "GroupCommit",
     "Held",
+    "HttpObjects",
     "HttpTable",
     "Mark",
     "Member",
     "MemberState",
     "Membership",
     "MovingAverage",
+    "ObjectStore",
     "Problem",
     "RetryBudget",
     "Row",
     "RowKey",
     "Snapshot",
+    "SnapshotStore",
     "Table",
     "Transaction",
     "TransactionResult",
--- a/packages/coordination/src/eelgrass_coordination/change_log.py
+++ b/packages/coordination/src/eelgrass_coordination/change_log.py
@@ -26,7 +26,6 @@
 HEAD = RowKey("configuration_head", "head")
 CHANGES = "configuration_changes"
 CHANGE_IDS = "configuration_change_ids"
-SNAPSHOTS = "configuration_snapshots"
 PAUSE_S = 0.05
 READ_BATCH = 100
 
--- a/packages/node/src/eelgrass_node/process/changes.py
+++ b/packages/node/src/eelgrass_node/process/changes.py
@@ -12,6 +12,7 @@
     ChangeResult,
     Member,
     Membership,
+    SnapshotStore,
 )
 from eelgrass_coordination.exceptions import PlatformError
 from eelgrass_coordination.ids import NodeId, Revision
@@ -39,12 +40,14 @@
     def __init__(
         self,
         change_log: ChangeLog,
+        snapshots: SnapshotStore,
         configuration: ConfigurationSync,
         membership: Membership,
         session: aiohttp.ClientSession,
         settle_s: float,
     ) -> None:
         self._change_log = change_log
+        self._snapshots = snapshots
         self._configuration = configuration
         self._membership = membership
         self._session = session
@@ -58,6 +61,7 @@
         if result.outcome is not ChangeOutcome.ACCEPTED:
             return ChangeReport(result)
         await self._take_up(result.revision)
+        await self._snapshots.save_if_due(self._configuration.follower.snapshot)
         return await self._report(result)
 
     async def _take_up(self, revision: Revision) -> None:
--- a/packages/node/src/eelgrass_node/process/configuration.py
+++ b/packages/node/src/eelgrass_node/process/configuration.py
@@ -12,7 +12,14 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import Change, ChangeLog, Follower, Member, Snapshot
+from eelgrass_coordination import (
+    Change,
+    ChangeLog,
+    Follower,
+    Member,
+    Snapshot,
+    SnapshotStore,
+)
 from eelgrass_coordination.exceptions import PlatformError
 from eelgrass_coordination.follower import follow_or_gap
 from eelgrass_coordination.ids import NodeId, Revision
@@ -60,11 +67,13 @@
     def __init__(
         self,
         change_log: ChangeLog,
+        snapshots: SnapshotStore,
         session: aiohttp.ClientSession,
         polls: Callable[[], bool],
         interval_s: float,
     ) -> None:
         self._change_log = change_log
+        self._snapshots = snapshots
         self._session = session
         self._polls = polls
         self._interval_s = interval_s
@@ -121,9 +130,46 @@
         else:
             self.follower.confirm(revision, age_s)
 
-    async def start_from_peers(self, members: list[Member]) -> None:
-        """Take the newest snapshot among some peers, for a start in an outage."""
-        await asyncio.gather(*(self._fetch(m) for m in members[:START_PEERS]))
+    async def start(self, members: list[Member]) -> None:
+        """Take the newest configuration to be had: from a peer, then the platform.
+
+        Peers are asked for their revision first, because a snapshot is large.
+        """
+        asked = members[:START_PEERS]
+        revisions = await asyncio.gather(*(self._revision_of(m) for m in asked))
+        best = max(zip(revisions, range(len(asked)), strict=True), default=(0, 0))
+        if best[0] > 0:
+            await self._fetch(asked[best[1]])
+        elif not self.follower.ready:
+            await self._start_from_object()
+        await self.poll()
+
+    async def _start_from_object(self) -> None:
+        try:
+            snapshot = await self._snapshots.newest()
+        except PlatformError as error:
+            log(Part.CONFIGURATION, "No snapshot is readable.", error=str(error))
+            return
+        if snapshot is not None:
+            before = self.follower.revision
+            self.follower.replace(snapshot)
+            self._renew(before)
+
+    async def _revision_of(self, member: Member) -> int:
+        try:
+            body = await self._ask(member, "revision", {"revision": 0, "wait_s": 0.0})
+            return msgspec.json.decode(body)["revision"]
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            return 0
+
+    async def _ask(self, member: Member, path: str, message: dict) -> bytes:
+        async with self._session.post(
+            f"http://{member.internal}/peer/v1/{path}",
+            data=msgspec.json.encode(message),
+            timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
+            allow_redirects=False,
+        ) as response:
+            return await response.read()
 
     def changes_for_peer(self, after: Revision) -> PeerChanges:
         """Return what a peer at revision ``after`` needs."""
@@ -136,15 +182,14 @@
         async with self._fetch_lock:
             after = self.follower.revision
             try:
-                async with self._session.post(
-                    f"http://{member.internal}/peer/v1/changes",
-                    data=msgspec.json.encode({"after": after}),
-                    timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
-                    allow_redirects=False,
-                ) as response:
-                    body = await response.read()
+                body = await self._ask(member, "changes", {"after": after})
                 answer = msgspec.json.decode(body, type=PeerChanges)
-            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            except (
+                aiohttp.ClientError,
+                TimeoutError,
+                OSError,
+                msgspec.MsgspecError,
+            ) as error:
                 log(
                     Part.CONFIGURATION,
                     "A peer gave no changes.",
--- a/packages/node/src/eelgrass_node/process/host_list.py
+++ b/packages/node/src/eelgrass_node/process/host_list.py
@@ -19,6 +19,7 @@
 
 
 OTHERS_EVERY = 10
+BYTES_PER_S = 8192
 
 
 class HostListPoller:
@@ -45,12 +46,15 @@
         self._interval_s = interval_s
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
         self._failing = False
+        self._bytes = 0
         self.on_leaving = lambda backend_id, started: None
 
     async def run(self) -> None:
         """Poll until cancelled."""
         for turn in itertools.count():
-            await asyncio.sleep(self._interval_s)
+            # A long list is read less often, so that its bytes stay bounded; the
+            # pollers are many and pass on what they see.
+            await asyncio.sleep(max(self._interval_s, self._bytes / BYTES_PER_S))
             if self._failing or turn % OTHERS_EVERY == 0 or self._polls():
                 await self.poll()
 
@@ -63,6 +67,7 @@
                 response.raise_for_status()
                 body = await response.read()
             entries = msgspec.json.decode(body, type=list[HostEntry])
+            self._bytes = len(body)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             self._note_failure(e)
             return
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -12,11 +12,13 @@
     ChangeLog,
     Claims,
     Exchange,
+    HttpObjects,
     HttpTable,
     Mark,
     Member,
     Membership,
     RetryBudget,
+    SnapshotStore,
 )
 from eelgrass_coordination.ids import Incarnation, Revision, new_id
 
@@ -87,7 +89,7 @@
         await self._exchange_members()
         await self._listen()
         await self.host_list.poll()
-        await self._first_configuration()
+        await self.configuration.start(self.membership.members.reachable())
         for work in (
             self.configuration.run(),
             self.host_list.run(),
@@ -137,11 +139,14 @@
         )
         self.table = HttpTable(self._session, platform.address, call_s)
         self.change_log = ChangeLog(self.table)
+        objects = HttpObjects(self._session, platform.address)
+        self.snapshots = SnapshotStore(self.table, objects)
         self.claims = Claims(
             self.table, lambda reason: self.counters.count(f"retry.{reason}")
         )
         self.configuration = ConfigurationSync(
             self.change_log,
+            self.snapshots,
             self._session,
             self._polls,
             timing.head_poll_ms / 1000,
@@ -164,6 +169,7 @@
         )
         self.changes = Changes(
             self.change_log,
+            self.snapshots,
             self.configuration,
             self.membership,
             self._session,
@@ -246,12 +252,6 @@
         self._runners.append(runner)
         await web.TCPSite(runner, host.strip("[]"), int(port)).start()
 
-    async def _first_configuration(self) -> None:
-        members = self.membership.members.reachable()
-        await asyncio.gather(
-            self.configuration.poll(), self.configuration.start_from_peers(members)
-        )
-
     async def _exchange_members_regularly(self) -> None:
         while True:
             await asyncio.sleep(MEMBER_EXCHANGE_S)
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -102,3 +102,23 @@
         sync.heard(1, member, 0.0)
         sync.advance(list(sync.follower.recent)[:1])
         assert sync.follower.revision == newest
+
+    async def test_a_node_starts_alone_from_a_snapshot_and_the_changes_since(
+        self, deployment
+    ):
+        for node in deployment.nodes:
+            node.snapshots._every = 1
+        await amend_deadline(deployment, 0, 1600, "with-snapshot")
+        for node in deployment.nodes:
+            node.snapshots._every = 1000
+        await amend_deadline(deployment, 0, 1500, "after-snapshot")
+        newest = deployment.nodes[0].configuration.follower.revision
+        alone = LocalDeployment(nodes=1)
+        alone.settings[0]["platform"] = deployment.settings[0]["platform"]
+        node = await alone.start_node(0)
+        try:
+            assert node.configuration.follower.revision == newest
+            replayed = [c.revision for c in node.configuration.follower.recent]
+            assert replayed == [newest]
+        finally:
+            await node.close()
