The operators' command line, and bad input refused by field and remedy

eelgrassctl applies, shows and lists changes, shows status, costs and claims, resolves a claim, checks settings and drains a node; exit codes are named in its exceptions module.

--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of eelgrassward's operators."""
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/__main__.py
@@ -0,0 +1,16 @@
+"""The entry point of ``eelgrassctl``; it imports little until it runs."""
+
+import sys
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Run the command and exit with its code."""
+    from .cli import run
+
+    sys.exit(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/client.py
@@ -0,0 +1,71 @@
+"""Calls to a node's operator interface."""
+
+import asyncio
+import os
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from .exceptions import NodeRefused, NoNode
+
+__all__ = ["Target", "call", "target_of"]
+
+TIMEOUT_S = 30.0
+TOKEN_HEADER = "Operator-Token"
+TOKEN_VARIABLE = "EELGRASS_OPERATOR_TOKEN"
+NODES_VARIABLE = "EELGRASS_NODES"
+HTTP_OK = 200
+
+
+class Target(msgspec.Struct, frozen=True):
+    """The nodes to ask, one after the other, and the operators' token."""
+
+    nodes: list[str]
+    token: str
+
+
+def target_of(node: list[str]) -> Target:
+    """Return the target named by options, or else by the environment."""
+    nodes = node or os.environ.get(NODES_VARIABLE, "127.0.0.1:8081").split(",")
+    return Target(nodes, os.environ.get(TOKEN_VARIABLE, ""))
+
+
+def call(target: Target, path: str, message: Any = None) -> Any:
+    """Make one call, a POST where there is a message, and return the answer.
+
+    The next node is asked where one cannot be reached. A change carries an id
+    and takes effect once, so it may be sent to a second node.
+    """
+    return asyncio.run(_call(target, path, message))
+
+
+async def _call(target: Target, path: str, message: Any) -> Any:
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    headers = {TOKEN_HEADER: target.token}
+    reason = "no address"
+    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+        for node in target.nodes:
+            url = f"http://{node}/operator/v1/{path}"
+            try:
+                return await _send(session, url, message)
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                reason = repr(error)
+    raise NoNode(target.nodes, reason)
+
+
+async def _send(session: aiohttp.ClientSession, url: str, message: Any) -> Any:
+    method = "GET" if message is None else "POST"
+    data = None if message is None else msgspec.json.encode(message)
+    async with session.request(method, url, data=data) as response:
+        body = await response.read()
+        if response.status != HTTP_OK:
+            raise NodeRefused(_reason(response.status, body))
+        return msgspec.json.decode(body)
+
+
+def _reason(status: int, body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body)["error"]
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return f"status {status}"
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/commands/__init__.py
@@ -0,0 +1,25 @@
+"""The commands, one module each."""
+
+from .apply import apply
+from .change import change
+from .check import check
+from .claims import claims
+from .costs import costs
+from .drain import drain
+from .history import history
+from .resolve import resolve
+from .show import show
+from .status import status
+
+__all__ = [
+    "apply",
+    "change",
+    "check",
+    "claims",
+    "costs",
+    "drain",
+    "history",
+    "resolve",
+    "show",
+    "status",
+]
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/commands/check.py
@@ -0,0 +1,24 @@
+"""``eelgrassctl check``: check a node's settings file."""
+
+from pathlib import Path
+
+from eelgrass_node.exceptions import SettingsError
+from eelgrass_node.settings import load_settings
+
+from ..exceptions import ExitCode
+
+__all__ = ["check"]
+
+
+def check(settings: Path) -> int:
+    """Check a settings file without starting a node.
+
+    :param settings: the YAML file of a node's settings
+    """
+    try:
+        load_settings(settings)
+    except SettingsError as error:
+        print(error)
+        return ExitCode.WRONG_INPUT
+    print(f"{settings}: the settings are valid.")
+    return ExitCode.DONE
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/commands/drain.py
@@ -0,0 +1,16 @@
+"""``eelgrassctl drain``: stop a node as planned."""
+
+from ..client import call, target_of
+from ..exceptions import ExitCode
+
+__all__ = ["drain"]
+
+
+def drain(node: str) -> int:
+    """Begin the planned stop of one node; it finishes what is in flight.
+
+    :param node: internal address of the node to stop
+    """
+    answer = call(target_of([node]), "drain", {})
+    print(f"{node} is stopping with {answer['in_flight']} requests in flight.")
+    return ExitCode.DONE
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/commands/status.py
@@ -0,0 +1,59 @@
+"""``eelgrassctl status``: what a node knows and does."""
+
+from typing import Any
+
+from ..client import call, target_of
+from ..exceptions import ExitCode
+from ..output import print_json, print_table
+
+__all__ = ["status"]
+
+
+def status(
+    *,
+    node: list[str] = [],  # noqa: B006
+    json: bool = False,
+) -> int:
+    """Show a node's peers, backend servers, queues, revision and counters.
+
+    :param node: internal address of a node, several to try in turn
+    :param json: print JSON for scripts
+    """
+    found = call(target_of(node), "status")
+    if json:
+        print_json(found)
+    else:
+        _print_status(found)
+    return ExitCode.DONE
+
+
+def _print_status(found: dict[str, Any]) -> None:
+    name, data_centre = found["own"][:2]
+    state = "stopping" if found["stopping"] else "serving"
+    print(f"Node {name} in {data_centre}: {state}, {found['in_flight']} in flight.")
+    print(f"Revision {found['revision']}, confirmed {found['revision_age_ms']} ms ago.")
+    print("\nPeers")
+    peers = [(peer[0], peer[1], peer[-1]) for peer in found["peers"]]
+    print_table(("node", "data centre", "state"), sorted(peers))
+    print("\nBackend servers")
+    backends = [
+        (
+            backend["service"],
+            backend["id"],
+            backend["data_centre"],
+            "leaving" if backend["leaving"] else "live",
+            f"{backend['in_flight']}/{backend['share']}",
+            f"{backend['call_ms']:.1f}",
+        )
+        for backend in found["backends"]
+    ]
+    head = ("service", "server", "data centre", "state", "in flight", "call ms")
+    print_table(head, sorted(backends))
+    print("\nQueues")
+    queues = [
+        (queue["service"], queue["waiting"], queue["slots"], f"{queue['wait_ms']:.1f}")
+        for queue in found["queues"]
+    ]
+    print_table(("service", "waiting", "slots", "wait ms"), sorted(queues))
+    print("\nCounters")
+    print_table(("counter", "count"), sorted(found["counters"].items()))
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/exceptions.py
@@ -0,0 +1,53 @@
+"""The exception tree of the operators' command line."""
+
+from enum import IntEnum
+
+__all__ = ["ChangeFileError", "CommandError", "ExitCode", "NodeRefused", "NoNode"]
+
+
+class ExitCode(IntEnum):
+    """The exit codes of every command."""
+
+    DONE = 0
+    REFUSED = 1
+    WRONG_INPUT = 2
+    NO_NODE = 3
+    UNKNOWN = 4
+    NOT_EVERYWHERE = 5
+
+
+class CommandError(Exception):
+    """Base of all errors that end a command; ``code`` is its exit code."""
+
+    code = ExitCode.WRONG_INPUT
+
+
+class NoNode(CommandError):
+    """No node answered."""
+
+    code = ExitCode.NO_NODE
+
+    def __init__(self, nodes: list[str], reason: str) -> None:
+        super().__init__(
+            f"No node answered at {', '.join(nodes)} ({reason}). Give the internal "
+            "address of a running node with --node or EELGRASS_NODES."
+        )
+
+
+class NodeRefused(CommandError):
+    """A node refused the call."""
+
+    code = ExitCode.REFUSED
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"The node refused the call: {reason}")
+
+
+class ChangeFileError(CommandError):
+    """A file with a change is wrong."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        super().__init__(
+            f"{file}: {reason}. Correct the file; 'eelgrassctl show' prints objects "
+            "in the form that it takes."
+        )
--- a/packages/node/src/eelgrass_node/cli.py
+++ b/packages/node/src/eelgrass_node/cli.py
@@ -48,4 +48,4 @@
 
 def run(arguments: list[str] | None = None) -> int:
     """Parse the command line and run; return the exit code."""
-    return defopt.run(serve, argv=arguments, cli_options="has_default")
+    return defopt.run(serve, argv=arguments, cli_options="kwonly")
--- a/packages/standins/src/eelgrass_standins/cli.py
+++ b/packages/standins/src/eelgrass_standins/cli.py
@@ -42,4 +42,4 @@
 
 def run() -> None:
     """Parse the command line and run the command."""
-    defopt.run([demo, serve], cli_options="has_default")
+    defopt.run([demo, serve], cli_options="kwonly")
