--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := coordination node ctl standins
 
-.PHONY: demo test lint format capacity benchmark clean
+.PHONY: demo test lint format capacity benchmark experiment clean
 
 $(VENV)/installed: constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -33,5 +33,8 @@
 benchmark: $(VENV)/installed
 	PYTHONPATH=tests $(BIN)/python benchmarks/hop_cost.py
 
+experiment: $(VENV)/installed
+	PYTHONPATH=tests $(BIN)/python benchmarks/overload.py
+
 clean:
 	rm -rf $(VENV) out
