--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -40,6 +40,8 @@
 STEP_MS = 4.0
 # A full engine makes a step for all its sequences in 4 ms and 2% for each.
 CAPACITY = ENGINES * ENGINE_LIMIT / ((TOKENS + 1) * STEP_MS / 1000 * 1.16)
+# Sent back to the queue before anything was run.
+NOT_REPEATED = ("retry.backend_overloaded", "retry.backend_leaving")
 POLICIES: dict[str, dict[str, Any]] = {
     "chosen": {},
     "baseline": {
@@ -135,14 +137,19 @@
         for caller in CALLERS
     }
     useful = wasted = 0.0
-    stages = attempts = 0
+    retries = attempts = 0
     for number in range(3):
         for row in await client.operate(deployment.internal(number), "costs"):
-            stages += row["requests"]
             attempts += row["attempts"]
             if row["stage"] == "draft":
                 useful += row["useful_ms"]
                 wasted += row["wasted_ms"]
+        status = await client.operate(deployment.internal(number), "status")
+        retries += sum(
+            count
+            for name, count in status["counters"].items()
+            if name.startswith("retry.") and name not in NOT_REPEATED
+        )
     total = summarise(samples)
     return {
         "attainment": {name: s.attainment for name, s in by_account.items()},
@@ -152,7 +159,7 @@
         "refused_p95_ms": total.refused_p95_ms,
         "reasons": total.reasons,
         "wasted_share": wasted / (useful + wasted) if useful else 0.0,
-        "extra_attempts": attempts / stages - 1 if stages else 0.0,
+        "extra_attempts": retries / attempts if attempts else 0.0,
     }
 
 
--- a/packages/coordination/src/eelgrass_coordination/limits.py
+++ b/packages/coordination/src/eelgrass_coordination/limits.py
@@ -61,9 +61,10 @@
 
 
 def share_of_limit(limit: int, live_nodes: int, headroom: float = 1.5) -> int:
-    """Return one node's share of a back end's limit, at least 1.
+    """Return one node's share of a back end's limit, from 1 to the whole limit.
 
     ``headroom`` lets the shares add up to more than the limit, since nodes are
     seldom all busy at the same back end.
     """
-    return max(1, math.ceil(limit * headroom / max(1, live_nodes)))
+    share = math.ceil(limit * headroom / max(1, live_nodes))
+    return max(1, min(limit, share))
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -18,7 +18,8 @@
 MIN_FULL_PAUSE_S = 0.005
 MAX_FULL_PAUSE_S = 0.1
 WINDOW_DECREASE = 0.9
-SUSPECT_S = 1.0
+FIRST_SUSPICION_S = 1.0
+MAX_SUSPICION_S = 16.0
 
 
 class BackendState(Enum):
@@ -60,12 +61,15 @@
         self.window = 1.0
         self.suspect_until = 0.0
         self._full_until = 0.0
+        self._failures = 0
         self.call_s = MovingAverage(0.0)
         self._called_at = 0.0
 
     def suspect(self) -> None:
-        """Prefer other servers for a while, after a failure."""
-        self.suspect_until = asyncio.get_running_loop().time() + SUSPECT_S
+        """Prefer other servers for a while, twice as long after each failure."""
+        suspicion_s = min(MAX_SUSPICION_S, FIRST_SUSPICION_S * 2**self._failures)
+        self._failures += 1
+        self.suspect_until = asyncio.get_running_loop().time() + suspicion_s
 
     def note_call(self, took_s: float) -> None:
         """Take in how long a call took, in seconds."""
@@ -97,7 +101,9 @@
         return pause_s
 
     def note_taken(self) -> None:
-        """Let the window grow by one for each window of calls taken."""
+        """End a suspicion, and let the window grow by one for each full window."""
+        self._failures = 0
+        self.suspect_until = 0.0
         self.window = min(float(self.entry.limit), self.window + 1 / self.window)
 
 
--- a/packages/node/src/eelgrass_node/process/dispatch.py
+++ b/packages/node/src/eelgrass_node/process/dispatch.py
@@ -28,9 +28,12 @@
 class _Waiter:
     """A stage that waits for a backend server."""
 
-    def __init__(self, key: OrderKey, tried: frozenset[BackendId]) -> None:
+    def __init__(
+        self, key: OrderKey, tried: frozenset[BackendId], latest: float
+    ) -> None:
         self.key = key
         self.tried = tried
+        self.latest = latest
         self.granted: asyncio.Future[Backend] = (
             asyncio.get_running_loop().create_future()
         )
@@ -45,8 +48,10 @@
         backends: Backends,
         choose: ChoiceFunction,
         order: OrderFunction,
+        sheds: bool = False,
     ) -> None:
         self.service = service
+        self._sheds = sheds
         self._backends = backends
         self._choose = choose
         self._order = order
@@ -114,9 +119,11 @@
         self._arrivals += 1
         priority = request.pipeline.priority
         key = self._order(priority, request.deadline, self._arrivals)
-        waiter = _Waiter(key, tried)
+        waiter = _Waiter(key, tried, latest)
         bisect.insort(self._waiters, waiter, key=lambda other: other.key)
         self.grant()
+        if self._sheds:
+            self.shed()
         try:
             async with asyncio.timeout_at(latest):
                 return await waiter.granted
@@ -138,6 +145,10 @@
         """Give servers with room to the first waiters."""
         while self._waiters:
             waiter = self._waiters[0]
+            if waiter.granted.done():
+                # Timed out in this very moment; its task has yet to say so.
+                del self._waiters[0]
+                continue
             backend = self._pick(waiter.tried)
             if backend is None:
                 return
@@ -145,6 +156,22 @@
             backend.in_flight += 1
             waiter.granted.set_result(backend)
 
+    def shed(self) -> None:
+        """Refuse those at the end of the queue who can no longer be served in time.
+
+        Later arrivals of a higher priority push them back; they are better told
+        at once than at their deadline.
+        """
+        now = asyncio.get_running_loop().time()
+        while self._waiters:
+            waiter = self._waiters[-1]
+            wait_s = self.expected_wait(len(self._waiters) - 1)
+            if waiter.latest - now >= wait_s:
+                return
+            del self._waiters[-1]
+            if not waiter.granted.done():
+                waiter.granted.set_exception(TimeoutError())
+
     def retry_after(self) -> float:
         """Return after how many seconds a refused caller should come back."""
         return max(MIN_RETRY_AFTER_S, self.expected_wait())
@@ -156,18 +183,24 @@
         return any(backend.has_room() for backend in usable)
 
     def _pick(self, tried: frozenset[BackendId]) -> Backend | None:
+        roomy = [b for b in self._candidates(tried) if b.has_room()]
+        return self._choose(roomy) if roomy else None
+
+    def _candidates(self, tried: frozenset[BackendId]) -> list[Backend]:
+        """Return the best servers there are, whether or not they have room.
+
+        A server that has just failed always has room. To wait for a sound one
+        is better than to fail there again.
+        """
         usable = self._backends.usable(self.service)
-        roomy = [backend for backend in usable if backend.has_room()]
-        if not roomy:
-            return None
         now = asyncio.get_running_loop().time()
-        untried = [b for b in roomy if b.entry.id not in tried]
-        trusted = [b for b in untried if b.suspect_until <= now]
-        return self._choose(trusted or untried or roomy)
+        trusted = [b for b in usable if b.suspect_until <= now]
+        untried = [b for b in trusted if b.entry.id not in tried]
+        return untried or trusted or usable
 
     def _withdraw(self, waiter: _Waiter) -> None:
         granted = waiter.granted
-        if granted.done() and not granted.cancelled():
+        if granted.done() and not granted.cancelled() and not granted.exception():
             # Granted in the very moment in which the wait was given up.
             self.release(granted.result())
             return
@@ -196,7 +229,13 @@
         """Return the queue of a service."""
         found = self.by_service.get(service)
         if found is None:
-            found = ServiceQueue(service, self._backends, self._choose(), self._order)
+            found = ServiceQueue(
+                service,
+                self._backends,
+                self._choose(),
+                self._order,
+                sheds=self._admission is Admission.FEASIBLE,
+            )
             self.by_service[service] = found
         return found
 
@@ -221,11 +260,11 @@
             for stage in stages
         }
         expected = sum(waits.values()) + self.expected_rest(stages)
-        missing = expected - request.remaining()
-        if missing > 0 and any(waits.values()):
+        if expected > request.remaining() and any(waits.values()):
+            queues = [self.queue(service) for service in waits]
             raise Refused(
                 RefusalReason.DEADLINE_INFEASIBLE,
                 outcome,
-                f"The stages left are expected to take {expected * 1000:.0f} ms.",
-                max(MIN_RETRY_AFTER_S, *waits.values()),
+                "The stages left are expected to take longer than is left.",
+                max(queue.retry_after() for queue in queues),
             )
--- a/packages/node/src/eelgrass_node/request/generation.py
+++ b/packages/node/src/eelgrass_node/request/generation.py
@@ -26,7 +26,8 @@
 
 __all__ = ["Generation"]
 
-CANCEL_S = 0.25
+CANCEL_S = 0.1
+HOPE_FRACTION = 0.8
 MAX_AHEAD = 256
 
 _cancelling: set[asyncio.Task] = set()
@@ -94,6 +95,8 @@
         first = len(self.pieces)
         ahead: dict[int, str] = {}
         while True:
+            if self._is_hopeless(attempt):
+                return unknown(RetryReason.TOO_SLOW)
             line = await self._next_line(attempt, response)
             if line is None:
                 return unknown(RetryReason.STREAM_CUT)
@@ -110,6 +113,15 @@
             if not await self._take(attempt, line, first, ahead):
                 return unknown(RetryReason.BAD_ANSWER)
 
+    def _is_hopeless(self, attempt: Attempt) -> bool:
+        """Return whether the rest cannot be had within the deadline."""
+        remaining_s = attempt.request.remaining()
+        if remaining_s <= 0:
+            return True
+        left = int(attempt.stage.max_tokens) - len(self.pieces)
+        expected_s = left * self._between_average.mean
+        return expected_s * HOPE_FRACTION > remaining_s
+
     def _note_pace(self, taken: int) -> None:
         if taken > 1:
             took_s = asyncio.get_running_loop().time() - self._first_piece_at
@@ -119,10 +131,12 @@
         self, attempt: Attempt, response: aiohttp.ClientResponse
     ) -> _Line | None:
         try:
-            async with asyncio.timeout(self._between_s):
+            bound_s = min(self._between_s, max(0.0, attempt.request.remaining()))
+            async with asyncio.timeout(bound_s):
                 raw = await response.content.readline()
         except TimeoutError as error:
-            attempt.backend.connections.replace()
+            if attempt.request.remaining() > 0:
+                attempt.backend.connections.replace()
             raise SilentConnection from error
         if not raw.endswith(b"\n"):
             return None
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -66,6 +66,7 @@
     WRONG_ATTEMPT = "wrong_attempt"
     BAD_ANSWER = "bad_answer"
     STREAM_CUT = "stream_cut"
+    TOO_SLOW = "too_slow"
     CANCELLED_BY_BACKEND = "cancelled_by_backend"
 
 
--- a/packages/node/src/eelgrass_node/request/stages.py
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -25,6 +25,8 @@
 MAX_ATTEMPTS = 4
 FREE_REASONS = frozenset({RetryReason.BACKEND_LEAVING})
 SILENCE_DEVIATIONS = 6.0
+# The part of its expected time without which a stage is not begun.
+OWN_FRACTION = 0.8
 
 
 class StageEnvironment(msgspec.Struct, frozen=True):
@@ -87,13 +89,15 @@
                 # deadline: a full server is no failure and costs it nothing.
                 self._environment.on_retry(result.reason)
                 continue
-            backend.suspect()
+            if result.reason is not RetryReason.TOO_SLOW:
+                backend.suspect()
             self._tried |= {backend.entry.id}
             self._check_retry(result)
 
     async def _acquire(self) -> Backend:
         request = self._request
-        latest = request.deadline - self._rest_s
+        own_s = self._queue.expected_run(self._stage) * OWN_FRACTION
+        latest = request.deadline - self._rest_s - own_s
         try:
             return await self._queue.acquire(request, self._tried, latest)
         except TimeoutError as error:
@@ -175,7 +179,7 @@
                 Outcome.UNKNOWN,
                 f"Stage {self._stage.name!r}: {reason.value}.",
             )
-        if self._request.remaining() <= self._rest_s:
+        if reason is RetryReason.TOO_SLOW or self._request.remaining() <= self._rest_s:
             raise Refused(
                 RefusalReason.DEADLINE_PASSED,
                 self._outcome(),
--- /dev/null
+++ b/packages/node/tests/test_dispatch.py
@@ -0,0 +1,123 @@
+"""The queue before a service: who is served, who waits and who is shed."""
+
+import asyncio
+
+import pytest
+
+from eelgrass_node.process.backends import Backends, HostEntry
+from eelgrass_node.process.dispatch import ServiceQueue
+from eelgrass_node.process.policy import (
+    Choice,
+    Order,
+    choice_function,
+    order_function,
+)
+from eelgrass_node.request.model import CallerRequest
+from eelgrass_node.version import Pipeline
+
+
+def new_queue(*ids, limit=1, sheds=True, order=Order.PRIORITY_DEADLINE):
+    backends = Backends()
+    backends.update(
+        [HostEntry(i, "desk", f"127.0.0.1:{n}", "x", limit) for n, i in enumerate(ids)]
+    )
+    choose = choice_function(Choice.LEAST_OF_TWO, seed=1)
+    queue = ServiceQueue("desk", backends, choose, order_function(order), sheds)
+    queue.held_s.note(0.1)
+    return queue
+
+
+def new_request(priority=0, deadline_s=1.0):
+    loop = asyncio.get_running_loop()
+    pipeline = Pipeline("p", "account", "", (), 1000, priority, False)
+    return CallerRequest(
+        "r", pipeline, "in", loop.time() + deadline_s, 1000, False, None, ""
+    )
+
+
+def acquire(queue, tried=(), **options):
+    request = new_request(**options)
+    return asyncio.create_task(
+        queue.acquire(request, frozenset(tried), request.deadline)
+    )
+
+
+class TestOrder:
+    async def test_priority_goes_before_deadline(self):
+        queue = new_queue("a")
+        held = await acquire(queue)
+        late = acquire(queue, priority=0, deadline_s=0.5)
+        high = acquire(queue, priority=5, deadline_s=0.9)
+        early = acquire(queue, priority=0, deadline_s=0.4)
+        await asyncio.sleep(0)
+        for task in (high, early, late):
+            queue.release(held)
+            await asyncio.sleep(0)
+            assert task.done()
+
+    async def test_a_place_given_up_in_the_moment_of_its_grant_is_not_lost(self):
+        queue = new_queue("a", sheds=False)
+        held = await acquire(queue)
+        waiting = acquire(queue)
+        await asyncio.sleep(0)
+        queue._waiters[0].granted.cancel()
+        queue.release(held)
+        with pytest.raises(asyncio.CancelledError):
+            await waiting
+        again = await acquire(queue)
+        assert again.in_flight == 1
+
+
+class TestShedding:
+    async def test_the_hopeless_are_told_at_once(self):
+        queue = new_queue("a")
+        await acquire(queue)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        tasks = [acquire(queue, deadline_s=0.55) for _ in range(20)]
+        done, waiting = await asyncio.wait(tasks, timeout=0.1)
+        assert 14 <= len(done) <= 16
+        assert all(isinstance(task.exception(), TimeoutError) for task in done)
+        assert loop.time() - began < 0.3
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_the_baseline_sheds_nobody(self):
+        queue = new_queue("a", sheds=False)
+        await acquire(queue)
+        tasks = [acquire(queue, deadline_s=0.3) for _ in range(20)]
+        done, _ = await asyncio.wait(tasks, timeout=0.1)
+        assert not done
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class TestServers:
+    async def test_a_sound_server_is_waited_for_rather_than_a_failed_one_used(self):
+        queue = new_queue("sound", "failed")
+        queue._backends.by_id["failed"].suspect()
+        held = await acquire(queue)
+        assert held.entry.id == "sound"
+        waiting = acquire(queue, tried=["failed"])
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        queue.release(held)
+        assert (await waiting).entry.id == "sound"
+
+    async def test_a_failed_server_is_used_where_there_is_no_other(self):
+        queue = new_queue("failed")
+        queue._backends.by_id["failed"].suspect()
+        assert (await acquire(queue, tried=["failed"])).entry.id == "failed"
+
+    async def test_a_full_server_is_left_alone_for_a_moment(self):
+        queue = new_queue("a", limit=8)
+        held = await acquire(queue)
+        queue.refused_as_full(held)
+        queue.release(held)
+        began = asyncio.get_running_loop().time()
+        assert (await acquire(queue)).entry.id == "a"
+        assert asyncio.get_running_loop().time() - began >= 0.004
+        assert int(held.window) == 1
+        for _ in range(100):
+            held.note_taken()
+        assert int(held.window) == 8
--- a/packages/standins/src/eelgrass_standins/engine.py
+++ b/packages/standins/src/eelgrass_standins/engine.py
@@ -135,7 +135,10 @@
         sequence = self._by_attempt.get(call.attempt_id)
         if sequence is not None:
             self._cancel(sequence)
-        return web.json_response({"cancelled": sequence is not None})
+        cost_ms = None if sequence is None else sequence.entry.busy_ms
+        return web.json_response(
+            {"cancelled": sequence is not None, "cost_ms": cost_ms}
+        )
 
     async def handle_order(self, request: web.Request) -> web.Response:
         """Answer ``POST /v1/orders``."""
