--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
+soak: $(VENV)/installed
+	EELGRASS_SOAK_SEEDS=40 $(BIN)/python -m pytest -s tests/test_faults_together.py
+
 capacity: $(VENV)/installed
 	$(BIN)/python benchmarks/control_cost.py
 	PYTHONPATH=tests $(BIN)/python benchmarks/propagation.py
--- /dev/null
+++ b/tests/test_costs.py
@@ -0,0 +1,66 @@
+"""Cost by stage adds up to what the backend servers themselves counted."""
+
+import asyncio
+import random
+
+import pytest
+
+from eelgrass_standins.faults import Fault, FaultAction as Action
+from eelgrass_standins.samples import association
+from support.local import LocalDeployment
+
+GENERATE = "/v1/generate"
+FAULTS = [
+    ("model-readers", Fault(Action.CUT_STREAM, GENERATE, times=1, after=5)),
+    ("model-readers", Fault(Action.SILENT_STREAM, GENERATE, times=1, after=5)),
+    ("model-readers", Fault(Action.WRONG_ID, GENERATE, times=1, after=2)),
+    ("encoders", Fault(Action.REFUSE, "/v1/run", times=2)),
+    ("rerankers", Fault(Action.REFUSE, "/v1/run", times=2)),
+]
+PROMISED_ERROR = 0.02
+
+
+async def call_many(deployment, count, disturb):
+    randomness = random.Random(7)
+
+    async def one(number):
+        await asyncio.sleep(randomness.random() * 1.5)
+        pipeline = ("revision-check", "transmittal")[number % 2]
+        await deployment.client.call(
+            deployment.callers(number % 2), pipeline, f"{number}", key=f"k-{number}"
+        )
+
+    async def faults():
+        while disturb:
+            service, fault = randomness.choice(FAULTS)
+            deployment.fault(service, fault)
+            await asyncio.sleep(0.1)
+
+    disturbing = asyncio.create_task(faults())
+    await asyncio.gather(*(one(number) for number in range(count)))
+    disturbing.cancel()
+    await asyncio.sleep(0.5)
+
+
+def counted(deployment):
+    """Return what the nodes counted: useful, wasted and unreported attempts."""
+    rows = [row for node in deployment.nodes for row in node.ledger.rows()]
+    return (
+        sum(row.useful_ms for row in rows),
+        sum(row.wasted_ms for row in rows),
+        sum(row.unreported for row in rows),
+    )
+
+
+class TestCosts:
+    @pytest.mark.parametrize("disturb", [False, True])
+    async def test_they_add_up_to_the_journals(self, disturb):
+        spec = association(engines=2, pool_size=2, work=1.0, step_ms=2.0)
+        policy = {"retry_budget_ratio": 1.0}
+        async with LocalDeployment(spec, nodes=2, policy=policy) as deployment:
+            await call_many(deployment, 80, disturb)
+            busy = sum(entry.busy_ms for entry in deployment.journal())
+            useful, wasted, unreported = counted(deployment)
+        assert unreported == 0
+        assert useful + wasted == pytest.approx(busy, rel=PROMISED_ERROR)
+        assert (wasted > 0) == disturb
