--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -145,6 +145,20 @@
         assert repeat.outcome == "unknown"
         assert repeat.body["this_call"] == "not_run"
 
+    async def test_a_stopping_node_does_not_deny_an_earlier_run(
+        self, deployment, history
+    ):
+        await history.call(deployment, 0, "transmittal", "stopping", key="stopping")
+        deployment.nodes[1].stopping.refusing = True
+        repeat = await history.call(
+            deployment, 1, "transmittal", "stopping", key="stopping"
+        )
+        unkeyed = await history.call(deployment, 1, "current-issue", "unkeyed")
+        deployment.nodes[1].stopping.refusing = False
+        assert repeat.outcome == "unknown"
+        assert repeat.body["this_call"] == "not_run"
+        assert unkeyed.outcome == "not_run"
+
     async def test_not_run_is_not_said_after_an_earlier_partial_run(
         self, deployment, history
     ):
