Read as a newcomer: calls to peers in one place, messages in a module of their own

Four places posted to a peer and sorted out the same failures; PeerCalls does it now and raises PeerUnreachable.

--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -26,16 +26,13 @@
 async def amend(deployment: LocalDeployment, number: int) -> None:
     """Submit a change at one node and wait until the node has answered."""
     internal = deployment.internal(number % len(deployment.nodes))
-    path = "objects/templates?name=current-issue"
-    (shown,) = await deployment.client.operate(internal, path)
-    item = {
-        "kind": "templates",
-        "name": "current-issue",
-        "action": "amend",
-        "base_revision": shown["revision"],
-        "value": {**shown["value"], "deadline_ms": 1000 + number},
-    }
-    report = await deployment.client.change(internal, f"change-{number}", [item])
+    report = await deployment.client.amend(
+        internal,
+        "templates",
+        "current-issue",
+        f"change-{number}",
+        deadline_ms=1000 + number,
+    )
     assert report["result"]["outcome"] == "accepted", report
     assert report["not_yet"] == [], report
 
--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -13,7 +13,8 @@
 from .http_table import HttpTable
 from .limits import MovingAverage, RetryBudget, share_of_limit
 from .members import Member, MemberState
-from .membership import Exchange, Mark, Membership
+from .membership import Membership
+from .messages import Exchange, Mark
 from .snapshots import ObjectStore, SnapshotStore
 from .table import (
     Condition,
--- a/packages/coordination/src/eelgrass_coordination/change_log.py
+++ b/packages/coordination/src/eelgrass_coordination/change_log.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 import msgspec
@@ -47,6 +47,7 @@
 
 
 Check = Callable[[Snapshot, Snapshot], list[Problem]]
+SnapshotAt = Callable[[Revision], Awaitable[Snapshot]]
 
 
 class ChangeLog:
@@ -80,7 +81,7 @@
     async def propose(
         self,
         change: Change,
-        snapshot_at: Callable[[Revision], "asyncio.Future[Snapshot]"],
+        snapshot_at: SnapshotAt,
         check: Check,
         within: float,
     ) -> ChangeResult:
@@ -96,7 +97,7 @@
             return ChangeResult(ChangeOutcome.UNKNOWN)
 
     async def _propose(
-        self, change: Change, snapshot_at: Callable, check: Check
+        self, change: Change, snapshot_at: SnapshotAt, check: Check
     ) -> ChangeResult:
         while True:
             try:
--- a/packages/coordination/src/eelgrass_coordination/exceptions.py
+++ b/packages/coordination/src/eelgrass_coordination/exceptions.py
@@ -6,7 +6,6 @@
 __all__ = [
     "ClaimUnsettled",
     "CoordinationError",
-    "LeaseLost",
     "OutcomeUnknown",
     "PlatformError",
     "PlatformUnavailable",
@@ -57,16 +56,6 @@
         )
 
 
-class LeaseLost(CoordinationError):
-    """The lease lapsed or another holder took it."""
-
-    def __init__(self, name: str) -> None:
-        super().__init__(
-            f"The lease {name!r} is no longer held here. Stop giving orders under "
-            "it and acquire it again."
-        )
-
-
 class SnapshotGap(CoordinationError):
     """A change does not follow directly on the snapshot it is applied to."""
 
--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -22,14 +22,14 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from enum import Enum
 
 import msgspec
 
 from .ids import NodeId, Revision
 from .members import Member, MemberState, MemberTable
+from .messages import Exchange, Mark, Message, MessageKind, Outbox
 
-__all__ = ["Exchange", "Mark", "Membership", "Message", "MessageKind"]
+__all__ = ["Membership"]
 
 ACK_FRACTION = 0.3
 SUSPICION_PERIODS = 4
@@ -41,65 +41,6 @@
 FORGET_PERIODS = 7200
 
 
-class MessageKind(Enum):
-    """What a message asks for."""
-
-    PROBE = "probe"
-    ACK = "ack"
-    PROBE_FOR = "probe_for"
-    NEWS = "news"
-
-
-class Mark(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """A named fact with a number that only grows, such as a leaving back end."""
-
-    kind: str
-    name: str
-    number: int
-
-
-class Message(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One datagram. ``confirmed_ms`` is the age of the revision's confirmation."""
-
-    kind: MessageKind
-    sender: Member
-    number: int = 0
-    target: Member | None = None
-    revision: Revision = Revision(0)
-    confirmed_ms: int = 0
-    updates: tuple[Member, ...] = ()
-    marks: tuple[Mark, ...] = ()
-
-
-class Exchange(msgspec.Struct, frozen=True):
-    """All that a node knows of members and marks, for a full exchange."""
-
-    members: tuple[Member, ...]
-    marks: tuple[Mark, ...] = ()
-
-
-class _Outbox:
-    """News with the number of times each is still to be sent."""
-
-    def __init__(self) -> None:
-        self._left: dict[object, int] = {}
-        self._news: dict[object, object] = {}
-
-    def put(self, key: object, news: object, times: int) -> None:
-        self._news[key] = news
-        self._left[key] = times
-
-    def take(self, most: int) -> tuple:
-        keys = sorted(self._left, key=self._left.__getitem__, reverse=True)[:most]
-        taken = tuple(self._news[key] for key in keys)
-        for key in keys:
-            self._left[key] -= 1
-            if self._left[key] <= 0:
-                del self._left[key]
-                del self._news[key]
-        return taken
-
-
 class Membership(asyncio.DatagramProtocol):
     """The membership of one node; its own record is ``own``.
 
@@ -129,8 +70,8 @@
         self._random = randomness or random.Random()
         self._encoder = msgspec.json.Encoder()
         self._decoder = msgspec.json.Decoder(Message)
-        self._updates = _Outbox()
-        self._marks_out = _Outbox()
+        self._updates = Outbox()
+        self._marks_out = Outbox()
         self._marks: dict[tuple[str, str], tuple[int, int]] = {}
         self._ring: list[NodeId] = []
         self._number = 0
--- a/packages/ctl/src/eelgrass_ctl/commands/status.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/status.py
@@ -28,12 +28,16 @@
 
 
 def _print_status(found: dict[str, Any]) -> None:
-    name, data_centre = found["own"][:2]
+    own = found["own"]
     state = "stopping" if found["stopping"] else "serving"
-    print(f"Node {name} in {data_centre}: {state}, {found['in_flight']} in flight.")
-    print(f"Revision {found['revision']}, confirmed {found['revision_age_ms']} ms ago.")
+    print(f"Node {own['id']} in {own['data_centre']}: {state}.")
+    print(f"Requests in flight: {found['in_flight']}.")
+    age_ms = found["revision_age_ms"]
+    print(f"Revision {found['revision']}, confirmed {age_ms} ms ago.")
     print("\nPeers")
-    peers = [(peer[0], peer[1], peer[-1]) for peer in found["peers"]]
+    peers = [
+        (peer["id"], peer["data_centre"], peer["state"]) for peer in found["peers"]
+    ]
     print_table(("node", "data centre", "state"), sorted(peers))
     print("\nBackend servers")
     backends = [
--- a/packages/node/src/eelgrass_node/connection/callers.py
+++ b/packages/node/src/eelgrass_node/connection/callers.py
@@ -56,7 +56,7 @@
         self._ledger = ledger
         self._counters = counters
         self._stopping = stopping
-        self._max_body = max_body
+        self.max_body = max_body
         self._max_in_flight = max_in_flight
 
     async def handle_request(self, request: web.Request) -> web.StreamResponse:
@@ -82,7 +82,7 @@
         try:
             self._check_open()
             version = self._configuration.version
-            call = await read_request(request, version, self._max_body)
+            call = await read_request(request, version, self.max_body)
             request_id = call.request_id
             keyed = call.key is not None and not call.pipeline.idempotent
             self._environment.dispatch.check_feasible(
@@ -192,7 +192,7 @@
 
 def build_callers(interface: CallersInterface) -> web.Application:
     """Return the web application that callers and the balancer use."""
-    app = web.Application(client_max_size=interface._max_body)
+    app = web.Application(client_max_size=interface.max_body)
     path = "/v1/pipelines/{pipeline}/requests"
     app.router.add_post(path, interface.handle_request)
     app.router.add_get("/health", interface.handle_health)
--- a/packages/node/src/eelgrass_node/connection/peers.py
+++ b/packages/node/src/eelgrass_node/connection/peers.py
@@ -9,7 +9,7 @@
 from eelgrass_coordination.ids import ClaimId, Revision
 
 from ..process.claimed import ClaimedRequests
-from ..process.configuration import ConfigurationSync
+from ..process.configuration import ConfigurationSync, RevisionReply
 
 __all__ = ["PeersInterface", "json_response"]
 
@@ -63,7 +63,7 @@
                 await follower.wait_for(query.revision)
         except TimeoutError:
             pass
-        return json_response({"revision": follower.revision})
+        return json_response(RevisionReply(follower.revision))
 
     async def handle_claim(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/claims/wait``."""
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -2,7 +2,7 @@
 
 from .request.reasons import Outcome, RefusalReason, refusal_kind
 
-__all__ = ["NodeError", "Refused", "SettingsError"]
+__all__ = ["NodeError", "PeerUnreachable", "Refused", "SettingsError"]
 
 
 class NodeError(Exception):
@@ -17,6 +17,16 @@
         self.key = key
 
 
+class PeerUnreachable(NodeError):
+    """Another node gave no valid answer in time."""
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(
+            f"The node at {address} gave no valid answer ({reason}). Ask another "
+            "node, or ask it again later."
+        )
+
+
 class Refused(NodeError):
     """A request gets no answer from its pipeline.
 
--- a/packages/node/src/eelgrass_node/process/changes.py
+++ b/packages/node/src/eelgrass_node/process/changes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import aiohttp
 import msgspec
 
 from eelgrass_coordination import (
@@ -17,9 +16,11 @@
 from eelgrass_coordination.exceptions import PlatformError
 from eelgrass_coordination.ids import NodeId, Revision
 
+from ..connection.peer_calls import PeerCalls
+from ..exceptions import PeerUnreachable
 from ..log import Part, log
 from ..version import check_result
-from .configuration import ConfigurationSync
+from .configuration import ConfigurationSync, RevisionReply
 
 __all__ = ["ChangeReport", "Changes"]
 
@@ -43,14 +44,14 @@
         snapshots: SnapshotStore,
         configuration: ConfigurationSync,
         membership: Membership,
-        session: aiohttp.ClientSession,
+        peers: PeerCalls,
         settle_s: float,
     ) -> None:
         self._change_log = change_log
         self._snapshots = snapshots
         self._configuration = configuration
         self._membership = membership
-        self._session = session
+        self._peers = peers
         self._settle_s = settle_s
 
     async def submit(self, change: Change) -> ChangeReport:
@@ -89,14 +90,11 @@
 
     async def _wait_for_member(self, member: Member, revision: Revision) -> bool:
         message = {"revision": revision, "wait_s": IN_FORCE_WAIT_S}
+        within = IN_FORCE_WAIT_S + 1
         try:
-            async with self._session.post(
-                f"http://{member.internal}/peer/v1/revision",
-                data=msgspec.json.encode(message),
-                timeout=aiohttp.ClientTimeout(total=IN_FORCE_WAIT_S + 1),
-                allow_redirects=False,
-            ) as response:
-                body = await response.read()
-            return msgspec.json.decode(body)["revision"] >= revision
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            reached = await self._peers.ask(
+                member.internal, "revision", message, RevisionReply, within
+            )
+        except PeerUnreachable:
             return False
+        return reached.revision >= revision
--- a/packages/node/src/eelgrass_node/process/claimed.py
+++ b/packages/node/src/eelgrass_node/process/claimed.py
@@ -3,16 +3,17 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from typing import Any
 
-import aiohttp
 import msgspec
 
 from eelgrass_coordination import Claim, Claims, ClaimState, Held
 from eelgrass_coordination.exceptions import ClaimUnsettled
 from eelgrass_coordination.ids import ClaimId, Incarnation, NodeId, new_id
 
-from ..exceptions import Refused
+from ..connection.peer_calls import PeerCalls
+from ..exceptions import PeerUnreachable, Refused
 from ..log import Part, log
 from ..request.model import CallerRequest
 from ..request.reasons import Outcome, RefusalReason
@@ -27,8 +28,8 @@
 Execute = Callable[[], Awaitable[Any]]
 
 
-class OwnerState:
-    """What an owner says of a claim, as plain strings on the wire."""
+class OwnerState(Enum):
+    """What an owner says of a claim."""
 
     RUNNING = "running"
     FINISHED = "finished"
@@ -38,7 +39,7 @@
 class OwnerReply(msgspec.Struct):
     """An owner's reply to a node that waits for one of its claims."""
 
-    state: str
+    state: OwnerState
 
 
 class _Running:
@@ -54,14 +55,14 @@
     def __init__(
         self,
         claims: Claims,
-        session: aiohttp.ClientSession,
+        peers: PeerCalls,
         node: NodeId,
         incarnation: Incarnation,
         address: str,
         settle_s: float,
     ) -> None:
         self._claims = claims
-        self._session = session
+        self._peers = peers
         self._node = node
         self._incarnation = incarnation
         self._address = address
@@ -174,9 +175,9 @@
             reply = await self.wait_for_owner(claim.claim_id, wait_s)
         else:
             reply = await self._ask_owner(claim, wait_s)
-        if reply.state == OwnerState.RUNNING:
+        if reply.state is OwnerState.RUNNING:
             raise _refused(RefusalReason.CLAIM_STILL_RUNNING, retry_after=RETRY_AFTER_S)
-        if reply.state == OwnerState.FINISHED:
+        if reply.state is OwnerState.FINISHED:
             # Its final row may be a moment behind its answer.
             await asyncio.sleep(OWNER_MARGIN_S)
             return
@@ -190,20 +191,18 @@
 
     async def _ask_owner(self, claim: Claim, wait_s: float) -> OwnerReply:
         message = {"claim_id": claim.claim_id, "wait_s": wait_s}
+        address = claim.owner_address
+        within = wait_s + OWNER_MARGIN_S
         try:
-            async with self._session.post(
-                f"http://{claim.owner_address}/peer/v1/claims/wait",
-                data=msgspec.json.encode(message),
-                timeout=aiohttp.ClientTimeout(total=wait_s + OWNER_MARGIN_S),
-                allow_redirects=False,
-            ) as response:
-                return msgspec.json.decode(await response.read(), type=OwnerReply)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+            return await self._peers.ask(
+                address, "claims/wait", message, OwnerReply, within
+            )
+        except PeerUnreachable as error:
             raise _refused(
                 RefusalReason.CLAIM_OWNER_UNREACHABLE,
-                f"Node {claim.owner!r}: {e!r}.",
+                f"Node {claim.owner!r}: {error}",
                 RETRY_AFTER_S,
-            ) from e
+            ) from error
 
     def _new_claim(self, request: CallerRequest) -> Claim:
         now = time.time()
--- a/packages/node/src/eelgrass_node/process/configuration.py
+++ b/packages/node/src/eelgrass_node/process/configuration.py
@@ -9,7 +9,6 @@
 import hashlib
 from collections.abc import Callable
 
-import aiohttp
 import msgspec
 
 from eelgrass_coordination import (
@@ -24,15 +23,22 @@
 from eelgrass_coordination.follower import follow_or_gap
 from eelgrass_coordination.ids import NodeId, Revision
 
+from ..connection.peer_calls import PeerCalls
+from ..exceptions import PeerUnreachable
 from ..log import Part, log
 from ..version import Version
 
-__all__ = ["ConfigurationSync", "PeerChanges", "is_poller"]
+__all__ = ["ConfigurationSync", "PeerChanges", "RevisionReply", "is_poller"]
 
 POLLERS_PER_DATA_CENTRE = 2
 PEER_TIMEOUT_S = 2.0
 START_PEERS = 8
-SETTLE_PAUSE_S = 0.2
+
+
+class RevisionReply(msgspec.Struct, frozen=True):
+    """A peer's answer: the revision in force there."""
+
+    revision: Revision
 
 
 class PeerChanges(msgspec.Struct, frozen=True):
@@ -68,13 +74,13 @@
         self,
         change_log: ChangeLog,
         snapshots: SnapshotStore,
-        session: aiohttp.ClientSession,
+        peers: PeerCalls,
         polls: Callable[[], bool],
         interval_s: float,
     ) -> None:
         self._change_log = change_log
         self._snapshots = snapshots
-        self._session = session
+        self._peers = peers
         self._polls = polls
         self._interval_s = interval_s
         self._fetching: set[asyncio.Task] = set()
@@ -156,20 +162,14 @@
             self._renew(before)
 
     async def _revision_of(self, member: Member) -> int:
+        message = {"revision": 0, "wait_s": 0.0}
         try:
-            body = await self._ask(member, "revision", {"revision": 0, "wait_s": 0.0})
-            return msgspec.json.decode(body)["revision"]
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            reply = await self._peers.ask(
+                member.internal, "revision", message, RevisionReply, PEER_TIMEOUT_S
+            )
+        except PeerUnreachable:
             return 0
-
-    async def _ask(self, member: Member, path: str, message: dict) -> bytes:
-        async with self._session.post(
-            f"http://{member.internal}/peer/v1/{path}",
-            data=msgspec.json.encode(message),
-            timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
-            allow_redirects=False,
-        ) as response:
-            return await response.read()
+        return reply.revision
 
     def changes_for_peer(self, after: Revision) -> PeerChanges:
         """Return what a peer at revision ``after`` needs."""
@@ -180,22 +180,13 @@
 
     async def _fetch(self, member: Member) -> None:
         async with self._fetch_lock:
-            after = self.follower.revision
+            message = {"after": self.follower.revision}
             try:
-                body = await self._ask(member, "changes", {"after": after})
-                answer = msgspec.json.decode(body, type=PeerChanges)
-            except (
-                aiohttp.ClientError,
-                TimeoutError,
-                OSError,
-                msgspec.MsgspecError,
-            ) as error:
-                log(
-                    Part.CONFIGURATION,
-                    "A peer gave no changes.",
-                    peer=member.id,
-                    error=repr(error),
+                answer = await self._peers.ask(
+                    member.internal, "changes", message, PeerChanges, PEER_TIMEOUT_S
                 )
+            except PeerUnreachable as error:
+                log(Part.CONFIGURATION, "A peer gave no changes.", error=str(error))
                 return
             self._take(answer)
 
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -4,7 +4,6 @@
 import time
 
 import aiohttp
-import msgspec
 import statsd
 from aiohttp import web
 
@@ -24,7 +23,9 @@
 
 from ..connection.callers import CallersInterface, build_callers
 from ..connection.operators import OperatorsInterface
+from ..connection.peer_calls import PeerCalls
 from ..connection.peers import PeersInterface
+from ..exceptions import PeerUnreachable
 from ..log import Part, log
 from ..request.reasons import DiscardReason, RetryReason
 from ..request.stages import StageEnvironment
@@ -137,6 +138,7 @@
             connector=aiohttp.TCPConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
+        self.peers = PeerCalls(self._session)
         self.table = HttpTable(self._session, platform.address, call_s)
         self.change_log = ChangeLog(self.table)
         objects = HttpObjects(self._session, platform.address)
@@ -147,7 +149,7 @@
         self.configuration = ConfigurationSync(
             self.change_log,
             self.snapshots,
-            self._session,
+            self.peers,
             self._polls,
             timing.head_poll_ms / 1000,
         )
@@ -161,7 +163,7 @@
         )
         self.claimed = ClaimedRequests(
             self.claims,
-            self._session,
+            self.peers,
             settings.node,
             self.incarnation,
             settings.listen.internal,
@@ -172,7 +174,7 @@
             self.snapshots,
             self.configuration,
             self.membership,
-            self._session,
+            self.peers,
             timing.change_settle_ms / 1000,
         )
         self.environment = self._environment()
@@ -182,7 +184,6 @@
         timing = settings.timing
         policy = settings.policy
         return StageEnvironment(
-            backends=self.backends,
             dispatch=self.dispatch,
             budget=RetryBudget(policy.retry_budget_ratio, policy.retry_budget_reserve),
             first_byte_floor_s=timing.first_byte_floor_ms / 1000,
@@ -268,17 +269,14 @@
                 return
 
     async def _exchange_with(self, address: str) -> bool:
+        ours = self.membership.exchange()
         try:
-            async with self._session.post(
-                f"http://{address}/peer/v1/members",
-                data=msgspec.json.encode(self.membership.exchange()),
-                timeout=aiohttp.ClientTimeout(total=MEMBER_EXCHANGE_TIMEOUT_S),
-                allow_redirects=False,
-            ) as response:
-                body = await response.read()
-            self.membership.take_exchange(msgspec.json.decode(body, type=Exchange))
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            theirs = await self.peers.ask(
+                address, "members", ours, Exchange, MEMBER_EXCHANGE_TIMEOUT_S
+            )
+        except PeerUnreachable:
             return False
+        self.membership.take_exchange(theirs)
         return True
 
     def _polls(self) -> bool:
--- a/packages/node/src/eelgrass_node/process/status.py
+++ b/packages/node/src/eelgrass_node/process/status.py
@@ -12,7 +12,15 @@
 from .dispatch import Dispatch
 from .stopping import Stopping
 
-__all__ = ["BackendStatus", "NodeStatus", "QueueStatus", "StatusReport"]
+__all__ = ["BackendStatus", "NodeStatus", "PeerStatus", "QueueStatus", "StatusReport"]
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """A node and what is believed of it."""
+
+    id: str
+    data_centre: str
+    state: str
 
 
 class BackendStatus(msgspec.Struct, frozen=True):
@@ -39,13 +47,13 @@
 class NodeStatus(msgspec.Struct, frozen=True):
     """Everything that ``eelgrassctl status`` shows."""
 
-    own: Member
+    own: PeerStatus
     revision: int
     revision_age_ms: int
     head_reads: int
     stopping: bool
     in_flight: int
-    peers: list[Member]
+    peers: list[PeerStatus]
     backends: list[BackendStatus]
     queues: list[QueueStatus]
     counters: dict[str, int]
@@ -76,13 +84,13 @@
         """Return the status of this moment."""
         follower = self._configuration.follower
         return NodeStatus(
-            own=self._membership.own,
+            own=_peer(self._membership.own),
             revision=follower.revision,
             revision_age_ms=int(follower.age() * 1000),
             head_reads=self._head_reads(),
             stopping=self._stopping.stopping,
             in_flight=self._stopping.count,
-            peers=list(self._membership.members.by_id.values()),
+            peers=[_peer(m) for m in self._membership.members.by_id.values()],
             backends=[self._backend(b) for b in self._backends.by_id.values()],
             queues=self._queues(),
             counters=dict(self._counters.totals),
@@ -110,3 +118,7 @@
             )
             for service, queue in self._dispatch.by_service.items()
         ]
+
+
+def _peer(member: Member) -> PeerStatus:
+    return PeerStatus(member.id, member.data_centre, member.state.value)
--- a/packages/node/src/eelgrass_node/request/stages.py
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -12,7 +12,7 @@
 from eelgrass_coordination import RetryBudget
 
 from ..exceptions import Refused
-from ..process.backends import Backend, Backends
+from ..process.backends import Backend
 from ..process.dispatch import Dispatch, ServiceQueue
 from ..version import Stage, StageKind
 from .attempt import Attempt, AttemptOutcome, AttemptResult, new_attempt_id, run_call
@@ -36,7 +36,6 @@
     connection's silence, in seconds.
     """
 
-    backends: Backends
     dispatch: Dispatch
     budget: RetryBudget
     first_byte_floor_s: float
--- a/packages/node/tests/test_attempts.py
+++ b/packages/node/tests/test_attempts.py
@@ -79,7 +79,6 @@
     choose = choice_function(Choice.ROUND_ROBIN)
     order = order_function(Order.FIRST_COME)
     return StageEnvironment(
-        backends=backends,
         dispatch=Dispatch(backends, lambda: choose, order, Admission.ALL),
         budget=RetryBudget(0.1, 10),
         first_byte_floor_s=0.25,
--- a/packages/standins/src/eelgrass_standins/client.py
+++ b/packages/standins/src/eelgrass_standins/client.py
@@ -95,6 +95,20 @@
         message = {"change_id": change_id, "author": "test", "items": items}
         return await self.operate(internal, "changes", message)
 
+    async def amend(
+        self, internal: str, kind: str, name: str, change_id: str, **fields: Any
+    ) -> Any:
+        """Change fields of an object as it is at a node now."""
+        shown = await self.operate(internal, f"objects/{kind}?name={name}")
+        item = {
+            "kind": kind,
+            "name": name,
+            "action": "amend",
+            "base_revision": shown[0]["revision"],
+            "value": {**shown[0]["value"], **fields},
+        }
+        return await self.change(internal, change_id, [item])
+
     async def configure(self, internal: str, configuration: dict) -> Any:
         """Create a whole configuration in one change."""
         items = create_items(configuration)
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -25,17 +25,13 @@
 
 
 async def amend_deadline(deployment, node, deadline_ms, change_id):
-    internal = deployment.internal(node)
-    path = "objects/templates?name=current-issue"
-    (shown,) = await deployment.client.operate(internal, path)
-    item = {
-        "kind": "templates",
-        "name": "current-issue",
-        "action": "amend",
-        "base_revision": shown["revision"],
-        "value": {**shown["value"], "deadline_ms": deadline_ms},
-    }
-    return await deployment.client.change(internal, change_id, [item])
+    return await deployment.client.amend(
+        deployment.internal(node),
+        "templates",
+        "current-issue",
+        change_id,
+        deadline_ms=deadline_ms,
+    )
 
 
 class TestInForce:
