Costs are stored at an interval and at a planned stop, and added up over nodes

Costs lived in the process only and went with it. A node that dies loses what it counted since its last write (30 s at most by default).

--- /dev/null
+++ b/packages/coordination/tests/test_membership.py
@@ -0,0 +1,126 @@
+"""Membership by probing: deaths, denials, returns, and a constant load."""
+
+import asyncio
+
+import pytest
+
+from eelgrass_coordination import Mark, Member, Membership, MemberState
+from eelgrass_standins.ports import free_addresses
+
+INTERVAL_S = 0.1
+# A probe of every member in turn, the suspicion, and some spare for the machine.
+NOTICE_S = 3.0
+
+
+class Group:
+    """Members in one process, each with its own socket."""
+
+    def __init__(self, count):
+        self._addresses = free_addresses(count)
+        self.members = [self._new(n, epoch=1) for n in range(count)]
+
+    async def __aenter__(self):
+        for member in self.members:
+            await member.start()
+        await self.until(
+            lambda: all(
+                len(self.alive(m)) == len(self.members) - 1 for m in self.members
+            )
+        )
+        return self
+
+    async def __aexit__(self, *exc):
+        for member in self.members:
+            await member.stop()
+
+    async def restart(self, number, epoch):
+        """Start a member anew, as a new process under the same id."""
+        await self.members[number].stop()
+        self.members[number] = self._new(number, epoch)
+        await self.members[number].start()
+
+    def alive(self, member):
+        """Return the ids that a member believes alive."""
+        records = member.members.by_id.values()
+        return {r.id for r in records if r.state is MemberState.ALIVE}
+
+    def state(self, seen_by, number):
+        """Return what one member believes of another."""
+        return self.members[seen_by].members.by_id[f"entry-{number}"].state
+
+    async def until(self, condition, within=NOTICE_S):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(within):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(INTERVAL_S / 4)
+
+    def _new(self, number, epoch):
+        address = self._addresses[number]
+        own = Member(f"entry-{number}", "x", address, address, epoch)
+        return Membership(own, seeds=self._addresses[:2], interval_s=INTERVAL_S)
+
+
+class TestMembership:
+    async def test_a_killed_member_is_held_dead_by_all(self):
+        async with Group(5) as group:
+            await group.members[4].stop()
+            await group.until(
+                lambda: all(group.state(n, 4) is MemberState.DEAD for n in range(4))
+            )
+
+    async def test_a_member_that_leaves_is_known_at_once(self):
+        async with Group(5) as group:
+            await group.members[4].leave()
+            await group.until(
+                lambda: all(group.state(n, 4) is MemberState.LEFT for n in range(4)),
+                within=5 * INTERVAL_S,
+            )
+
+    async def test_a_member_denies_that_it_is_dead(self):
+        async with Group(4) as group:
+            victim = group.members[3].own
+            for n in range(3):
+                record = Member(*_fields(victim)[:-1], MemberState.DEAD)
+                group.members[n]._merge(record)
+            await group.until(
+                lambda: all(group.state(n, 3) is MemberState.ALIVE for n in range(3))
+            )
+            assert group.members[3].own.version > victim.version
+
+    @pytest.mark.parametrize("epoch", [2, 0])
+    async def test_a_restarted_member_is_alive_again(self, epoch):
+        # An epoch of 0 stands for a clock that has gone back.
+        async with Group(4) as group:
+            await group.members[3].stop()
+            await group.until(lambda: group.state(0, 3) is MemberState.DEAD)
+            await group.restart(3, epoch)
+            await group.until(
+                lambda: all(group.state(n, 3) is MemberState.ALIVE for n in range(3))
+            )
+
+    async def test_a_mark_reaches_all_once(self):
+        async with Group(6) as group:
+            heard = []
+            for member in group.members[1:]:
+                member.on_mark = heard.append
+            mark = Mark("leaving", "engine-1", 3)
+            assert group.members[0].announce_mark(mark)
+            await group.until(lambda: len(heard) == 5)
+            await asyncio.sleep(3 * INTERVAL_S)
+            assert heard == [mark] * 5
+            assert not group.members[0].announce_mark(Mark("leaving", "engine-1", 2))
+
+    async def test_messages_do_not_grow_with_members(self):
+        rates = []
+        for count in (3, 12):
+            async with Group(count) as group:
+                await asyncio.sleep(10 * INTERVAL_S)
+                before = sum(m.sent_messages for m in group.members)
+                await asyncio.sleep(20 * INTERVAL_S)
+                sent = sum(m.sent_messages for m in group.members) - before
+            rates.append(sent / count / 20)
+        assert rates[1] <= rates[0] * 1.25
+
+
+def _fields(member):
+    return [getattr(member, name) for name in member.__struct_fields__]
--- a/packages/ctl/src/eelgrass_ctl/commands/costs.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/costs.py
@@ -9,15 +9,17 @@
 
 def costs(
     *,
+    all: bool = False,
     node: list[str] = [],  # noqa: B006
     json: bool = False,
 ) -> int:
-    """Show what one node's requests have cost since it started.
+    """Show cost by stage: of one node since it started, or of all that is stored.
 
+    :param all: add up what all nodes have stored, also those that are gone
     :param node: internal address of a node, several to try in turn
     :param json: print JSON for scripts
     """
-    found = call(target_of(node), "costs")
+    found = call(target_of(node), "costs?of=all" if all else "costs")
     if json:
         print_json(found)
         return ExitCode.DONE
--- a/packages/node/src/eelgrass_node/connection/operators.py
+++ b/packages/node/src/eelgrass_node/connection/operators.py
@@ -13,6 +13,7 @@
 from ..log import Part, log
 from ..process.changes import Changes
 from ..process.configuration import ConfigurationSync
+from ..process.cost_store import CostStore
 from ..process.costs import CostLedger
 from ..process.status import StatusReport
 from ..process.stopping import Stopping
@@ -51,6 +52,7 @@
         configuration: ConfigurationSync,
         claims: Claims,
         ledger: CostLedger,
+        cost_store: CostStore,
         status: StatusReport,
         stopping: Stopping,
     ) -> None:
@@ -60,6 +62,7 @@
         self._configuration = configuration
         self._claims = claims
         self._ledger = ledger
+        self._cost_store = cost_store
         self._status = status
         self._stopping = stopping
 
@@ -118,7 +121,9 @@
         return json_response(self._status.collect())
 
     async def handle_costs(self, request: web.Request) -> web.Response:
-        """Answer ``GET /operator/v1/costs``."""
+        """Answer ``GET /operator/v1/costs``, and ``?of=all`` with stored costs."""
+        if request.query.get("of") == "all":
+            return json_response(await self._cost_store.read_all())
         return json_response(self._ledger.rows())
 
     async def handle_drain(self, request: web.Request) -> web.Response:
--- a/packages/node/src/eelgrass_node/log.py
+++ b/packages/node/src/eelgrass_node/log.py
@@ -19,6 +19,7 @@
     CLAIMS = "claims"
     CALLERS = "callers"
     OPERATORS = "operators"
+    COSTS = "costs"
 
 
 def log_to_stderr() -> None:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/cost_store.py
@@ -0,0 +1,88 @@
+"""Keeps the costs of this process in the platform's object store.
+
+One object per process holds its sums so far and is replaced as a whole, so a
+repeated or lost write does no harm. A row of the table service names the
+object, which is how the costs of all processes are found.
+"""
+
+import asyncio
+
+import msgspec
+
+from eelgrass_coordination import (
+    ObjectStore,
+    RowKey,
+    Table,
+    Transaction,
+    Write,
+)
+from eelgrass_coordination.exceptions import PlatformError
+from eelgrass_coordination.ids import Incarnation, NodeId
+
+from ..log import Part, log
+from .costs import CostKey, CostLedger, CostRow, add_up
+
+__all__ = ["CostStore"]
+
+COST_OBJECTS = "cost_objects"
+PAGE = 500
+
+
+class CostStore:
+    """Writes this process's costs at an interval, and reads those of all."""
+
+    def __init__(
+        self,
+        ledger: CostLedger,
+        table: Table,
+        objects: ObjectStore,
+        node: NodeId,
+        incarnation: Incarnation,
+        interval_s: float,
+    ) -> None:
+        self._ledger = ledger
+        self._table = table
+        self._objects = objects
+        self._name = f"costs/{node}/{incarnation}.json"
+        self._interval_s = interval_s
+        self._named = False
+        self._stored = b""
+
+    async def run(self) -> None:
+        """Store at the interval until cancelled."""
+        while True:
+            await asyncio.sleep(self._interval_s)
+            await self.store()
+
+    async def store(self) -> bool:
+        """Store the sums if they changed; returns whether they are stored."""
+        body = msgspec.json.encode(self._ledger.rows())
+        if body in (self._stored, b"[]"):
+            return True
+        try:
+            await self._objects.put(self._name, body)
+            if not self._named:
+                await self._name_object()
+        except PlatformError as error:
+            log(Part.COSTS, "The costs could not be stored.", error=str(error))
+            return False
+        self._stored = body
+        return True
+
+    async def read_all(self) -> list[CostRow]:
+        """Return the sums over all processes whose costs are stored."""
+        by_key: dict[CostKey, CostRow] = {}
+        after = ""
+        while rows := await self._table.scan(COST_OBJECTS, after, PAGE):
+            for row in rows:
+                body = await self._objects.get(row.key)
+                add_up(by_key, msgspec.json.decode(body, type=list[CostRow]))
+            after = rows[-1].key
+        return sorted(by_key.values(), key=CostRow.order)
+
+    async def _name_object(self) -> None:
+        key = RowKey(COST_OBJECTS, self._name)
+        write = Write(key.table, key.key, {"object": self._name})
+        # Without a condition: a repeat writes the same.
+        await self._table.commit(Transaction((), (write,)))
+        self._named = True
--- a/packages/node/src/eelgrass_node/process/costs.py
+++ b/packages/node/src/eelgrass_node/process/costs.py
@@ -6,7 +6,7 @@
 
 from ..request.model import CallerRequest, StageCost
 
-__all__ = ["CostKey", "CostLedger", "CostRow"]
+__all__ = ["CostKey", "CostLedger", "CostRow", "add_up"]
 
 
 class CostKey(msgspec.Struct, frozen=True):
@@ -33,6 +33,28 @@
     tokens: int = 0
     unreported: int = 0
 
+    def key(self) -> CostKey:
+        """Return whose costs these are."""
+        return CostKey(self.account, self.pipeline, self.stage)
+
+    def order(self) -> tuple[str, str, str]:
+        """Return the sort key of reports."""
+        return (self.account, self.pipeline, self.stage)
+
+
+def add_up(by_key: dict[CostKey, CostRow], rows: list[CostRow]) -> None:
+    """Add ``rows`` to the sums in ``by_key``."""
+    for row in rows:
+        total = by_key.setdefault(
+            row.key(), CostRow(row.account, row.pipeline, row.stage)
+        )
+        total.requests += row.requests
+        total.attempts += row.attempts
+        total.useful_ms += row.useful_ms
+        total.wasted_ms += row.wasted_ms
+        total.tokens += row.tokens
+        total.unreported += row.unreported
+
 
 class CostLedger:
     """The costs of the requests that this process has served."""
@@ -42,21 +64,19 @@
 
     def note(self, request: CallerRequest, cost: StageCost) -> None:
         """Add the cost of one stage of one request."""
-        key = CostKey(request.account, request.pipeline.name, cost.stage)
-        row = self._by_key.get(key)
-        if row is None:
-            row = CostRow(key.account, key.pipeline, key.stage)
-            self._by_key[key] = row
-        row.requests += 1
-        row.attempts += cost.attempts
-        row.useful_ms += cost.useful_ms
-        row.wasted_ms += cost.wasted_ms
-        row.tokens += cost.tokens
-        row.unreported += cost.unreported
+        row = CostRow(
+            account=request.account,
+            pipeline=request.pipeline.name,
+            stage=cost.stage,
+            requests=1,
+            attempts=cost.attempts,
+            useful_ms=cost.useful_ms,
+            wasted_ms=cost.wasted_ms,
+            tokens=cost.tokens,
+            unreported=cost.unreported,
+        )
+        add_up(self._by_key, [row])
 
     def rows(self) -> list[CostRow]:
         """Return the rows, sorted by account, pipeline and stage."""
-        return sorted(
-            self._by_key.values(),
-            key=lambda row: (row.account, row.pipeline, row.stage),
-        )
+        return sorted(self._by_key.values(), key=CostRow.order)
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -34,6 +34,7 @@
 from .changes import Changes
 from .claimed import ClaimedRequests
 from .configuration import ConfigurationSync, is_poller
+from .cost_store import CostStore
 from .costs import CostLedger
 from .counters import Counters
 from .dispatch import Dispatch
@@ -95,6 +96,7 @@
             self.configuration.run(),
             self.host_list.run(),
             self.counters.run(),
+            self.cost_store.run(),
             self._exchange_members_regularly(),
         ):
             self._tasks.append(asyncio.create_task(work))
@@ -111,9 +113,10 @@
         log(Part.NODE, "Stopping.", in_flight=self.stopping.count)
         clean = await self.stopping.finish()
         left = await self.claims.drain(DRAIN_CLAIMS_S)
+        stored = await self.cost_store.store()
         await self.membership.leave()
         await self.close()
-        log(Part.NODE, "Stopped.", clean=clean, claims_left=left)
+        log(Part.NODE, "Stopped.", clean=clean, claims_left=left, costs_stored=stored)
         return clean and left == 0
 
     async def close(self) -> None:
@@ -143,6 +146,14 @@
         self.change_log = ChangeLog(self.table)
         objects = HttpObjects(self._session, platform.address)
         self.snapshots = SnapshotStore(self.table, objects)
+        self.cost_store = CostStore(
+            self.ledger,
+            self.table,
+            objects,
+            settings.node,
+            self.incarnation,
+            timing.cost_store_ms / 1000,
+        )
         self.claims = Claims(
             self.table, lambda reason: self.counters.count(f"retry.{reason}")
         )
@@ -237,6 +248,7 @@
             self.configuration,
             self.claims,
             self.ledger,
+            self.cost_store,
             status,
             self.stopping,
         )
--- a/packages/node/src/eelgrass_node/settings.py
+++ b/packages/node/src/eelgrass_node/settings.py
@@ -91,6 +91,7 @@
     drain_notice_ms: int = 2000
     drain_limit_ms: int = 60000
     change_settle_ms: int = 5000
+    cost_store_ms: int = 30000
 
 
 class Settings(_Part):
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -26,8 +26,9 @@
     async def one(number):
         await asyncio.sleep(randomness.random() * 1.5)
         pipeline = ("revision-check", "transmittal")[number % 2]
+        node = number % len(deployment.nodes)
         await deployment.client.call(
-            deployment.callers(number % 2), pipeline, f"{number}", key=f"k-{number}"
+            deployment.callers(node), pipeline, f"{number}", key=f"k-{number}"
         )
 
     async def faults():
@@ -64,3 +65,27 @@
         assert unreported == 0
         assert useful + wasted == pytest.approx(busy, rel=PROMISED_ERROR)
         assert (wasted > 0) == disturb
+
+
+class TestStoredCosts:
+    async def test_they_outlive_a_planned_stop_and_add_up(self):
+        async with LocalDeployment(nodes=2, timing={"cost_store_ms": 100}) as running:
+            await call_many(running, 20, disturb=False)
+            before = counted(running)
+            stopped = running.nodes.pop(0)
+            stopped.stopping.request()
+            assert await stopped.run_until_stopped()
+            await asyncio.sleep(0.3)
+            rows = await running.client.operate(running.internal(1), "costs?of=all")
+        assert sum(row["useful_ms"] for row in rows) == pytest.approx(before[0])
+        assert sum(row["requests"] for row in rows) == 20 / 2 * 4 + 20 / 2 * 2
+
+    async def test_an_outage_is_made_good_later(self):
+        async with LocalDeployment(nodes=1) as running:
+            await call_many(running, 4, disturb=False)
+            running.fault("platform", Fault(Action.REFUSE))
+            assert not await running.nodes[0].cost_store.store()
+            running.fault("platform")
+            assert await running.nodes[0].cost_store.store()
+            rows = await running.client.operate(running.internal(0), "costs?of=all")
+        assert sum(row["requests"] for row in rows) == 12
