A caller that goes away is no failure of the engine

Cause: writing a piece to a closed caller raises a ConnectionResetError, which was taken for the engine's connection, so a stream that nobody read was begun four times and the engines were put under suspicion. Found by reading. Ruled out: the server's cancelling of handlers, which covers most such callers but not a write that fails first.

--- a/packages/node/src/eelgrass_node/connection/callers.py
+++ b/packages/node/src/eelgrass_node/connection/callers.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from ..exceptions import Refused
+from ..exceptions import CallerGone, Refused
 from ..log import Part, log
 from ..process.claimed import ClaimedRequests
 from ..process.configuration import ConfigurationSync
@@ -94,6 +94,9 @@
             if keyed and not dispatched:
                 refused.before_claim()
             return await self._refuse(refused, request_id, stream, standing)
+        except CallerGone:
+            self._counters.count("caller.gone")
+            return stream.response or web.Response()
         except (ConnectionResetError, asyncio.CancelledError):
             self._counters.count("caller.gone")
             raise
--- a/packages/node/src/eelgrass_node/connection/replies.py
+++ b/packages/node/src/eelgrass_node/connection/replies.py
@@ -104,13 +104,13 @@
     def __init__(self, request: web.Request, standing: Standing) -> None:
         self._request = request
         self._standing = standing
-        self._response: web.StreamResponse | None = None
+        self.response: web.StreamResponse | None = None
         self._count = 0
 
     @property
     def begun(self) -> bool:
         """Whether anything was sent."""
-        return self._response is not None
+        return self.response is not None
 
     async def emit(self, text: str) -> None:
         """Send one piece."""
@@ -140,10 +140,10 @@
         return response
 
     async def _write(self, line: dict) -> web.StreamResponse:
-        if self._response is None:
+        if self.response is None:
             response = web.StreamResponse(headers=self._standing.headers())
             response.content_type = LINES
             await response.prepare(self._request)
-            self._response = response
-        await self._response.write(msgspec.json.encode(line) + b"\n")
-        return self._response
+            self.response = response
+        await self.response.write(msgspec.json.encode(line) + b"\n")
+        return self.response
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -2,7 +2,7 @@
 
 from .request.reasons import Outcome, RefusalReason, refusal_kind
 
-__all__ = ["NodeError", "PeerUnreachable", "Refused", "SettingsError"]
+__all__ = ["CallerGone", "NodeError", "PeerUnreachable", "Refused", "SettingsError"]
 
 
 class NodeError(Exception):
@@ -17,6 +17,13 @@
         self.key = key
 
 
+class CallerGone(NodeError):
+    """The caller closed its connection before its answer was complete."""
+
+    def __init__(self) -> None:
+        super().__init__("The caller has gone away. Nothing is left to do for it.")
+
+
 class PeerUnreachable(NodeError):
     """Another node gave no valid answer in time."""
 
--- a/packages/node/src/eelgrass_node/request/generation.py
+++ b/packages/node/src/eelgrass_node/request/generation.py
@@ -12,6 +12,7 @@
 
 from eelgrass_coordination import MovingAverage
 
+from ..exceptions import CallerGone
 from ..version import Stage
 from .attempt import (
     Attempt,
@@ -156,10 +157,18 @@
         while len(self.pieces) in ahead:
             text = ahead.pop(len(self.pieces))
             self.pieces.append(text)
-            if self._emit is not None:
-                await self._emit(text)
+            await self._pass_on(text)
         return True
 
+    async def _pass_on(self, text: str) -> None:
+        if self._emit is None:
+            return
+        try:
+            await self._emit(text)
+        except ConnectionResetError as error:
+            # Of the caller's connection, not of the engine's.
+            raise CallerGone from error
+
 
 async def cancel(attempt: Attempt) -> float | None:
     """Stop an attempt that is of no more use; return what it cost, if known."""
--- a/packages/node/src/eelgrass_node/request/stages.py
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -121,15 +121,23 @@
         started = self._now()
         was_dispatched = self.dispatched
         self.dispatched = True
-        if self._generation is not None:
-            result = await self._generation.run(attempt, stage_input)
-        else:
-            result = await run_call(attempt, stage_input)
+        try:
+            result = await self._run_attempt(attempt, stage_input)
+        except BaseException:
+            # Given up from outside; nobody hears what it has cost.
+            self.cost.attempts += 1
+            self.cost.unreported += 1
+            raise
         if result.outcome is AttemptOutcome.NOT_RUN:
             self.dispatched = was_dispatched
         self._note(backend, result, self._now() - started)
         return result
 
+    async def _run_attempt(self, attempt: Attempt, stage_input: Any) -> AttemptResult:
+        if self._generation is not None:
+            return await self._generation.run(attempt, stage_input)
+        return await run_call(attempt, stage_input)
+
     def _new_attempt(self, backend: Backend) -> Attempt:
         environment = self._environment
         return Attempt(
