--- a/packages/standins/src/eelgrass_standins/faults.py
+++ b/packages/standins/src/eelgrass_standins/faults.py
@@ -64,6 +64,10 @@
         """Replace all faults."""
         self._left = [[fault, fault.times] for fault in faults]
 
+    def share(self, other: "Faults") -> None:
+        """Use up the same faults as another stand-in from now on."""
+        self._left = other._left
+
     def take(self, path: str, *actions: FaultAction) -> Fault | None:
         """Use up one of the faults that apply to a call, if there is any."""
         for pair in self._left:
--- a/tests/support/local.py
+++ b/tests/support/local.py
@@ -8,7 +8,7 @@
 from eelgrass_node.settings import Settings
 from eelgrass_standins.client import Client
 from eelgrass_standins.deployment import DeploymentSpec, StandIns
-from eelgrass_standins.faults import Fault
+from eelgrass_standins.faults import Fault, Faults
 from eelgrass_standins.journal import JournalEntry
 from eelgrass_standins.samples import (
     association,
@@ -74,13 +74,19 @@
         return self.settings[number]["listen"]["internal"]
 
     def fault(self, service: str, *faults: Fault) -> None:
-        """Set faults at every server of a service, or at the ``platform``."""
+        """Set faults of a service, or of the ``platform``.
+
+        The servers of a service share them: a fault that is to show twice shows
+        twice in all, whichever servers are called.
+        """
         if service == "platform":
             self.stand_ins.platform.faults.set(list(faults))
+            return
+        shared = Faults()
+        shared.set(list(faults))
         for backend in self.stand_ins.spec.backends:
             if backend.service == service:
-                stand_in = self.stand_ins.backends_by_id[backend.id]
-                stand_in.faults.set(list(faults))
+                self.stand_ins.backends_by_id[backend.id].faults.share(shared)
 
     def journal(self, service: str | None = None) -> list[JournalEntry]:
         """Return what the servers of a service executed, or all servers."""
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -17,6 +17,7 @@
     "cut": Fault(Action.CUT_STREAM, GENERATE, times=1, after=5),
     "cut-at-once": Fault(Action.CUT_STREAM, GENERATE, times=1),
     "cut-twice": Fault(Action.CUT_STREAM, GENERATE, times=2, after=3),
+    "cut-three-times": Fault(Action.CUT_STREAM, GENERATE, times=3, after=4),
     "silent": Fault(Action.SILENT_STREAM, GENERATE, times=1, after=5),
     "out-of-order": Fault(Action.SHUFFLE_STREAM, GENERATE, times=2, after=2),
     "piece-lost": Fault(Action.DROP_PIECE, GENERATE, times=1, after=6),
