--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -1,15 +1,17 @@
 """The connections to one backend server.
 
-Calls are POSTs without redirects: the client library repeats a call by itself
-on a dropped kept-alive connection only for idempotent methods, and a followed
-307 would send the call a second time. A call that may not be repeated gets a
-connection of its own, so that it cannot meet a kept-alive one that the other
-side has just closed.
+Calls go out without redirects, since a followed 307 would send a call a second
+time. A call that may not be repeated gets a connection of its own, so that it
+cannot meet a kept-alive one that the other side has just closed.
 """
 
 import asyncio
 
 import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from .sockets import open_socket
 
 __all__ = ["BackendConnections"]
 
@@ -45,6 +47,27 @@
             allow_redirects=False,
         )
 
+    def request(
+        self,
+        method: str,
+        target: str,
+        headers: CIMultiDict[str],
+        body: bytes,
+        connect_s: float,
+        reuse: bool,
+    ) -> "aiohttp.client._RequestContextManager":
+        """Begin a call whose target, headers and body go out unchanged."""
+        session = self._reusing() if reuse else self._fresh()
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s)
+        return session.request(
+            method,
+            URL(f"http://{self.address}{target}", encoded=True),
+            data=body or None,
+            headers=headers,
+            timeout=timeout,
+            allow_redirects=False,
+        )
+
     def replace(self) -> None:
         """Use new connections from now on; those in use go on to their end.
 
@@ -83,14 +106,19 @@
     def _reusing(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False
+                limit=0,
+                keepalive_timeout=KEEP_ALIVE_S,
+                use_dns_cache=False,
+                socket_factory=open_socket,
             )
             self._session = _session(connector)
         return self._session
 
     def _fresh(self) -> aiohttp.ClientSession:
         if self._single_use is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            connector = aiohttp.TCPConnector(
+                limit=0, force_close=True, socket_factory=open_socket
+            )
             self._single_use = _session(connector)
         return self._single_use
 
@@ -118,9 +146,14 @@
 
 
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         read_bufsize=MAX_LINE,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
     )
+    # The library would repeat a GET by itself on a dropped connection. Repeats
+    # are decided and counted in one place only, and it has no option for this.
+    session._retry_connection = False
+    return session
--- /dev/null
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -0,0 +1,206 @@
+"""A node on the users' platform, put together from its parts.
+
+This is the root: it may import everything, and nothing imports it but the
+program's entry point.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+from eelgrass_coordination.ids import BackendId
+
+from .connection.piece_calls import PieceCalls
+from .log import Part, log
+from .platform import configuration, requests, servers, stage_calls
+from .platform.names import READY_PATH
+from .platform.store import RowStore
+from .process.backends import Backend, Backends
+from .process.counters import Counters
+from .process.deployments import DeploymentInForce
+from .process.host_settings import HostSettings
+from .process.piece_service import LocalPieces
+from .process.retry_window import RetryWindows
+from .process.server_choice import ServerChoice
+from .process.server_list import ServerList
+from .process.stopping import Stopping
+from .process.store_tables import FollowedTable
+from .request.accept import Acceptance
+from .request.planning import plan_stages
+from .request.routed import ServingParts
+
+__all__ = ["EntryNode"]
+
+# The operator's table changes seldom, so a call may wait; but a wait is also
+# how long a feed that has fallen silent goes unnoticed.
+CONFIGURATION_WAIT_S = 1.0
+# Servers write every 1.2 s or so. Changes are collected between two calls, which
+# keeps the calls few and leaves most of the 2 s for a server that leaves.
+SERVERS_WAIT_S = 1.0
+SERVERS_PAUSE_S = 0.6
+# The balancer asks every second and leaves out a node after two misses.
+STOP_NOTICE_S = 2.6
+# Kept back from the time until the process is killed.
+STOP_RESERVE_S = 0.7
+# Callers use connections that have been idle for long; one that is closed under
+# a request costs an answer, an idle one a little memory.
+CALLER_IDLE_S = 75.0
+# Header lines and their sum that callers may send, well over the operator's
+# limits of 16 KiB.
+MAX_LINE_BYTES = 32_768
+MAX_BODY_BYTES = 64 << 20
+
+
+class EntryNode:
+    """One node: ``start`` it, then ``run_until_stopped``."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        self.settings = settings
+        loop = asyncio.get_running_loop()
+        bounds = settings.bounds
+        self.counters = Counters()
+        self.stopping = Stopping(
+            STOP_NOTICE_S, bounds.stop_s - STOP_NOTICE_S - STOP_RESERVE_S
+        )
+        self.backends = Backends()
+        self.store = RowStore(settings.store.address)
+        self.deployments = DeploymentInForce(
+            configuration.CONFIGURATION_KEY,
+            configuration.decode_deployment,
+            self._advanced,
+        )
+        self.server_list = ServerList(
+            self.backends, servers.decode_server, self._server_leaves
+        )
+        self.retries = RetryWindows(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, loop.time
+        )
+        self.retries.live_nodes = 9
+        self.piece_calls = PieceCalls(stage_calls, self._server_replaced)
+        self.pieces = LocalPieces(
+            self.backends,
+            lambda: self.deployments.current,
+            self.retries,
+            self.piece_calls.run,
+            self.piece_calls.free,
+            stage_calls.maker_of,
+        )
+        self.backends.on_change = self.pieces.servers_changed
+        self.choice = ServerChoice(
+            self.backends, settings.data_centre, lambda: self.deployments.current
+        )
+        self._tasks: list[asyncio.Task] = []
+        self._runners: list[web.ServerRunner | web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        await self._listen_callers()
+        await self._listen_readiness()
+        for work in (self._follow_configuration(), self._follow_servers()):
+            self._tasks.append(asyncio.create_task(work))
+        log(Part.NODE, "Started.", node=self.settings.node)
+
+    async def run_until_stopped(self) -> bool:
+        """Serve until a stop is asked for; returns whether nothing was cut off."""
+        await self.stopping.wait_requested()
+        log(Part.NODE, "Stopping.", in_flight=self.stopping.count)
+        clean = await self.stopping.finish()
+        log(Part.NODE, "Stopped.", clean=clean, in_flight=self.stopping.count)
+        return clean
+
+    def _follow_configuration(self):
+        table = FollowedTable(
+            self.store,
+            configuration.OPERATOR_TABLE,
+            self.deployments.take_rows,
+            lambda keys, was_lost: None,
+            CONFIGURATION_WAIT_S,
+        )
+        return table.run()
+
+    def _follow_servers(self):
+        table = FollowedTable(
+            self.store,
+            servers.SERVERS_TABLE,
+            self.server_list.take_rows,
+            self.server_list.take_whole,
+            SERVERS_WAIT_S,
+            SERVERS_PAUSE_S,
+        )
+        return table.run()
+
+    async def _listen_callers(self) -> None:
+        parts = ServingParts(
+            codec=requests,
+            choose=self.choice.choose,
+            plan=lambda routed: plan_stages(routed, self.deployments.current),
+            run_pieces=self.pieces.run,
+            free_results=self.pieces.free,
+            retries=self.retries,
+            note_load=_note_load,
+            server_gone=self._server_replaced,
+            count=self.counters.count,
+        )
+        accept = Acceptance(
+            requests, self.deployments, parts, self.stopping, self.counters.count
+        )
+        server = web.Server(
+            accept.handle,
+            request_factory=_request_factory(),
+            keepalive_timeout=CALLER_IDLE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            access_log=None,
+            auto_decompress=False,
+        )
+        runner = web.ServerRunner(
+            server, handle_signals=False, handler_cancellation=True
+        )
+        await self._serve(runner, self.settings.callers)
+
+    async def _listen_readiness(self) -> None:
+        app = web.Application()
+        app.router.add_get(READY_PATH, self._answer_ready)
+        runner = web.AppRunner(app, access_log=None)
+        await self._serve(runner, self.settings.readiness)
+
+    async def _answer_ready(self, request: web.Request) -> web.Response:
+        ready = self.deployments.current is not None and not self.stopping.stopping
+        return web.Response(status=200 if ready else 503)
+
+    async def _serve(self, runner, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+
+    def _advanced(self, number: int) -> None:
+        """Note that a configuration came into force."""
+
+    def _server_leaves(self, server_id: BackendId) -> None:
+        """Note that a server leaves or is gone."""
+
+    def _server_replaced(self, backend: Backend) -> None:
+        self.server_list.forget(backend.entry.id)
+
+
+def _note_load(backend: Backend, head) -> None:
+    if head.load is not None:
+        running, waiting, _ = head.load
+        backend.note_load(running, waiting)
+
+
+def _request_factory() -> Callable:
+    def build(message, payload, protocol, writer, task):
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=MAX_BODY_BYTES,
+        )
+
+    return build
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -1,8 +1,24 @@
 """The exception tree of the node; every message names a remedy."""
 
-from .request.reasons import Outcome, RefusalReason, refusal_kind
-
-__all__ = ["CallerGone", "NodeError", "PeerUnreachable", "Refused", "SettingsError"]
+from .process.pieces import PieceTrouble
+from .request.reasons import Outcome, RefusalReason, RetryReason, refusal_kind
+
+__all__ = [
+    "CallFailed",
+    "CallerGone",
+    "ConfigurationMalformed",
+    "HistoryGone",
+    "NodeError",
+    "PeerUnreachable",
+    "PieceAnswerMalformed",
+    "Refused",
+    "RequestMalformed",
+    "RequestRefused",
+    "ServerEntryMalformed",
+    "SettingsError",
+    "StagesFailed",
+    "StoreUnavailable",
+]
 
 
 class NodeError(Exception):
@@ -68,3 +84,107 @@
         self.outcome = Outcome.UNKNOWN
         self.this_call_ran = False
         return self
+
+
+class ConfigurationMalformed(NodeError):
+    """A configuration in the store cannot be read."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(
+            f"The configuration in the store cannot be read ({reason}). The last "
+            "good one stays in force; write a corrected one."
+        )
+
+
+class ServerEntryMalformed(NodeError):
+    """The entry of a backend server in the store cannot be read."""
+
+    def __init__(self, server_id: str, reason: str) -> None:
+        super().__init__(
+            f"The entry of backend server {server_id} cannot be read ({reason}). "
+            "Its last good entry stays in use; correct what the server writes."
+        )
+
+
+class StoreUnavailable(NodeError):
+    """The platform's store gave no good answer."""
+
+    def __init__(self, what: str, reason: str) -> None:
+        super().__init__(
+            f"The store gave no good answer about {what} ({reason}). Ask again "
+            "shortly; what was last read stays in force."
+        )
+
+
+class HistoryGone(NodeError):
+    """The store no longer knows the changes since a version."""
+
+    def __init__(self, what: str) -> None:
+        super().__init__(
+            f"The store has dropped the history asked for ({what}). Read the "
+            "table whole."
+        )
+
+
+class RequestMalformed(NodeError):
+    """A caller's request breaks the protocol."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"The request is malformed: {reason}. Correct it.")
+
+
+class PieceAnswerMalformed(NodeError):
+    """A backend server's answer does not fit the call for pieces."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(
+            f"The answer does not fit the call ({reason}). Run the pieces elsewhere."
+        )
+
+
+class StagesFailed(NodeError):
+    """The stages before a request could not be run.
+
+    ``trouble`` says why, ``retry_after_s`` when to come back, in seconds.
+    """
+
+    def __init__(self, trouble: PieceTrouble, retry_after_s: float) -> None:
+        super().__init__(
+            f"A stage had no result ({trouble.value}). Repeat the request in "
+            f"{retry_after_s:.1f} s."
+        )
+        self.trouble = trouble
+        self.retry_after_s = retry_after_s
+
+
+class CallFailed(NodeError):
+    """A call to a backend server has no answer that may be passed on.
+
+    ``not_run`` is True only where the request surely did not run there.
+    """
+
+    def __init__(self, reason: RetryReason, not_run: bool) -> None:
+        super().__init__(
+            f"The backend server gave no good answer ({reason.value}). Try "
+            "another one if the request may be repeated."
+        )
+        self.reason = reason
+        self.not_run = not_run
+
+
+class RequestRefused(NodeError):
+    """A routed request gets no answer from a server.
+
+    ``retry_after_s`` is in seconds, None where nothing is known of it.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float | None = None,
+        overloaded: bool = False,
+    ) -> None:
+        super().__init__(f"The request is refused ({reason}). Repeat it later.")
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.overloaded = overloaded
--- a/packages/node/src/eelgrass_node/log.py
+++ b/packages/node/src/eelgrass_node/log.py
@@ -6,7 +6,7 @@
 
 import eliot
 
-__all__ = ["Part", "log", "log_to_stderr"]
+__all__ = ["Part", "log", "log_to_stderr", "log_to_stdout"]
 
 
 class Part(Enum):
@@ -20,6 +20,9 @@
     CALLERS = "callers"
     OPERATORS = "operators"
     COSTS = "costs"
+    STORE = "store"
+    REQUESTS = "requests"
+    PIECES = "pieces"
 
 
 def log_to_stderr() -> None:
@@ -27,6 +30,11 @@
     eliot.to_file(sys.stderr)
 
 
+def log_to_stdout() -> None:
+    """Write logs as JSON lines to standard output."""
+    eliot.to_file(sys.stdout)
+
+
 def log(part: Part, sentence: str, **fields: Any) -> None:
     """Write one line, for example ``log(Part.NODE, "Ready.", revision=4)``."""
     eliot.log_message(
--- /dev/null
+++ b/packages/node/src/eelgrass_node/platform/__main__.py
@@ -0,0 +1,16 @@
+"""The entry point of a node on the users' platform."""
+
+import sys
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Run the node and exit with its code."""
+    from .cli import run
+
+    sys.exit(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/node/src/eelgrass_node/platform/cli.py
@@ -0,0 +1,43 @@
+"""The process of a node on the users' platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from ..entry_node import EntryNode
+from ..exceptions import SettingsError
+from ..log import log_to_stdout
+from ..process.host_settings import HostSettings
+from .names import SETTINGS_VARIABLE
+from .settings import load_host_settings
+
+__all__ = ["run"]
+
+EXIT_CLEAN = 0
+EXIT_CUT_OFF = 1
+EXIT_SETTINGS = 2
+DEFAULT_FILE = "/etc/eelgrassward/local.yaml"
+
+
+def run() -> int:
+    """Run a node until SIGTERM; return the exit code."""
+    file = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_FILE))
+    try:
+        settings = load_host_settings(file)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    log_to_stdout()
+    return asyncio.run(_serve(settings))
+
+
+async def _serve(settings: HostSettings) -> int:
+    node = EntryNode(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stopping.request)
+    await node.start()
+    clean = await node.run_until_stopped()
+    return EXIT_CLEAN if clean else EXIT_CUT_OFF
--- /dev/null
+++ b/packages/node/src/eelgrass_node/platform/configuration.py
@@ -0,0 +1,198 @@
+"""Decodes the operator's configuration row into a :class:`Deployment`."""
+
+import msgspec
+
+from ..exceptions import ConfigurationMalformed
+from ..version.deployment import (
+    AccountGrant,
+    CallerLimits,
+    Deployment,
+    ModelLimits,
+    PieceLimits,
+    PieceStage,
+    Route,
+    RouteKind,
+    Service,
+    ServiceName,
+    WeightedService,
+)
+
+__all__ = ["CONFIGURATION_KEY", "OPERATOR_TABLE", "decode_deployment"]
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+_DEFAULT_TIMEOUT_MS = 30_000.0
+_DEFAULT_BODY_BYTES = 4 << 20
+_DEFAULT_IDLE_MS = 15_000.0
+
+
+class _Wire(msgspec.Struct, frozen=True, rename="pascal"):
+    """Base of the wire's structs; unknown fields are ignored."""
+
+
+class _Share(_Wire):
+    service: str
+    weight: float = 1.0
+
+
+class _Stage(_Wire):
+    service: str
+    after: tuple[int, ...] = ()
+    bytes: float = 0.0
+
+
+class _Route(_Wire):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float = _DEFAULT_TIMEOUT_MS
+    target_latency_ms: float | None = None
+    target_itl_ms: float | None = None
+    priority: int = 0
+    service: str | None = None
+    # The wire's name for the services between which a route is split.
+    backends: tuple[_Share, ...] | None = None
+    max_attempts: int = 1
+    stages: tuple[_Stage, ...] | None = None
+    public: bool = False
+    stream_resume: bool = False
+
+
+class _Engine(_Wire):
+    slots: int = 1
+    kv_capacity: int = 0
+
+
+class _Segments(_Wire):
+    slots: int = 1
+    queue: int = 0
+    batch: int = 1
+    call_ms: float = 0.0
+    item_ms: float = 0.0
+    headroom_mb: float = 0.0
+    handle_s: float = 1.0
+
+
+class _Service(_Wire):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+    # The wire calls the pieces of a stage segments.
+    segments: _Segments | None = None
+
+
+class _Limits(_Wire):
+    max_body_bytes: int = _DEFAULT_BODY_BYTES
+    idle_timeout_ms: float = _DEFAULT_IDLE_MS
+
+
+class _Tenant(_Wire):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(_Wire):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+
+def decode_deployment(value: bytes) -> Deployment:
+    """Decode a configuration; raises :class:`ConfigurationMalformed`."""
+    try:
+        wire = _decoder.decode(value)
+        return _deployment(wire)
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        raise ConfigurationMalformed(repr(error)) from error
+
+
+def _deployment(wire: _Configuration) -> Deployment:
+    routes_by_host: dict[str, list[Route]] = {}
+    for route in wire.routes:
+        routes_by_host.setdefault(route.host.lower(), []).append(_route(route))
+    # The longest prefix first, so that the first match is the right one.
+    ordered = {
+        host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+        for host, routes in routes_by_host.items()
+    }
+    tenants = wire.tenants or ()
+    return Deployment(
+        number=wire.version,
+        routes_by_host=ordered,
+        service_by_name={s.name: _service(s) for s in wire.services},
+        account_by_key={
+            key: AccountGrant(tenant.name, tenant.priority)
+            for tenant in tenants
+            for key in tenant.api_keys
+        },
+        has_accounts=bool(tenants),
+        limits=CallerLimits(
+            max_body_bytes=wire.limits.max_body_bytes,
+            idle_s=wire.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(wire: _Route) -> Route:
+    if wire.backends:
+        services = tuple(
+            WeightedService(ServiceName(share.service), share.weight)
+            for share in wire.backends
+            if share.weight > 0
+        )
+    else:
+        services = (WeightedService(ServiceName(wire.service or "")),)
+    timeout_s = wire.timeout_ms / 1000
+    target_ms = wire.target_latency_ms
+    gap_ms = wire.target_itl_ms
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=_KINDS[wire.kind],
+        timeout_s=timeout_s,
+        target_s=timeout_s if target_ms is None else target_ms / 1000,
+        gap_target_s=timeout_s if gap_ms is None else gap_ms / 1000,
+        priority=wire.priority,
+        services=services,
+        max_attempts=max(1, wire.max_attempts),
+        stages=tuple(_stage(stage) for stage in wire.stages or ()),
+        public=wire.public,
+        resumable=wire.stream_resume,
+    )
+
+
+def _stage(wire: _Stage) -> PieceStage:
+    return PieceStage(ServiceName(wire.service), wire.after, int(wire.bytes))
+
+
+def _service(wire: _Service) -> Service:
+    model = None
+    if wire.engine is not None:
+        model = ModelLimits(wire.engine.slots, wire.engine.kv_capacity)
+    pieces = None
+    if wire.segments is not None:
+        segments = wire.segments
+        pieces = PieceLimits(
+            slots=segments.slots,
+            queue=segments.queue,
+            batch=max(1, segments.batch),
+            call_s=segments.call_ms / 1000,
+            piece_s=segments.item_ms / 1000,
+            memory_bytes=segments.headroom_mb * 1e6,
+            result_life_s=segments.handle_s,
+        )
+    return Service(ServiceName(wire.name), wire.max_connections, model, pieces)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -0,0 +1,74 @@
+"""Names of the users' wire: headers and paths."""
+
+__all__ = [
+    "ATTEMPT_ID",
+    "AUTHORIZATION",
+    "DEADLINE_MS",
+    "ENGINE_ID",
+    "ENGINE_LOAD",
+    "ENGINE_SIGNATURE",
+    "EXPECT_ENGINE",
+    "INPUTS",
+    "LAST_EVENT_ID",
+    "LENGTH_HINT",
+    "NOT_EXECUTED",
+    "PROMPT_PREFIX",
+    "READY_PATH",
+    "REPORT_PATH",
+    "REQUEST_PRIORITY",
+    "RETRY_AFTER",
+    "SEGMENTS",
+    "SEGMENT_KEY",
+    "SETTINGS_VARIABLE",
+    "STAGE_FREE_PATH",
+    "STAGE_RUN_PATH",
+    "SYSTEM_HEADERS",
+    "TENANT",
+    "TOKEN_USAGE",
+]
+
+SETTINGS_VARIABLE = "EELGRASSWARD_CONFIG"
+
+ATTEMPT_ID = "Eelgrassward-Attempt-Id"
+AUTHORIZATION = "Authorization"
+DEADLINE_MS = "Eelgrassward-Deadline-Ms"
+ENGINE_ID = "Eelgrassward-Engine-Id"
+ENGINE_LOAD = "Eelgrassward-Engine-Load"
+ENGINE_SIGNATURE = "Eelgrassward-Engine-Signature"
+EXPECT_ENGINE = "Eelgrassward-Expect-Engine"
+INPUTS = "Eelgrassward-Inputs"
+LAST_EVENT_ID = "Last-Event-Id"
+LENGTH_HINT = "Eelgrassward-Length-Hint"
+NOT_EXECUTED = "Eelgrassward-Not-Executed"
+PROMPT_PREFIX = "Eelgrassward-Prompt-Prefix"
+REQUEST_PRIORITY = "Eelgrassward-Request-Priority"
+RETRY_AFTER = "Retry-After"
+SEGMENTS = "Eelgrassward-Segments"
+SEGMENT_KEY = "Eelgrassward-Segment-Key"
+TENANT = "Eelgrassward-Tenant"
+TOKEN_USAGE = "Eelgrassward-Token-Usage"
+
+# Headers towards an engine that only the system sets: what a caller sends
+# under these names is dropped.
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        AUTHORIZATION,
+        DEADLINE_MS,
+        EXPECT_ENGINE,
+        INPUTS,
+        REQUEST_PRIORITY,
+        TENANT,
+        "Eelgrassward-Expect-Version",
+        "Eelgrassward-Hold",
+        "Eelgrassward-Pin-Ms",
+        "Eelgrassward-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+
+READY_PATH = "/-/readyz"
+REPORT_PATH = "/-/report"
+STAGE_RUN_PATH = "/-/stage-run"
+STAGE_FREE_PATH = "/-/stage-free"
--- /dev/null
+++ b/packages/node/src/eelgrass_node/platform/requests.py
@@ -0,0 +1,178 @@
+"""Codec of requests: callers' headers, and those to and from backend servers."""
+
+from collections.abc import Iterable
+
+from multidict import CIMultiDict
+
+from ..exceptions import RequestMalformed
+from ..request.arrival import Arrival, EngineHead, PromptPart, PromptShape, Routed
+from . import names
+
+__all__ = ["decode_arrival", "decode_head", "encode_request"]
+
+# These concern one connection only and never go on (RFC 9110, 7.6.1).
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_LENGTH = "content-length"
+_HOST = "host"
+_LATIN = "latin-1"
+# Longer waits than a day are taken for a mistake.
+MAX_DEADLINE_MS = 86_400_000.0
+MAX_PIECES = 10_000
+MAX_PRIORITY = 9
+HTTP_MISDIRECTED = 421
+
+
+def decode_arrival(
+    method: str,
+    target: str,
+    raw_headers: tuple[tuple[bytes, bytes], ...],
+    body: bytes,
+    arrived_at: float,
+) -> Arrival:
+    """Decode a caller's request; raises :class:`RequestMalformed`."""
+    headers = _decoded(raw_headers)
+    known = CIMultiDict(headers)
+    request_id = known.get(names.ATTEMPT_ID)
+    if not request_id:
+        raise RequestMalformed(f"the header {names.ATTEMPT_ID} is missing")
+    if len(known.getall(names.ATTEMPT_ID)) > 1 or len(known.getall("Host", ())) > 1:
+        raise RequestMalformed("a header that must be unique came twice")
+    dropped = _connection_headers(known) | names.SYSTEM_HEADERS | {_LENGTH}
+    return Arrival(
+        request_id=request_id,
+        method=method,
+        target=target,
+        host=known.get("Host", ""),
+        headers=tuple(h for h in headers if h[0].lower() not in dropped),
+        body=body,
+        arrived_at=arrived_at,
+        caller_deadline_s=_deadline_s(known.get(names.DEADLINE_MS)),
+        api_key=_api_key(known.get(names.AUTHORIZATION)),
+        last_event_id=known.get(names.LAST_EVENT_ID),
+        piece_counts=_piece_counts(known.get(names.SEGMENTS)),
+        piece_key=known.get(names.SEGMENT_KEY, ""),
+        prompt=_prompt(known.get(names.PROMPT_PREFIX), known.get(names.TOKEN_USAGE)),
+    )
+
+
+def encode_request(
+    routed: Routed,
+    server_id: str,
+    deadline_s: float,
+    inputs: tuple[str, ...],
+    last_event_id: str | None,
+) -> CIMultiDict[str]:
+    """Return the headers towards a backend server."""
+    headers: CIMultiDict[str] = CIMultiDict()
+    for name, value in routed.arrival.headers:
+        headers.add(name, value)
+    if last_event_id is not None:
+        headers[names.LAST_EVENT_ID] = last_event_id
+    headers[names.DEADLINE_MS] = str(max(1, int(deadline_s * 1000)))
+    headers[names.EXPECT_ENGINE] = server_id
+    headers[names.REQUEST_PRIORITY] = str(min(MAX_PRIORITY, max(0, routed.priority)))
+    if routed.account is not None:
+        headers[names.TENANT] = routed.account.name
+    if inputs:
+        headers[names.INPUTS] = ",".join(inputs)
+    return headers
+
+
+def decode_head(
+    status: int, raw_headers: tuple[tuple[bytes, bytes], ...]
+) -> EngineHead:
+    """Decode the head of a backend server's answer."""
+    decoded = _decoded(raw_headers)
+    known = CIMultiDict(decoded)
+    dropped = _connection_headers(known)
+    passed = ((n, v) for n, v in decoded if n.lower() not in dropped)
+    connection = known.get("Connection", "").lower()
+    return EngineHead(
+        status=status,
+        request_id=known.get(names.ATTEMPT_ID),
+        server_id=known.get(names.ENGINE_ID),
+        signed=names.ENGINE_SIGNATURE in known,
+        not_run=names.NOT_EXECUTED in known or status == HTTP_MISDIRECTED,
+        closes="close" in connection,
+        load=_load(known.get(names.ENGINE_LOAD)),
+        headers=CIMultiDict(passed),
+    )
+
+
+def _decoded(raw: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    return [(name.decode(_LATIN), value.decode(_LATIN)) for name, value in raw]
+
+
+def _connection_headers(known: CIMultiDict[str]) -> frozenset[str]:
+    listed = known.getall("Connection", ())
+    named = {token.strip().lower() for value in listed for token in value.split(",")}
+    return HOP_HEADERS | named
+
+
+def _deadline_s(value: str | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        deadline_ms = float(value)
+    except ValueError as error:
+        raise RequestMalformed(f"{names.DEADLINE_MS} is no number") from error
+    if not 0 <= deadline_ms <= MAX_DEADLINE_MS:
+        raise RequestMalformed(f"{names.DEADLINE_MS} is out of range")
+    return deadline_ms / 1000
+
+
+def _api_key(value: str | None) -> str | None:
+    if value is None:
+        return None
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _piece_counts(value: str | None) -> tuple[int, ...]:
+    if not value:
+        return ()
+    try:
+        counts = tuple(int(count) for count in value.split(","))
+    except ValueError as error:
+        raise RequestMalformed(f"{names.SEGMENTS} holds no numbers") from error
+    if any(not 0 <= count <= MAX_PIECES for count in counts):
+        raise RequestMalformed(f"{names.SEGMENTS} is out of range")
+    return counts
+
+
+def _prompt(parts: str | None, usage: str | None) -> PromptShape:
+    """Decode the shape of a prompt; it only guides the choice of a server."""
+    try:
+        decoded = tuple(
+            PromptPart(part_id, int(tokens))
+            for part_id, _, tokens in (
+                entry.strip().partition(":") for entry in (parts or "").split(",")
+            )
+            if part_id
+        )
+        tokens_in, _, tokens_out = (usage or "0,0").partition(",")
+        return PromptShape(decoded, int(tokens_in), int(tokens_out or 0))
+    except ValueError:
+        return PromptShape()
+
+
+def _load(value: str | None) -> tuple[int, int, int] | None:
+    if value is None:
+        return None
+    try:
+        running, waiting, slots = (int(number) for number in value.split(","))
+    except ValueError:
+        return None
+    return running, waiting, slots
--- /dev/null
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -0,0 +1,111 @@
+"""The client of the platform's store: rows, and the feed of their changes."""
+
+import base64
+
+import aiohttp
+import msgspec
+
+from ..connection.sockets import open_socket
+from ..exceptions import HistoryGone, StoreUnavailable
+from ..process.store_tables import StoredRow, TableChanges
+
+__all__ = ["RowStore"]
+
+READ_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+KEEP_ALIVE_S = 60.0
+# A feed answers within its wait; what comes later than that by this much is
+# taken for a connection that has gone silent.
+FEED_SLACK_S = 0.6
+HTTP_OK = 200
+HTTP_GONE = 410
+
+
+class _Row(msgspec.Struct, frozen=True, rename="pascal"):
+    key: str
+    ver: int = 0
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct, frozen=True, rename="pascal"):
+    rows: tuple[_Row, ...] = ()
+    has_more: bool = False
+    ver: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Rows)
+
+
+class RowStore:
+    """Reads tables of the store at ``address``, an IP address and port.
+
+    Every method raises :class:`StoreUnavailable` where no good answer came.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}"
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=KEEP_ALIVE_S,
+                use_dns_cache=False,
+                socket_factory=open_socket,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        self.calls = 0
+
+    async def read_table(self, table: str) -> TableChanges:
+        """Return all rows of a table's unnamed part as of one moment or later."""
+        rows: list[StoredRow] = []
+        first = ""
+        while True:
+            params = {"Table": table, "part": "", "FromKey": first}
+            page = await self._get("/-/rows-get", params, READ_TIMEOUT_S)
+            rows += [_stored(row) for row in page.rows]
+            if not page.has_more or not page.rows:
+                return TableChanges(tuple(rows), page.ver)
+            # The range begins with its first key; this is the next one after it.
+            first = page.rows[-1].key + "\0"
+
+    async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
+        """Return the rows changed after a version, waiting for the first one.
+
+        Raises :class:`HistoryGone` where the store no longer knows.
+        """
+        params = {
+            "Table": table,
+            "After": str(after),
+            "WaitMs": str(int(wait_s * 1000)),
+        }
+        page = await self._get("/-/rows-feed", params, wait_s + FEED_SLACK_S)
+        return TableChanges(tuple(_stored(row) for row in page.rows), page.ver)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def _get(self, path: str, params: dict[str, str], within_s: float) -> _Rows:
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=within_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                self._url + path, params=params, timeout=timeout, allow_redirects=False
+            ) as response:
+                body = await response.read()
+                status = response.status
+            if status == HTTP_GONE:
+                raise HistoryGone(path)
+            if status != HTTP_OK:
+                raise StoreUnavailable(path, f"status {status}")
+            return _decoder.decode(body)
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
+            raise StoreUnavailable(path, repr(e)) from e
+
+
+def _stored(row: _Row) -> StoredRow:
+    if row.deleted or row.value is None:
+        return StoredRow(row.key, row.ver, None)
+    return StoredRow(row.key, row.ver, base64.b64decode(row.value))
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -20,6 +20,9 @@
 WINDOW_DECREASE = 0.9
 FIRST_SUSPICION_S = 1.0
 MAX_SUSPICION_S = 16.0
+# How long a load that a server told is worth more than our own counts: the
+# usual request takes about half of this.
+TOLD_LOAD_S = 1.5
 
 
 class BackendState(Enum):
@@ -64,6 +67,9 @@
         self._failures = 0
         self.call_s = MovingAverage(0.0)
         self._called_at = 0.0
+        self._told_load: tuple[int, int] = (0, 0)
+        self._told_at = float("-inf")
+        self._in_flight_then = 0
 
     def suspect(self) -> None:
         """Prefer other servers for a while, twice as long after each failure."""
@@ -85,6 +91,24 @@
         age_s = asyncio.get_running_loop().time() - self._called_at
         return self.call_s.mean * 0.5 ** (age_s / CALL_HALF_LIFE_S)
 
+    def note_load(self, running: int, waiting: int) -> None:
+        """Take in what the server says of its load, over all nodes."""
+        self._told_load = (running, waiting)
+        self._told_at = asyncio.get_running_loop().time()
+        self._in_flight_then = self.in_flight
+
+    def load_at(self, now: float) -> tuple[int, int]:
+        """Return the running and waiting requests to be expected there.
+
+        What the server told fades to what we ourselves have there; calls that
+        began since are added.
+        """
+        if now - self._told_at > TOLD_LOAD_S:
+            return self.in_flight, 0
+        running, waiting = self._told_load
+        since = max(0, self.in_flight - self._in_flight_then)
+        return max(self.in_flight, running + since), waiting
+
     def has_room(self) -> bool:
         """Return whether our window has room for one more call."""
         if self.in_flight >= int(self.window):
@@ -161,6 +185,12 @@
         servers = self.by_service.get(service, ())
         return [backend for backend in servers if not self.is_leaving(backend)]
 
+    def at_address(self, address: str) -> Backend | None:
+        """Return the server at an IP address and port, if one is listed."""
+        return next(
+            (b for b in self.by_id.values() if b.entry.address == address), None
+        )
+
     def set_live_nodes(self, count: int) -> None:
         """Share the servers' limits among that many nodes."""
         if count == self._live_nodes:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/host_settings.py
@@ -0,0 +1,60 @@
+"""The settings of a node on the users' platform, as the product sees them."""
+
+import msgspec
+
+from eelgrass_coordination.ids import DataCentre, NodeId
+
+__all__ = ["HostSettings", "ServingBounds", "StoreSettings"]
+
+
+class StoreSettings(msgspec.Struct, frozen=True):
+    """Where the platform's store is, as an IP address and port."""
+
+    address: str
+
+
+class ServingBounds(msgspec.Struct, frozen=True):
+    """Bounds that hold for all nodes together, in seconds unless said.
+
+    ``stop_s`` is how long a planned stop may take before the process is
+    killed. Retries may make up ``retry_ratio`` of the requests for a service in
+    any ``retry_window_s``, and ``retry_slack`` calls more. A server that leaves
+    gets no new work after ``drain_s``; a configuration is in force after
+    ``apply_s``. A cached part of a prompt counts as such for ``reuse_s`` after
+    its last use.
+    """
+
+    stop_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    drain_s: float
+    apply_s: float
+    reuse_s: float
+    heartbeat_s: float
+
+
+class HostSettings(msgspec.Struct, frozen=True):
+    """All settings of one node; addresses are IP addresses and ports.
+
+    ``seeds`` are internal addresses of a few nodes, some of which may be gone;
+    each listens for gossip at ``seed_gossip_port``.
+    """
+
+    node: NodeId
+    data_centre: DataCentre
+    callers: str
+    readiness: str
+    internal: str
+    gossip: str
+    seeds: tuple[str, ...]
+    seed_gossip_port: int
+    store: StoreSettings
+    memory_bytes: int
+    max_descriptors: int
+    bounds: ServingBounds
+
+    def seed_gossip(self) -> list[str]:
+        """Return the gossip addresses of the seeds."""
+        hosts = (seed.rpartition(":")[0] for seed in self.seeds)
+        return [f"{host}:{self.seed_gossip_port}" for host in hosts]
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -0,0 +1,299 @@
+"""The queue before one service that runs stages, and the calls made from it.
+
+The pattern it answers: every call costs the server a fixed time (150 ms on the
+users' sheets, as much as five to forty pieces), so throughput comes from full
+calls; bursts are two to three times the usual load of one kind of request. One
+queue per service lets calls fill while all servers are busy, and takes a piece
+at once where one is idle. No network here: a call is a function.
+"""
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+
+from eelgrass_coordination import MovingAverage
+from eelgrass_coordination.ids import BackendId
+
+from ..log import Part, log
+from ..version.deployment import PieceLimits
+from .backends import Backend
+from .pieces import Piece, PieceOutcome, PieceTrouble
+
+__all__ = ["PieceQueue", "RunCall"]
+
+RunCall = Callable[[Backend, list[Piece], float], Awaitable[list[PieceOutcome]]]
+
+# A piece is run at most this often; the second and third time after a failure.
+MAX_TRIES = 3
+# Weight of the newest call in a server's slowness: it settles in a few calls,
+# and a call takes a fifth of a second.
+SLOWNESS_WEIGHT = 0.3
+# A call is given up after this many times its expected time and this much more:
+# slow servers are 4 to 8 times as slow, dark ones never answer.
+GIVE_UP_FACTOR = 2.5
+GIVE_UP_SLACK_S = 0.25
+# Refused callers come back spread over this much, so as not to come together.
+MIN_RETRY_AFTER_S = 0.2
+
+
+class _ServerUse:
+    """What this queue has at one server: calls in flight and results held."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.free_at = 0.0
+        self.slowness = MovingAverage(1.0, SLOWNESS_WEIGHT)
+        self._bytes_by_handle: dict[str, tuple[float, int]] = {}
+
+    def hold(self, handle: str, size: int, until: float) -> None:
+        """Note a result that takes up memory until it is freed or expires."""
+        self._bytes_by_handle[handle] = (until, size)
+
+    def free(self, handle: str) -> None:
+        """Note that a result was freed."""
+        self._bytes_by_handle.pop(handle, None)
+
+    def held_bytes(self, now: float) -> int:
+        """Return how much memory results take up."""
+        expired = [h for h, (until, _) in self._bytes_by_handle.items() if until <= now]
+        for handle in expired:
+            del self._bytes_by_handle[handle]
+        return sum(size for _, size in self._bytes_by_handle.values())
+
+
+class PieceQueue:
+    """Pieces that wait for a server of ``service``.
+
+    ``servers`` returns those that may get work; ``may_repeat`` asks the budget
+    for one more call of a piece.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        limits: Callable[[], PieceLimits],
+        servers: Callable[[], list[Backend]],
+        run_call: RunCall,
+        may_repeat: Callable[[], bool],
+    ) -> None:
+        self.service = service
+        self._limits = limits
+        self._servers = servers
+        self._run_call = run_call
+        self._may_repeat = may_repeat
+        self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
+        self._use_by_id: dict[BackendId, _ServerUse] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self.calls_made = 0
+        self.pieces_run = 0
+
+    @property
+    def waiting(self) -> int:
+        """How many pieces wait."""
+        return len(self._waiting)
+
+    async def run(self, pieces: list[Piece]) -> list[PieceOutcome]:
+        """Run pieces and return their outcomes, in order.
+
+        Where the caller of this is cancelled, pieces that still wait are
+        withdrawn; those that a server works on go on.
+        """
+        now = _now()
+        refusal = self._refusal(pieces, now)
+        if refusal is not None:
+            return [refusal] * len(pieces)
+        loop = asyncio.get_running_loop()
+        futures = [loop.create_future() for _ in pieces]
+        for piece, future in zip(pieces, futures, strict=True):
+            self._waiting[piece] = future
+        self.fill()
+        try:
+            return list(await asyncio.gather(*futures))
+        finally:
+            for piece in pieces:
+                self._waiting.pop(piece, None)
+
+    def free(self, server_id: BackendId, handles: list[str]) -> None:
+        """Note that results were freed at a server."""
+        use = self._use_by_id.get(server_id)
+        if use is None:
+            return
+        for handle in handles:
+            use.free(handle)
+        self.fill()
+
+    def expected_wait(self, ahead: int) -> float:
+        """Return the seconds until a piece behind ``ahead`` others is taken."""
+        limits = self._limits()
+        servers = self._sound_servers(_now())
+        if not servers:
+            return 0.0 if self._servers() else math.inf
+        slots = len(servers) * limits.slots
+        free_at = sorted(self._use(server).free_at for server in servers)
+        residual = max(0.0, free_at[0] - _now())
+        rounds = ahead / (limits.batch * slots)
+        return residual + rounds * self.call_s(limits.batch)
+
+    def call_s(self, pieces: int) -> float:
+        """Return the expected seconds of a call with that many pieces."""
+        limits = self._limits()
+        return limits.call_s + limits.piece_s * pieces
+
+    def fill(self) -> None:
+        """Start calls at idle servers, as far as pieces wait."""
+        while self._waiting:
+            now = _now()
+            self._drop_late(now)
+            server = self._idle_server(now)
+            if server is None:
+                return
+            batch = self._take_batch(server, now)
+            if not batch:
+                return
+            self._start(server, batch, now)
+
+    def _refusal(self, pieces: list[Piece], now: float) -> PieceOutcome | None:
+        """Return a refusal where the pieces cannot be run in time."""
+        first = pieces[0]
+        ahead = sum(1 for piece in self._waiting if _rank(piece) <= _rank(first))
+        wait_s = self.expected_wait(ahead)
+        if now + wait_s + self.call_s(len(pieces)) <= first.deadline:
+            return None
+        after_s = max(MIN_RETRY_AFTER_S, min(wait_s, first.deadline - now))
+        return PieceOutcome(trouble=PieceTrouble.OVERLOADED, retry_after_s=after_s)
+
+    def _drop_late(self, now: float) -> None:
+        shortest = self.call_s(1)
+        for piece, future in list(self._waiting.items()):
+            if piece.deadline - now < shortest:
+                self._settle(piece, future, PieceOutcome(trouble=PieceTrouble.LATE))
+
+    def _idle_server(self, now: float) -> Backend | None:
+        slots = self._limits().slots
+        idle = [
+            server
+            for server in self._sound_servers(now)
+            if self._use(server).calls < slots
+        ]
+        if not idle:
+            return None
+        return min(idle, key=lambda server: self._use(server).slowness.mean)
+
+    def _sound_servers(self, now: float) -> list[Backend]:
+        servers = self._servers()
+        sound = [server for server in servers if server.suspect_until <= now]
+        return sound or servers
+
+    def _take_batch(self, server: Backend, now: float) -> list[Piece]:
+        limits = self._limits()
+        room = limits.memory_bytes - self._use(server).held_bytes(now)
+        batch: list[Piece] = []
+        for piece in sorted(self._waiting, key=lambda p: self._order(p, now)):
+            if len(batch) == limits.batch:
+                break
+            if piece.result_bytes <= room:
+                room -= piece.result_bytes
+                batch.append(piece)
+        return batch
+
+    def _order(self, piece: Piece, now: float) -> tuple[bool, int, float]:
+        """Sort those that can be on time first, then by rank, then by time.
+
+        A piece that is late anyway earns little; it takes what the others leave.
+        """
+        late = piece.due < now + self.call_s(1)
+        return (late, piece.priority, piece.due)
+
+    def _start(self, server: Backend, batch: list[Piece], now: float) -> None:
+        use = self._use(server)
+        use.calls += 1
+        expected_s = self.call_s(len(batch)) * max(1.0, use.slowness.mean)
+        use.free_at = now + expected_s
+        futures = {piece: self._waiting.pop(piece) for piece in batch}
+        task = asyncio.create_task(self._call(server, futures, expected_s))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call(
+        self,
+        server: Backend,
+        futures: dict[Piece, asyncio.Future[PieceOutcome]],
+        expected_s: float,
+    ) -> None:
+        batch = list(futures)
+        within_s = expected_s * GIVE_UP_FACTOR + GIVE_UP_SLACK_S
+        began = _now()
+        self.calls_made += 1
+        self.pieces_run += len(batch)
+        use = self._use(server)
+        try:
+            outcomes = await self._run_call(server, batch, within_s)
+        finally:
+            use.calls -= 1
+        now = _now()
+        self._note_call(server, use, outcomes, now - began, len(batch))
+        until = now + self._limits().result_life_s
+        for piece, outcome in zip(batch, outcomes, strict=True):
+            if outcome.handle is not None:
+                use.hold(outcome.handle, piece.result_bytes, until)
+            self._finish(piece, futures[piece], outcome)
+        self.fill()
+
+    def _note_call(
+        self,
+        server: Backend,
+        use: _ServerUse,
+        outcomes: list[PieceOutcome],
+        took_s: float,
+        pieces: int,
+    ) -> None:
+        troubles = {outcome.trouble for outcome in outcomes}
+        if troubles & {PieceTrouble.UNREACHED, PieceTrouble.FAILED}:
+            server.suspect()
+            log(
+                Part.PIECES,
+                "A call failed.",
+                backend=server.entry.id,
+                pieces=pieces,
+                took_s=round(took_s, 3),
+                troubles=[t.value for t in troubles if t],
+            )
+            return
+        server.note_taken()
+        use.slowness.note(took_s / self.call_s(pieces))
+
+    def _finish(
+        self, piece: Piece, future: asyncio.Future[PieceOutcome], outcome: PieceOutcome
+    ) -> None:
+        piece.tries += 1
+        again = outcome.trouble in (
+            PieceTrouble.UNREACHED,
+            PieceTrouble.FAILED,
+            PieceTrouble.NO_ROOM,
+        )
+        if again and piece.tries < MAX_TRIES and not future.done():
+            if self._may_repeat():
+                self._waiting[piece] = future
+                return
+        self._settle(piece, future, outcome)
+
+    def _settle(
+        self, piece: Piece, future: asyncio.Future[PieceOutcome], outcome: PieceOutcome
+    ) -> None:
+        self._waiting.pop(piece, None)
+        if not future.done():
+            future.set_result(outcome)
+
+    def _use(self, server: Backend) -> _ServerUse:
+        use = self._use_by_id.get(server.entry.id)
+        if use is None:
+            use = self._use_by_id[server.entry.id] = _ServerUse()
+        return use
+
+
+def _rank(piece: Piece) -> tuple[int, float]:
+    return (piece.priority, piece.due)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -0,0 +1,101 @@
+"""The queues of this node before the services that run stages."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from ..version.deployment import Deployment, PieceLimits, ServiceName
+from .backends import Backend, Backends
+from .piece_queue import PieceQueue, RunCall
+from .pieces import Piece, PieceOutcome, PieceTrouble
+from .retry_window import RetryWindows
+
+__all__ = ["LocalPieces"]
+
+# Where a configuration gives no limits for a service that a stage names.
+UNKNOWN_LIMITS = PieceLimits(
+    slots=1,
+    queue=0,
+    batch=1,
+    call_s=0.2,
+    piece_s=0.0,
+    memory_bytes=float("inf"),
+    result_life_s=1.0,
+)
+
+FreeCall = Callable[[Backend, list[str]], Awaitable[bool]]
+
+
+class LocalPieces:
+    """Runs pieces from queues in this process, and frees their results.
+
+    ``maker_of`` gives the address of the server that holds a result.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        deployment: Callable[[], Deployment | None],
+        retries: RetryWindows,
+        run_call: RunCall,
+        free_call: FreeCall,
+        maker_of: Callable[[str], str],
+    ) -> None:
+        self._backends = backends
+        self._deployment = deployment
+        self._retries = retries
+        self._run_call = run_call
+        self._free_call = free_call
+        self._maker_of = maker_of
+        self._tasks: set[asyncio.Task] = set()
+        self.by_service: dict[ServiceName, PieceQueue] = {}
+
+    async def run(
+        self, service: ServiceName, pieces: list[Piece]
+    ) -> list[PieceOutcome]:
+        """Run pieces of one stage and return their outcomes, in order."""
+        self._retries.note_request(service)
+        if not self._backends.usable(service):
+            return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
+        return await self.queue(service).run(pieces)
+
+    def free(self, handles: list[str]) -> None:
+        """Free results at the servers that hold them, without waiting."""
+        by_address: dict[str, list[str]] = {}
+        for handle in handles:
+            by_address.setdefault(self._maker_of(handle), []).append(handle)
+        for address, held in by_address.items():
+            backend = self._backends.at_address(address)
+            if backend is not None:
+                task = asyncio.create_task(self._free(backend, held))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def queue(self, service: ServiceName) -> PieceQueue:
+        """Return the queue of a service."""
+        found = self.by_service.get(service)
+        if found is None:
+            found = self.by_service[service] = PieceQueue(
+                service,
+                lambda: self._limits(service),
+                lambda: self._backends.usable(service),
+                self._run_call,
+                lambda: self._retries.try_spend(service),
+            )
+        return found
+
+    def servers_changed(self, service: str) -> None:
+        """Serve pieces that a change of servers has made room for."""
+        queue = self.by_service.get(ServiceName(service))
+        if queue is not None:
+            queue.fill()
+
+    async def _free(self, backend: Backend, handles: list[str]) -> None:
+        if await self._free_call(backend, handles):
+            queue = self.by_service.get(ServiceName(backend.entry.service))
+            if queue is not None:
+                queue.free(backend.entry.id, handles)
+
+    def _limits(self, service: ServiceName) -> PieceLimits:
+        deployment = self._deployment()
+        known = deployment and deployment.service_by_name.get(service)
+        return (known and known.pieces) or UNKNOWN_LIMITS
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -0,0 +1,51 @@
+"""Pieces of stages and what becomes of them, as values."""
+
+from enum import Enum
+
+import msgspec
+
+__all__ = ["Piece", "PieceOutcome", "PieceTrouble"]
+
+
+class PieceTrouble(Enum):
+    """Why a piece has no result."""
+
+    LATE = "late"
+    INPUT_GONE = "input_gone"
+    NO_ROOM = "no_room"
+    FAILED = "failed"
+    UNREACHED = "unreached"
+    OVERLOADED = "overloaded"
+
+
+class Piece(msgspec.Struct, eq=False):
+    """One piece of one stage of a request.
+
+    ``key`` names its input where the stage follows no other; otherwise
+    ``inputs`` holds the handles of the results that it needs. ``deadline`` and
+    ``due`` are on the clock of the event loop: when the request must be
+    answered, and when its stages should be done for it to be on time. ``tries``
+    counts the calls it was in.
+    """
+
+    request_id: str
+    stage: int
+    number: int
+    key: str | None
+    inputs: tuple[str, ...]
+    deadline: float
+    due: float
+    priority: int
+    result_bytes: int
+    tries: int = 0
+
+
+class PieceOutcome(msgspec.Struct, frozen=True):
+    """A handle of the result, or why there is none.
+
+    ``retry_after_s`` says when to come back where the piece was refused.
+    """
+
+    handle: str | None = None
+    trouble: PieceTrouble | None = None
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/placement.py
@@ -0,0 +1,91 @@
+"""Which server of a service a request goes to.
+
+For model engines the pattern is: prompts share long first parts (two thirds of
+the largest prompts on the users' sheets), reading a part again costs its tokens
+over the engine's speed, and every node sees only its own share of the traffic.
+Requests about one subject therefore go to the engine that a hash of the subject
+names, at every node alike and without a word between them; where that engine is
+busier than its neighbours by more than the reading is worth, to the next one.
+
+Plain services take the server with the least load that we know of.
+"""
+
+import hashlib
+from collections.abc import Sequence
+
+from .backends import Backend
+
+__all__ = ["hash_order", "place_plain", "place_prompt", "sound_servers"]
+
+# Seconds by which a running request slows a new one down, and by which one that
+# waits does: a step takes some 0.15 ms more for each running request and a
+# request some hundred steps; one that waits holds up by its whole prompt.
+RUNNING_S = 0.012
+WAITING_S = 0.15
+# Extra seconds for a server in another data centre: the way there and back,
+# and the price of the bytes.
+ELSEWHERE_S = 0.02
+# Tokens read in a second by an engine that does nothing else, on the sheets.
+READ_TOKENS_PER_S = 36_000.0
+
+
+def sound_servers(
+    servers: Sequence[Backend], tried: frozenset[str], now: float
+) -> Sequence[Backend]:
+    """Return the servers to choose from: untried and unsuspected ones first."""
+    untried = [server for server in servers if server.entry.id not in tried]
+    sound = [server for server in untried if server.suspect_until <= now]
+    return sound or untried or servers
+
+
+def place_plain(servers: Sequence[Backend], data_centre: str, now: float) -> Backend:
+    """Return the server on which a plain request is expected to end first."""
+    return min(servers, key=lambda server: _plain_cost(server, data_centre, now))
+
+
+def place_prompt(
+    servers: Sequence[Backend],
+    subject: str | None,
+    shared_tokens: int,
+    data_centre: str,
+    now: float,
+) -> Backend:
+    """Return the engine on which a prompt is expected to be read first.
+
+    ``subject`` names the last part that other prompts share, and
+    ``shared_tokens`` counts the tokens up to it.
+    """
+    read_s = shared_tokens / READ_TOKENS_PER_S
+    cost_by_id = {
+        server.entry.id: _prompt_cost(server, data_centre, now) for server in servers
+    }
+    if subject is not None:
+        for place, server in enumerate(hash_order(servers, subject)):
+            # The next in order is where the subject's overflow goes, so its
+            # shared parts may well be there.
+            cost_by_id[server.entry.id] += read_s * min(1.0, place * 0.5)
+    return min(servers, key=lambda server: cost_by_id[server.entry.id])
+
+
+def hash_order(servers: Sequence[Backend], subject: str) -> list[Backend]:
+    """Return the servers in the order of their hash with a subject."""
+    return sorted(servers, key=lambda server: _weight(server.entry.id, subject))
+
+
+def _weight(server_id: str, subject: str) -> bytes:
+    return hashlib.blake2b(f"{server_id}/{subject}".encode(), digest_size=8).digest()
+
+
+def _plain_cost(server: Backend, data_centre: str, now: float) -> float:
+    running, waiting = server.load_at(now)
+    cost = (running + 1) * max(server.expected_call_s(), 0.01) + waiting * WAITING_S
+    return cost + _way_s(server, data_centre)
+
+
+def _prompt_cost(server: Backend, data_centre: str, now: float) -> float:
+    running, waiting = server.load_at(now)
+    return running * RUNNING_S + waiting * WAITING_S + _way_s(server, data_centre)
+
+
+def _way_s(server: Backend, data_centre: str) -> float:
+    return 0.0 if server.entry.data_centre == data_centre else ELSEWHERE_S
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/retry_window.py
@@ -0,0 +1,66 @@
+"""Budgets of repeats that all nodes share, by service.
+
+In any window, repeats over all nodes may make up a ratio of the requests plus a
+slack. A node takes the ratio of its own requests and its share of the slack, so
+that the sum over the nodes keeps the limit without a word between them.
+"""
+
+from collections import deque
+from collections.abc import Callable
+
+__all__ = ["RetryWindows"]
+
+# The part of the allowance that is used. Windows slide, and a repeat counts
+# when it arrives, later than it is counted here.
+USED_FRACTION = 0.8
+
+
+class RetryWindows:
+    """The budgets of one node; times are of ``clock``, in seconds.
+
+    ``live_nodes`` is set as nodes come and go.
+    """
+
+    def __init__(
+        self, ratio: float, slack: float, window_s: float, clock: Callable[[], float]
+    ) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._clock = clock
+        self._by_service: dict[str, _Window] = {}
+        self.live_nodes = 1
+
+    def note_request(self, service: str, count: int = 1) -> None:
+        """Count first calls to a service."""
+        self._window(service).requests.append((self._clock(), count))
+
+    def try_spend(self, service: str, count: int = 1) -> bool:
+        """Take repeats from the budget; False where it is used up."""
+        window = self._window(service)
+        since = self._clock() - self._window_s
+        requests = _sum_since(window.requests, since)
+        repeats = _sum_since(window.repeats, since)
+        allowed = self._ratio * requests + self._slack / self.live_nodes
+        if repeats + count > allowed * USED_FRACTION:
+            return False
+        window.repeats.append((self._clock(), count))
+        return True
+
+    def _window(self, service: str) -> "_Window":
+        window = self._by_service.get(service)
+        if window is None:
+            window = self._by_service[service] = _Window()
+        return window
+
+
+class _Window:
+    def __init__(self) -> None:
+        self.requests: deque[tuple[float, int]] = deque()
+        self.repeats: deque[tuple[float, int]] = deque()
+
+
+def _sum_since(entries: deque[tuple[float, int]], since: float) -> int:
+    while entries and entries[0][0] < since:
+        entries.popleft()
+    return sum(count for _, count in entries)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -0,0 +1,48 @@
+"""Chooses the server of a service for a request, from what this node knows."""
+
+import asyncio
+from collections.abc import Callable
+
+from eelgrass_coordination.ids import DataCentre
+
+from ..version.deployment import Deployment, ServiceName
+from .backends import Backend, Backends
+from .placement import place_plain, place_prompt, sound_servers
+
+__all__ = ["ServerChoice"]
+
+
+class ServerChoice:
+    """The choice of one node, which is in ``data_centre``."""
+
+    def __init__(
+        self,
+        backends: Backends,
+        data_centre: DataCentre,
+        deployment: Callable[[], Deployment | None],
+    ) -> None:
+        self._backends = backends
+        self._data_centre = data_centre
+        self._deployment = deployment
+
+    def choose(
+        self,
+        service: ServiceName,
+        subject: str | None,
+        shared_tokens: int,
+        tried: frozenset[str],
+    ) -> Backend | None:
+        """Return a server, or None where the service has none in use.
+
+        ``subject`` names the last part of a prompt that others share, and
+        ``shared_tokens`` counts the tokens up to it.
+        """
+        now = asyncio.get_running_loop().time()
+        servers = sound_servers(self._backends.usable(service), tried, now)
+        if not servers:
+            return None
+        deployment = self._deployment()
+        known = deployment and deployment.service_by_name.get(service)
+        if known and known.model is not None:
+            return place_prompt(servers, subject, shared_tokens, self._data_centre, now)
+        return place_plain(servers, self._data_centre, now)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -0,0 +1,153 @@
+"""Follows one table of the platform's store, through outages and lost history.
+
+The follower reads the table whole, then asks for changes again and again. What
+it has taken in never goes back: a row is taken only with a newer version, and a
+whole read that is older than what is known is not believed.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from ..exceptions import HistoryGone, StoreUnavailable
+from ..log import Part, log
+
+__all__ = ["FollowedTable", "StoredRow", "TableChanges", "TableReader"]
+
+# Between tries while the store does not answer; with jitter, so that the nodes
+# do not all come back together. Short against the 2 s within which a change
+# must be in force.
+RETRY_S = 0.3
+
+
+class StoredRow(msgspec.Struct, frozen=True):
+    """A row of a table; ``value`` is None where the row is gone."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+class TableChanges(msgspec.Struct, frozen=True):
+    """Rows, and the version of the store up to which they are complete."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+class TableReader(Protocol):
+    """What the follower needs of the store."""
+
+    async def read_table(self, table: str) -> TableChanges:
+        """Return all rows of a table; raises :class:`StoreUnavailable`."""
+
+    async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
+        """Return changed rows; raises also :class:`HistoryGone`."""
+
+
+class FollowedTable:
+    """One table of the store, kept up to date by :meth:`run`.
+
+    ``on_rows`` is told the rows that changed. ``on_whole`` is told the keys
+    there are after a whole read, and whether the store had been out of reach
+    before it. ``wait_s`` bounds one wait for changes and ``pause_s`` is how
+    long changes are collected between two calls; both in seconds.
+    """
+
+    def __init__(
+        self,
+        reader: TableReader,
+        table: str,
+        on_rows: Callable[[tuple[StoredRow, ...]], None],
+        on_whole: Callable[[set[str], bool], None],
+        wait_s: float,
+        pause_s: float = 0.0,
+    ) -> None:
+        self._reader = reader
+        self._table = table
+        self._on_rows = on_rows
+        self._on_whole = on_whole
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._version_by_key: dict[str, int] = {}
+        self._version = -1
+        self._whole = False
+        self._asked = asyncio.Event()
+        self.reachable = True
+        self.lost_at = 0.0
+        self.confirmed_at = 0.0
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            try:
+                await self._step()
+                self._note_reached()
+                await self._pause(self._pause_s)
+            except HistoryGone:
+                self._whole = False
+                log(Part.STORE, "The history is gone; reading all.", table=self._table)
+            except StoreUnavailable as error:
+                self._note_lost(error)
+                await self._pause(RETRY_S * random.uniform(0.6, 1.4))
+
+    def hurry(self) -> None:
+        """Ask again at once: somebody knows of a change that is not here yet."""
+        self._asked.set()
+
+    async def _pause(self, seconds: float) -> None:
+        if seconds <= 0:
+            return
+        self._asked.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._asked.wait()
+        except TimeoutError:
+            pass
+
+    async def _step(self) -> None:
+        if self._whole:
+            changes = await self._reader.feed(self._table, self._version, self._wait_s)
+            self._take(changes)
+            return
+        changes = await self._reader.read_table(self._table)
+        if changes.version < self._version:
+            raise StoreUnavailable(self._table, "an old state was read")
+        self._take_whole(changes)
+
+    def _take_whole(self, changes: TableChanges) -> None:
+        self._whole = True
+        keys = {row.key for row in changes.rows}
+        for key in self._version_by_key.keys() - keys:
+            del self._version_by_key[key]
+        self._take(changes)
+        was_lost = not self.reachable
+        self._on_whole(keys, was_lost)
+
+    def _take(self, changes: TableChanges) -> None:
+        news = tuple(row for row in changes.rows if self._is_news(row))
+        self._version = max(self._version, changes.version)
+        if news:
+            self._on_rows(news)
+
+    def _is_news(self, row: StoredRow) -> bool:
+        if row.version <= self._version_by_key.get(row.key, -1):
+            return False
+        self._version_by_key[row.key] = row.version
+        return True
+
+    def _note_reached(self) -> None:
+        self.confirmed_at = asyncio.get_running_loop().time()
+        if not self.reachable:
+            self.reachable = True
+            lost_s = self.confirmed_at - self.lost_at
+            log(Part.STORE, "Reached again.", table=self._table, lost_s=lost_s)
+
+    def _note_lost(self, error: StoreUnavailable) -> None:
+        if self.reachable:
+            self.reachable = False
+            self.lost_at = asyncio.get_running_loop().time()
+            log(Part.STORE, "Lost.", table=self._table, error=str(error))
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/accept.py
@@ -0,0 +1,140 @@
+"""Accepts callers' requests: reads them whole, and finds route and account."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from aiohttp import web
+
+from ..exceptions import CallerGone, RequestMalformed
+from ..log import Part, log
+from ..process.deployments import DeploymentInForce
+from ..process.stopping import Stopping
+from ..version.deployment import Deployment, Route
+from .answering import CallerAnswer
+from .arrival import Arrival, Routed, WireCodec
+from .routed import ANSWER_MARGIN_S, RoutedRequest, ServingParts
+
+__all__ = ["Acceptance"]
+
+START_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.1
+# The deadline of a caller that names none, where its route gives none.
+DEFAULT_DEADLINE_S = 30.0
+HTTP_BAD_REQUEST = 400
+HTTP_UNAUTHORIZED = 401
+HTTP_NOT_FOUND = 404
+HTTP_TOO_LARGE = 413
+HTTP_UNAVAILABLE = 503
+HTTP_INTERNAL_ERROR = 500
+
+
+class Acceptance:
+    """Handles callers' requests for one process."""
+
+    def __init__(
+        self,
+        codec: WireCodec,
+        deployments: DeploymentInForce,
+        parts: ServingParts,
+        stopping: Stopping,
+        count: Callable[[str], None],
+    ) -> None:
+        self._codec = codec
+        self._deployments = deployments
+        self._parts = parts
+        self._stopping = stopping
+        self._count = count
+        self._random = random.Random()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        arrived_at = _now()
+        answer = CallerAnswer(request, self._stopping.stopping)
+        with self._stopping.in_flight():
+            try:
+                return await self._handle(request, answer, arrived_at)
+            except CallerGone:
+                self._count("caller.gone")
+                return answer.nothing()
+            except asyncio.CancelledError:
+                self._count("caller.gone")
+                raise
+            except Exception as error:  # noqa: BLE001
+                log(Part.CALLERS, "A request failed.", error=repr(error))
+                self._count("refusal.internal-error")
+                return answer.refusal(HTTP_INTERNAL_ERROR, "an error of the node")
+
+    async def _handle(
+        self, request: web.BaseRequest, answer: CallerAnswer, arrived_at: float
+    ) -> web.StreamResponse:
+        deployment = self._deployments.current
+        if deployment is None:
+            self._count("refusal.not-configured")
+            return answer.refusal(HTTP_UNAVAILABLE, "not configured yet", START_RETRY_S)
+        if self._stopping.refusing:
+            self._count("refusal.node-stopping")
+            return answer.refusal(HTTP_UNAVAILABLE, "stopping", STOPPING_RETRY_S)
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return answer.refusal(HTTP_TOO_LARGE, "the body is too large")
+        if len(body) > deployment.limits.max_body_bytes:
+            self._count("refusal.body-too-large")
+            return answer.refusal(HTTP_TOO_LARGE, "the body is too large")
+        try:
+            arrival = self._codec.decode_arrival(
+                request.method, request.raw_path, request.raw_headers, body, arrived_at
+            )
+        except RequestMalformed as error:
+            self._count("refusal.malformed")
+            return answer.refusal(HTTP_BAD_REQUEST, str(error))
+        return await self._route(arrival, answer)
+
+    async def _route(
+        self, arrival: Arrival, answer: CallerAnswer
+    ) -> web.StreamResponse:
+        # Read again: a newer version may have come while the body was read.
+        deployment = self._deployments.current
+        route = deployment.match(arrival.host, arrival.target.partition("?")[0])
+        if route is None:
+            self._log_refused(arrival, deployment, "no route")
+            return answer.refusal(HTTP_NOT_FOUND, "no such route")
+        account = None
+        if deployment.has_accounts and not route.public:
+            account = deployment.account_by_key.get(arrival.api_key or "")
+            if account is None:
+                self._log_refused(arrival, deployment, "unknown key")
+                return answer.refusal(HTTP_UNAUTHORIZED, "unknown key")
+        routed = self._routed(arrival, route, deployment, account)
+        return await RoutedRequest(self._parts, routed, answer).serve()
+
+    def _routed(self, arrival, route: Route, deployment: Deployment, account) -> Routed:
+        wait_s = arrival.caller_deadline_s
+        if wait_s is None:
+            wait_s = DEFAULT_DEADLINE_S
+        limit_s = min(wait_s - ANSWER_MARGIN_S, route.timeout_s)
+        return Routed(
+            arrival=arrival,
+            route=route,
+            service=route.pick_service(self._random),
+            account=account,
+            deadline=arrival.arrived_at + max(0.0, limit_s),
+            due=arrival.arrived_at + route.target_s,
+        )
+
+    def _log_refused(
+        self, arrival: Arrival, deployment: Deployment, reason: str
+    ) -> None:
+        self._count(f"refusal.{reason.replace(' ', '-')}")
+        log(
+            Part.REQUESTS,
+            "Refused.",
+            id=arrival.request_id,
+            reason=reason,
+            version=deployment.number,
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/arrival.py
@@ -0,0 +1,138 @@
+"""A caller's request for a route, and the codec that the adapter supplies.
+
+Bodies, targets and foreign headers are kept byte for byte. All times are on
+the clock of the event loop, in seconds.
+"""
+
+from typing import Protocol
+
+import msgspec
+from multidict import CIMultiDict
+
+from ..version.deployment import AccountGrant, Route, ServiceName
+
+__all__ = [
+    "Arrival",
+    "EngineHead",
+    "PromptPart",
+    "PromptShape",
+    "Routed",
+    "WireCodec",
+]
+
+
+class PromptPart(msgspec.Struct, frozen=True):
+    """A part of a prompt that other requests may share, with its tokens."""
+
+    id: str
+    tokens: int
+
+
+class PromptShape(msgspec.Struct, frozen=True):
+    """The parts of a prompt in order, and the tokens in and out at most."""
+
+    parts: tuple[PromptPart, ...] = ()
+    tokens_in: int = 0
+    tokens_out: int = 0
+
+    def shared_part(self) -> str | None:
+        """Return the id of the last part that other requests may share."""
+        if len(self.parts) < 2:
+            return None
+        return self.parts[-2].id
+
+    def shared_tokens(self) -> int:
+        """Return the tokens of all parts but the request's own."""
+        return sum(part.tokens for part in self.parts[:-1])
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """What a caller sent, decoded once.
+
+    ``caller_deadline_s`` is how long the caller waits from ``arrived_at``, None
+    where it does not say. ``piece_counts`` holds the pieces of each stage.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    arrived_at: float
+    caller_deadline_s: float | None
+    api_key: str | None
+    last_event_id: str | None
+    piece_counts: tuple[int, ...]
+    piece_key: str
+    prompt: PromptShape
+
+
+class Routed(msgspec.Struct, frozen=True):
+    """An arrival with the route, service and account that it was given.
+
+    ``deadline`` is when the caller must have its answer, ``due`` when the
+    answer earns its full credit; both on the clock of the event loop.
+    """
+
+    arrival: Arrival
+    route: Route
+    service: ServiceName
+    account: AccountGrant | None
+    deadline: float
+    due: float
+
+    @property
+    def priority(self) -> int:
+        """The rank of the request; 0 is the most urgent."""
+        account = self.account
+        if account is not None and account.priority is not None:
+            return account.priority
+        return self.route.priority
+
+
+class EngineHead(msgspec.Struct, frozen=True):
+    """The head of a backend server's answer, decoded once.
+
+    ``not_run`` says that the server promises not to have run the request and
+    ``closes`` that it will close the connection. ``load`` is running, waiting
+    and slots, where the server tells.
+    """
+
+    status: int
+    request_id: str | None
+    server_id: str | None
+    signed: bool
+    not_run: bool
+    closes: bool
+    load: tuple[int, int, int] | None
+    headers: CIMultiDict[str]
+
+
+class WireCodec(Protocol):
+    """What the adapter does for a request."""
+
+    def decode_arrival(
+        self,
+        method: str,
+        target: str,
+        raw_headers: tuple[tuple[bytes, bytes], ...],
+        body: bytes,
+        arrived_at: float,
+    ) -> Arrival:
+        """Decode a caller's request; raises :class:`RequestMalformed`."""
+
+    def encode_request(
+        self,
+        routed: Routed,
+        server_id: str,
+        deadline_s: float,
+        inputs: tuple[str, ...],
+        last_event_id: str | None,
+    ) -> CIMultiDict[str]:
+        """Return the headers towards a backend server."""
+
+    def decode_head(
+        self, status: int, raw_headers: tuple[tuple[bytes, bytes], ...]
+    ) -> EngineHead:
+        """Decode the head of a backend server's answer."""
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -0,0 +1,178 @@
+"""One call of a routed request to one backend server, and what became of it.
+
+A call is NOT_RUN only where no connection came about, or where the server
+promises that it did not run the request. Whatever else fails once bytes may
+have left the node MAY_HAVE_RUN.
+"""
+
+import asyncio
+from enum import Enum
+
+import aiohttp
+import msgspec
+
+from ..exceptions import CallFailed
+from ..process.backends import Backend
+from .arrival import EngineHead, Routed, WireCodec
+from .reasons import RetryReason
+
+__all__ = ["CallEnd", "EngineCall", "Reply", "failure_of"]
+
+# A connection comes about in a few milliseconds, or its first packet was lost.
+CONNECT_S = 0.4
+HTTP_CONFLICT = 409
+HTTP_MISDIRECTED = 421
+
+
+class CallEnd(Enum):
+    """What is known of a call that has no answer to pass on."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A whole answer that the server gave and signed."""
+
+    head: EngineHead
+    body: bytes
+
+
+class EngineCall:
+    """A call under way; leave it with :meth:`close` whatever happened.
+
+    ``silence_s`` bounds the wait for the head of the answer, in seconds.
+    """
+
+    def __init__(
+        self,
+        codec: WireCodec,
+        routed: Routed,
+        backend: Backend,
+        inputs: tuple[str, ...],
+        silence_s: float,
+    ) -> None:
+        self._codec = codec
+        self._routed = routed
+        self._backend = backend
+        self._inputs = inputs
+        self._silence_s = silence_s
+        self._response: aiohttp.ClientResponse | None = None
+        self._closed: asyncio.Future | None = None
+
+    async def open(self, last_event_id: str | None = None) -> EngineHead:
+        """Send the request and return the head of a signed answer to it.
+
+        Raises :class:`CallFailed` where there is none.
+        """
+        response = await self._send(last_event_id)
+        self._response = response
+        if response.connection is not None and response.connection.protocol is not None:
+            self._closed = response.connection.protocol.closed
+        head = self._codec.decode_head(response.status, response.raw_headers)
+        self._check(head)
+        return head
+
+    async def read(self) -> bytes:
+        """Read the whole body; raises :class:`CallFailed` where it breaks off."""
+        try:
+            async with asyncio.timeout(self._remaining()):
+                body = await self._response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise failure_of(error) from error
+        self.check_whole()
+        return body
+
+    async def read_some(self, within_s: float) -> bytes:
+        """Return the next bytes of the body, none at its end.
+
+        Raises :class:`CallFailed` where it breaks off or falls silent.
+        """
+        try:
+            async with asyncio.timeout(min(within_s, self._remaining())):
+                data = await self._response.content.readany()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise failure_of(error) from error
+        if not data:
+            self.check_whole()
+        return data
+
+    def check_whole(self) -> None:
+        """Raise :class:`CallFailed` where the end of the body was a reset.
+
+        A body without a length ends with its connection. The client library
+        takes every end for a good one there.
+        """
+        closed = self._closed
+        if closed is None or not closed.done() or closed.cancelled():
+            return
+        if closed.exception() is not None and not self._has_length():
+            raise CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
+
+    def close(self) -> None:
+        """Give the connection back, or close it where the answer is not read."""
+        if self._closed is not None and self._closed.done():
+            # Its error was looked at where it matters.
+            self._closed.exception()
+        if self._response is not None:
+            self._response.close()
+
+    async def _send(self, last_event_id: str | None) -> aiohttp.ClientResponse:
+        routed = self._routed
+        remaining_s = self._remaining()
+        headers = self._codec.encode_request(
+            routed, self._backend.entry.id, remaining_s, self._inputs, last_event_id
+        )
+        arrival = routed.arrival
+        context = self._backend.connections.request(
+            arrival.method,
+            arrival.target,
+            headers,
+            arrival.body,
+            connect_s=min(CONNECT_S, remaining_s),
+            reuse=routed.route.repeatable,
+        )
+        try:
+            async with asyncio.timeout(min(self._silence_s, remaining_s)):
+                return await context
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            raise failure_of(error) from error
+
+    def _check(self, head: EngineHead) -> None:
+        if head.request_id is None and head.not_run:
+            raise CallFailed(_refusal_reason(head), not_run=True)
+        if head.request_id != self._routed.arrival.request_id:
+            raise CallFailed(RetryReason.WRONG_ATTEMPT, not_run=False)
+        if head.not_run:
+            raise CallFailed(_refusal_reason(head), not_run=True)
+        if not head.signed or "Content-Encoding" in head.headers:
+            raise CallFailed(RetryReason.BAD_ANSWER, not_run=False)
+
+    def _has_length(self) -> bool:
+        headers = self._response.headers
+        return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+    def _remaining(self) -> float:
+        now = asyncio.get_running_loop().time()
+        return max(0.001, self._routed.deadline - now)
+
+
+def failure_of(error: Exception) -> CallFailed:
+    """Return what a failure of the client library says about a call."""
+    if isinstance(
+        error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+    ):
+        return CallFailed(RetryReason.CONNECT_FAILED, not_run=True)
+    if isinstance(error, TimeoutError):
+        return CallFailed(RetryReason.CONNECTION_SILENT, not_run=False)
+    if isinstance(error, (aiohttp.ClientResponseError, ValueError)):
+        return CallFailed(RetryReason.BAD_ANSWER, not_run=False)
+    return CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
+
+
+def _refusal_reason(head: EngineHead) -> RetryReason:
+    if head.status == HTTP_MISDIRECTED:
+        return RetryReason.BACKEND_REPLACED
+    if head.status == HTTP_CONFLICT:
+        return RetryReason.INPUT_GONE
+    return RetryReason.BACKEND_OVERLOADED
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -0,0 +1,128 @@
+"""Runs the stages that a request needs before it itself can run.
+
+Stages form a graph: each begins when the results of those before it are there,
+and gets the handles of all their pieces. A result that is gone is made again.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from ..exceptions import StagesFailed
+from ..process.pieces import Piece, PieceOutcome, PieceTrouble
+from ..version.deployment import PieceStage, ServiceName
+from .arrival import Routed
+
+__all__ = ["RunPieces", "StageGraph", "StagePlan"]
+
+RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
+
+# How often lost results are made again before the request is given up.
+MAX_ROUNDS = 2
+
+
+class StagePlan(msgspec.Struct, frozen=True):
+    """When each stage of a request should be done, by its number."""
+
+    due_by_stage: tuple[float, ...]
+
+
+class StageGraph:
+    """The stages of one request; results are kept by stage and piece."""
+
+    def __init__(self, routed: Routed, plan: StagePlan, run_pieces: RunPieces) -> None:
+        self._routed = routed
+        self._plan = plan
+        self._run_pieces = run_pieces
+        self._handle_by_piece: dict[tuple[int, int], str] = {}
+
+    @property
+    def handles(self) -> list[str]:
+        """All results made so far."""
+        return list(self._handle_by_piece.values())
+
+    async def run(self) -> tuple[str, ...]:
+        """Make what is missing; return the handles for the request itself.
+
+        Raises :class:`StagesFailed`.
+        """
+        for _ in range(MAX_ROUNDS):
+            try:
+                await self._run_missing()
+                return self._inputs_of(self._routed.route.final_stages())
+            except _ResultsGone:
+                self.forget()
+        raise StagesFailed(PieceTrouble.INPUT_GONE, 0.0)
+
+    def forget(self) -> None:
+        """Drop all results, which a server said are gone."""
+        self._handle_by_piece.clear()
+
+    async def _run_missing(self) -> None:
+        done = [asyncio.Event() for _ in self._routed.route.stages]
+        try:
+            async with asyncio.TaskGroup() as group:
+                for number, stage in enumerate(self._routed.route.stages):
+                    group.create_task(self._run_stage(number, stage, done))
+        except ExceptionGroup as failures:
+            raise failures.exceptions[0] from None
+
+    async def _run_stage(
+        self, number: int, stage: PieceStage, done: list[asyncio.Event]
+    ) -> None:
+        for before in stage.after:
+            await done[before].wait()
+        missing = [
+            piece
+            for piece in range(self._count(number))
+            if (number, piece) not in self._handle_by_piece
+        ]
+        if missing:
+            pieces = [self._piece(number, stage, piece) for piece in missing]
+            outcomes = await self._run_pieces(stage.service, pieces)
+            self._take(number, missing, outcomes)
+        done[number].set()
+
+    def _take(
+        self, number: int, missing: list[int], outcomes: list[PieceOutcome]
+    ) -> None:
+        for piece, outcome in zip(missing, outcomes, strict=True):
+            if outcome.handle is not None:
+                self._handle_by_piece[number, piece] = outcome.handle
+        troubles = [outcome for outcome in outcomes if outcome.trouble is not None]
+        if not troubles:
+            return
+        if any(o.trouble is PieceTrouble.INPUT_GONE for o in troubles):
+            raise _ResultsGone
+        first = troubles[0]
+        raise StagesFailed(first.trouble, first.retry_after_s)
+
+    def _piece(self, number: int, stage: PieceStage, piece: int) -> Piece:
+        routed = self._routed
+        return Piece(
+            request_id=routed.arrival.request_id,
+            stage=number,
+            number=piece,
+            key=None if stage.after else routed.arrival.piece_key,
+            inputs=self._inputs_of(stage.after),
+            deadline=routed.deadline,
+            due=self._plan.due_by_stage[number],
+            priority=routed.priority,
+            result_bytes=stage.result_bytes,
+        )
+
+    def _inputs_of(self, stages: tuple[int, ...]) -> tuple[str, ...]:
+        return tuple(
+            self._handle_by_piece[stage, piece]
+            for stage in stages
+            for piece in range(self._count(stage))
+        )
+
+    def _count(self, stage: int) -> int:
+        counts = self._routed.arrival.piece_counts
+        return counts[stage] if stage < len(counts) else 0
+
+
+class _ResultsGone(Exception):
+    """A result that a stage needs is no longer there."""
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -68,6 +68,9 @@
     STREAM_CUT = "stream_cut"
     TOO_SLOW = "too_slow"
     CANCELLED_BY_BACKEND = "cancelled_by_backend"
+    BACKEND_REPLACED = "backend_replaced"
+    INPUT_GONE = "input_gone"
+    BACKEND_ERROR = "backend_error"
 
 
 class DiscardReason(Enum):
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -0,0 +1,279 @@
+"""The walk of one routed request: decide, run its stages, call, answer.
+
+There is one layer of repeats, and it is here. A call that surely did not run is
+made again elsewhere; one that may have run only where the route allows it. Both
+draw on the budget that all nodes share.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+
+from ..exceptions import CallFailed, RequestRefused, StagesFailed
+from ..log import Part, log
+from ..process.backends import Backend
+from ..process.pieces import PieceTrouble
+from ..process.retry_window import RetryWindows
+from ..version.deployment import RouteKind, ServiceName
+from .answering import CallerAnswer
+from .arrival import EngineHead, Routed, WireCodec
+from .events import EventSplitter
+from .exchange import EngineCall, Reply
+from .graph import RunPieces, StageGraph, StagePlan
+from .reasons import RetryReason
+
+__all__ = ["RoutedRequest", "ServingParts"]
+
+# Calls that a server refuses unrun, or that never reached one, a request.
+MAX_REFUSED_CALLS = 4
+# The wait for the head of an answer, where another server may be asked: well
+# over the time that a queue and a long prompt take when all is well.
+STREAM_SILENCE_S = 2.5
+PLAIN_SILENCE_S = 1.2
+# A stream that may go on elsewhere is given up after this pause: callers leave
+# after 2 s or more, and a pause over 0.8 s is late already.
+STREAM_GAP_S = 1.8
+# Time kept back, so that the answer reaches the caller before its deadline.
+ANSWER_MARGIN_S = 0.03
+RETRY_NO_SERVER_S = 0.5
+RETRY_FULL_S = 0.4
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+HTTP_GATEWAY_TIMEOUT = 504
+SERVER_ERROR = 500
+
+
+class ServingParts(msgspec.Struct, frozen=True):
+    """What the process lends to a request.
+
+    ``choose`` picks a server of a service for a prompt with a shared part and
+    its tokens, rather not one of those tried; ``plan`` says when the stages of
+    a request should be done.
+    """
+
+    codec: WireCodec
+    choose: Callable[[ServiceName, str | None, int, frozenset[str]], Backend | None]
+    plan: Callable[[Routed], StagePlan]
+    run_pieces: RunPieces
+    free_results: Callable[[list[str]], None]
+    retries: RetryWindows
+    note_load: Callable[[Backend, EngineHead], None]
+    server_gone: Callable[[Backend], None]
+    count: Callable[[str], None]
+
+
+class RoutedRequest:
+    """One request on its way; :meth:`serve` returns its answer."""
+
+    def __init__(
+        self, parts: ServingParts, routed: Routed, answer: CallerAnswer
+    ) -> None:
+        self._parts = parts
+        self._routed = routed
+        self._answer = answer
+        self._tried: frozenset[str] = frozenset()
+        self._runs = 0
+        self._refused_calls = 0
+        self._may_have_run = False
+        self._calling = False
+        self._last_reply: Reply | None = None
+        self._events = EventSplitter(routed.arrival.last_event_id)
+        self._graph = StageGraph(routed, parts.plan(routed), parts.run_pieces)
+
+    async def serve(self) -> web.StreamResponse:
+        """Serve the request; raises :class:`CallerGone` where nobody waits."""
+        self._parts.retries.note_request(self._routed.service)
+        try:
+            async with asyncio.timeout_at(self._routed.deadline):
+                return await self._serve()
+        except TimeoutError:
+            return self._timed_out()
+        except RequestRefused as refused:
+            return self._refuse(refused)
+        finally:
+            self._free_results()
+
+    async def _serve(self) -> web.StreamResponse:
+        inputs = await self._run_stages()
+        while True:
+            backend = self._choose()
+            backend.in_flight += 1
+            self._calling = True
+            try:
+                return await self._call(backend, inputs)
+            except CallFailed as failed:
+                self._calling = False
+                self._note_failure(backend, failed)
+                self._check_again(failed)
+                if failed.reason is RetryReason.INPUT_GONE:
+                    self._graph.forget()
+                    inputs = await self._run_stages()
+            finally:
+                backend.in_flight -= 1
+
+    async def _run_stages(self) -> tuple[str, ...]:
+        if not self._routed.route.stages:
+            return ()
+        try:
+            return await self._graph.run()
+        except StagesFailed as failed:
+            raise RequestRefused(
+                f"stages: {failed.trouble.value}",
+                max(failed.retry_after_s, RETRY_FULL_S),
+                overloaded=failed.trouble is PieceTrouble.OVERLOADED,
+            ) from failed
+
+    def _choose(self) -> Backend:
+        routed = self._routed
+        prompt = routed.arrival.prompt
+        backend = self._parts.choose(
+            routed.service, prompt.shared_part(), prompt.shared_tokens(), self._tried
+        )
+        if backend is None:
+            raise RequestRefused("no server of the service", RETRY_NO_SERVER_S)
+        return backend
+
+    async def _call(
+        self, backend: Backend, inputs: tuple[str, ...]
+    ) -> web.StreamResponse:
+        routed = self._routed
+        call = EngineCall(self._parts.codec, routed, backend, inputs, self._silence_s())
+        began = _now()
+        try:
+            head = await call.open(self._events.last_id)
+            self._parts.note_load(backend, head)
+            if routed.route.kind is RouteKind.STREAM and head.status < 300:
+                return await self._relay(call, head, backend)
+            reply = Reply(head, await call.read())
+        finally:
+            call.close()
+        if head.status >= SERVER_ERROR and routed.route.repeatable:
+            self._last_reply = reply
+            raise CallFailed(RetryReason.BACKEND_ERROR, not_run=False)
+        backend.note_call(_now() - began)
+        backend.note_taken()
+        return self._answer.whole(reply)
+
+    async def _relay(
+        self, call: EngineCall, head: EngineHead, backend: Backend
+    ) -> web.StreamResponse:
+        await self._answer.begin(head)
+        gap_s = STREAM_GAP_S if self._routed.route.resumable else float("inf")
+        first = True
+        while True:
+            data = await call.read_some(gap_s)
+            if first and data:
+                first = False
+                # The server has fetched what it needs of the stages.
+                self._free_results()
+            if not data:
+                break
+            await self._answer.write(self._events.feed(data))
+        if self._events.partial:
+            raise CallFailed(RetryReason.STREAM_CUT, not_run=False)
+        backend.note_taken()
+        return await self._answer.end()
+
+    def _note_failure(self, backend: Backend, failed: CallFailed) -> None:
+        self._tried |= {backend.entry.id}
+        self._events.restart()
+        if failed.not_run:
+            self._refused_calls += 1
+        else:
+            self._runs += 1
+            self._may_have_run = True
+        if failed.reason is RetryReason.BACKEND_REPLACED:
+            self._parts.server_gone(backend)
+        elif failed.reason in _SUSPICIOUS:
+            backend.suspect()
+        if failed.reason is RetryReason.CONNECTION_SILENT:
+            backend.connections.replace()
+        log(
+            Part.REQUESTS,
+            "A call failed.",
+            id=self._routed.arrival.request_id,
+            route=self._routed.route.name,
+            backend=backend.entry.id,
+            reason=failed.reason.value,
+            not_run=failed.not_run,
+        )
+
+    def _check_again(self, failed: CallFailed) -> None:
+        """Raise :class:`RequestRefused` where the request may not be repeated."""
+        routed = self._routed
+        reason = failed.reason.value
+        if not failed.not_run:
+            if not routed.route.repeatable:
+                raise RequestRefused(f"may have run: {reason}")
+            if self._runs >= routed.route.max_attempts:
+                raise RequestRefused(f"attempts used up: {reason}", RETRY_FULL_S)
+        elif self._refused_calls >= MAX_REFUSED_CALLS:
+            raise RequestRefused(f"refused by servers: {reason}", RETRY_FULL_S)
+        if not self._parts.retries.try_spend(routed.service):
+            raise RequestRefused(f"retry budget spent: {reason}", RETRY_FULL_S)
+        self._parts.count(f"retry.{reason}")
+
+    def _silence_s(self) -> float:
+        """Return how long a server may take before another one is asked."""
+        route = self._routed.route
+        if not route.repeatable or self._runs + 1 >= route.max_attempts:
+            return float("inf")
+        if route.kind is RouteKind.STREAM:
+            return STREAM_SILENCE_S
+        return PLAIN_SILENCE_S
+
+    def _timed_out(self) -> web.StreamResponse:
+        self._log_end("The deadline passed.")
+        self._parts.count("refusal.deadline-passed")
+        if self._may_have_run or self._calling:
+            return self._answer.refusal(HTTP_GATEWAY_TIMEOUT, "the deadline passed")
+        return self._answer.refusal(HTTP_UNAVAILABLE, "no server in time", RETRY_FULL_S)
+
+    def _refuse(self, refused: RequestRefused) -> web.StreamResponse:
+        self._log_end("Refused.", reason=refused.reason)
+        if self._last_reply is not None and not self._answer.begun:
+            # What a server answered is worth more than a refusal of our own.
+            return self._answer.whole(self._last_reply)
+        if self._may_have_run:
+            self._parts.count("refusal.may-have-run")
+            return self._answer.refusal(HTTP_BAD_GATEWAY, refused.reason)
+        self._parts.count("refusal.not-run")
+        retry_after_s = refused.retry_after_s or RETRY_FULL_S
+        return self._answer.refusal(HTTP_UNAVAILABLE, refused.reason, retry_after_s)
+
+    def _log_end(self, sentence: str, **fields: object) -> None:
+        routed = self._routed
+        log(
+            Part.REQUESTS,
+            sentence,
+            id=routed.arrival.request_id,
+            route=routed.route.name,
+            runs=self._runs,
+            refused_calls=self._refused_calls,
+            may_have_run=self._may_have_run,
+            took_s=round(_now() - routed.arrival.arrived_at, 3),
+            **fields,
+        )
+
+    def _free_results(self) -> None:
+        handles = self._graph.handles
+        if handles:
+            self._graph.forget()
+            self._parts.free_results(handles)
+
+
+# After these a server is left alone for a while; one that is only full is not.
+_SUSPICIOUS = frozenset(
+    (
+        RetryReason.CONNECT_FAILED,
+        RetryReason.CONNECTION_LOST,
+        RetryReason.CONNECTION_SILENT,
+        RetryReason.BAD_ANSWER,
+    )
+)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/node/src/eelgrass_node/version/deployment.py
@@ -0,0 +1,164 @@
+"""One configuration of the users' platform: routes, services, client accounts.
+
+A configuration is never changed once it is decoded; a newer one replaces it
+whole. All durations are in seconds.
+
+Example::
+
+    match = deployment.match("pule25.example", "/puxa400/2f")
+    if match is not None:
+        service = deployment.service_by_name[match.services[0].name]
+"""
+
+import random
+from enum import Enum
+from typing import NewType
+
+import msgspec
+
+__all__ = [
+    "AccountGrant",
+    "CallerLimits",
+    "Deployment",
+    "ModelLimits",
+    "PieceLimits",
+    "PieceStage",
+    "Route",
+    "RouteKind",
+    "Service",
+    "ServiceName",
+    "WeightedService",
+]
+
+ServiceName = NewType("ServiceName", str)
+
+
+class RouteKind(Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+class WeightedService(msgspec.Struct, frozen=True):
+    """A service with its share of a route's requests, as a positive weight."""
+
+    name: ServiceName
+    weight: float = 1.0
+
+
+class PieceStage(msgspec.Struct, frozen=True):
+    """A stage that must have run before a request can.
+
+    ``after`` holds the numbers of the stages whose results it needs;
+    ``result_bytes`` is the approximate size of the result of one piece.
+    """
+
+    service: ServiceName
+    after: tuple[int, ...]
+    result_bytes: int
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where the requests for one host and path prefix go, and how.
+
+    ``priority`` 0 is the most urgent. ``resumable`` says that a broken stream
+    may go on at another backend server.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_s: float
+    gap_target_s: float
+    priority: int
+    services: tuple[WeightedService, ...]
+    max_attempts: int
+    stages: tuple[PieceStage, ...]
+    public: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run can be sent again."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+    def pick_service(self, randomness: random.Random) -> ServiceName:
+        """Return one of the services, by weight."""
+        if len(self.services) == 1:
+            return self.services[0].name
+        weights = [service.weight for service in self.services]
+        return randomness.choices(self.services, weights)[0].name
+
+    def final_stages(self) -> tuple[int, ...]:
+        """Return the stages that no other stage follows."""
+        followed = {before for stage in self.stages for before in stage.after}
+        return tuple(n for n in range(len(self.stages)) if n not in followed)
+
+
+class ModelLimits(msgspec.Struct, frozen=True):
+    """What one model engine holds: concurrent requests and tokens of memory."""
+
+    slots: int
+    memory_tokens: int
+
+
+class PieceLimits(msgspec.Struct, frozen=True):
+    """What one backend server that runs stages takes.
+
+    ``slots`` calls run at a time, ``queue`` more may wait, each with up to
+    ``batch`` pieces. A call takes ``call_s`` and about ``piece_s`` a piece.
+    Results take up ``memory_bytes`` in all and live for ``result_life_s``.
+    """
+
+    slots: int
+    queue: int
+    batch: int
+    call_s: float
+    piece_s: float
+    memory_bytes: float
+    result_life_s: float
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A service and the limits that hold for each of its backend servers."""
+
+    name: ServiceName
+    max_connections: int
+    model: ModelLimits | None = None
+    pieces: PieceLimits | None = None
+
+
+class AccountGrant(msgspec.Struct, frozen=True):
+    """The client account that an API key stands for."""
+
+    name: str
+    priority: int | None = None
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What a caller may send, and how long a connection may be idle."""
+
+    max_body_bytes: int
+    idle_s: float
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """A whole configuration; ``number`` grows with each newer one."""
+
+    number: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    service_by_name: dict[ServiceName, Service]
+    account_by_key: dict[str, AccountGrant]
+    has_accounts: bool
+    limits: CallerLimits
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, if there is one."""
+        routes = self.routes_by_host.get(host.lower(), ())
+        return next((r for r in routes if path.startswith(r.prefix)), None)
