--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -15,6 +15,7 @@
 from .members import Member, MemberState
 from .membership import Membership
 from .messages import Exchange, Mark
+from .rendezvous import ranked
 from .snapshots import ObjectStore, SnapshotStore
 from .table import (
     Condition,
@@ -60,5 +61,6 @@
     "Transaction",
     "TransactionResult",
     "Write",
+    "ranked",
     "share_of_limit",
 ]
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -0,0 +1,200 @@
+"""Hands pieces to the node that holds the queue of their service.
+
+The owner says at once that it has taken them, with the wait that it expects,
+and later what became of them. A node that hears nothing within a short bound
+knows that the owner is dead, frozen or cut off, and goes on without it.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from ..exceptions import PeerUnreachable
+from ..process.pieces import Piece, PieceOutcome
+from ..version.deployment import ServiceName
+from .sockets import open_socket
+
+__all__ = ["HandoffClient", "HandoffInterface"]
+
+PIECES_PATH = "/peer/v1/pieces"
+FREE_PATH = "/peer/v1/results/free"
+CONNECT_S = 0.15
+# Two ways between data centres take 3 ms, and a busy node some 10 ms more.
+ACCEPT_S = 0.15
+# The bound on the outcome, beyond the wait that the owner expects: several
+# tries of a call at slow servers.
+OUTCOME_S = 2.5
+KEEP_ALIVE_S = 60.0
+
+RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
+
+
+class _SentPiece(msgspec.Struct, omit_defaults=True):
+    """A piece between nodes; times are what is left, in seconds."""
+
+    request_id: str
+    stage: int
+    number: int
+    deadline_in_s: float
+    due_in_s: float
+    priority: int
+    result_bytes: int
+    key: str | None = None
+    inputs: tuple[str, ...] = ()
+    near: str = ""
+
+
+class _Handoff(msgspec.Struct):
+    service: ServiceName
+    pieces: list[_SentPiece]
+
+
+class _Accepted(msgspec.Struct):
+    expected_s: float
+
+
+class _Done(msgspec.Struct):
+    outcomes: list[PieceOutcome]
+
+
+class _FreeResults(msgspec.Struct):
+    service: ServiceName
+    handles: list[str]
+
+
+class HandoffClient:
+    """Hands pieces to other nodes, at their internal addresses."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=KEEP_ALIVE_S,
+                use_dns_cache=False,
+                socket_factory=open_socket,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+        )
+
+    async def run(
+        self, address: str, service: ServiceName, pieces: list[Piece]
+    ) -> list[PieceOutcome]:
+        """Have pieces run by another node; raises :class:`PeerUnreachable`."""
+        now = asyncio.get_running_loop().time()
+        body = msgspec.json.encode(
+            _Handoff(service, [_sent(piece, now) for piece in pieces])
+        )
+        try:
+            async with asyncio.timeout(ACCEPT_S) as bound:
+                async with self._session.post(
+                    f"http://{address}{PIECES_PATH}", data=body, allow_redirects=False
+                ) as response:
+                    line = await response.content.readline()
+                    accepted = msgspec.json.decode(line, type=_Accepted)
+                    bound.reschedule(
+                        asyncio.get_running_loop().time()
+                        + accepted.expected_s
+                        + OUTCOME_S
+                    )
+                    line = await response.content.readline()
+            outcomes = msgspec.json.decode(line, type=_Done).outcomes
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+            raise PeerUnreachable(address, repr(e)) from e
+        if len(outcomes) != len(pieces):
+            raise PeerUnreachable(address, "outcomes do not fit the pieces")
+        return outcomes
+
+    async def free(
+        self, address: str, service: ServiceName, handles: list[str]
+    ) -> None:
+        """Have results freed by another node; raises :class:`PeerUnreachable`."""
+        body = msgspec.json.encode(_FreeResults(service, handles))
+        try:
+            async with (
+                asyncio.timeout(ACCEPT_S),
+                self._session.post(
+                    f"http://{address}{FREE_PATH}", data=body, allow_redirects=False
+                ) as response,
+            ):
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as e:
+            raise PeerUnreachable(address, repr(e)) from e
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+
+class HandoffInterface:
+    """Takes pieces from other nodes, for the queues of this one."""
+
+    def __init__(
+        self,
+        run: RunPieces,
+        expected_s: Callable[[ServiceName, list[Piece]], float],
+        free: Callable[[ServiceName, list[str]], None],
+    ) -> None:
+        self._run = run
+        self._expected_s = expected_s
+        self._free = free
+        self._decoder = msgspec.json.Decoder(_Handoff)
+
+    async def handle_pieces(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``POST /peer/v1/pieces``: accepted, then the outcomes."""
+        handoff = self._decoder.decode(await request.read())
+        now = asyncio.get_running_loop().time()
+        pieces = [_received(sent, now) for sent in handoff.pieces]
+        response = web.StreamResponse()
+        await response.prepare(request)
+        accepted = _Accepted(self._expected_s(handoff.service, pieces))
+        await response.write(msgspec.json.encode(accepted) + b"\n")
+        outcomes = await self._run(handoff.service, pieces)
+        await response.write(msgspec.json.encode(_Done(outcomes)) + b"\n")
+        await response.write_eof()
+        return response
+
+    async def handle_free(self, request: web.Request) -> web.Response:
+        """Answer ``POST /peer/v1/results/free``."""
+        message = msgspec.json.decode(await request.read(), type=_FreeResults)
+        self._free(message.service, message.handles)
+        return web.Response()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes for other nodes."""
+        app.router.add_post(PIECES_PATH, self.handle_pieces)
+        app.router.add_post(FREE_PATH, self.handle_free)
+
+
+def _sent(piece: Piece, now: float) -> _SentPiece:
+    return _SentPiece(
+        request_id=piece.request_id,
+        stage=piece.stage,
+        number=piece.number,
+        deadline_in_s=piece.deadline - now,
+        due_in_s=piece.due - now,
+        priority=piece.priority,
+        result_bytes=piece.result_bytes,
+        key=piece.key,
+        inputs=piece.inputs,
+        near=piece.near,
+    )
+
+
+def _received(sent: _SentPiece, now: float) -> Piece:
+    return Piece(
+        request_id=sent.request_id,
+        stage=sent.stage,
+        number=sent.number,
+        key=sent.key,
+        inputs=sent.inputs,
+        deadline=now + sent.deadline_in_s,
+        due=now + sent.due_in_s,
+        priority=sent.priority,
+        result_bytes=sent.result_bytes,
+        near=sent.near,
+    )
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from aiohttp import web
 
+from eelgrass_coordination import Member, Membership
 from eelgrass_coordination.ids import BackendId
 
 from .connection.piece_calls import PieceCalls
+from .connection.piece_handoff import HandoffClient, HandoffInterface
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
 from .platform.names import READY_PATH
@@ -20,13 +23,17 @@
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
 from .process.host_settings import HostSettings
+from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
 from .process.retry_window import RetryWindows
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
+from .process.shared_pieces import SharedPieces
 from .process.stopping import Stopping
 from .process.store_tables import FollowedTable
 from .request.accept import Acceptance
+from .request.arrival import Routed
+from .request.graph import StagePlan
 from .request.planning import plan_stages
 from .request.routed import ServingParts
 
@@ -50,6 +57,11 @@
 # limits of 16 KiB.
 MAX_LINE_BYTES = 32_768
 MAX_BODY_BYTES = 64 << 20
+# Kept connections between nodes; longer than the callers' side keeps them.
+PEER_IDLE_S = 90.0
+# One probe a second finds a dead node in some 5 s; until then hand-offs to it
+# are passed over after the first that fails.
+GOSSIP_INTERVAL_S = 1.0
 
 
 class EntryNode:
@@ -76,7 +88,6 @@
         self.retries = RetryWindows(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, loop.time
         )
-        self.retries.live_nodes = 9
         self.piece_calls = PieceCalls(stage_calls, self._server_replaced)
         self.pieces = LocalPieces(
             self.backends,
@@ -87,6 +98,20 @@
             stage_calls.maker_of,
         )
         self.backends.on_change = self.pieces.servers_changed
+        self.membership = Membership(
+            self._own_member(), settings.seed_gossip(), GOSSIP_INTERVAL_S
+        )
+        self.membership.on_change = self._members_changed
+        self.handoff = HandoffClient()
+        owners = PieceOwners(
+            settings.node,
+            settings.data_centre,
+            self.membership.members.reachable,
+            loop.time,
+        )
+        self.shared_pieces = SharedPieces(
+            owners, self.pieces, self.handoff, self.counters.count
+        )
         self.choice = ServerChoice(
             self.backends, settings.data_centre, lambda: self.deployments.current
         )
@@ -94,13 +119,22 @@
         self._runners: list[web.ServerRunner | web.AppRunner] = []
 
     async def start(self) -> None:
-        """Listen, and begin to follow the store."""
+        """Listen, join the others, and begin to follow the store."""
+        await self._listen_peers()
+        await self.membership.start()
         await self._listen_callers()
         await self._listen_readiness()
         for work in (self._follow_configuration(), self._follow_servers()):
             self._tasks.append(asyncio.create_task(work))
         log(Part.NODE, "Started.", node=self.settings.node)
 
+    def reload(self) -> None:
+        """Note that the settings file has changed.
+
+        Nothing in it that changes concerns a running process.
+        """
+        log(Part.NODE, "The settings have changed.")
+
     async def run_until_stopped(self) -> bool:
         """Serve until a stop is asked for; returns whether nothing was cut off."""
         await self.stopping.wait_requested()
@@ -134,9 +168,9 @@
         parts = ServingParts(
             codec=requests,
             choose=self.choice.choose,
-            plan=lambda routed: plan_stages(routed, self.deployments.current),
-            run_pieces=self.pieces.run,
-            free_results=self.pieces.free,
+            plan=self._plan,
+            run_pieces=self.shared_pieces.run,
+            free_results=self.shared_pieces.free,
             retries=self.retries,
             note_load=_note_load,
             server_gone=self._server_replaced,
@@ -153,12 +187,33 @@
             max_field_size=MAX_LINE_BYTES,
             access_log=None,
             auto_decompress=False,
+            handler_cancellation=True,
         )
-        runner = web.ServerRunner(
-            server, handle_signals=False, handler_cancellation=True
-        )
+        runner = web.ServerRunner(server)
         await self._serve(runner, self.settings.callers)
 
+    def _plan(self, routed: Routed) -> StagePlan:
+        prompt = routed.arrival.prompt
+        expected = self.choice.choose(
+            routed.service, prompt.shared_part(), prompt.shared_tokens(), frozenset()
+        )
+        near = "" if expected is None else expected.entry.data_centre
+        return plan_stages(routed, self.deployments.current, near)
+
+    async def _listen_peers(self) -> None:
+        interface = HandoffInterface(
+            self.pieces.run, self.pieces.expected_s, self.pieces.free
+        )
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        interface.add_routes(app)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=PEER_IDLE_S,
+        )
+        await self._serve(runner, self.settings.internal)
+
     async def _listen_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(READY_PATH, self._answer_ready)
@@ -175,6 +230,21 @@
         self._runners.append(runner)
         await web.TCPSite(runner, host, int(port), backlog=512).start()
 
+    def _members_changed(self) -> None:
+        live = len(self.membership.members.reachable()) + 1
+        self.retries.live_nodes = live
+        self.backends.set_live_nodes(live)
+
+    def _own_member(self) -> Member:
+        settings = self.settings
+        return Member(
+            id=settings.node,
+            data_centre=settings.data_centre,
+            internal=settings.internal,
+            gossip=settings.gossip,
+            epoch=time.time_ns() // 1000,
+        )
+
     def _advanced(self, number: int) -> None:
         """Note that a configuration came into force."""
 
--- a/packages/node/src/eelgrass_node/platform/cli.py
+++ b/packages/node/src/eelgrass_node/platform/cli.py
@@ -38,6 +38,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stopping.request)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
     await node.start()
     clean = await node.run_until_stopped()
     return EXIT_CLEAN if clean else EXIT_CUT_OFF
--- a/packages/node/src/eelgrass_node/process/configuration.py
+++ b/packages/node/src/eelgrass_node/process/configuration.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import hashlib
 from collections.abc import Callable
 
 import msgspec
@@ -18,10 +17,11 @@
     Member,
     Snapshot,
     SnapshotStore,
+    ranked,
 )
 from eelgrass_coordination.exceptions import PlatformError
 from eelgrass_coordination.follower import follow_or_gap
-from eelgrass_coordination.ids import NodeId, Revision
+from eelgrass_coordination.ids import Revision
 
 from ..connection.peer_calls import PeerCalls
 from ..exceptions import PeerUnreachable
@@ -30,6 +30,7 @@
 
 __all__ = ["ConfigurationSync", "PeerChanges", "RevisionReply", "is_poller"]
 
+POLLERS_KEY = "pollers"
 POLLERS_PER_DATA_CENTRE = 2
 PEER_TIMEOUT_S = 2.0
 START_PEERS = 8
@@ -55,12 +56,8 @@
     or go. Nodes that see different members may both poll, which does no harm.
     """
     near = [m for m in members if m.data_centre == own.data_centre]
-    ranked = sorted([*near, own], key=lambda member: _rank(member.id))
-    return own.id in [member.id for member in ranked[:POLLERS_PER_DATA_CENTRE]]
-
-
-def _rank(node: NodeId) -> bytes:
-    return hashlib.blake2b(node.encode(), digest_size=8).digest()
+    pollers = ranked([*near, own], POLLERS_KEY, name=lambda member: member.id)
+    return own.id in [member.id for member in pollers[:POLLERS_PER_DATA_CENTRE]]
 
 
 class ConfigurationSync:
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -34,6 +34,13 @@
 GIVE_UP_SLACK_S = 0.25
 # Refused callers come back spread over this much, so as not to come together.
 MIN_RETRY_AFTER_S = 0.2
+# Longer waits than this are all the same.
+MAX_WAIT_S = 30.0
+# How soon waiting pieces are looked at again where nothing else calls for it.
+FILL_AGAIN_S = 0.05
+# A piece waits this long at most for a server in the data centre where its
+# result will be fetched, if it can afford that: about one call.
+NEAR_PATIENCE_S = 0.2
 
 
 class _ServerUse:
@@ -84,6 +91,7 @@
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
         self._use_by_id: dict[BackendId, _ServerUse] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._fill_timer: asyncio.TimerHandle | None = None
         self.calls_made = 0
         self.pieces_run = 0
 
@@ -105,6 +113,7 @@
         loop = asyncio.get_running_loop()
         futures = [loop.create_future() for _ in pieces]
         for piece, future in zip(pieces, futures, strict=True):
+            piece.queued_at = now
             self._waiting[piece] = future
         self.fill()
         try:
@@ -134,6 +143,11 @@
         rounds = ahead / (limits.batch * slots)
         return residual + rounds * self.call_s(limits.batch)
 
+    def expected_s(self, pieces: list[Piece]) -> float:
+        """Return the seconds until pieces that come now are done."""
+        ahead = self._ahead_of(pieces[0])
+        return min(self.expected_wait(ahead), MAX_WAIT_S) + self.call_s(len(pieces))
+
     def call_s(self, pieces: int) -> float:
         """Return the expected seconds of a call with that many pieces."""
         limits = self._limits()
@@ -144,40 +158,55 @@
         while self._waiting:
             now = _now()
             self._drop_late(now)
-            server = self._idle_server(now)
-            if server is None:
+            if not self._start_one(now):
+                self._fill_later()
                 return
+
+    def _start_one(self, now: float) -> bool:
+        """Start a call at the first idle server that has pieces to take."""
+        for server in self._idle_servers(now):
             batch = self._take_batch(server, now)
-            if not batch:
-                return
-            self._start(server, batch, now)
+            if batch:
+                self._start(server, batch, now)
+                return True
+        return False
+
+    def _fill_later(self) -> None:
+        """Look again soon: pieces may wait for a nearer server, or for room."""
+        if self._fill_timer is None:
+            loop = asyncio.get_running_loop()
+            self._fill_timer = loop.call_later(FILL_AGAIN_S, self._fill_again)
+
+    def _fill_again(self) -> None:
+        self._fill_timer = None
+        self.fill()
 
     def _refusal(self, pieces: list[Piece], now: float) -> PieceOutcome | None:
         """Return a refusal where the pieces cannot be run in time."""
         first = pieces[0]
-        ahead = sum(1 for piece in self._waiting if _rank(piece) <= _rank(first))
-        wait_s = self.expected_wait(ahead)
+        wait_s = self.expected_wait(self._ahead_of(first))
         if now + wait_s + self.call_s(len(pieces)) <= first.deadline:
             return None
         after_s = max(MIN_RETRY_AFTER_S, min(wait_s, first.deadline - now))
         return PieceOutcome(trouble=PieceTrouble.OVERLOADED, retry_after_s=after_s)
 
+    def _ahead_of(self, first: Piece) -> int:
+        return sum(1 for piece in self._waiting if _rank(piece) <= _rank(first))
+
     def _drop_late(self, now: float) -> None:
         shortest = self.call_s(1)
         for piece, future in list(self._waiting.items()):
             if piece.deadline - now < shortest:
                 self._settle(piece, future, PieceOutcome(trouble=PieceTrouble.LATE))
 
-    def _idle_server(self, now: float) -> Backend | None:
+    def _idle_servers(self, now: float) -> list[Backend]:
         slots = self._limits().slots
         idle = [
             server
             for server in self._sound_servers(now)
             if self._use(server).calls < slots
         ]
-        if not idle:
-            return None
-        return min(idle, key=lambda server: self._use(server).slowness.mean)
+        return sorted(idle, key=lambda server: self._use(server).slowness.mean)
 
     def _sound_servers(self, now: float) -> list[Backend]:
         servers = self._servers()
@@ -191,11 +220,24 @@
         for piece in sorted(self._waiting, key=lambda p: self._order(p, now)):
             if len(batch) == limits.batch:
                 break
+            if self._waits_for_near(piece, server, now):
+                continue
             if piece.result_bytes <= room:
                 room -= piece.result_bytes
                 batch.append(piece)
         return batch
 
+    def _waits_for_near(self, piece: Piece, server: Backend, now: float) -> bool:
+        """Return whether a piece rather waits for a server nearer to its use."""
+        if not piece.near or piece.near == server.entry.data_centre:
+            return False
+        if now - piece.queued_at >= NEAR_PATIENCE_S:
+            return False
+        if piece.due - now < NEAR_PATIENCE_S + 2 * self.call_s(1):
+            return False
+        sound = self._sound_servers(now)
+        return any(other.entry.data_centre == piece.near for other in sound)
+
     def _order(self, piece: Piece, now: float) -> tuple[bool, int, float]:
         """Sort those that can be on time first, then by rank, then by time.
 
@@ -259,6 +301,17 @@
                 troubles=[t.value for t in troubles if t],
             )
             return
+        if PieceTrouble.NO_ROOM in troubles:
+            log(
+                Part.PIECES,
+                "A server has no room for results.",
+                backend=server.entry.id,
+                service=self.service,
+                pieces=pieces,
+                refused=sum(o.trouble is PieceTrouble.NO_ROOM for o in outcomes),
+                held=use.held_bytes(_now()),
+                memory=self._limits().memory_bytes,
+            )
         server.note_taken()
         use.slowness.note(took_s / self.call_s(pieces))
 
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -58,7 +58,11 @@
             return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
         return await self.queue(service).run(pieces)
 
-    def free(self, handles: list[str]) -> None:
+    def expected_s(self, service: ServiceName, pieces: list[Piece]) -> float:
+        """Return the seconds until pieces that come now are done."""
+        return self.queue(service).expected_s(pieces)
+
+    def free(self, service: ServiceName, handles: list[str]) -> None:
         """Free results at the servers that hold them, without waiting."""
         by_address: dict[str, list[str]] = {}
         for handle in handles:
@@ -66,7 +70,7 @@
         for address, held in by_address.items():
             backend = self._backends.at_address(address)
             if backend is not None:
-                task = asyncio.create_task(self._free(backend, held))
+                task = asyncio.create_task(self._free(service, backend, held))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
@@ -89,11 +93,11 @@
         if queue is not None:
             queue.fill()
 
-    async def _free(self, backend: Backend, handles: list[str]) -> None:
+    async def _free(
+        self, service: ServiceName, backend: Backend, handles: list[str]
+    ) -> None:
         if await self._free_call(backend, handles):
-            queue = self.by_service.get(ServiceName(backend.entry.service))
-            if queue is not None:
-                queue.free(backend.entry.id, handles)
+            self.queue(service).free(backend.entry.id, handles)
 
     def _limits(self, service: ServiceName) -> PieceLimits:
         deployment = self._deployment()
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -24,7 +24,9 @@
     ``key`` names its input where the stage follows no other; otherwise
     ``inputs`` holds the handles of the results that it needs. ``deadline`` and
     ``due`` are on the clock of the event loop: when the request must be
-    answered, and when its stages should be done for it to be on time. ``tries``
+    answered, and when its stages should be done for it to be on time. ``near``
+    is the data centre where the result will be fetched, if it matters.
+    ``queued_at`` is when it came to the queue, and ``tries``
     counts the calls it was in.
     """
 
@@ -37,6 +39,8 @@
     due: float
     priority: int
     result_bytes: int
+    near: str = ""
+    queued_at: float = 0.0
     tries: int = 0
 
 
--- a/packages/node/src/eelgrass_node/process/placement.py
+++ b/packages/node/src/eelgrass_node/process/placement.py
@@ -10,9 +10,10 @@
 Plain services take the server with the least load that we know of.
 """
 
-import hashlib
 from collections.abc import Sequence
 
+from eelgrass_coordination import ranked
+
 from .backends import Backend
 
 __all__ = ["hash_order", "place_plain", "place_prompt", "sound_servers"]
@@ -69,11 +70,7 @@
 
 def hash_order(servers: Sequence[Backend], subject: str) -> list[Backend]:
     """Return the servers in the order of their hash with a subject."""
-    return sorted(servers, key=lambda server: _weight(server.entry.id, subject))
-
-
-def _weight(server_id: str, subject: str) -> bytes:
-    return hashlib.blake2b(f"{server_id}/{subject}".encode(), digest_size=8).digest()
+    return ranked(servers, subject, name=lambda server: server.entry.id)
 
 
 def _plain_cost(server: Backend, data_centre: str, now: float) -> float:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -0,0 +1,103 @@
+"""Runs pieces where their service's queue is: at another node, or here.
+
+The pattern it answers: eight or nine nodes that each see one to three pieces a
+second of a service fill no call, and their calls find the servers full. One
+queue per service for all of them does both.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from eelgrass_coordination import Member
+
+from ..exceptions import PeerUnreachable
+from ..log import Part, log
+from ..version.deployment import ServiceName
+from .piece_owners import PieceOwners
+from .piece_service import LocalPieces
+from .pieces import Piece, PieceOutcome
+
+__all__ = ["Handoff", "SharedPieces"]
+
+
+class Handoff(Protocol):
+    """How pieces get to another node; its calls raise PeerUnreachable."""
+
+    async def run(
+        self, address: str, service: ServiceName, pieces: list[Piece]
+    ) -> list[PieceOutcome]:
+        """Have pieces run there."""
+
+    async def free(
+        self, address: str, service: ServiceName, handles: list[str]
+    ) -> None:
+        """Have results freed there."""
+
+
+class SharedPieces:
+    """Runs and frees pieces through the owners of their queues.
+
+    ``count`` counts hand-offs that failed.
+    """
+
+    def __init__(
+        self,
+        owners: PieceOwners,
+        local: LocalPieces,
+        handoff: Handoff,
+        count: Callable[[str], None],
+    ) -> None:
+        self._owners = owners
+        self._local = local
+        self._handoff = handoff
+        self._count = count
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(
+        self, service: ServiceName, pieces: list[Piece]
+    ) -> list[PieceOutcome]:
+        """Run pieces of one stage and return their outcomes, in order."""
+        for owner in self._owners.candidates(service):
+            if owner is None:
+                break
+            try:
+                return await self._handoff.run(owner.internal, service, pieces)
+            except PeerUnreachable as error:
+                self._note_failure(owner, service, error)
+        return await self._local.run(service, pieces)
+
+    def free(self, service: ServiceName, handles: list[str]) -> None:
+        """Free results through the owner of the queue, which counts them."""
+        owner = self._owners.candidates(service)[0]
+        if owner is None:
+            self._local.free(service, handles)
+            return
+        self._keep(self._free_there(owner, service, handles))
+
+    async def _free_there(
+        self, owner: Member, service: ServiceName, handles: list[str]
+    ) -> None:
+        try:
+            await self._handoff.free(owner.internal, service, handles)
+        except PeerUnreachable as error:
+            self._note_failure(owner, service, error)
+            self._local.free(service, handles)
+
+    def _note_failure(
+        self, owner: Member, service: ServiceName, error: PeerUnreachable
+    ) -> None:
+        self._owners.distrust(owner.id)
+        self._count("handoff.failed")
+        log(
+            Part.PIECES,
+            "The owner of a queue does not answer.",
+            owner=owner.id,
+            service=service,
+            error=str(error),
+        )
+
+    def _keep(self, work: Awaitable[None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -20,12 +20,19 @@
 
 # How often lost results are made again before the request is given up.
 MAX_ROUNDS = 2
+# Results from this size on are better made where they will be fetched: their
+# way between data centres is priced, and small ones do not matter.
+LARGE_BYTES = 500_000
 
 
 class StagePlan(msgspec.Struct, frozen=True):
-    """When each stage of a request should be done, by its number."""
+    """When each stage of a request should be done, by its number.
+
+    ``near`` is the data centre where the request itself will probably run.
+    """
 
     due_by_stage: tuple[float, ...]
+    near: str = ""
 
 
 class StageGraph:
@@ -37,10 +44,13 @@
         self._run_pieces = run_pieces
         self._handle_by_piece: dict[tuple[int, int], str] = {}
 
-    @property
-    def handles(self) -> list[str]:
-        """All results made so far."""
-        return list(self._handle_by_piece.values())
+    def handles_by_service(self) -> dict[ServiceName, list[str]]:
+        """Return all results made so far."""
+        by_service: dict[ServiceName, list[str]] = {}
+        for (stage, _), handle in self._handle_by_piece.items():
+            service = self._routed.route.stages[stage].service
+            by_service.setdefault(service, []).append(handle)
+        return by_service
 
     async def run(self) -> tuple[str, ...]:
         """Make what is missing; return the handles for the request itself.
@@ -110,6 +120,7 @@
             due=self._plan.due_by_stage[number],
             priority=routed.priority,
             result_bytes=stage.result_bytes,
+            near=self._plan.near if stage.result_bytes >= LARGE_BYTES else "",
         )
 
     def _inputs_of(self, stages: tuple[int, ...]) -> tuple[str, ...]:
--- a/packages/node/src/eelgrass_node/request/planning.py
+++ b/packages/node/src/eelgrass_node/request/planning.py
@@ -14,7 +14,7 @@
 UNKNOWN_STAGE_S = 0.3
 
 
-def plan_stages(routed: Routed, deployment: Deployment) -> StagePlan:
+def plan_stages(routed: Routed, deployment: Deployment, near: str) -> StagePlan:
     """Return when each stage is due, from the last one backwards."""
     stages = routed.route.stages
     due = [routed.due - FINAL_S] * len(stages)
@@ -24,7 +24,7 @@
         begin_by = due[number] - expected_s(service)
         for before in stage.after:
             due[before] = min(due[before], begin_by)
-    return StagePlan(tuple(due))
+    return StagePlan(tuple(due), near)
 
 
 def expected_s(service: Service | None) -> float:
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -57,7 +57,7 @@
     choose: Callable[[ServiceName, str | None, int, frozenset[str]], Backend | None]
     plan: Callable[[Routed], StagePlan]
     run_pieces: RunPieces
-    free_results: Callable[[list[str]], None]
+    free_results: Callable[[ServiceName, list[str]], None]
     retries: RetryWindows
     note_load: Callable[[Backend, EngineHead], None]
     server_gone: Callable[[Backend], None]
@@ -258,10 +258,9 @@
         )
 
     def _free_results(self) -> None:
-        handles = self._graph.handles
-        if handles:
-            self._graph.forget()
-            self._parts.free_results(handles)
+        for service, handles in self._graph.handles_by_service().items():
+            self._parts.free_results(service, handles)
+        self._graph.forget()
 
 
 # After these a server is left alone for a while; one that is only full is not.
