--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -1,8 +1,8 @@
 """Hands pieces to the node that holds the queue of their service.
 
-The owner says at once that it has taken them, with the wait that it expects,
-and later what became of them. A node that hears nothing within a short bound
-knows that the owner is dead, frozen or cut off, and goes on without it.
+The owner says at once that it has taken them, then at short intervals that it
+lives, and at the end what became of them. A node that hears nothing for a short
+while takes the owner for dead, frozen or cut off, and goes on without it.
 """
 
 import asyncio
@@ -24,10 +24,12 @@
 CONNECT_S = 0.15
 # Two ways between data centres take 3 ms, and a busy node some 10 ms more.
 ACCEPT_S = 0.15
-# The bound on the outcome, beyond the wait that the owner expects: several
-# tries of a call at slow servers.
-OUTCOME_S = 2.5
+# While pieces wait or run, the owner says that it lives this often; a node that
+# misses two of these does not wait any longer.
+BEAT_S = 0.3
+SILENCE_S = 0.75
 KEEP_ALIVE_S = 60.0
+BEAT = b"\n"
 
 RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
 
@@ -52,10 +54,6 @@
     pieces: list[_SentPiece]
 
 
-class _Accepted(msgspec.Struct):
-    expected_s: float
-
-
 class _Done(msgspec.Struct):
     outcomes: list[PieceOutcome]
 
@@ -89,19 +87,16 @@
         body = msgspec.json.encode(
             _Handoff(service, [_sent(piece, now) for piece in pieces])
         )
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(ACCEPT_S) as bound:
                 async with self._session.post(
                     f"http://{address}{PIECES_PATH}", data=body, allow_redirects=False
                 ) as response:
-                    line = await response.content.readline()
-                    accepted = msgspec.json.decode(line, type=_Accepted)
-                    bound.reschedule(
-                        asyncio.get_running_loop().time()
-                        + accepted.expected_s
-                        + OUTCOME_S
-                    )
-                    line = await response.content.readline()
+                    line = BEAT
+                    while line == BEAT:
+                        line = await response.content.readline()
+                        bound.reschedule(loop.time() + SILENCE_S)
             outcomes = msgspec.json.decode(line, type=_Done).outcomes
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             raise PeerUnreachable(address, repr(e)) from e
@@ -136,25 +131,28 @@
     def __init__(
         self,
         run: RunPieces,
-        expected_s: Callable[[ServiceName, list[Piece]], float],
         free: Callable[[ServiceName, list[str]], None],
     ) -> None:
         self._run = run
-        self._expected_s = expected_s
         self._free = free
         self._decoder = msgspec.json.Decoder(_Handoff)
 
     async def handle_pieces(self, request: web.Request) -> web.StreamResponse:
-        """Answer ``POST /peer/v1/pieces``: accepted, then the outcomes."""
+        """Answer ``POST /peer/v1/pieces``: beats, then the outcomes."""
         handoff = self._decoder.decode(await request.read())
         now = asyncio.get_running_loop().time()
         pieces = [_received(sent, now) for sent in handoff.pieces]
         response = web.StreamResponse()
         await response.prepare(request)
-        accepted = _Accepted(self._expected_s(handoff.service, pieces))
-        await response.write(msgspec.json.encode(accepted) + b"\n")
-        outcomes = await self._run(handoff.service, pieces)
-        await response.write(msgspec.json.encode(_Done(outcomes)) + b"\n")
+        running = asyncio.ensure_future(self._run(handoff.service, pieces))
+        try:
+            while not running.done():
+                await response.write(BEAT)
+                await asyncio.wait({running}, timeout=BEAT_S)
+        finally:
+            running.cancel()
+        done = _Done(running.result())
+        await response.write(msgspec.json.encode(done) + b"\n")
         await response.write_eof()
         return response
 
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -201,9 +201,7 @@
         return plan_stages(routed, self.deployments.current, near)
 
     async def _listen_peers(self) -> None:
-        interface = HandoffInterface(
-            self.pieces.run, self.pieces.expected_s, self.pieces.free
-        )
+        interface = HandoffInterface(self.pieces.run, self.pieces.free)
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         interface.add_routes(app)
         runner = web.AppRunner(
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -34,6 +34,12 @@
 GIVE_UP_SLACK_S = 0.25
 # Refused callers come back spread over this much, so as not to come together.
 MIN_RETRY_AFTER_S = 0.2
+# Sizes of results are told as about so much. Where a server has less room than
+# they add up to, they are taken for larger, up to a half; the decay forgets
+# that over some fifty calls.
+SIZE_GROWTH = 1.1
+SIZE_DECAY = 0.995
+MAX_SIZE_FACTOR = 1.5
 # Longer waits than this are all the same.
 MAX_WAIT_S = 30.0
 # How soon waiting pieces are looked at again where nothing else calls for it.
@@ -92,6 +98,7 @@
         self._use_by_id: dict[BackendId, _ServerUse] = {}
         self._tasks: set[asyncio.Task] = set()
         self._fill_timer: asyncio.TimerHandle | None = None
+        self._size_factor = 1.0
         self.calls_made = 0
         self.pieces_run = 0
 
@@ -143,11 +150,6 @@
         rounds = ahead / (limits.batch * slots)
         return residual + rounds * self.call_s(limits.batch)
 
-    def expected_s(self, pieces: list[Piece]) -> float:
-        """Return the seconds until pieces that come now are done."""
-        ahead = self._ahead_of(pieces[0])
-        return min(self.expected_wait(ahead), MAX_WAIT_S) + self.call_s(len(pieces))
-
     def call_s(self, pieces: int) -> float:
         """Return the expected seconds of a call with that many pieces."""
         limits = self._limits()
@@ -222,8 +224,9 @@
                 break
             if self._waits_for_near(piece, server, now):
                 continue
-            if piece.result_bytes <= room:
-                room -= piece.result_bytes
+            size = piece.result_bytes * self._size_factor
+            if size <= room:
+                room -= size
                 batch.append(piece)
         return batch
 
@@ -277,7 +280,8 @@
         until = now + self._limits().result_life_s
         for piece, outcome in zip(batch, outcomes, strict=True):
             if outcome.handle is not None:
-                use.hold(outcome.handle, piece.result_bytes, until)
+                size = int(piece.result_bytes * self._size_factor)
+                use.hold(outcome.handle, size, until)
             self._finish(piece, futures[piece], outcome)
         self.fill()
 
@@ -302,6 +306,7 @@
             )
             return
         if PieceTrouble.NO_ROOM in troubles:
+            self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
             log(
                 Part.PIECES,
                 "A server has no room for results.",
@@ -312,6 +317,8 @@
                 held=use.held_bytes(_now()),
                 memory=self._limits().memory_bytes,
             )
+        else:
+            self._size_factor = max(1.0, self._size_factor * SIZE_DECAY)
         server.note_taken()
         use.slowness.note(took_s / self.call_s(pieces))
 
@@ -324,6 +331,9 @@
             PieceTrouble.FAILED,
             PieceTrouble.NO_ROOM,
         )
+        if outcome.trouble is PieceTrouble.NO_ROOM:
+            # It was not run; the next call is made when there is more room.
+            piece.tries -= 1
         if again and piece.tries < MAX_TRIES and not future.done():
             if self._may_repeat():
                 self._waiting[piece] = future
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -58,10 +58,6 @@
             return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
         return await self.queue(service).run(pieces)
 
-    def expected_s(self, service: ServiceName, pieces: list[Piece]) -> float:
-        """Return the seconds until pieces that come now are done."""
-        return self.queue(service).expected_s(pieces)
-
     def free(self, service: ServiceName, handles: list[str]) -> None:
         """Free results at the servers that hold them, without waiting."""
         by_address: dict[str, list[str]] = {}
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -38,20 +38,20 @@
 class StageGraph:
     """The stages of one request; results are kept by stage and piece."""
 
-    def __init__(self, routed: Routed, plan: StagePlan, run_pieces: RunPieces) -> None:
+    def __init__(
+        self,
+        routed: Routed,
+        plan: StagePlan,
+        run_pieces: RunPieces,
+        free: Callable[[ServiceName, list[str]], None],
+    ) -> None:
         self._routed = routed
         self._plan = plan
         self._run_pieces = run_pieces
+        self._free = free
+        self._done: set[int] = set()
         self._handle_by_piece: dict[tuple[int, int], str] = {}
 
-    def handles_by_service(self) -> dict[ServiceName, list[str]]:
-        """Return all results made so far."""
-        by_service: dict[ServiceName, list[str]] = {}
-        for (stage, _), handle in self._handle_by_piece.items():
-            service = self._routed.route.stages[stage].service
-            by_service.setdefault(service, []).append(handle)
-        return by_service
-
     async def run(self) -> tuple[str, ...]:
         """Make what is missing; return the handles for the request itself.
 
@@ -62,12 +62,14 @@
                 await self._run_missing()
                 return self._inputs_of(self._routed.route.final_stages())
             except _ResultsGone:
-                self.forget()
+                self.release()
         raise StagesFailed(PieceTrouble.INPUT_GONE, 0.0)
 
-    def forget(self) -> None:
-        """Drop all results, which a server said are gone."""
-        self._handle_by_piece.clear()
+    def release(self) -> None:
+        """Free all results, which nobody needs any more or one of which is gone."""
+        self._done.clear()
+        for number, stage in enumerate(self._routed.route.stages):
+            self._release_stage(number, stage)
 
     async def _run_missing(self) -> None:
         done = [asyncio.Event() for _ in self._routed.route.stages]
@@ -86,13 +88,35 @@
         missing = [
             piece
             for piece in range(self._count(number))
-            if (number, piece) not in self._handle_by_piece
+            if number not in self._done and (number, piece) not in self._handle_by_piece
         ]
         if missing:
             pieces = [self._piece(number, stage, piece) for piece in missing]
             outcomes = await self._run_pieces(stage.service, pieces)
             self._take(number, missing, outcomes)
+        self._done.add(number)
         done[number].set()
+        self._release_used(stage.after)
+
+    def _release_used(self, stages: tuple[int, ...]) -> None:
+        """Free results as soon as every stage that needs them has run.
+
+        Servers have memory for the results of a few calls only.
+        """
+        for before in stages:
+            followers = (
+                number
+                for number, stage in enumerate(self._routed.route.stages)
+                if before in stage.after
+            )
+            if self._done.issuperset(followers):
+                self._release_stage(before, self._routed.route.stages[before])
+
+    def _release_stage(self, number: int, stage: PieceStage) -> None:
+        held = [key for key in self._handle_by_piece if key[0] == number]
+        handles = [self._handle_by_piece.pop(key) for key in held]
+        if handles:
+            self._free(stage.service, handles)
 
     def _take(
         self, number: int, missing: list[int], outcomes: list[PieceOutcome]
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -80,7 +80,9 @@
         self._calling = False
         self._last_reply: Reply | None = None
         self._events = EventSplitter(routed.arrival.last_event_id)
-        self._graph = StageGraph(routed, parts.plan(routed), parts.run_pieces)
+        self._graph = StageGraph(
+            routed, parts.plan(routed), parts.run_pieces, parts.free_results
+        )
 
     async def serve(self) -> web.StreamResponse:
         """Serve the request; raises :class:`CallerGone` where nobody waits."""
@@ -93,7 +95,7 @@
         except RequestRefused as refused:
             return self._refuse(refused)
         finally:
-            self._free_results()
+            self._graph.release()
 
     async def _serve(self) -> web.StreamResponse:
         inputs = await self._run_stages()
@@ -108,7 +110,7 @@
                 self._note_failure(backend, failed)
                 self._check_again(failed)
                 if failed.reason is RetryReason.INPUT_GONE:
-                    self._graph.forget()
+                    self._graph.release()
                     inputs = await self._run_stages()
             finally:
                 backend.in_flight -= 1
@@ -167,7 +169,7 @@
             if first and data:
                 first = False
                 # The server has fetched what it needs of the stages.
-                self._free_results()
+                self._graph.release()
             if not data:
                 break
             await self._answer.write(self._events.feed(data))
@@ -257,11 +259,6 @@
             **fields,
         )
 
-    def _free_results(self) -> None:
-        for service, handles in self._graph.handles_by_service().items():
-            self._parts.free_results(service, handles)
-        self._graph.forget()
-
 
 # After these a server is left alone for a while; one that is only full is not.
 _SUSPICIOUS = frozenset(
