--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -168,6 +168,7 @@
         parts = ServingParts(
             codec=requests,
             choose=self.choice.choose,
+            data_centre_of=self.pieces.data_centre_of,
             plan=self._plan,
             run_pieces=self.shared_pieces.run,
             free_results=self.shared_pieces.free,
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -219,7 +219,8 @@
         limits = self._limits()
         room = limits.memory_bytes - self._use(server).held_bytes(now)
         batch: list[Piece] = []
-        for piece in sorted(self._waiting, key=lambda p: self._order(p, now)):
+        place = server.entry.data_centre
+        for piece in sorted(self._waiting, key=lambda p: self._order(p, place, now)):
             if len(batch) == limits.batch:
                 break
             if self._waits_for_near(piece, server, now):
@@ -241,13 +242,17 @@
         sound = self._sound_servers(now)
         return any(other.entry.data_centre == piece.near for other in sound)
 
-    def _order(self, piece: Piece, now: float) -> tuple[bool, int, float]:
+    def _order(
+        self, piece: Piece, data_centre: str, now: float
+    ) -> tuple[bool, int, float]:
         """Sort those that can be on time first, then by rank, then by time.
 
         A piece that is late anyway earns little; it takes what the others leave.
+        One whose result is fetched in this data centre goes a little earlier.
         """
         late = piece.due < now + self.call_s(1)
-        return (late, piece.priority, piece.due)
+        early_s = NEAR_PATIENCE_S if piece.near == data_centre else 0.0
+        return (late, piece.priority, piece.due - early_s)
 
     def _start(self, server: Backend, batch: list[Piece], now: float) -> None:
         use = self._use(server)
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -70,6 +70,11 @@
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
+    def data_centre_of(self, handle: str) -> str:
+        """Return the data centre of the server that holds a result, if known."""
+        backend = self._backends.at_address(self._maker_of(handle))
+        return "" if backend is None else backend.entry.data_centre
+
     def queue(self, service: ServiceName) -> PieceQueue:
         """Return the queue of a service."""
         found = self.by_service.get(service)
--- a/packages/node/src/eelgrass_node/process/placement.py
+++ b/packages/node/src/eelgrass_node/process/placement.py
@@ -26,6 +26,10 @@
 # Extra seconds for a server in another data centre: the way there and back,
 # and the price of the bytes.
 ELSEWHERE_S = 0.02
+# The same for an engine that has to fetch results from another data centre; on
+# the sheets the price of a gigabyte of results is that of some 200,000 tokens
+# read again, so 7 MB are worth about this.
+FETCH_ELSEWHERE_S = 0.05
 # Tokens read in a second by an engine that does nothing else, on the sheets.
 READ_TOKENS_PER_S = 36_000.0
 
@@ -49,16 +53,20 @@
     subject: str | None,
     shared_tokens: int,
     data_centre: str,
+    inputs_at: str,
     now: float,
 ) -> Backend:
     """Return the engine on which a prompt is expected to be read first.
 
     ``subject`` names the last part that other prompts share, and
-    ``shared_tokens`` counts the tokens up to it.
+    ``shared_tokens`` counts the tokens up to it. ``inputs_at`` is the data
+    centre that holds the results which the engine has to fetch, if any.
     """
     read_s = shared_tokens / READ_TOKENS_PER_S
     cost_by_id = {
-        server.entry.id: _prompt_cost(server, data_centre, now) for server in servers
+        server.entry.id: _prompt_cost(server, data_centre, now)
+        + _fetch_s(server, inputs_at)
+        for server in servers
     }
     if subject is not None:
         for place, server in enumerate(hash_order(servers, subject)):
@@ -84,5 +92,11 @@
     return running * RUNNING_S + waiting * WAITING_S + _way_s(server, data_centre)
 
 
+def _fetch_s(server: Backend, inputs_at: str) -> float:
+    if not inputs_at or server.entry.data_centre == inputs_at:
+        return 0.0
+    return FETCH_ELSEWHERE_S
+
+
 def _way_s(server: Backend, data_centre: str) -> float:
     return 0.0 if server.entry.data_centre == data_centre else ELSEWHERE_S
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -31,11 +31,13 @@
         subject: str | None,
         shared_tokens: int,
         tried: frozenset[str],
+        inputs_at: str = "",
     ) -> Backend | None:
         """Return a server, or None where the service has none in use.
 
         ``subject`` names the last part of a prompt that others share, and
-        ``shared_tokens`` counts the tokens up to it.
+        ``shared_tokens`` counts the tokens up to it. ``inputs_at`` is the data
+        centre that holds large results which the server has to fetch.
         """
         now = asyncio.get_running_loop().time()
         servers = sound_servers(self._backends.usable(service), tried, now)
@@ -44,5 +46,7 @@
         deployment = self._deployment()
         known = deployment and deployment.service_by_name.get(service)
         if known and known.model is not None:
-            return place_prompt(servers, subject, shared_tokens, self._data_centre, now)
+            return place_prompt(
+                servers, subject, shared_tokens, self._data_centre, inputs_at, now
+            )
         return place_plain(servers, self._data_centre, now)
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -20,9 +21,10 @@
 
 # How often lost results are made again before the request is given up.
 MAX_ROUNDS = 2
-# Results from this size on are better made where they will be fetched: their
-# way between data centres is priced, and small ones do not matter.
-LARGE_BYTES = 500_000
+# From this size on it matters where results are made and fetched, since their
+# way between data centres is priced. On the sheets the large ones are 3 MB, and
+# eight of 60 kB that each of sixteen pieces fetches.
+LARGE_BYTES = 100_000
 
 
 class StagePlan(msgspec.Struct, frozen=True):
@@ -44,11 +46,13 @@
         plan: StagePlan,
         run_pieces: RunPieces,
         free: Callable[[ServiceName, list[str]], None],
+        data_centre_of: Callable[[str], str],
     ) -> None:
         self._routed = routed
         self._plan = plan
         self._run_pieces = run_pieces
         self._free = free
+        self._data_centre_of = data_centre_of
         self._done: set[int] = set()
         self._handle_by_piece: dict[tuple[int, int], str] = {}
 
@@ -65,6 +69,20 @@
                 self.release()
         raise StagesFailed(PieceTrouble.INPUT_GONE, 0.0)
 
+    def inputs_at(self, stages: tuple[int, ...]) -> str:
+        """Return the data centre with most bytes of the results of ``stages``.
+
+        Nothing is returned where they are too small to matter.
+        """
+        bytes_by_place: Counter[str] = Counter()
+        for (stage, _), handle in self._handle_by_piece.items():
+            if stage in stages:
+                size = self._routed.route.stages[stage].result_bytes
+                bytes_by_place[self._data_centre_of(handle)] += size
+        if bytes_by_place.total() < LARGE_BYTES:
+            return ""
+        return bytes_by_place.most_common(1)[0][0]
+
     def release(self) -> None:
         """Free all results, which nobody needs any more or one of which is gone."""
         self._done.clear()
@@ -144,9 +162,20 @@
             due=self._plan.due_by_stage[number],
             priority=routed.priority,
             result_bytes=stage.result_bytes,
-            near=self._plan.near if stage.result_bytes >= LARGE_BYTES else "",
+            near=self._near(stage),
         )
 
+    def _near(self, stage: PieceStage) -> str:
+        """Return where a piece is best run, if that matters.
+
+        Each piece fetches all results of the stages before it, so these weigh
+        more than its own result.
+        """
+        at = self.inputs_at(stage.after)
+        if at:
+            return at
+        return self._plan.near if stage.result_bytes >= LARGE_BYTES else ""
+
     def _inputs_of(self, stages: tuple[int, ...]) -> tuple[str, ...]:
         return tuple(
             self._handle_by_piece[stage, piece]
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -49,12 +49,16 @@
     """What the process lends to a request.
 
     ``choose`` picks a server of a service for a prompt with a shared part and
-    its tokens, rather not one of those tried; ``plan`` says when the stages of
-    a request should be done.
+    its tokens, rather not one of those tried and near its large inputs;
+    ``data_centre_of`` tells where the result of a handle lies; ``plan`` says
+    when the stages of a request should be done.
     """
 
     codec: WireCodec
-    choose: Callable[[ServiceName, str | None, int, frozenset[str]], Backend | None]
+    choose: Callable[
+        [ServiceName, str | None, int, frozenset[str], str], Backend | None
+    ]
+    data_centre_of: Callable[[str], str]
     plan: Callable[[Routed], StagePlan]
     run_pieces: RunPieces
     free_results: Callable[[ServiceName, list[str]], None]
@@ -81,7 +85,11 @@
         self._last_reply: Reply | None = None
         self._events = EventSplitter(routed.arrival.last_event_id)
         self._graph = StageGraph(
-            routed, parts.plan(routed), parts.run_pieces, parts.free_results
+            routed,
+            parts.plan(routed),
+            parts.run_pieces,
+            parts.free_results,
+            parts.data_centre_of,
         )
 
     async def serve(self) -> web.StreamResponse:
@@ -131,7 +139,11 @@
         routed = self._routed
         prompt = routed.arrival.prompt
         backend = self._parts.choose(
-            routed.service, prompt.shared_part(), prompt.shared_tokens(), self._tried
+            routed.service,
+            prompt.shared_part(),
+            prompt.shared_tokens(),
+            self._tried,
+            self._graph.inputs_at(routed.route.final_stages()),
         )
         if backend is None:
             raise RequestRefused("no server of the service", RETRY_NO_SERVER_S)
