--- a/packages/node/src/eelgrass_node/process/piece_batch.py
+++ b/packages/node/src/eelgrass_node/process/piece_batch.py
@@ -19,6 +19,9 @@
 # A set of pieces that has found no room for this long keeps later ones from
 # taking what comes free; about two calls.
 RESERVE_AFTER_S = 0.5
+# Where a server has this part of its memory left, a set may be made in parts, so
+# that no place stays empty: sets of six leave four of ten places.
+AMPLE_FRACTION = 0.4
 # Results under this size never stand in the way of large ones.
 SMALL_BYTES = 100_000
 
@@ -45,12 +48,19 @@
         small = group[0].result_bytes < SMALL_BYTES
         if reserved and not small:
             continue
-        if len(group) <= places - len(batch) and size <= room:
+        left = places - len(batch)
+        part_size = size * min(1.0, left / len(group))
+        if len(group) <= left and size <= room:
             batch += group
             room -= size
-        elif len(group) > places or size > memory:
-            # Too many for any one call: they go in parts.
-            part = _part(group, places - len(batch), room, size_of)
+        elif (
+            len(group) > places
+            or size > memory
+            or room - part_size >= memory * AMPLE_FRACTION
+        ):
+            # Too many for any one call, or memory enough for those that wait:
+            # they go in parts.
+            part = _part(group, left, room, size_of)
             batch += part
             room -= sum(size_of(piece) for piece in part)
             reserved = reserved or (not small and len(part) < len(group))
