--- a/packages/node/src/eelgrass_node/request/planning.py
+++ b/packages/node/src/eelgrass_node/request/planning.py
@@ -8,9 +8,10 @@
 
 # Time kept for the request itself after its stages: the prompt of a large
 # request is read in a quarter of a second.
-FINAL_S = 0.3
-# A stage is expected to take a call with half of its places taken.
-USUAL_FILL = 0.5
+FINAL_S = 0.35
+# A stage is expected to take a full call, and to wait for half of one: servers
+# are seldom idle when it matters.
+USUAL_WAIT = 0.5
 UNKNOWN_STAGE_S = 0.3
 
 
@@ -66,4 +67,5 @@
     if service is None or service.pieces is None:
         return UNKNOWN_STAGE_S
     limits = service.pieces
-    return limits.call_s + limits.piece_s * limits.batch * USUAL_FILL
+    call_s = limits.call_s + limits.piece_s * limits.batch
+    return call_s * (1.0 + USUAL_WAIT)
