--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -23,8 +23,8 @@
 
     ``key`` names its input where the stage follows no other; otherwise
     ``inputs`` holds the handles of the results that it needs. ``deadline`` and
-    ``due`` are on the clock of the event loop: when the request must be
-    answered, and when its stages should be done for it to be on time. ``near``
+    ``due`` are on the clock of the event loop: when the piece must be done to be
+    of any use, and when it should be done for its request to be on time. ``near``
     is the data centre where the result will be fetched, if it matters.
     ``queued_at`` is when it came to the queue, ``begun``
     says that others of its set have been run, whose results wait for it, and
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -28,13 +28,15 @@
 
 
 class StagePlan(msgspec.Struct, frozen=True):
-    """When each stage of a request should be done and begin, by its number.
+    """When each stage of a request should be done, by its number.
 
-    A stage begins once those of ``begin_after`` are done. ``near`` is the data
+    After ``due_by_stage`` the request will be late, and after
+    ``deadline_by_stage`` it is not worth going on with. A stage begins once those of ``begin_after`` are done. ``near`` is the data
     centre where the request itself will probably run.
     """
 
     due_by_stage: tuple[float, ...]
+    deadline_by_stage: tuple[float, ...]
     begin_after: tuple[tuple[int, ...], ...]
     near: str = ""
 
@@ -160,7 +162,7 @@
             number=piece,
             key=None if stage.after else routed.arrival.piece_key,
             inputs=self._inputs_of(stage.after),
-            deadline=routed.deadline,
+            deadline=self._plan.deadline_by_stage[number],
             due=self._plan.due_by_stage[number],
             priority=routed.priority,
             result_bytes=stage.result_bytes,
--- a/packages/node/src/eelgrass_node/request/planning.py
+++ b/packages/node/src/eelgrass_node/request/planning.py
@@ -12,6 +12,8 @@
 # A stage is expected to take a full call, and to wait for half of one: servers
 # are seldom idle when it matters.
 USUAL_WAIT = 0.5
+# The part of a request's time after which its stages are given up.
+GIVE_UP_FRACTION = 0.75
 UNKNOWN_STAGE_S = 0.3
 
 
@@ -25,11 +27,33 @@
         else 0.0
         for number, stage in enumerate(stages)
     ]
-    due = [routed.due - FINAL_S] * len(stages)
+    return StagePlan(
+        due_by_stage=_ends(stages, took_s, routed.due - FINAL_S),
+        deadline_by_stage=_ends(stages, took_s, _give_up_at(routed) - FINAL_S),
+        begin_after=begin_after(stages, took_s),
+        near=near,
+    )
+
+
+def _give_up_at(routed: Routed) -> float:
+    """Return until when the stages of a request are worth waiting for.
+
+    A caller that is refused near its deadline can do nothing any more; one that
+    is told earlier can still come back.
+    """
+    arrived_at = routed.arrival.arrived_at
+    return arrived_at + GIVE_UP_FRACTION * (routed.deadline - arrived_at)
+
+
+def _ends(
+    stages: tuple[PieceStage, ...], took_s: list[float], whole: float
+) -> tuple[float, ...]:
+    """Return when each stage must end for all of them to end at ``whole``."""
+    ends = [whole] * len(stages)
     for number in reversed(range(len(stages))):
         for before in stages[number].after:
-            due[before] = min(due[before], due[number] - took_s[number])
-    return StagePlan(tuple(due), begin_after(stages, took_s), near)
+            ends[before] = min(ends[before], ends[number] - took_s[number])
+    return tuple(ends)
 
 
 def begin_after(
