--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -31,7 +31,8 @@
     """When each stage of a request should be done, by its number.
 
     After ``due_by_stage`` the request will be late, and after
-    ``deadline_by_stage`` it is not worth going on with. A stage begins once those of ``begin_after`` are done. ``near`` is the data
+    ``deadline_by_stage`` it is not worth going on with. A stage begins once
+    those of ``begin_after`` are done. ``near`` is the data
     centre where the request itself will probably run.
     """
 
