Owners of queues have a larger share of the budget of repeats; a server without room is left for a moment

Cause: after a restart an owner does not know which results servers hold; pieces that found no room used up one node's eighth of the budget and were refused.

--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -45,6 +45,9 @@
 MAX_WAIT_S = 30.0
 # How much later a set goes for each second of a server that it takes.
 LARGE_SET_WEIGHT = 3.0
+# A server that has no room is taken for full for this long, about a call.
+UNKNOWN_RESULTS_S = 0.25
+UNKNOWN_RESULTS = "unknown"
 # How soon waiting pieces are looked at again where nothing else calls for it.
 FILL_AGAIN_S = 0.05
 # A piece waits this long at most for a server in the data centre where its
@@ -314,7 +317,7 @@
         finally:
             use.calls -= 1
         now = _now()
-        self._note_call(server, use, outcomes, now - began, len(batch))
+        self._note_call(server, use, batch, outcomes, now - began)
         until = now + self._limits().result_life_s
         for piece, outcome in zip(batch, outcomes, strict=True):
             if outcome.handle is not None:
@@ -326,9 +329,9 @@
         self,
         server: Backend,
         use: _ServerUse,
+        batch: list[Piece],
         outcomes: list[PieceOutcome],
         took_s: float,
-        pieces: int,
     ) -> None:
         troubles = {outcome.trouble for outcome in outcomes}
         # A server that works fails single pieces now and then.
@@ -338,19 +341,23 @@
                 Part.PIECES,
                 "A call failed.",
                 backend=server.entry.id,
-                pieces=pieces,
+                pieces=len(batch),
                 took_s=round(took_s, 3),
                 troubles=[t.value for t in troubles if t],
             )
             return
         if PieceTrouble.NO_ROOM in troubles:
             self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
+            # It holds results that this node does not know of, such as those
+            # of an owner before it; they go within their short life.
+            rest = self._limits().memory_bytes - use.held_bytes(_now())
+            use.hold(UNKNOWN_RESULTS, int(rest), _now() + UNKNOWN_RESULTS_S)
             log(
                 Part.PIECES,
                 "A server has no room for results.",
                 backend=server.entry.id,
                 service=self.service,
-                pieces=pieces,
+                pieces=len(batch),
                 refused=sum(o.trouble is PieceTrouble.NO_ROOM for o in outcomes),
                 held=use.held_bytes(_now()),
                 memory=self._limits().memory_bytes,
@@ -358,7 +365,7 @@
         else:
             self._size_factor = max(1.0, self._size_factor * SIZE_DECAY)
         server.note_taken()
-        use.slowness.note(took_s / self.call_s(pieces))
+        use.slowness.note(took_s / self.call_s(len(batch)))
 
     def _finish(
         self, piece: Piece, future: asyncio.Future[PieceOutcome], outcome: PieceOutcome
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -84,7 +84,7 @@
                 lambda: self._limits(service),
                 lambda: self._backends.usable(service),
                 self._run_call,
-                lambda: self._retries.try_spend(service),
+                lambda: self._retries.try_spend(service, owner=True),
             )
         return found
 
--- a/packages/node/src/eelgrass_node/process/retry_window.py
+++ b/packages/node/src/eelgrass_node/process/retry_window.py
@@ -13,12 +13,17 @@
 # The part of the allowance that is used. Windows slide, and a repeat counts
 # when it arrives, later than it is counted here.
 USED_FRACTION = 0.8
+# The part of the slack that the owner of a queue takes: while data centres are
+# cut off from each other, each of three may have an owner.
+OWNER_SHARE = 1 / 3
 
 
 class RetryWindows:
     """The budgets of one node; times are of ``clock``, in seconds.
 
-    ``live_nodes`` is set as nodes come and go.
+    ``live_nodes`` is set as nodes come and go. Of the slack a node takes an equal
+    share, or ``OWNER_SHARE`` of all for services whose calls nearly all come
+    from one node, the owner of their queue.
     """
 
     def __init__(
@@ -35,16 +40,20 @@
         """Count first calls to a service."""
         self._window(service).requests.append((self._clock(), count))
 
-    def try_spend(self, service: str, count: int = 1) -> bool:
-        """Take repeats from the budget; False where it is used up."""
+    def try_spend(self, service: str, owner: bool = False) -> bool:
+        """Take a repeat from the budget; False where it is used up.
+
+        ``owner`` says that this node makes nearly all calls to the service.
+        """
         window = self._window(service)
         since = self._clock() - self._window_s
         requests = _sum_since(window.requests, since)
         repeats = _sum_since(window.repeats, since)
-        allowed = self._ratio * requests + self._slack / self.live_nodes
-        if repeats + count > allowed * USED_FRACTION:
+        share = OWNER_SHARE if owner else 1.0 / self.live_nodes
+        allowed = self._ratio * requests + self._slack * share
+        if repeats + 1 > allowed * USED_FRACTION:
             return False
-        window.repeats.append((self._clock(), count))
+        window.repeats.append((self._clock(), 1))
         return True
 
     def _window(self, service: str) -> "_Window":
