Requests without a chance over all their stages are refused at once

Cause: the narrowest stage may be a later one; a request was let in, its first stages run, and it was given up there. Kept: callers hear at once.

--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -14,6 +14,7 @@
 
 from ..exceptions import PeerUnreachable
 from ..process.pieces import Piece, PieceOutcome
+from ..process.queue_load import QueueLoad
 from ..version.deployment import ServiceName
 from .sockets import open_socket
 
@@ -56,6 +57,7 @@
 
 class _Done(msgspec.Struct):
     outcomes: list[PieceOutcome]
+    load: QueueLoad
 
 
 class _FreeResults(msgspec.Struct):
@@ -64,9 +66,13 @@
 
 
 class HandoffClient:
-    """Hands pieces to other nodes, at their internal addresses."""
+    """Hands pieces to other nodes, at their internal addresses.
 
-    def __init__(self) -> None:
+    ``hear_load`` is told the load of a queue with each answer of its owner.
+    """
+
+    def __init__(self, hear_load: Callable[[ServiceName, QueueLoad], None]) -> None:
+        self._hear_load = hear_load
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
@@ -97,12 +103,13 @@
                     while line == BEAT:
                         line = await response.content.readline()
                         bound.reschedule(loop.time() + SILENCE_S)
-            outcomes = msgspec.json.decode(line, type=_Done).outcomes
+            done = msgspec.json.decode(line, type=_Done)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             raise PeerUnreachable(address, repr(e)) from e
-        if len(outcomes) != len(pieces):
+        if len(done.outcomes) != len(pieces):
             raise PeerUnreachable(address, "outcomes do not fit the pieces")
-        return outcomes
+        self._hear_load(service, done.load)
+        return done.outcomes
 
     async def free(
         self, address: str, service: ServiceName, handles: list[str]
@@ -131,9 +138,11 @@
     def __init__(
         self,
         run: RunPieces,
+        load: Callable[[ServiceName], QueueLoad],
         free: Callable[[ServiceName, list[str]], None],
     ) -> None:
         self._run = run
+        self._load = load
         self._free = free
         self._decoder = msgspec.json.Decoder(_Handoff)
 
@@ -151,7 +160,7 @@
                 await asyncio.wait({running}, timeout=BEAT_S)
         finally:
             running.cancel()
-        done = _Done(running.result())
+        done = _Done(running.result(), self._load(handoff.service))
         await response.write(msgspec.json.encode(done) + b"\n")
         await response.write_eof()
         return response
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -25,6 +25,7 @@
 from .process.host_settings import HostSettings
 from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
+from .process.queue_load import QueueLoads
 from .process.retry_window import RetryWindows
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
@@ -34,7 +35,7 @@
 from .request.accept import Acceptance
 from .request.arrival import Routed
 from .request.graph import StagePlan
-from .request.planning import plan_stages
+from .request.planning import plan_stages, refuse_hopeless
 from .request.routed import ServingParts
 
 __all__ = ["EntryNode"]
@@ -102,7 +103,8 @@
             self._own_member(), settings.seed_gossip(), GOSSIP_INTERVAL_S
         )
         self.membership.on_change = self._members_changed
-        self.handoff = HandoffClient()
+        self.queue_loads = QueueLoads(loop.time)
+        self.handoff = HandoffClient(self.queue_loads.hear)
         owners = PieceOwners(
             settings.node,
             settings.data_centre,
@@ -110,7 +112,11 @@
             loop.time,
         )
         self.shared_pieces = SharedPieces(
-            owners, self.pieces, self.handoff, self.counters.count
+            owners,
+            self.pieces,
+            self.handoff,
+            self.queue_loads.hear,
+            self.counters.count,
         )
         self.choice = ServerChoice(
             self.backends, settings.data_centre, lambda: self.deployments.current
@@ -170,6 +176,7 @@
             choose=self.choice.choose,
             data_centre_of=self.pieces.data_centre_of,
             plan=self._plan,
+            refuse_hopeless=self._refuse_hopeless,
             run_pieces=self.shared_pieces.run,
             free_results=self.shared_pieces.free,
             retries=self.retries,
@@ -201,8 +208,13 @@
         near = "" if expected is None else expected.entry.data_centre
         return plan_stages(routed, self.deployments.current, near)
 
+    def _refuse_hopeless(self, routed: Routed) -> float | None:
+        return refuse_hopeless(routed, self.deployments.current, self.queue_loads)
+
     async def _listen_peers(self) -> None:
-        interface = HandoffInterface(self.pieces.run, self.pieces.free)
+        interface = HandoffInterface(
+            self.pieces.run, self.pieces.load, self.pieces.free
+        )
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         interface.add_routes(app)
         runner = web.AppRunner(
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from eelgrass_coordination import MovingAverage
@@ -19,6 +20,7 @@
 from .backends import Backend
 from .piece_batch import take_batch
 from .pieces import Piece, PieceOutcome, PieceTrouble
+from .queue_load import QueueLoad
 
 __all__ = ["PieceQueue", "RunCall"]
 
@@ -48,6 +50,9 @@
 # A server that has no room is taken for full for this long, about a call.
 UNKNOWN_RESULTS_S = 0.25
 UNKNOWN_RESULTS = "unknown"
+# Late pieces beyond this much work of all servers are refused: after a burst
+# they are served within some three times as long, which callers still wait.
+LATE_BACKLOG_S = 1.0
 # How soon waiting pieces are looked at again where nothing else calls for it.
 FILL_AGAIN_S = 0.05
 # A piece waits this long at most for a server in the data centre where its
@@ -157,6 +162,23 @@
         rounds = ahead / (limits.batch * slots)
         return residual + rounds * self.call_s(limits.batch)
 
+    def load(self) -> QueueLoad:
+        """Return the load of the queue, for other nodes."""
+        now = _now()
+        limits = self._limits()
+        slots = max(1, len(self._sound_servers(now)) * limits.slots)
+        piece_s = self.call_s(limits.batch) / (limits.batch * slots)
+        late = sum(1 for piece in self._waiting if self._is_late(piece, now))
+        priorities = Counter(
+            piece.priority for piece in self._waiting if not self._is_late(piece, now)
+        )
+        waits = []
+        ahead = 0
+        for priority in sorted(priorities):
+            ahead += priorities[priority]
+            waits.append((priority, round(self.expected_wait(ahead), 3)))
+        return QueueLoad(tuple(waits), round(late * piece_s, 3))
+
     def call_s(self, pieces: int) -> float:
         """Return the expected seconds of a call with that many pieces."""
         limits = self._limits()
@@ -194,8 +216,17 @@
         """Return a refusal where the pieces cannot be run in time."""
         first = pieces[0]
         wait_s = self.expected_wait(self._ahead_of(first))
-        if now + wait_s + self.call_s(len(pieces)) <= first.deadline:
+        end = now + wait_s + self.call_s(len(pieces))
+        if first.inputs and end <= first.deadline:
             return None
+        if end <= first.due:
+            return None
+        # It would be late. Late ones get what the others leave; where many wait
+        # for that already, it is better told at once than after a wait in vain.
+        late_s = self.load().late_s
+        if end <= first.deadline and late_s < LATE_BACKLOG_S:
+            return None
+        wait_s = max(wait_s, late_s)
         after_s = max(MIN_RETRY_AFTER_S, min(wait_s, first.deadline - now))
         return PieceOutcome(trouble=PieceTrouble.OVERLOADED, retry_after_s=after_s)
 
@@ -263,12 +294,16 @@
         and one of a large set later: for the time of one set of eight, four
         sets of two are served, which are worth as much each.
         """
-        late = piece.due < now + self.call_s(1)
+        late = self._is_late(piece, now)
         time = piece.due + self._work_s(piece.set_size) * LARGE_SET_WEIGHT
         if piece.near == data_centre:
             time -= NEAR_PATIENCE_S
         return (not piece.begun, late, piece.priority, time)
 
+    def _is_late(self, piece: Piece, now: float) -> bool:
+        """Return whether a request cannot be on time even if it is next."""
+        return piece.due < now + self.call_s(1)
+
     def _work_s(self, pieces: int) -> float:
         """Return the seconds of a server that pieces take in full calls."""
         limits = self._limits()
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -7,6 +7,7 @@
 from .backends import Backend, Backends
 from .piece_queue import PieceQueue, RunCall
 from .pieces import Piece, PieceOutcome, PieceTrouble
+from .queue_load import QueueLoad
 from .retry_window import RetryWindows
 
 __all__ = ["LocalPieces"]
@@ -58,6 +59,10 @@
             return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
         return await self.queue(service).run(pieces)
 
+    def load(self, service: ServiceName) -> QueueLoad:
+        """Return the load of the queue of a service, for other nodes."""
+        return self.queue(service).load()
+
     def free(self, service: ServiceName, handles: list[str]) -> None:
         """Free results at the servers that hold them, without waiting."""
         by_address: dict[str, list[str]] = {}
--- a/packages/node/src/eelgrass_node/process/shared_pieces.py
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -17,6 +17,7 @@
 from .piece_owners import PieceOwners
 from .piece_service import LocalPieces
 from .pieces import Piece, PieceOutcome
+from .queue_load import QueueLoad
 
 __all__ = ["Handoff", "SharedPieces"]
 
@@ -38,7 +39,8 @@
 class SharedPieces:
     """Runs and frees pieces through the owners of their queues.
 
-    ``count`` counts hand-offs that failed.
+    ``hear_load`` is told the load of queues of this node, and ``count`` counts
+    hand-offs that failed.
     """
 
     def __init__(
@@ -46,11 +48,13 @@
         owners: PieceOwners,
         local: LocalPieces,
         handoff: Handoff,
+        hear_load: Callable[[ServiceName, QueueLoad], None],
         count: Callable[[str], None],
     ) -> None:
         self._owners = owners
         self._local = local
         self._handoff = handoff
+        self._hear_load = hear_load
         self._count = count
         self._tasks: set[asyncio.Task] = set()
 
@@ -65,7 +69,9 @@
                 return await self._handoff.run(owner.internal, service, pieces)
             except PeerUnreachable as error:
                 self._note_failure(owner, service, error)
-        return await self._local.run(service, pieces)
+        outcomes = await self._local.run(service, pieces)
+        self._hear_load(service, self._local.load(service))
+        return outcomes
 
     def free(self, service: ServiceName, handles: list[str]) -> None:
         """Free results through the owner of the queue, which counts them."""
--- a/packages/node/src/eelgrass_node/request/arrival.py
+++ b/packages/node/src/eelgrass_node/request/arrival.py
@@ -67,6 +67,11 @@
     piece_key: str
     prompt: PromptShape
 
+    def pieces_of(self, stage: int) -> int:
+        """Return the number of pieces of a stage; none where it is left out."""
+        counts = self.piece_counts
+        return counts[stage] if stage < len(counts) else 0
+
 
 class Routed(msgspec.Struct, frozen=True):
     """An arrival with the route, service and account that it was given.
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -110,7 +110,7 @@
             await done[before].wait()
         missing = [
             piece
-            for piece in range(self._count(number))
+            for piece in range(self._routed.arrival.pieces_of(number))
             if number not in self._done and (number, piece) not in self._handle_by_piece
         ]
         if missing:
@@ -185,13 +185,9 @@
         return tuple(
             self._handle_by_piece[stage, piece]
             for stage in stages
-            for piece in range(self._count(stage))
+            for piece in range(self._routed.arrival.pieces_of(stage))
         )
 
-    def _count(self, stage: int) -> int:
-        counts = self._routed.arrival.piece_counts
-        return counts[stage] if stage < len(counts) else 0
-
 
 class _ResultsGone(Exception):
     """A result that a stage needs is no longer there."""
--- a/packages/node/src/eelgrass_node/request/planning.py
+++ b/packages/node/src/eelgrass_node/request/planning.py
@@ -1,10 +1,12 @@
-"""When each stage of a request should be done for the request to be on time."""
+"""When each stage of a request should be done, and whether it can be at all."""
 
+from ..process.piece_queue import LATE_BACKLOG_S
+from ..process.queue_load import QueueLoads
 from ..version.deployment import Deployment, PieceStage, Service
 from .arrival import Routed
 from .graph import LARGE_BYTES, StagePlan
 
-__all__ = ["plan_stages"]
+__all__ = ["plan_stages", "refuse_hopeless"]
 
 # Time kept for the request itself after its stages: the prompt of a large
 # request is read in a quarter of a second.
@@ -20,10 +22,9 @@
 def plan_stages(routed: Routed, deployment: Deployment, near: str) -> StagePlan:
     """Return when each stage is due and after which others it should begin."""
     stages = routed.route.stages
-    counts = routed.arrival.piece_counts
     took_s = [
         expected_s(deployment.service_by_name.get(stage.service))
-        if number < len(counts) and counts[number]
+        if routed.arrival.pieces_of(number)
         else 0.0
         for number, stage in enumerate(stages)
     ]
@@ -35,6 +36,43 @@
     )
 
 
+def expected_end(routed: Routed, deployment: Deployment, loads: QueueLoads) -> float:
+    """Return when the stages are expected to be done and the request begun.
+
+    The waits are those of requests that can still be on time.
+    """
+    arrived_at = routed.arrival.arrived_at
+    ends = []
+    for number, stage in enumerate(routed.route.stages):
+        begins = max((ends[before] for before in stage.after), default=arrived_at)
+        if routed.arrival.pieces_of(number):
+            service = deployment.service_by_name.get(stage.service)
+            begins += loads.wait_s(stage.service, routed.priority) + full_call_s(
+                service
+            )
+        ends.append(begins)
+    return max(ends, default=arrived_at) + FINAL_S
+
+
+def refuse_hopeless(
+    routed: Routed, deployment: Deployment, loads: QueueLoads
+) -> float | None:
+    """Return when to come back, in seconds, where a request has no chance.
+
+    That is one that would be late while many late ones wait already, or that
+    cannot be answered at all. None lets it in.
+    """
+    if not routed.route.stages:
+        return None
+    end = expected_end(routed, deployment, loads)
+    if end <= routed.due:
+        return None
+    late_s = loads.late_s(stage.service for stage in routed.route.stages)
+    if end <= _give_up_at(routed) and late_s < LATE_BACKLOG_S:
+        return None
+    return max(late_s, end - routed.due)
+
+
 def _give_up_at(routed: Routed) -> float:
     """Return until when the stages of a request are worth waiting for.
 
@@ -88,8 +126,12 @@
 
 def expected_s(service: Service | None) -> float:
     """Return the seconds that a stage at a service usually takes."""
+    return full_call_s(service) * (1.0 + USUAL_WAIT)
+
+
+def full_call_s(service: Service | None) -> float:
+    """Return the seconds of a full call to a service."""
     if service is None or service.pieces is None:
         return UNKNOWN_STAGE_S
     limits = service.pieces
-    call_s = limits.call_s + limits.piece_s * limits.batch
-    return call_s * (1.0 + USUAL_WAIT)
+    return limits.call_s + limits.piece_s * limits.batch
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -51,7 +51,8 @@
     ``choose`` picks a server of a service for a prompt with a shared part and
     its tokens, rather not one of those tried and near its large inputs;
     ``data_centre_of`` tells where the result of a handle lies; ``plan`` says
-    when the stages of a request should be done.
+    when the stages of a request should be done. ``refuse_hopeless`` returns
+    when to come back where they cannot be done in time.
     """
 
     codec: WireCodec
@@ -60,6 +61,7 @@
     ]
     data_centre_of: Callable[[str], str]
     plan: Callable[[Routed], StagePlan]
+    refuse_hopeless: Callable[[Routed], float | None]
     run_pieces: RunPieces
     free_results: Callable[[ServiceName, list[str]], None]
     retries: RetryWindows
@@ -108,6 +110,9 @@
             self._graph.release()
 
     async def _serve(self) -> web.StreamResponse:
+        hopeless_s = self._parts.refuse_hopeless(self._routed)
+        if hopeless_s is not None:
+            raise RequestRefused("the stages have no room in time", hopeless_s)
         inputs = await self._run_stages()
         self._staged_at = _now()
         while True:
