--- a/packages/node/src/eelgrass_node/connection/piece_calls.py
+++ b/packages/node/src/eelgrass_node/connection/piece_calls.py
@@ -62,7 +62,7 @@
         except TimeoutError:
             # Other connections there may be as dead as this one.
             backend.connections.replace()
-            return _all(pieces, PieceTrouble.UNREACHED)
+            return _all(pieces, PieceTrouble.SILENT)
         except (aiohttp.ClientError, OSError, ValueError, PieceAnswerMalformed):
             return _all(pieces, PieceTrouble.UNREACHED)
         if status == HTTP_MISDIRECTED:
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -26,6 +26,7 @@
 from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
 from .process.queue_load import QueueLoads
+from .process.reach import DataCentreReach
 from .process.retry_window import RetryWindows
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
@@ -89,11 +90,13 @@
         self.retries = RetryWindows(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, loop.time
         )
+        self.reach = DataCentreReach(settings.data_centre, loop.time)
         self.piece_calls = PieceCalls(stage_calls, self._server_replaced)
         self.pieces = LocalPieces(
             self.backends,
             lambda: self.deployments.current,
             self.retries,
+            self.reach,
             self.piece_calls.run,
             self.piece_calls.free,
             stage_calls.maker_of,
@@ -109,6 +112,7 @@
             settings.node,
             settings.data_centre,
             self.membership.members.reachable,
+            self.reach,
             loop.time,
         )
         self.shared_pieces = SharedPieces(
@@ -119,7 +123,10 @@
             self.counters.count,
         )
         self.choice = ServerChoice(
-            self.backends, settings.data_centre, lambda: self.deployments.current
+            self.backends,
+            settings.data_centre,
+            self.reach,
+            lambda: self.deployments.current,
         )
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.ServerRunner | web.AppRunner] = []
@@ -180,6 +187,7 @@
             run_pieces=self.shared_pieces.run,
             free_results=self.shared_pieces.free,
             retries=self.retries,
+            reach=self.reach,
             note_load=_note_load,
             server_gone=self._server_replaced,
             count=self.counters.count,
--- a/packages/node/src/eelgrass_node/process/piece_owners.py
+++ b/packages/node/src/eelgrass_node/process/piece_owners.py
@@ -9,16 +9,21 @@
 reach.
 """
 
+from collections import Counter
 from collections.abc import Callable
 
 from eelgrass_coordination import Member, ranked
 from eelgrass_coordination.ids import DataCentre, NodeId
 
+from .reach import DataCentreReach
+
 __all__ = ["PieceOwners"]
 
-# An owner that failed is asked again after this long; membership takes some 5 s
-# to find a node dead, and a frozen one wakes after a few.
-DISTRUST_S = 2.0
+# An owner that failed is asked again after this long, doubled with each further
+# failure; membership takes some 5 s to find a node dead, and a frozen one wakes
+# after a few.
+DISTRUST_S = 1.5
+MAX_DISTRUST_S = 6.0
 
 
 class PieceOwners:
@@ -29,13 +34,16 @@
         own: NodeId,
         data_centre: DataCentre,
         members: Callable[[], list[Member]],
+        reach: DataCentreReach,
         clock: Callable[[], float],
     ) -> None:
         self._own = own
         self._data_centre = data_centre
         self._members = members
+        self._reach = reach
         self._clock = clock
         self._distrusted_until: dict[NodeId, float] = {}
+        self._failures: Counter[NodeId] = Counter()
 
     def candidates(self, service: str) -> list[Member | None]:
         """Return the owners to try, in order; None stands for this node.
@@ -43,7 +51,7 @@
         The first is the owner for everybody, the next the one for this data
         centre; this node itself ends the list.
         """
-        trusted = [m for m in self._members() if not self._is_distrusted(m.id)]
+        trusted = [m for m in self._members() if self._is_trusted(m)]
         near = [m for m in trusted if m.data_centre == self._data_centre]
         candidates: list[Member | None] = []
         for group in (trusted, near):
@@ -54,9 +62,17 @@
                 candidates.append(first)
         return [*candidates, None]
 
-    def distrust(self, node: NodeId) -> None:
+    def note_failure(self, owner: Member) -> None:
         """Pass a node over for a while, because it did not answer."""
-        self._distrusted_until[node] = self._clock() + DISTRUST_S
+        distrust_s = min(MAX_DISTRUST_S, DISTRUST_S * 2 ** self._failures[owner.id])
+        self._failures[owner.id] += 1
+        self._distrusted_until[owner.id] = self._clock() + distrust_s
+        self._reach.note_silent(owner.data_centre, owner.id)
+
+    def note_answer(self, owner: Member) -> None:
+        """Trust a node again, because it answered."""
+        self._failures.pop(owner.id, None)
+        self._reach.note_answer(owner.data_centre)
 
     def _first(self, members: list[Member], service: str) -> Member | None:
         """Return the owner among ``members`` and this node; None for this node."""
@@ -66,5 +82,7 @@
     def _name(self, member: Member | None) -> str:
         return self._own if member is None else member.id
 
-    def _is_distrusted(self, node: NodeId) -> bool:
-        return self._distrusted_until.get(node, 0.0) > self._clock()
+    def _is_trusted(self, member: Member) -> bool:
+        if self._reach.in_doubt(member.data_centre):
+            return False
+        return self._distrusted_until.get(member.id, 0.0) <= self._clock()
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -10,7 +10,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from eelgrass_coordination import MovingAverage
 from eelgrass_coordination.ids import BackendId
@@ -21,6 +21,7 @@
 from .piece_batch import take_batch
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .queue_load import QueueLoad
+from .reach import DataCentreReach
 
 __all__ = ["PieceQueue", "RunCall"]
 
@@ -60,6 +61,9 @@
 NEAR_PATIENCE_S = 0.2
 
 
+FAILURES = frozenset((PieceTrouble.UNREACHED, PieceTrouble.SILENT, PieceTrouble.FAILED))
+
+
 class _ServerUse:
     """What this queue has at one server: calls in flight and results held."""
 
@@ -97,12 +101,14 @@
         service: str,
         limits: Callable[[], PieceLimits],
         servers: Callable[[], list[Backend]],
+        reach: DataCentreReach,
         run_call: RunCall,
         may_repeat: Callable[[], bool],
     ) -> None:
         self.service = service
         self._limits = limits
         self._servers = servers
+        self._reach = reach
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
@@ -153,7 +159,7 @@
     def expected_wait(self, ahead: int) -> float:
         """Return the seconds until a piece behind ``ahead`` others is taken."""
         limits = self._limits()
-        servers = self._sound_servers(_now())
+        servers = self._sound_servers()
         if not servers:
             return 0.0 if self._servers() else math.inf
         slots = len(servers) * limits.slots
@@ -166,7 +172,7 @@
         """Return the load of the queue, for other nodes."""
         now = _now()
         limits = self._limits()
-        slots = max(1, len(self._sound_servers(now)) * limits.slots)
+        slots = max(1, len(self._sound_servers()) * limits.slots)
         piece_s = self.call_s(limits.batch) / (limits.batch * slots)
         late = sum(1 for piece in self._waiting if self._is_late(piece, now))
         priorities = Counter(
@@ -243,15 +249,13 @@
         slots = self._limits().slots
         idle = [
             server
-            for server in self._sound_servers(now)
+            for server in self._sound_servers()
             if self._use(server).calls < slots
         ]
         return sorted(idle, key=lambda server: self._use(server).slowness.mean)
 
-    def _sound_servers(self, now: float) -> list[Backend]:
-        servers = self._servers()
-        sound = [server for server in servers if server.suspect_until <= now]
-        return sound or servers
+    def _sound_servers(self) -> Sequence[Backend]:
+        return self._reach.sound(self._servers())
 
     def _take_batch(self, server: Backend, now: float) -> list[Piece]:
         limits = self._limits()
@@ -279,7 +283,7 @@
             return False
         if piece.due - now < NEAR_PATIENCE_S + 2 * self.call_s(1):
             return False
-        sound = self._sound_servers(now)
+        sound = self._sound_servers()
         return any(other.entry.data_centre == piece.near for other in sound)
 
     def _order(
@@ -370,7 +374,12 @@
     ) -> None:
         troubles = {outcome.trouble for outcome in outcomes}
         # A server that works fails single pieces now and then.
-        if troubles <= {PieceTrouble.UNREACHED, PieceTrouble.FAILED}:
+        data_centre = server.entry.data_centre
+        if PieceTrouble.SILENT in troubles:
+            self._reach.note_silent(data_centre, server.entry.id)
+        else:
+            self._reach.note_answer(data_centre)
+        if troubles <= FAILURES:
             server.suspect()
             log(
                 Part.PIECES,
@@ -406,11 +415,7 @@
         self, piece: Piece, future: asyncio.Future[PieceOutcome], outcome: PieceOutcome
     ) -> None:
         piece.tries += 1
-        again = outcome.trouble in (
-            PieceTrouble.UNREACHED,
-            PieceTrouble.FAILED,
-            PieceTrouble.NO_ROOM,
-        )
+        again = outcome.trouble in FAILURES | {PieceTrouble.NO_ROOM}
         if outcome.trouble is PieceTrouble.NO_ROOM:
             # It was not run; the next call is made when there is more room.
             piece.tries -= 1
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -8,6 +8,7 @@
 from .piece_queue import PieceQueue, RunCall
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .queue_load import QueueLoad
+from .reach import DataCentreReach
 from .retry_window import RetryWindows
 
 __all__ = ["LocalPieces"]
@@ -37,6 +38,7 @@
         backends: Backends,
         deployment: Callable[[], Deployment | None],
         retries: RetryWindows,
+        reach: DataCentreReach,
         run_call: RunCall,
         free_call: FreeCall,
         maker_of: Callable[[str], str],
@@ -44,6 +46,7 @@
         self._backends = backends
         self._deployment = deployment
         self._retries = retries
+        self._reach = reach
         self._run_call = run_call
         self._free_call = free_call
         self._maker_of = maker_of
@@ -88,6 +91,7 @@
                 service,
                 lambda: self._limits(service),
                 lambda: self._backends.usable(service),
+                self._reach,
                 self._run_call,
                 lambda: self._retries.try_spend(service, owner=True),
             )
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -15,6 +15,7 @@
     NO_ROOM = "no_room"
     FAILED = "failed"
     UNREACHED = "unreached"
+    SILENT = "silent"
     OVERLOADED = "overloaded"
 
 
--- a/packages/node/src/eelgrass_node/process/placement.py
+++ b/packages/node/src/eelgrass_node/process/placement.py
@@ -16,7 +16,7 @@
 
 from .backends import Backend
 
-__all__ = ["hash_order", "place_plain", "place_prompt", "sound_servers"]
+__all__ = ["hash_order", "place_plain", "place_prompt"]
 
 # Seconds by which a running request slows a new one down, and by which one that
 # waits does: a step takes some 0.15 ms more for each running request and a
@@ -34,15 +34,6 @@
 READ_TOKENS_PER_S = 36_000.0
 
 
-def sound_servers(
-    servers: Sequence[Backend], tried: frozenset[str], now: float
-) -> Sequence[Backend]:
-    """Return the servers to choose from: untried and unsuspected ones first."""
-    untried = [server for server in servers if server.entry.id not in tried]
-    sound = [server for server in untried if server.suspect_until <= now]
-    return sound or untried or servers
-
-
 def place_plain(servers: Sequence[Backend], data_centre: str, now: float) -> Backend:
     """Return the server on which a plain request is expected to end first."""
     return min(servers, key=lambda server: _plain_cost(server, data_centre, now))
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/reach.py
@@ -0,0 +1,76 @@
+"""Which other data centres are out of reach, told from calls that went silent.
+
+The pattern it answers: when a data centre is cut off, every server and node in
+it goes silent at once, and each call that finds that out for itself waits for
+its whole bound (0.15 to 0.4 s) and uses up a try. Two different ones that go
+silent within a short time put the whole data centre in doubt: others are then
+chosen first, until something there answers or the doubt ends.
+"""
+
+from collections.abc import Callable, Sequence
+
+from eelgrass_coordination.ids import DataCentre
+
+from .backends import Backend
+
+__all__ = ["DataCentreReach"]
+
+# Two silences within this time belong together: a cut hits them all at once,
+# and a node calls into each data centre several times a second.
+TOGETHER_S = 1.5
+# How long a doubt lasts, at first and at most; cuts last 4 s and more.
+FIRST_DOUBT_S = 1.0
+MAX_DOUBT_S = 4.0
+
+
+class _Place:
+    def __init__(self) -> None:
+        self.silent_at_by_name: dict[str, float] = {}
+        self.doubted_until = float("-inf")
+        self.doubt_s = FIRST_DOUBT_S
+
+
+class DataCentreReach:
+    """What one node, in the data centre ``own``, believes of the others."""
+
+    def __init__(self, own: DataCentre, clock: Callable[[], float]) -> None:
+        self._own = own
+        self._clock = clock
+        self._by_data_centre: dict[str, _Place] = {}
+
+    def note_silent(self, data_centre: str, name: str) -> None:
+        """Note that a server or node there did not answer in time."""
+        if data_centre == self._own:
+            return
+        place = self._by_data_centre.setdefault(data_centre, _Place())
+        now = self._clock()
+        place.silent_at_by_name[name] = now
+        recent = [
+            at for at in place.silent_at_by_name.values() if now - at < TOGETHER_S
+        ]
+        if len(recent) >= 2 and place.doubted_until <= now:
+            place.doubted_until = now + place.doubt_s
+            place.doubt_s = min(MAX_DOUBT_S, place.doubt_s * 2)
+
+    def note_answer(self, data_centre: str) -> None:
+        """Note that a server or node there answered."""
+        self._by_data_centre.pop(data_centre, None)
+
+    def in_doubt(self, data_centre: str) -> bool:
+        """Return whether a data centre is probably out of reach."""
+        place = self._by_data_centre.get(data_centre)
+        return place is not None and place.doubted_until > self._clock()
+
+    def sound(
+        self, servers: Sequence[Backend], tried: frozenset[str] = frozenset()
+    ) -> Sequence[Backend]:
+        """Return the servers to choose from, the most trusted there are.
+
+        Those are untried, unsuspected and not in a data centre that is in
+        doubt; failing that, untried and unsuspected; untried; or any.
+        """
+        now = self._clock()
+        untried = [server for server in servers if server.entry.id not in tried]
+        trusted = [server for server in untried if server.suspect_until <= now]
+        near = [s for s in trusted if not self.in_doubt(s.entry.data_centre)]
+        return near or trusted or untried or servers
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -7,7 +7,8 @@
 
 from ..version.deployment import Deployment, ServiceName
 from .backends import Backend, Backends
-from .placement import place_plain, place_prompt, sound_servers
+from .placement import place_plain, place_prompt
+from .reach import DataCentreReach
 
 __all__ = ["ServerChoice"]
 
@@ -19,10 +20,12 @@
         self,
         backends: Backends,
         data_centre: DataCentre,
+        reach: DataCentreReach,
         deployment: Callable[[], Deployment | None],
     ) -> None:
         self._backends = backends
         self._data_centre = data_centre
+        self._reach = reach
         self._deployment = deployment
 
     def choose(
@@ -40,7 +43,7 @@
         centre that holds large results which the server has to fetch.
         """
         now = asyncio.get_running_loop().time()
-        servers = sound_servers(self._backends.usable(service), tried, now)
+        servers = self._reach.sound(self._backends.usable(service), tried)
         if not servers:
             return None
         deployment = self._deployment()
--- a/packages/node/src/eelgrass_node/process/shared_pieces.py
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -66,7 +66,9 @@
             if owner is None:
                 break
             try:
-                return await self._handoff.run(owner.internal, service, pieces)
+                outcomes = await self._handoff.run(owner.internal, service, pieces)
+                self._owners.note_answer(owner)
+                return outcomes
             except PeerUnreachable as error:
                 self._note_failure(owner, service, error)
         outcomes = await self._local.run(service, pieces)
@@ -93,7 +95,7 @@
     def _note_failure(
         self, owner: Member, service: ServiceName, error: PeerUnreachable
     ) -> None:
-        self._owners.distrust(owner.id)
+        self._owners.note_failure(owner)
         self._count("handoff.failed")
         log(
             Part.PIECES,
--- a/packages/node/src/eelgrass_node/request/exchange.py
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -159,9 +159,9 @@
 
 def failure_of(error: Exception) -> CallFailed:
     """Return what a failure of the client library says about a call."""
-    if isinstance(
-        error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-    ):
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return CallFailed(RetryReason.CONNECT_SILENT, not_run=True)
+    if isinstance(error, aiohttp.ClientConnectorError):
         return CallFailed(RetryReason.CONNECT_FAILED, not_run=True)
     if isinstance(error, TimeoutError):
         return CallFailed(RetryReason.CONNECTION_SILENT, not_run=False)
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -58,6 +58,7 @@
     """Why an attempt at a stage is repeated."""
 
     CONNECT_FAILED = "connect_failed"
+    CONNECT_SILENT = "connect_silent"
     CONNECTION_LOST = "connection_lost"
     CONNECTION_SILENT = "connection_silent"
     BACKEND_LEAVING = "backend_leaving"
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -15,6 +15,7 @@
 from ..log import Part, log
 from ..process.backends import Backend
 from ..process.pieces import PieceTrouble
+from ..process.reach import DataCentreReach
 from ..process.retry_window import RetryWindows
 from ..version.deployment import RouteKind, ServiceName
 from .answering import CallerAnswer
@@ -65,6 +66,7 @@
     run_pieces: RunPieces
     free_results: Callable[[ServiceName, list[str]], None]
     retries: RetryWindows
+    reach: DataCentreReach
     note_load: Callable[[Backend, EngineHead], None]
     server_gone: Callable[[Backend], None]
     count: Callable[[str], None]
@@ -166,6 +168,7 @@
         try:
             head = await call.open(self._events.last_id)
             self._headed_at = _now()
+            self._parts.reach.note_answer(backend.entry.data_centre)
             self._parts.note_load(backend, head)
             if routed.route.kind is RouteKind.STREAM and head.status < 300:
                 return await self._relay(call, head, backend)
@@ -212,6 +215,8 @@
             backend.suspect()
         if failed.reason is RetryReason.CONNECTION_SILENT:
             backend.connections.replace()
+        if failed.reason in _SILENCES:
+            self._parts.reach.note_silent(backend.entry.data_centre, backend.entry.id)
         log(
             Part.REQUESTS,
             "A call failed.",
@@ -295,12 +300,15 @@
 _SUSPICIOUS = frozenset(
     (
         RetryReason.CONNECT_FAILED,
+        RetryReason.CONNECT_SILENT,
         RetryReason.CONNECTION_LOST,
         RetryReason.CONNECTION_SILENT,
         RetryReason.BAD_ANSWER,
     )
 )
 
+_SILENCES = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
