--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from eelgrass_coordination import Member, Membership
+from eelgrass_coordination import Member, Membership, MemberState
 from eelgrass_coordination.ids import BackendId
 
 from .connection.piece_calls import PieceCalls
@@ -250,6 +250,9 @@
         await web.TCPSite(runner, host, int(port), backlog=512).start()
 
     def _members_changed(self) -> None:
+        for member in self.membership.members.by_id.values():
+            if member.state is MemberState.SUSPECT:
+                self.reach.note_silent(member.data_centre, member.id)
         live = len(self.membership.members.reachable()) + 1
         self.retries.live_nodes = live
         self.backends.set_live_nodes(live)
--- a/packages/node/src/eelgrass_node/process/piece_batch.py
+++ b/packages/node/src/eelgrass_node/process/piece_batch.py
@@ -44,6 +44,10 @@
     for group in _groups(ordered):
         if len(batch) == places:
             break
+        if batch and (group[0].alone or batch[0].alone):
+            # A server hangs on a piece whose inputs it cannot reach, and the
+            # whole call with it.
+            continue
         size = sum(size_of(piece) for piece in group)
         small = group[0].result_bytes < SMALL_BYTES
         if reserved and not small:
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -92,8 +92,8 @@
 class PieceQueue:
     """Pieces that wait for a server of ``service``.
 
-    ``servers`` returns those that may get work; ``may_repeat`` asks the budget
-    for one more call of a piece.
+    ``servers`` returns those that may get work, ``data_centre_of`` tells where a
+    result lies, and ``may_repeat`` asks the budget for one more call of a piece.
     """
 
     def __init__(
@@ -102,6 +102,7 @@
         limits: Callable[[], PieceLimits],
         servers: Callable[[], list[Backend]],
         reach: DataCentreReach,
+        data_centre_of: Callable[[str], str],
         run_call: RunCall,
         may_repeat: Callable[[], bool],
     ) -> None:
@@ -109,6 +110,7 @@
         self._limits = limits
         self._servers = servers
         self._reach = reach
+        self._data_centre_of = data_centre_of
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
@@ -194,7 +196,7 @@
         """Start calls at idle servers, as far as pieces wait."""
         while self._waiting:
             now = _now()
-            self._drop_late(now)
+            self._drop_hopeless(now)
             if not self._start_one(now):
                 self._fill_later()
                 return
@@ -239,11 +241,19 @@
     def _ahead_of(self, first: Piece) -> int:
         return sum(1 for piece in self._waiting if _rank(piece) <= _rank(first))
 
-    def _drop_late(self, now: float) -> None:
+    def _drop_hopeless(self, now: float) -> None:
         shortest = self.call_s(1)
         for piece, future in list(self._waiting.items()):
             if piece.deadline - now < shortest:
                 self._settle(piece, future, PieceOutcome(trouble=PieceTrouble.LATE))
+            elif any(self._reach.in_doubt(place) for place in self._places(piece)):
+                # Its inputs are out of reach; they can be made again here.
+                gone = PieceOutcome(trouble=PieceTrouble.INPUT_GONE)
+                self._settle(piece, future, gone)
+
+    def _places(self, piece: Piece) -> set[str]:
+        """Return the data centres that hold the inputs of a piece."""
+        return {self._data_centre_of(handle) for handle in piece.inputs}
 
     def _idle_servers(self, now: float) -> list[Backend]:
         slots = self._limits().slots
@@ -374,11 +384,10 @@
     ) -> None:
         troubles = {outcome.trouble for outcome in outcomes}
         # A server that works fails single pieces now and then.
-        data_centre = server.entry.data_centre
         if PieceTrouble.SILENT in troubles:
-            self._reach.note_silent(data_centre, server.entry.id)
+            self._note_silent(server, batch)
         else:
-            self._reach.note_answer(data_centre)
+            self._reach.note_answer(server.entry.data_centre)
         if troubles <= FAILURES:
             server.suspect()
             log(
@@ -411,6 +420,17 @@
         server.note_taken()
         use.slowness.note(took_s / self.call_s(len(batch)))
 
+    def _note_silent(self, server: Backend, batch: list[Piece]) -> None:
+        """Note which data centres a call that went silent puts in doubt.
+
+        The server may be out of reach, or those that hold its inputs from it.
+        """
+        for piece in batch:
+            piece.alone = True
+            for place in self._places(piece) - {server.entry.data_centre}:
+                self._reach.note_silent(place, piece.inputs[0])
+        self._reach.note_silent(server.entry.data_centre, server.entry.id)
+
     def _finish(
         self, piece: Piece, future: asyncio.Future[PieceOutcome], outcome: PieceOutcome
     ) -> None:
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -92,6 +92,7 @@
                 lambda: self._limits(service),
                 lambda: self._backends.usable(service),
                 self._reach,
+                self.data_centre_of,
                 self._run_call,
                 lambda: self._retries.try_spend(service, owner=True),
             )
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -27,7 +27,8 @@
     ``due`` are on the clock of the event loop: when the piece must be done to be
     of any use, and when it should be done for its request to be on time. ``near``
     is the data centre where the result will be fetched, if it matters.
-    ``queued_at`` is when it came to the queue, ``set_size`` counts
+    ``queued_at`` is when it came to the queue, ``alone`` that
+    a call with it went silent, and ``set_size`` counts
     the pieces of its stage of its request, ``begun``
     says that others of its set have been run, whose results wait for it, and
     ``tries`` counts the calls it was in.
@@ -45,6 +46,7 @@
     near: str = ""
     queued_at: float = 0.0
     begun: bool = False
+    alone: bool = False
     set_size: int = 1
     tries: int = 0
 
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -118,6 +118,10 @@
         inputs = await self._run_stages()
         self._staged_at = _now()
         while True:
+            if self._parts.reach.in_doubt(self._inputs_at()):
+                # No server here could fetch them.
+                self._graph.release()
+                inputs = await self._run_stages()
             backend = self._choose()
             backend.in_flight += 1
             self._calling = True
@@ -145,6 +149,9 @@
                 overloaded=failed.trouble is PieceTrouble.OVERLOADED,
             ) from failed
 
+    def _inputs_at(self) -> str:
+        return self._graph.inputs_at(self._routed.route.final_stages())
+
     def _choose(self) -> Backend:
         routed = self._routed
         prompt = routed.arrival.prompt
@@ -153,7 +160,7 @@
             prompt.shared_part(),
             prompt.shared_tokens(),
             self._tried,
-            self._graph.inputs_at(routed.route.final_stages()),
+            self._inputs_at(),
         )
         if backend is None:
             raise RequestRefused("no server of the service", RETRY_NO_SERVER_S)
