--- a/packages/node/src/eelgrass_node/process/reach.py
+++ b/packages/node/src/eelgrass_node/process/reach.py
@@ -48,7 +48,9 @@
         recent = [
             at for at in place.silent_at_by_name.values() if now - at < TOGETHER_S
         ]
-        if len(recent) >= 2 and place.doubted_until <= now:
+        # After a doubt that no answer has ended, one silence is enough.
+        needed = 2 if place.doubt_s == FIRST_DOUBT_S else 1
+        if len(recent) >= needed and place.doubted_until <= now:
             place.doubted_until = now + place.doubt_s
             place.doubt_s = min(MAX_DOUBT_S, place.doubt_s * 2)
 
--- a/packages/node/src/eelgrass_node/request/exchange.py
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -18,8 +18,9 @@
 
 __all__ = ["CallEnd", "EngineCall", "Reply", "failure_of"]
 
-# A connection comes about in a few milliseconds, or its first packet was lost.
-CONNECT_S = 0.4
+# A connection comes about in a few milliseconds, or its first packet was lost
+# and is sent again after a second.
+CONNECT_S = 0.3
 HTTP_CONFLICT = 409
 HTTP_MISDIRECTED = 421
 
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -177,9 +177,7 @@
         routed = self._routed
         call = EngineCall(self._parts.codec, routed, backend, inputs, self._silence_s())
         began = _now()
-        fetched = asyncio.get_running_loop().call_later(
-            FETCHED_S, self._graph.release
-        )
+        fetched = asyncio.get_running_loop().call_later(FETCHED_S, self._graph.release)
         try:
             head = await call.open(self._events.last_id)
             self._headed_at = _now()
@@ -254,7 +252,9 @@
                 raise RequestRefused(f"attempts used up: {reason}", RETRY_FULL_S)
         elif self._refused_calls >= MAX_REFUSED_CALLS:
             raise RequestRefused(f"refused by servers: {reason}", RETRY_FULL_S)
-        if not self._parts.retries.try_spend(routed.service):
+        # A call that reached no server is no load on any.
+        reached = failed.reason not in _UNCONNECTED
+        if reached and not self._parts.retries.try_spend(routed.service):
             raise RequestRefused(f"retry budget spent: {reason}", RETRY_FULL_S)
         self._parts.count(f"retry.{reason}")
 
@@ -323,6 +323,7 @@
     )
 )
 
+_UNCONNECTED = frozenset((RetryReason.CONNECT_FAILED, RetryReason.CONNECT_SILENT))
 _SILENCES = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
 
 
