--- a/packages/node/src/eelgrass_node/connection/piece_calls.py
+++ b/packages/node/src/eelgrass_node/connection/piece_calls.py
@@ -14,8 +14,6 @@
 __all__ = ["PieceCalls", "PieceCodec"]
 
 CONNECT_S = 0.3
-# A report comes at once, in two ways between data centres.
-REPORT_TIMEOUT_S = 0.15
 FREE_TIMEOUT_S = 1.0
 HTTP_OK = 200
 HTTP_MISDIRECTED = 421
@@ -27,7 +25,6 @@
 
     RUN_PATH: str
     FREE_PATH: str
-    REPORT_PATH: str
 
     def encode_pieces(self, pieces: list[Piece], now: float) -> bytes:
         """Return the body of a call that runs pieces."""
@@ -38,9 +35,6 @@
     def encode_free(self, handles: list[str]) -> bytes:
         """Return the body of a call that frees results."""
 
-    def decode_room(self, body: bytes) -> float | None:
-        """Return the bytes free for results in a report, None if not told."""
-
     def call_headers(self, server_id: str) -> CIMultiDict[str]:
         """Return the headers of a call that only this server may take."""
 
@@ -91,33 +85,16 @@
             return False
         return status == HTTP_OK
 
-    async def ask_room(self, backend: Backend) -> float | None:
-        """Return the bytes that a server has free for results, None if unknown."""
-        try:
-            async with asyncio.timeout(REPORT_TIMEOUT_S):
-                status, body = await self._exchange(
-                    backend, "GET", self._codec.REPORT_PATH, b""
-                )
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
-            return None
-        return self._codec.decode_room(body) if status == HTTP_OK else None
-
     async def _post(
         self, backend: Backend, path: str, body: bytes
-    ) -> tuple[int, bytes]:
-        return await self._exchange(backend, "POST", path, body)
-
-    async def _exchange(
-        self, backend: Backend, method: str, path: str, body: bytes
     ) -> tuple[int, bytes]:
         headers = self._codec.call_headers(backend.entry.id)
-        if body:
-            headers["Content-Type"] = "application/json"
+        headers["Content-Type"] = "application/json"
         connections = backend.connections
         connections.enter()
         try:
             async with connections.request(
-                method, path, headers, body, CONNECT_S, reuse=True
+                "POST", path, headers, body, CONNECT_S, reuse=True
             ) as response:
                 return response.status, await response.read()
         finally:
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -98,7 +98,6 @@
             self.retries,
             self.reach,
             self.piece_calls.run,
-            self.piece_calls.ask_room,
             self.piece_calls.free,
             stage_calls.maker_of,
         )
--- a/packages/node/src/eelgrass_node/platform/stage_calls.py
+++ b/packages/node/src/eelgrass_node/platform/stage_calls.py
@@ -9,11 +9,9 @@
 
 __all__ = [
     "FREE_PATH",
-    "REPORT_PATH",
     "RUN_PATH",
     "call_headers",
     "decode_outcomes",
-    "decode_room",
     "encode_free",
     "encode_pieces",
     "maker_of",
@@ -21,7 +19,6 @@
 
 RUN_PATH = names.STAGE_RUN_PATH
 FREE_PATH = names.STAGE_FREE_PATH
-REPORT_PATH = names.REPORT_PATH
 
 _TROUBLES = {
     "late": PieceTrouble.LATE,
@@ -57,10 +54,6 @@
     handles: list[str]
 
 
-class _Report(msgspec.Struct, rename="pascal"):
-    free_mb: float | None = None
-
-
 _decoder = msgspec.json.Decoder(_Results)
 
 
@@ -83,15 +76,6 @@
     return [_outcome(result) for result in results]
 
 
-def decode_room(body: bytes) -> float | None:
-    """Return the bytes free for results in a report, None if it does not tell."""
-    try:
-        report = msgspec.json.decode(body, type=_Report)
-    except msgspec.MsgspecError:
-        return None
-    return None if report.free_mb is None else report.free_mb * 1e6
-
-
 def encode_free(handles: list[str]) -> bytes:
     """Return the body of a call that frees results."""
     return msgspec.json.encode(_Free(handles))
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -10,9 +10,9 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
-from typing import Any
+from collections.abc import Awaitable, Callable, Sequence
 
+from eelgrass_coordination import MovingAverage
 from eelgrass_coordination.ids import BackendId
 
 from ..log import Part, log
@@ -22,15 +22,16 @@
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .queue_load import QueueLoad
 from .reach import DataCentreReach
-from .server_use import ServerUse
 
-__all__ = ["AskRoom", "PieceQueue", "RunCall"]
+__all__ = ["PieceQueue", "RunCall"]
 
-AskRoom = Callable[[Backend], Awaitable[float | None]]
 RunCall = Callable[[Backend, list[Piece], float], Awaitable[list[PieceOutcome]]]
 
 # A piece is run at most this often; the second and third time after a failure.
 MAX_TRIES = 3
+# Weight of the newest call in a server's slowness: it settles in a few calls,
+# and a call takes a fifth of a second.
+SLOWNESS_WEIGHT = 0.3
 # A call is given up after this many times its expected time and this much more:
 # slow servers are 4 to 8 times as slow, dark ones never answer.
 GIVE_UP_FACTOR = 2.5
@@ -47,6 +48,9 @@
 MAX_WAIT_S = 30.0
 # How much later a set goes for each second of a server that it takes.
 LARGE_SET_WEIGHT = 3.0
+# A server that has no room is taken for full for this long, about a call.
+UNKNOWN_RESULTS_S = 0.25
+UNKNOWN_RESULTS = "unknown"
 # Late pieces beyond this much work of all servers are refused: after a burst
 # they are served within some three times as long, which callers still wait.
 LATE_BACKLOG_S = 1.0
@@ -60,12 +64,36 @@
 FAILURES = frozenset((PieceTrouble.UNREACHED, PieceTrouble.SILENT, PieceTrouble.FAILED))
 
 
+class _ServerUse:
+    """What this queue has at one server: calls in flight and results held."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.free_at = 0.0
+        self.slowness = MovingAverage(1.0, SLOWNESS_WEIGHT)
+        self._bytes_by_handle: dict[str, tuple[float, int]] = {}
+
+    def hold(self, handle: str, size: int, until: float) -> None:
+        """Note a result that takes up memory until it is freed or expires."""
+        self._bytes_by_handle[handle] = (until, size)
+
+    def free(self, handle: str) -> None:
+        """Note that a result was freed."""
+        self._bytes_by_handle.pop(handle, None)
+
+    def held_bytes(self, now: float) -> int:
+        """Return how much memory results take up."""
+        expired = [h for h, (until, _) in self._bytes_by_handle.items() if until <= now]
+        for handle in expired:
+            del self._bytes_by_handle[handle]
+        return sum(size for _, size in self._bytes_by_handle.values())
+
+
 class PieceQueue:
     """Pieces that wait for a server of ``service``.
 
     ``servers`` returns those that may get work, ``data_centre_of`` tells where a
-    result lies, ``ask_room`` asks a server for its free memory, and
-    ``may_repeat`` the budget for one more call of a piece.
+    result lies, and ``may_repeat`` asks the budget for one more call of a piece.
     """
 
     def __init__(
@@ -76,7 +104,6 @@
         reach: DataCentreReach,
         data_centre_of: Callable[[str], str],
         run_call: RunCall,
-        ask_room: AskRoom,
         may_repeat: Callable[[], bool],
     ) -> None:
         self.service = service
@@ -85,10 +112,9 @@
         self._reach = reach
         self._data_centre_of = data_centre_of
         self._run_call = run_call
-        self._ask = ask_room
         self._may_repeat = may_repeat
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
-        self._use_by_id: dict[BackendId, ServerUse] = {}
+        self._use_by_id: dict[BackendId, _ServerUse] = {}
         self._tasks: set[asyncio.Task] = set()
         self._fill_timer: asyncio.TimerHandle | None = None
         self._size_factor = 1.0
@@ -178,37 +204,12 @@
     def _start_one(self, now: float) -> bool:
         """Start a call at the first idle server that has pieces to take."""
         for server in self._idle_servers(now):
-            if self._use(server).needs_asking(now):
-                self._ask_room(server)
-                continue
             batch = self._take_batch(server, now)
             if batch:
                 self._start(server, batch, now)
                 return True
         return False
 
-    def _ask_room(self, server: Backend) -> None:
-        use = self._use(server)
-        if not use.asking:
-            use.asking = True
-            self._keep(self._take_room(server, use))
-
-    async def _take_room(self, server: Backend, use: ServerUse) -> None:
-        room = await self._ask(server)
-        use.asking = False
-        now = _now()
-        if room is None:
-            # It does not tell, or not now; what this node knows must do.
-            use.doubted_until = now
-        else:
-            use.tell_room(room, now)
-        self.fill()
-
-    def _keep(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _fill_later(self) -> None:
         """Look again soon: pieces may wait for a nearer server, or for room."""
         if self._fill_timer is None:
@@ -273,7 +274,7 @@
         return take_batch(
             [p for p in ordered if not self._waits_for_near(p, server, now)],
             limits.batch,
-            self._use(server).room(limits.memory_bytes, now),
+            limits.memory_bytes - self._use(server).held_bytes(now),
             limits.memory_bytes,
             self._size,
             now,
@@ -344,8 +345,9 @@
         for piece in self._waiting:
             if (piece.request_id, piece.stage) in taken:
                 piece.begun = True
-        use.tell_room(0.0, float("-inf"))
-        self._keep(self._call(server, futures, expected_s))
+        task = asyncio.create_task(self._call(server, futures, expected_s))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _call(
         self,
@@ -375,7 +377,7 @@
     def _note_call(
         self,
         server: Backend,
-        use: ServerUse,
+        use: _ServerUse,
         batch: list[Piece],
         outcomes: list[PieceOutcome],
         took_s: float,
@@ -399,7 +401,10 @@
             return
         if PieceTrouble.NO_ROOM in troubles:
             self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
-            use.doubted_until = _now() + self._limits().result_life_s
+            # It holds results that this node does not know of, such as those
+            # of an owner before it; they go within their short life.
+            rest = self._limits().memory_bytes - use.held_bytes(_now())
+            use.hold(UNKNOWN_RESULTS, int(rest), _now() + UNKNOWN_RESULTS_S)
             log(
                 Part.PIECES,
                 "A server has no room for results.",
@@ -447,11 +452,10 @@
         if not future.done():
             future.set_result(outcome)
 
-    def _use(self, server: Backend) -> ServerUse:
+    def _use(self, server: Backend) -> _ServerUse:
         use = self._use_by_id.get(server.entry.id)
         if use is None:
-            doubted_until = _now() + self._limits().result_life_s
-            use = self._use_by_id[server.entry.id] = ServerUse(doubted_until)
+            use = self._use_by_id[server.entry.id] = _ServerUse()
         return use
 
 
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -5,7 +5,7 @@
 
 from ..version.deployment import Deployment, PieceLimits, ServiceName
 from .backends import Backend, Backends
-from .piece_queue import AskRoom, PieceQueue, RunCall
+from .piece_queue import PieceQueue, RunCall
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .queue_load import QueueLoad
 from .reach import DataCentreReach
@@ -40,7 +40,6 @@
         retries: RetryWindows,
         reach: DataCentreReach,
         run_call: RunCall,
-        ask_room: AskRoom,
         free_call: FreeCall,
         maker_of: Callable[[str], str],
     ) -> None:
@@ -49,7 +48,6 @@
         self._retries = retries
         self._reach = reach
         self._run_call = run_call
-        self._ask_room = ask_room
         self._free_call = free_call
         self._maker_of = maker_of
         self._tasks: set[asyncio.Task] = set()
@@ -96,7 +94,6 @@
                 self._reach,
                 self.data_centre_of,
                 self._run_call,
-                self._ask_room,
                 lambda: self._retries.try_spend(service, owner=True),
             )
         return found
