--- /dev/null
+++ b/packages/node/tests/test_piece_queue.py
@@ -0,0 +1,248 @@
+"""The queue before a service that runs stages, under the loads of the sheets."""
+
+import asyncio
+
+import pytest
+
+from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.process.backends import Backend, HostEntry
+from eelgrass_node.process.piece_queue import LATE_BACKLOG_S, PieceQueue
+from eelgrass_node.process.pieces import Piece, PieceOutcome, PieceTrouble
+from eelgrass_node.process.reach import DataCentreReach
+from eelgrass_node.version.deployment import PieceLimits
+
+LARGE = 3_000_000
+# A tenth of the times on the sheets, so that tests are quick.
+LIMITS = PieceLimits(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_s=0.015,
+    piece_s=0.0032,
+    memory_bytes=21_000_000.0,
+    result_life_s=0.4,
+)
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+def server(name, data_centre="a"):
+    return Backend(
+        HostEntry(BackendId(name), "portal", f"{name}:1", DataCentre(data_centre))
+    )
+
+
+class Service:
+    """Servers that run pieces; ``behave`` may give outcomes of its own."""
+
+    def __init__(self, *servers, behave=None, may_repeat=True):
+        self.servers = list(servers)
+        self.calls = []
+        self._behave = behave
+        self.reach = DataCentreReach(DataCentre("a"), now)
+        self.queue = PieceQueue(
+            "portal",
+            lambda: LIMITS,
+            lambda: self.servers,
+            self.reach,
+            lambda handle: handle.partition("@")[2],
+            self._run,
+            lambda: may_repeat,
+        )
+
+    async def _run(self, backend, pieces, within_s):
+        self.calls.append((backend.entry.id, pieces))
+        if self._behave is not None:
+            outcomes = await self._behave(backend, pieces)
+            if outcomes is not None:
+                return outcomes
+        await asyncio.sleep(LIMITS.call_s + LIMITS.piece_s * len(pieces))
+        return [PieceOutcome(handle=f"{p.request_id}/{p.number}@a") for p in pieces]
+
+
+def pieces(request, count=1, in_s=1.0, size=8_000, priority=0, **fields):
+    return [
+        Piece(
+            request_id=request,
+            stage=0,
+            number=number,
+            key="key",
+            inputs=fields.get("inputs", ()),
+            deadline=now() + fields.get("deadline_s", 4.0),
+            due=now() + in_s,
+            priority=priority,
+            result_bytes=size,
+            near=fields.get("near", ""),
+        )
+        for number in range(count)
+    ]
+
+
+def all_of(trouble, given):
+    return [PieceOutcome(trouble=trouble)] * len(given)
+
+
+class TestBatching:
+    async def test_calls_fill_while_servers_are_busy(self):
+        """24 pieces in calls of one would take 24 calls; here they take 7."""
+        service = Service(server("s1"))
+        runs = [service.queue.run(pieces(f"r{n}")) for n in range(24)]
+        results = await asyncio.gather(*runs)
+        assert all(outcome.handle for [outcome] in results)
+        assert len(service.calls) <= 8
+
+    async def test_an_idle_server_takes_a_piece_at_once(self):
+        service = Service(server("s1"), server("s2"))
+        began = now()
+        await asyncio.gather(
+            service.queue.run(pieces("a")), service.queue.run(pieces("b"))
+        )
+        assert now() - began < 1.9 * LIMITS.call_s
+
+    async def test_urgent_pieces_go_first(self):
+        service = Service(server("s1"))
+        runs = [asyncio.create_task(service.queue.run(pieces("busy", 4)))]
+        await asyncio.sleep(0.001)
+        for name, priority in (("low", 2), ("high", 0)):
+            run = service.queue.run(pieces(name, 4, priority=priority))
+            runs.append(asyncio.create_task(run))
+        await asyncio.gather(*runs)
+        assert [call[1][0].request_id for call in service.calls][1] == "high"
+
+    async def test_late_pieces_get_what_the_others_leave(self):
+        service = Service(server("s1"))
+        runs = [asyncio.create_task(service.queue.run(pieces("busy", 4)))]
+        await asyncio.sleep(0.001)
+        for name, in_s in (("late", 0.001), ("timely", 1.0)):
+            run = service.queue.run(pieces(name, 4, in_s=in_s))
+            runs.append(asyncio.create_task(run))
+        await asyncio.gather(*runs)
+        assert [call[1][0].request_id for call in service.calls][1] == "timely"
+
+    async def test_of_sets_due_together_the_small_one_goes_first(self):
+        service = Service(server("s1"))
+        runs = [asyncio.create_task(service.queue.run(pieces("busy", 4)))]
+        await asyncio.sleep(0.001)
+        for name, count in (("large", 8), ("small", 2)):
+            run = service.queue.run(pieces(name, count))
+            runs.append(asyncio.create_task(run))
+        await asyncio.gather(*runs)
+        assert service.calls[1][1][0].request_id == "small"
+
+
+class TestResultMemory:
+    async def test_sets_that_have_begun_are_completed_first(self):
+        """A set of six in a burst: its rest must not wait behind fresh sets,
+        since its first four results take up memory until it is complete."""
+        service = Service(server("s1"))
+        big = asyncio.create_task(service.queue.run(pieces("big", 6, size=LARGE)))
+        await asyncio.sleep(0.001)
+        fresh = [
+            asyncio.create_task(service.queue.run(pieces(f"f{n}", 2, in_s=0.5)))
+            for n in range(4)
+        ]
+        await asyncio.gather(big, *fresh)
+        assert [call[1][0].request_id for call in service.calls][1] == "big"
+
+    async def test_no_more_is_begun_than_a_server_can_hold(self):
+        service = Service(server("s1"))
+        held = []
+        for n in range(2):
+            run = service.queue.run(pieces(f"r{n}", 3, size=LARGE))
+            held += [outcome.handle for outcome in await run]
+        third = asyncio.create_task(service.queue.run(pieces("third", 3, size=LARGE)))
+        await asyncio.sleep(0.1)
+        assert not third.done()
+        service.queue.free(BackendId("s1"), held[:3])
+        assert len(await third) == 3
+
+
+class TestFailures:
+    async def test_a_piece_that_fails_does_not_put_its_server_in_doubt(self):
+        """One failure in five hundred took a third of the servers away."""
+
+        async def fail_first(backend, given):
+            outcomes = [PieceOutcome(handle=f"{p.number}@a") for p in given]
+            if len(service.calls) == 1:
+                outcomes[0] = PieceOutcome(trouble=PieceTrouble.FAILED)
+            return outcomes
+
+        service = Service(server("s1"), behave=fail_first)
+        outcomes = await service.queue.run(pieces("r", 3))
+        assert all(outcome.handle for outcome in outcomes)
+        assert service.servers[0].suspect_until <= now()
+
+    async def test_a_call_that_fails_is_made_elsewhere(self):
+        async def fail_s1(backend, given):
+            if backend.entry.id == "s1":
+                return all_of(PieceTrouble.UNREACHED, given)
+            return None
+
+        service = Service(server("s1"), server("s2"), behave=fail_s1)
+        runs = [service.queue.run(pieces(f"r{n}")) for n in range(8)]
+        results = await asyncio.gather(*runs)
+        assert all(outcome.handle for [outcome] in results)
+        assert [call[0] for call in service.calls].count("s1") == 1
+
+    async def test_nothing_is_repeated_without_budget(self):
+        async def fail(backend, given):
+            return all_of(PieceTrouble.FAILED, given)
+
+        service = Service(server("s1"), behave=fail, may_repeat=False)
+        [outcome] = await service.queue.run(pieces("r"))
+        assert outcome.trouble is PieceTrouble.FAILED
+        assert len(service.calls) == 1
+
+    async def test_inputs_beyond_a_cut_are_gone_at_once(self):
+        service = Service(server("s1"))
+        for name in ("x", "y"):
+            service.reach.note_silent("b", name)
+        [outcome] = await service.queue.run(pieces("r", inputs=("h@b",)))
+        assert outcome.trouble is PieceTrouble.INPUT_GONE
+        assert service.calls == []
+
+    async def test_a_cancelled_caller_takes_its_waiting_pieces_along(self):
+        service = Service(server("s1"))
+        busy = asyncio.create_task(service.queue.run(pieces("busy", 4)))
+        await asyncio.sleep(0.001)
+        gone = asyncio.create_task(service.queue.run(pieces("gone", 2)))
+        await asyncio.sleep(0.001)
+        gone.cancel()
+        await busy
+        await asyncio.sleep(0.05)
+        assert {p.request_id for _, given in service.calls for p in given} == {"busy"}
+
+
+class TestRefusals:
+    async def test_what_cannot_be_done_in_time_is_refused_at_once(self):
+        service = Service(server("s1"))
+        waiting = asyncio.create_task(service.queue.run(pieces("w", 40)))
+        await asyncio.sleep(0.001)
+        began = now()
+        [outcome] = await service.queue.run(pieces("r", deadline_s=0.02, in_s=0.02))
+        assert outcome.trouble is PieceTrouble.OVERLOADED
+        assert outcome.retry_after_s > 0
+        assert now() - began < 0.01
+        await waiting
+
+    async def test_beyond_a_backlog_of_late_ones_more_are_refused(self):
+        service = Service(server("s1"))
+        full_call_s = LIMITS.call_s + LIMITS.piece_s * LIMITS.batch
+        backlog = int(LATE_BACKLOG_S / full_call_s + 3) * LIMITS.batch
+        late = pieces("late", backlog, in_s=0.001, deadline_s=30.0)
+        waiting = asyncio.create_task(service.queue.run(late))
+        await asyncio.sleep(0.01)
+        [refused] = await service.queue.run(pieces("r", in_s=0.001, deadline_s=30.0))
+        assert refused.trouble is PieceTrouble.OVERLOADED
+        waiting.cancel()
+
+
+class TestNearness:
+    @pytest.mark.parametrize("place", ["a", "b"])
+    async def test_a_piece_runs_where_its_result_is_fetched(self, place):
+        service = Service(server("s1", "a"), server("s2", "b"))
+        await service.queue.run(pieces("r", near=place, size=LARGE))
+        used = {"a": "s1", "b": "s2"}[place]
+        assert [call[0] for call in service.calls] == [used]
--- /dev/null
+++ b/packages/node/tests/test_serving_parts.py
@@ -0,0 +1,368 @@
+"""Parts of serving that need no network: plans, placement, budgets, reach."""
+
+import asyncio
+
+import pytest
+
+from eelgrass_coordination import Member, ranked
+from eelgrass_coordination.ids import BackendId, DataCentre, NodeId
+from eelgrass_node.process.backends import Backend, HostEntry
+from eelgrass_node.process.piece_owners import DISTRUST_S, PieceOwners
+from eelgrass_node.process.pieces import PieceOutcome, PieceTrouble
+from eelgrass_node.process.placement import hash_order, place_plain, place_prompt
+from eelgrass_node.process.queue_load import FADE_S, QueueLoad, QueueLoads
+from eelgrass_node.process.reach import FIRST_DOUBT_S, DataCentreReach
+from eelgrass_node.process.retry_window import OWNER_SHARE, USED_FRACTION, RetryWindows
+from eelgrass_node.request.arrival import Arrival, PromptShape, Routed
+from eelgrass_node.request.events import EventSplitter
+from eelgrass_node.request.graph import StageGraph
+from eelgrass_node.request.planning import plan_stages, refuse_hopeless
+from eelgrass_node.version.deployment import (
+    CallerLimits,
+    Deployment,
+    PieceLimits,
+    PieceStage,
+    Route,
+    RouteKind,
+    Service,
+    ServiceName,
+    WeightedService,
+)
+
+PORTAL, CLERKS, ARCHIVE = (ServiceName(n) for n in ("portal", "clerks", "archive"))
+LARGE = 3_000_000
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def limits(batch, piece_s, memory=21e6):
+    return PieceLimits(1, 2, batch, 0.15, piece_s, memory, 4.0)
+
+
+def deployment():
+    by_name = {
+        PORTAL: Service(PORTAL, 100, pieces=limits(4, 0.032)),
+        CLERKS: Service(CLERKS, 100, pieces=limits(15, 0.0085)),
+        ARCHIVE: Service(ARCHIVE, 100, pieces=limits(30, 0.0043)),
+    }
+    return Deployment(1, {}, by_name, {}, False, CallerLimits(1 << 20, 15.0))
+
+
+CHAIN = (
+    PieceStage(PORTAL, (), LARGE),
+    PieceStage(PORTAL, (), 8_000),
+    PieceStage(CLERKS, (1,), 60_000),
+    PieceStage(ARCHIVE, (2,), 6_000),
+)
+
+
+def routed(stages=CHAIN, counts=(2, 1, 8, 16), target_s=3.3, deadline_s=15.0):
+    route = Route(
+        name="r",
+        host="h",
+        prefix="/r/",
+        kind=RouteKind.STREAM,
+        timeout_s=deadline_s,
+        target_s=target_s,
+        gap_target_s=0.8,
+        priority=1,
+        services=(WeightedService(ServiceName("readers")),),
+        max_attempts=2,
+        stages=stages,
+        public=False,
+        resumable=True,
+    )
+    arrival = Arrival(
+        request_id="id",
+        method="POST",
+        target="/r/x",
+        host="h",
+        headers=(),
+        body=b"",
+        arrived_at=0.0,
+        caller_deadline_s=deadline_s,
+        api_key=None,
+        last_event_id=None,
+        piece_counts=counts,
+        piece_key="key",
+        prompt=PromptShape(),
+    )
+    return Routed(arrival, route, ServiceName("readers"), None, deadline_s, target_s)
+
+
+class TestPlan:
+    def test_earlier_stages_are_due_before_later_ones(self):
+        plan = plan_stages(routed(), deployment(), "a")
+        due = plan.due_by_stage
+        assert due[1] < due[2] < due[3] < 3.3
+        assert due[0] == due[3]
+
+    def test_large_results_are_made_just_before_they_are_needed(self):
+        plan = plan_stages(routed(), deployment(), "a")
+        assert plan.begin_after[0] == (1, 2)
+        assert plan.begin_after[3] == (2,)
+
+    def test_a_stage_that_is_left_out_takes_no_time(self):
+        whole = plan_stages(routed(), deployment(), "a")
+        short = plan_stages(routed(counts=(2, 0, 8, 16)), deployment(), "a")
+        assert short.begin_after[0] == (2,)
+        assert short.due_by_stage[3] == whole.due_by_stage[3]
+
+
+class TestHopeless:
+    def loads(self, **load_by_service):
+        loads = QueueLoads(Clock())
+        for service, load in load_by_service.items():
+            loads.hear(ServiceName(service), load)
+        return loads
+
+    def test_a_request_with_idle_stages_is_let_in(self):
+        assert refuse_hopeless(routed(), deployment(), self.loads()) is None
+
+    def test_a_long_queue_before_a_late_stage_refuses_at_the_door(self):
+        load = QueueLoad(((1, 3.0),), late_s=2.0)
+        again_s = refuse_hopeless(routed(), deployment(), self.loads(archive=load))
+        assert again_s is not None and again_s >= 2.0
+
+    def test_a_late_one_is_let_in_where_few_late_ones_wait(self):
+        load = QueueLoad(((1, 3.0),), late_s=0.1)
+        loads = self.loads(archive=load)
+        assert refuse_hopeless(routed(), deployment(), loads) is None
+
+    def test_waits_of_less_urgent_requests_do_not_count(self):
+        load = QueueLoad(((2, 9.0),), late_s=9.0)
+        loads = self.loads(archive=load)
+        assert refuse_hopeless(routed(), deployment(), loads) is None
+
+    def test_what_was_heard_fades(self):
+        clock = Clock()
+        loads = QueueLoads(clock)
+        loads.hear(ARCHIVE, QueueLoad(((1, 3.0),), 3.0))
+        clock.now = FADE_S
+        assert loads.wait_s(ARCHIVE, 1) == 0.0
+
+
+class TestGraph:
+    async def run_graph(self, answer, given=None):
+        calls = []
+        freed = []
+
+        async def run_pieces(service, pieces):
+            calls.append((service, pieces))
+            return answer(service, pieces, len(calls))
+
+        request = given or routed()
+        graph = StageGraph(
+            request,
+            plan_stages(request, deployment(), "a"),
+            run_pieces,
+            lambda service, handles: freed.extend(handles),
+            lambda handle: "a",
+        )
+        return graph, await graph.run(), calls, freed
+
+    @staticmethod
+    def handles(service, pieces, number):
+        return [PieceOutcome(handle=f"{p.stage}/{p.number}") for p in pieces]
+
+    async def test_each_piece_gets_all_results_before_it(self):
+        graph, inputs, calls, freed = await self.run_graph(self.handles)
+        archive = next(p for service, p in calls if service == ARCHIVE)
+        assert len(archive) == 16
+        assert archive[0].inputs == tuple(f"2/{n}" for n in range(8))
+        assert archive[0].key is None
+        assert inputs == ("0/0", "0/1", *(f"3/{n}" for n in range(16)))
+
+    async def test_results_are_freed_once_their_followers_have_run(self):
+        graph, inputs, calls, freed = await self.run_graph(self.handles)
+        assert set(freed) == {"1/0", *(f"2/{n}" for n in range(8))}
+        graph.release()
+        assert set(inputs) <= set(freed)
+
+    async def test_lost_results_are_made_again(self):
+        def lose_once(service, pieces, number):
+            if service == ARCHIVE and number < 5:
+                return [PieceOutcome(trouble=PieceTrouble.INPUT_GONE)] * len(pieces)
+            return self.handles(service, pieces, number)
+
+        graph, inputs, calls, freed = await self.run_graph(lose_once)
+        assert len(inputs) == 18
+        assert [service for service, _ in calls].count(CLERKS) == 2
+
+
+class TestPlacement:
+    def servers(self):
+        return [
+            Backend(HostEntry(BackendId(f"e{n}"), "readers", f"e{n}:1", DataCentre(dc)))
+            for n, dc in enumerate("aabbcc")
+        ]
+
+    async def test_a_subject_goes_to_one_engine_from_every_node(self):
+        servers = self.servers()
+        chosen = {
+            place_prompt(servers, "subject", 6300, dc, "", 0.0).entry.id for dc in "abc"
+        }
+        assert chosen == {hash_order(servers, "subject")[0].entry.id}
+
+    async def test_a_busy_engine_passes_its_subject_on(self):
+        servers = self.servers()
+        first, second = hash_order(servers, "subject")[:2]
+        first.note_load(running=30, waiting=3)
+        now = asyncio.get_running_loop().time()
+        at = second.entry.data_centre
+        chosen = place_prompt(servers, "subject", 6300, at, "", now)
+        assert chosen is not first
+
+    async def test_large_inputs_draw_a_small_prompt_to_their_data_centre(self):
+        chosen = place_prompt(self.servers(), None, 0, "a", "b", 0.0)
+        assert chosen.entry.data_centre == "b"
+
+    async def test_a_plain_request_goes_to_the_least_loaded(self):
+        servers = self.servers()[:2]
+        servers[0].in_flight = 3
+        assert place_plain(servers, "a", 0.0) is servers[1]
+
+
+class TestRetryWindows:
+    def budget(self, nodes=8):
+        clock = Clock()
+        budget = RetryWindows(0.2, 56, 10.0, clock)
+        budget.live_nodes = nodes
+        return budget, clock
+
+    def spend_all(self, budget, **options):
+        spent = 0
+        while budget.try_spend("s", **options):
+            spent += 1
+        return spent
+
+    def test_all_nodes_together_keep_the_limit(self):
+        total = 0
+        for _ in range(8):
+            budget, _ = self.budget()
+            for _ in range(100):
+                budget.note_request("s")
+            total += self.spend_all(budget)
+        assert 0 < total <= 0.2 * 800 + 56
+
+    def test_three_owners_together_keep_the_slack(self):
+        budget, _ = self.budget()
+        assert 3 * self.spend_all(budget, owner=True) <= 56
+        assert self.spend_all(self.budget()[0], owner=True) == int(
+            56 * OWNER_SHARE * USED_FRACTION
+        )
+
+    def test_it_comes_back_as_the_window_slides(self):
+        budget, clock = self.budget()
+        self.spend_all(budget)
+        clock.now = 10.1
+        assert budget.try_spend("s")
+
+
+class TestReach:
+    def reach(self):
+        clock = Clock()
+        return DataCentreReach(DataCentre("a"), clock), clock
+
+    def test_one_silence_is_not_enough_at_first(self):
+        reach, clock = self.reach()
+        reach.note_silent("b", "x")
+        reach.note_silent("b", "x")
+        assert not reach.in_doubt("b")
+        reach.note_silent("b", "y")
+        assert reach.in_doubt("b")
+
+    def test_an_answer_ends_the_doubt(self):
+        reach, clock = self.reach()
+        for name in "xy":
+            reach.note_silent("b", name)
+        reach.note_answer("b")
+        assert not reach.in_doubt("b")
+
+    def test_a_doubt_without_answer_returns_at_the_first_silence(self):
+        reach, clock = self.reach()
+        for name in "xy":
+            reach.note_silent("b", name)
+        clock.now = FIRST_DOUBT_S + 2.0
+        assert not reach.in_doubt("b")
+        reach.note_silent("b", "z")
+        assert reach.in_doubt("b")
+
+    def test_the_own_data_centre_is_never_in_doubt(self):
+        reach, _ = self.reach()
+        for name in "xyz":
+            reach.note_silent("a", name)
+        assert not reach.in_doubt("a")
+
+
+class TestOwners:
+    def setup_method(self):
+        self.clock = Clock()
+        self.members = [member(f"n{n}", dc) for n, dc in enumerate("aabbcc")]
+
+    def owners(self, own, data_centre):
+        others = [m for m in self.members if m.id != own]
+        reach = DataCentreReach(DataCentre(data_centre), self.clock)
+        return PieceOwners(
+            NodeId(own), DataCentre(data_centre), lambda: others, reach, self.clock
+        )
+
+    def first(self, own, data_centre):
+        owner = self.owners(own, data_centre).candidates("portal")[0]
+        return own if owner is None else owner.id
+
+    def test_all_nodes_agree(self):
+        firsts = {self.first(m.id, m.data_centre) for m in self.members}
+        assert len(firsts) == 1
+
+    def test_one_that_does_not_answer_is_passed_over_for_a_while(self):
+        owner = ranked(self.members, "portal", lambda m: m.id)[0]
+        own = next(m for m in self.members if m.data_centre != owner.data_centre)
+        owners = self.owners(own.id, own.data_centre)
+        owners.note_failure(owner)
+        assert owner not in owners.candidates("portal")
+        self.clock.now = DISTRUST_S
+        assert owners.candidates("portal")[0] == owner
+
+    def test_in_a_cut_the_nodes_of_a_data_centre_agree_on_one_of_theirs(self):
+        found = set()
+        for own in ("n0", "n1"):
+            owners = self.owners(own, "a")
+            for other in self.members[2:]:
+                owners.note_failure(other)
+            first = owners.candidates("portal")[0]
+            found.add(own if first is None else first.id)
+        assert len(found) == 1 and found <= {"n0", "n1"}
+
+
+def member(name, data_centre):
+    return Member(NodeId(name), DataCentre(data_centre), f"{name}:1", f"{name}:2", 1)
+
+
+class TestEvents:
+    def test_only_whole_events_are_passed_on(self):
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+        assert splitter.partial
+        assert splitter.feed(b"ta: b\n\n") == b"id: 2\ndata: b\n\n"
+        assert splitter.last_id == "2"
+
+    def test_a_second_run_repeats_nothing(self):
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        splitter.restart()
+        assert splitter.feed(b"id: 1\ndata: a\n\n") == b""
+        assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+    @pytest.mark.parametrize("size", [1, 2, 3, 7])
+    def test_any_split_of_the_bytes_gives_the_same(self, size):
+        whole = b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"
+        splitter = EventSplitter()
+        parts = [whole[n : n + size] for n in range(0, len(whole), size)]
+        assert b"".join(splitter.feed(part) for part in parts) == whole
