--- /dev/null
+++ b/packages/node/tests/test_platform_codecs.py
@@ -0,0 +1,273 @@
+"""What the adapter decodes and encodes, with good input and bad."""
+
+import msgspec
+import pytest
+
+from eelgrass_node.exceptions import (
+    ConfigurationMalformed,
+    PieceAnswerMalformed,
+    RequestMalformed,
+    ServerEntryMalformed,
+    SettingsError,
+)
+from eelgrass_node.platform import requests, stage_calls
+from eelgrass_node.platform.configuration import decode_deployment
+from eelgrass_node.platform.servers import decode_server
+from eelgrass_node.platform.settings import load_host_settings
+from eelgrass_node.process.backends import BackendState
+from eelgrass_node.process.pieces import Piece, PieceOutcome, PieceTrouble
+from eelgrass_node.request.arrival import Routed
+from eelgrass_node.version.deployment import AccountGrant, RouteKind, ServiceName
+
+SETTINGS = """
+NodeName: "edge-1"
+Zone: "north"
+BindIp: "10.1.0.41"
+Listen: {Frontend: "10.1.0.41:8625", Readiness: "10.1.0.41:8621",
+         Control: "10.1.0.41:8628"}
+PortRange: [7740, 7755]
+Seeds: ["10.2.0.25:8628"]
+Platform: {Address: "10.200.1.7:8624", form: "table"}
+Bounds: {GraceS: 8, RetryBudget: 0.2, RetrySlack: 56}
+SomethingNew: {ignored: true}
+"""
+
+
+def configuration(**changes):
+    route = {
+        "Name": "r1",
+        "Host": "Pule.example",
+        "Prefix": "/a/",
+        "Kind": "streaming",
+        "TimeoutMs": 6000,
+        "TargetLatencyMs": 1500,
+        "Priority": 0,
+        "MaxAttempts": 2,
+        "StreamResume": True,
+        "Backends": [
+            {"Service": "s1", "Weight": 90},
+            {"Service": "s2", "Weight": 0},
+        ],
+        "Stages": [{"Service": "st", "After": [], "Bytes": 3_000_000}],
+    }
+    deeper = {**route, "Name": "r2", "Prefix": "/a/b/", "Stages": None}
+    whole = {
+        "Version": 7,
+        "Routes": [route, deeper],
+        "Services": [
+            {"Name": "s1", "MaxConnections": 370, "Engine": {"Slots": 64}},
+            {"Name": "st", "Segments": {"Batch": 4, "CallMs": 150, "HeadroomMb": 21}},
+        ],
+        "Limits": {"MaxBodyBytes": 4096, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "t1", "ApiKeys": ["k1", "k2"], "Priority": 1}],
+    }
+    return msgspec.json.encode({**whole, **changes})
+
+
+def arrival(headers=(), target="/a/x?q=%2f", body=b""):
+    raw = ((b"Host", b"pule.example"), (b"Eelgrassward-Attempt-Id", b"id1"), *headers)
+    return requests.decode_arrival("POST", target, raw, body, 0.0)
+
+
+class TestSettings:
+    def test_unknown_fields_are_ignored(self, tmp_path):
+        file = tmp_path / "local.yaml"
+        file.write_text(SETTINGS)
+        settings = load_host_settings(file)
+        assert settings.node == "edge-1"
+        assert settings.gossip == "10.1.0.41:7740"
+        assert settings.seed_gossip() == ["10.2.0.25:7740"]
+        assert settings.bounds.retry_slack == 56
+
+    @pytest.mark.parametrize(
+        "text", ["a: [", "NodeName: 3", SETTINGS.replace("PortRange", "Ports")]
+    )
+    def test_a_wrong_file_names_what_is_wrong(self, tmp_path, text):
+        file = tmp_path / "local.yaml"
+        file.write_text(text)
+        with pytest.raises(SettingsError):
+            load_host_settings(file)
+
+    def test_a_missing_file(self, tmp_path):
+        with pytest.raises(SettingsError):
+            load_host_settings(tmp_path / "none.yaml")
+
+
+class TestConfiguration:
+    def test_the_longest_prefix_is_matched(self):
+        deployment = decode_deployment(configuration())
+        assert deployment.match("pule.example", "/a/b/c").name == "r2"
+        assert deployment.match("PULE.example", "/a/c").name == "r1"
+        assert deployment.match("pule.example", "/b") is None
+        assert deployment.match("other.example", "/a/") is None
+
+    def test_values_and_units(self):
+        deployment = decode_deployment(configuration())
+        route = deployment.match("pule.example", "/a/")
+        assert (route.kind, route.timeout_s, route.target_s) == (
+            RouteKind.STREAM,
+            6.0,
+            1.5,
+        )
+        assert [service.name for service in route.services] == ["s1"]
+        limits = deployment.service_by_name[ServiceName("st")].pieces
+        assert (limits.batch, limits.call_s, limits.memory_bytes) == (4, 0.15, 21e6)
+        assert deployment.account_by_key["k2"] == AccountGrant("t1", 1)
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"{}", b"[1]", configuration(Version="x"), b"\xff\xfe"]
+    )
+    def test_a_malformed_one_is_refused(self, value):
+        with pytest.raises(ConfigurationMalformed):
+            decode_deployment(value)
+
+
+class TestServers:
+    def test_any_state_but_ready_means_leaving(self):
+        entry = {"Service": "s", "Address": "10.0.0.1:1", "Zone": "a", "Slots": 6}
+        for state, expected in (
+            ("ready", BackendState.LIVE),
+            ("draining", BackendState.LEAVING),
+            ("something", BackendState.LEAVING),
+        ):
+            value = msgspec.json.encode({**entry, "State": state})
+            assert decode_server("i-1", value).state is expected
+
+    def test_a_malformed_entry_is_refused(self):
+        with pytest.raises(ServerEntryMalformed):
+            decode_server("i-1", b'{"Service": 3}')
+
+
+class TestRequests:
+    def test_what_a_caller_may_not_set_is_dropped(self):
+        found = arrival(
+            (
+                (b"Authorization", b"Bearer k1"),
+                (b"Eelgrassward-Tenant", b"other"),
+                (b"Eelgrassward-Hold", b"h"),
+                (b"Eelgrassward-Pin-Ms", b"4000"),
+                (b"Eelgrassward-Kv-Backup", b"10.0.0.1:1"),
+                (b"Kv-From", b"10.0.0.1:1/h"),
+                (b"Eelgrassward-Inputs", b"10.0.0.1:1/h"),
+                (b"Eelgrassward-Request-Priority", b"0"),
+                (b"Connection", b"keep-alive, X-Hop"),
+                (b"X-Hop", b"1"),
+                (b"X-Twice", b"1"),
+                (b"X-Twice", b"2"),
+            )
+        )
+        assert found.api_key == "k1"
+        names = [name for name, _ in found.headers]
+        assert names == ["Host", "Eelgrassward-Attempt-Id", "X-Twice", "X-Twice"]
+        assert found.target == "/a/x?q=%2f"
+
+    def test_towards_a_server(self):
+        deployment = decode_deployment(configuration())
+        route = deployment.match("pule.example", "/a/")
+        grant = AccountGrant("t1", 1)
+        found = arrival(((b"Eelgrassward-Deadline-Ms", b"6000"),))
+        routed = Routed(found, route, ServiceName("s1"), grant, 6.0, 1.5)
+        headers = requests.encode_request(routed, "i-1", 4.2, ("a:1/h", "b:1/h"), "12")
+        assert headers["Eelgrassward-Deadline-Ms"] == "4200"
+        assert headers["Eelgrassward-Expect-Engine"] == "i-1"
+        assert headers["Eelgrassward-Tenant"] == "t1"
+        assert headers["Eelgrassward-Inputs"] == "a:1/h,b:1/h"
+        assert headers["Last-Event-Id"] == "12"
+        assert headers["Eelgrassward-Request-Priority"] == "1"
+        assert "Authorization" not in headers
+
+    @pytest.mark.parametrize(
+        "header",
+        [
+            (b"Eelgrassward-Deadline-Ms", b"soon"),
+            (b"Eelgrassward-Deadline-Ms", b"-1"),
+            (b"Eelgrassward-Deadline-Ms", b"1e30"),
+            (b"Eelgrassward-Deadline-Ms", b"nan"),
+            (b"Eelgrassward-Segments", b"1,x"),
+            (b"Eelgrassward-Segments", b"99999999"),
+            (b"Eelgrassward-Attempt-Id", b"second"),
+            (b"Host", b"second.example"),
+        ],
+    )
+    def test_malformed_headers_reach_no_server(self, header):
+        with pytest.raises(RequestMalformed):
+            arrival((header,))
+
+    def test_a_request_without_id_is_malformed(self):
+        with pytest.raises(RequestMalformed):
+            requests.decode_arrival("GET", "/", ((b"Host", b"h"),), b"", 0.0)
+
+    def test_a_strange_prompt_only_loses_its_placement(self):
+        found = arrival(((b"Eelgrassward-Prompt-Prefix", b"a:b,c"),))
+        assert found.prompt.shared_part() is None
+
+    def test_shape_of_a_prompt(self):
+        found = arrival(
+            (
+                (b"Eelgrassward-Prompt-Prefix", b"aa:800,bb:410,cc:250"),
+                (b"Eelgrassward-Token-Usage", b"1460,80"),
+            )
+        )
+        assert found.prompt.shared_part() == "bb"
+        assert found.prompt.shared_tokens() == 1210
+        assert (found.prompt.tokens_in, found.prompt.tokens_out) == (1460, 80)
+
+
+class TestAnswers:
+    def test_head(self):
+        raw = (
+            (b"Eelgrassward-Attempt-Id", b"id1"),
+            (b"Eelgrassward-Engine-Signature", b"s"),
+            (b"Eelgrassward-Engine-Load", b"3,1,8"),
+            (b"Connection", b"close"),
+            (b"Transfer-Encoding", b"chunked"),
+        )
+        head = requests.decode_head(200, raw)
+        assert head.signed and head.closes and not head.not_run
+        assert head.load == (3, 1, 8)
+        assert "Transfer-Encoding" not in head.headers
+
+    @pytest.mark.parametrize("status", [421, 503])
+    def test_not_run_only_where_the_server_says_so(self, status):
+        said = ((b"Eelgrassward-Not-Executed", b"1"),)
+        assert requests.decode_head(status, said).not_run
+        assert requests.decode_head(status, ()).not_run is (status == 421)
+
+    def test_a_strange_load_is_no_load(self):
+        raw = ((b"Eelgrassward-Engine-Load", b"1,2"),)
+        assert requests.decode_head(200, raw).load is None
+
+
+class TestStageCalls:
+    def piece(self, key, inputs):
+        return Piece("id1", 2, 5, key, inputs, 10.9, 10.0, 0, 8)
+
+    def test_a_piece_has_a_key_or_inputs(self):
+        body = stage_calls.encode_pieces(
+            [self.piece("k", ()), self.piece(None, ("a:1/h",))], now=10.0
+        )
+        first, second = msgspec.json.decode(body)["Items"]
+        assert first == {
+            "Id": "id1",
+            "Phase": 2,
+            "Segment": 5,
+            "RemainingMs": 900,
+            "Key": "k",
+        }
+        assert second["Inputs"] == ["a:1/h"] and "Key" not in second
+
+    def test_outcomes_in_order(self):
+        body = b'{"Items":[{"Handle":"a:1/h"},{"Reason":"gone"},{"Reason":"new"}]}'
+        assert stage_calls.decode_outcomes(body, 3) == [
+            PieceOutcome(handle="a:1/h"),
+            PieceOutcome(trouble=PieceTrouble.INPUT_GONE),
+            PieceOutcome(trouble=PieceTrouble.FAILED),
+        ]
+
+    @pytest.mark.parametrize("body", [b"", b"{}", b'{"Items":[]}', b'{"Items":3}'])
+    def test_an_answer_that_does_not_fit(self, body):
+        with pytest.raises(PieceAnswerMalformed):
+            stage_calls.decode_outcomes(body, 1)
+
+    def test_the_maker_of_a_result(self):
+        assert stage_calls.maker_of("10.1.64.7:8080/91bd3f06e44") == "10.1.64.7:8080"
--- /dev/null
+++ b/packages/node/tests/test_store_following.py
@@ -0,0 +1,182 @@
+"""Following the store: outages, lost history, lapsed entries, old states."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.exceptions import (
+    HistoryGone,
+    ServerEntryMalformed,
+    StoreUnavailable,
+)
+from eelgrass_node.process import server_list as server_list_module
+from eelgrass_node.process.backends import Backends, BackendState, HostEntry
+from eelgrass_node.process.deployments import DeploymentInForce
+from eelgrass_node.process.server_list import ServerList
+from eelgrass_node.process.store_tables import (
+    FollowedTable,
+    StoredRow,
+    TableChanges,
+)
+from eelgrass_node.version.deployment import CallerLimits, Deployment
+
+
+class Script:
+    """A store that answers by a script: changes, or errors to raise."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+        self.asked = []
+        self.done = asyncio.Event()
+
+    async def read_table(self, table):
+        return await self._next("read")
+
+    async def feed(self, table, after, wait_s):
+        return await self._next(after)
+
+    async def _next(self, asked):
+        self.asked.append(asked)
+        if not self._answers:
+            self.done.set()
+            await asyncio.Event().wait()
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def row(key, version, value=b"x"):
+    return StoredRow(key, version, value)
+
+
+def changes(version, *rows):
+    return TableChanges(tuple(rows), version)
+
+
+async def follow(*answers):
+    script = Script(*answers)
+    taken, whole = [], []
+    table = FollowedTable(
+        script,
+        "t",
+        lambda rows: taken.extend((r.key, r.version) for r in rows),
+        lambda keys, was_lost: whole.append((keys, was_lost)),
+        wait_s=0.01,
+    )
+    task = asyncio.create_task(table.run())
+    async with asyncio.timeout(5):
+        await script.done.wait()
+    task.cancel()
+    return script.asked, taken, whole
+
+
+class TestFollowedTable:
+    async def test_changes_follow_a_whole_read(self):
+        asked, taken, whole = await follow(
+            changes(5, row("a", 3)), changes(7, row("a", 7))
+        )
+        assert asked == ["read", 5, 7]
+        assert taken == [("a", 3), ("a", 7)]
+
+    async def test_lost_history_leads_to_a_whole_read(self):
+        asked, taken, whole = await follow(
+            changes(5, row("a", 3)), HistoryGone("t"), changes(9, row("a", 9))
+        )
+        assert asked == ["read", 5, "read", 9]
+        assert taken == [("a", 3), ("a", 9)]
+
+    async def test_an_older_state_is_not_believed(self):
+        asked, taken, whole = await follow(
+            changes(9, row("a", 9)),
+            HistoryGone("t"),
+            changes(4, row("a", 3)),
+            changes(10, row("a", 9), row("b", 10)),
+        )
+        assert taken == [("a", 9), ("b", 10)]
+
+    async def test_an_outage_is_told_after_it(self):
+        asked, taken, whole = await follow(
+            changes(1, row("a", 1)),
+            StoreUnavailable("t", "down"),
+            HistoryGone("t"),
+            changes(2, row("a", 1)),
+        )
+        assert whole == [({"a"}, False), ({"a"}, True)]
+
+
+def decode(key, value):
+    if value == b"bad":
+        raise ServerEntryMalformed(key, "bad")
+    fields = msgspec.json.decode(value)
+    return HostEntry(
+        BackendId(key),
+        "s",
+        fields.get("at", f"{key}:1"),
+        DataCentre("a"),
+        state=BackendState(fields.get("state", "live")),
+    )
+
+
+class TestServerList:
+    @pytest.fixture(autouse=True)
+    def short_return(self, monkeypatch):
+        monkeypatch.setattr(server_list_module, "RETURN_S", 0.2)
+
+    def listing(self, *keys):
+        self.left = []
+        self.backends = Backends()
+        servers = ServerList(self.backends, decode, self.left.append)
+        servers.take_rows(tuple(row(key, 1, b"{}") for key in keys))
+        servers.take_whole(set(keys), False)
+        return servers
+
+    def usable(self):
+        return {backend.entry.id for backend in self.backends.usable("s")}
+
+    async def test_a_leaving_server_gets_no_new_work(self):
+        servers = self.listing("i1", "i2")
+        servers.take_rows((row("i1", 2, b'{"state": "leaving"}'),))
+        assert self.usable() == {"i2"}
+        assert self.left == ["i1"]
+
+    async def test_a_removed_server_is_gone_at_once(self):
+        servers = self.listing("i1", "i2")
+        servers.take_rows((row("i1", 2, None),))
+        assert self.usable() == {"i2"}
+
+    async def test_entries_that_lapsed_in_an_outage_may_come_back(self):
+        servers = self.listing("i1", "i2")
+        servers.take_whole({"i2"}, True)
+        assert self.usable() == {"i1", "i2"}
+        servers.take_rows((row("i1", 3, b"{}"),))
+        await asyncio.sleep(0.3)
+        assert self.usable() == {"i1", "i2"}
+
+    async def test_one_still_missing_then_is_gone(self):
+        servers = self.listing("i1", "i2")
+        servers.take_whole({"i2"}, True)
+        await asyncio.sleep(0.3)
+        assert self.usable() == {"i2"}
+
+    async def test_a_malformed_entry_leaves_the_last_good_one(self):
+        servers = self.listing("i1")
+        servers.take_rows((row("i1", 2, b"bad"),))
+        assert self.usable() == {"i1"}
+
+
+class TestDeploymentInForce:
+    def decode(self, raw):
+        number = int(raw)
+        return Deployment(number, {}, {}, {}, False, CallerLimits(1, 1.0))
+
+    async def test_it_never_goes_back(self):
+        heard = []
+        in_force = DeploymentInForce("config", self.decode, heard.append)
+        in_force.take_rows((row("config", 1, b"5"), row("other", 2, b"9")))
+        assert in_force.take(b"4", "peer") is False
+        assert in_force.number == 5
+        assert in_force.take(b"8", "peer") is True
+        assert heard == [5, 8]
