Entry nodes tested before stand-ins of the users' platform; a stopping node gives up its queues

Cause: a node that is stopped stayed the owner of queues until it was gone; the pieces that others had handed to it were then cut off and made again. 35 tests in tests/test_users_platform.py.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -25,6 +25,7 @@
 from .process.host_settings import HostSettings
 from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
+from .process.pieces import Piece, PieceOutcome
 from .process.queue_load import QueueLoads
 from .process.reach import DataCentreReach
 from .process.retry_window import RetryWindows
@@ -38,6 +39,7 @@
 from .request.graph import StagePlan
 from .request.planning import plan_stages, refuse_hopeless
 from .request.routed import ServingParts
+from .version.deployment import ServiceName
 
 __all__ = ["EntryNode"]
 
@@ -55,6 +57,9 @@
 # Callers use connections that have been idle for long; one that is closed under
 # a request costs an answer, an idle one a little memory.
 CALLER_IDLE_S = 75.0
+# How long a listener that is closed waits for its handlers; whoever had to be
+# waited for has been served by then.
+CLOSE_S = 0.1
 # Header lines and their sum that callers may send, well over the operator's
 # limits of 16 KiB.
 MAX_LINE_BYTES = 32_768
@@ -108,7 +113,7 @@
         self.membership.on_change = self._members_changed
         self.queue_loads = QueueLoads(loop.time)
         self.handoff = HandoffClient(self.queue_loads.hear)
-        owners = PieceOwners(
+        self.owners = PieceOwners(
             settings.node,
             settings.data_centre,
             self.membership.members.reachable,
@@ -116,7 +121,7 @@
             loop.time,
         )
         self.shared_pieces = SharedPieces(
-            owners,
+            self.owners,
             self.pieces,
             self.handoff,
             self.queue_loads.hear,
@@ -152,10 +157,25 @@
         """Serve until a stop is asked for; returns whether nothing was cut off."""
         await self.stopping.wait_requested()
         log(Part.NODE, "Stopping.", in_flight=self.stopping.count)
+        # Others own the queues from now on; what waits here is still served.
+        self.owners.leave()
+        await self.membership.leave()
         clean = await self.stopping.finish()
         log(Part.NODE, "Stopped.", clean=clean, in_flight=self.stopping.count)
         return clean
 
+    async def close(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.membership.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.backends.close()
+        await self.handoff.close()
+        await self.store.close()
+
     def _follow_configuration(self):
         table = FollowedTable(
             self.store,
@@ -205,7 +225,7 @@
             auto_decompress=False,
             handler_cancellation=True,
         )
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await self._serve(runner, self.settings.callers)
 
     def _plan(self, routed: Routed) -> StagePlan:
@@ -219,15 +239,22 @@
     def _refuse_hopeless(self, routed: Routed) -> float | None:
         return refuse_hopeless(routed, self.deployments.current, self.queue_loads)
 
+    async def _run_handed_over(
+        self, service: ServiceName, pieces: list[Piece]
+    ) -> list[PieceOutcome]:
+        with self.stopping.in_flight():
+            return await self.pieces.run(service, pieces)
+
     async def _listen_peers(self) -> None:
         interface = HandoffInterface(
-            self.pieces.run, self.pieces.load, self.pieces.free
+            self._run_handed_over, self.pieces.load, self.pieces.free
         )
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         interface.add_routes(app)
         runner = web.AppRunner(
             app,
             access_log=None,
+            shutdown_timeout=CLOSE_S,
             handler_cancellation=True,
             keepalive_timeout=PEER_IDLE_S,
         )
@@ -236,7 +263,7 @@
     async def _listen_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(READY_PATH, self._answer_ready)
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
         await self._serve(runner, self.settings.readiness)
 
     async def _answer_ready(self, request: web.Request) -> web.Response:
--- a/packages/node/src/eelgrass_node/process/piece_owners.py
+++ b/packages/node/src/eelgrass_node/process/piece_owners.py
@@ -44,6 +44,11 @@
         self._clock = clock
         self._distrusted_until: dict[NodeId, float] = {}
         self._failures: Counter[NodeId] = Counter()
+        self._leaving = False
+
+    def leave(self) -> None:
+        """Own no queue any more, unless nobody else can."""
+        self._leaving = True
 
     def candidates(self, service: str) -> list[Member | None]:
         """Return the owners to try, in order; None stands for this node.
@@ -76,7 +81,9 @@
 
     def _first(self, members: list[Member], service: str) -> Member | None:
         """Return the owner among ``members`` and this node; None for this node."""
-        names: list[Member | None] = [*members, None]
+        names: list[Member | None] = list(members)
+        if not self._leaving or not members:
+            names.append(None)
         return ranked(names, service, name=self._name)[0]
 
     def _name(self, member: Member | None) -> str:
--- /dev/null
+++ b/packages/standins/src/eelgrass_standins/row_store.py
@@ -0,0 +1,106 @@
+"""A stand-in of the users' store: rows, the feed of their changes, and faults."""
+
+import asyncio
+import base64
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["RowStoreStandIn"]
+
+HTTP_GONE = 410
+HTTP_UNAVAILABLE = 503
+
+
+class RowStoreStandIn:
+    """Keeps rows by table and key; ``down`` refuses every call.
+
+    ``drop_history`` makes feeds answer that their history is gone.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.calls = 0
+        self._rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
+        self._version = 0
+        self._oldest = 0
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        """Write a row as JSON."""
+        self._write(table, key, msgspec.json.encode(value))
+
+    def put_raw(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as it is."""
+        self._write(table, key, value)
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._write(table, key, None)
+
+    def drop_history(self) -> None:
+        """Forget all changes so far."""
+        self._oldest = self._version + 1
+        self._wake()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the calls of the store."""
+        app.router.add_get("/-/rows-get", self._handle_get)
+        app.router.add_get("/-/rows-feed", self._handle_feed)
+
+    def _write(self, table: str, key: str, value: bytes | None) -> None:
+        self._version += 1
+        self._rows[table, key] = (self._version, value)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle_get(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.down:
+            return web.Response(status=HTTP_UNAVAILABLE)
+        first = request.query.get("FromKey", "")
+        rows = [
+            _row(key, version, value)
+            for (table, key), (version, value) in sorted(self._rows.items())
+            if table == request.query["Table"] and key >= first and value is not None
+        ]
+        return self._answer(rows)
+
+    async def _handle_feed(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        after = int(request.query["After"])
+        deadline = int(request.query.get("WaitMs", "0")) / 1000
+        try:
+            async with asyncio.timeout(deadline):
+                while not self._changed_rows(request, after):
+                    if self.down or after < self._oldest:
+                        break
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        if self.down:
+            return web.Response(status=HTTP_UNAVAILABLE)
+        if after < self._oldest:
+            return web.Response(status=HTTP_GONE)
+        return self._answer(self._changed_rows(request, after))
+
+    def _changed_rows(self, request: web.Request, after: int) -> list[dict[str, Any]]:
+        changed = sorted(
+            (version, key, value)
+            for (table, key), (version, value) in self._rows.items()
+            if table == request.query["Table"] and version > after
+        )
+        return [_row(key, version, value) for version, key, value in changed]
+
+    def _answer(self, rows: list[dict[str, Any]]) -> web.Response:
+        return web.json_response({"Rows": rows, "HasMore": False, "Ver": self._version})
+
+
+def _row(key: str, version: int, value: bytes | None) -> dict[str, Any]:
+    if value is None:
+        return {"Key": key, "Ver": version, "Deleted": True}
+    return {"Key": key, "Ver": version, "Value": base64.b64encode(value).decode()}
--- /dev/null
+++ b/tests/support/entry.py
@@ -0,0 +1,215 @@
+"""Entry nodes and stand-ins of the users' platform in the test's own loop."""
+
+import asyncio
+import itertools
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from yarl import URL
+
+from eelgrass_coordination.ids import DataCentre, NodeId
+from eelgrass_node.entry_node import EntryNode
+from eelgrass_node.process.host_settings import (
+    HostSettings,
+    ServingBounds,
+    StoreSettings,
+)
+from eelgrass_standins.ports import free_addresses
+from eelgrass_standins.row_store import RowStoreStandIn
+from eelgrass_standins.users_engines import EngineStandIn
+
+BOUNDS = ServingBounds(
+    stop_s=8.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_slack=56.0,
+    drain_s=2.0,
+    apply_s=2.0,
+    reuse_s=9.0,
+    heartbeat_s=1.2,
+)
+HOST = "desk.example"
+KEY = "key-1"
+
+
+def route(name, kind, service, **fields):
+    """Return a route whose prefix is its name."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "Prefix": f"/{name}/",
+        "Kind": kind,
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 1500,
+        "MaxAttempts": 2,
+        "Service": service,
+        "Public": False,
+        **fields,
+    }
+
+
+STAGES = [
+    {"Service": "portal", "After": [], "Bytes": 3_000_000},
+    {"Service": "portal", "After": [], "Bytes": 8_000},
+    {"Service": "clerks", "After": [1], "Bytes": 60_000},
+]
+
+
+def configuration(version=1, keys=(KEY,), routes=()):
+    """Return a whole configuration."""
+    pieces = {"Batch": 4, "CallMs": 5, "ItemMs": 1, "HeadroomMb": 21, "HandleS": 4}
+    stream = {"StreamResume": True}
+    return {
+        "Version": version,
+        "Routes": [
+            route("safe", "idempotent", "desk"),
+            route("once", "non_idempotent", "desk", MaxAttempts=1),
+            route("stream/resumed", "streaming", "readers", **stream),
+            route("stream/single", "streaming", "readers", MaxAttempts=1),
+            route("stream/staged", "streaming", "readers", Stages=STAGES, **stream),
+            *routes,
+        ],
+        "Services": [
+            {"Name": "desk"},
+            {"Name": "readers", "Engine": {"Slots": 64, "KvCapacity": 100_000}},
+            {"Name": "portal", "Segments": pieces},
+            {"Name": "clerks", "Segments": pieces},
+        ],
+        "Limits": {"MaxBodyBytes": 65_536, "IdleTimeoutMs": 15_000},
+        "Tenants": [{"Name": "account-1", "ApiKeys": list(keys)}],
+    }
+
+
+class EntryDeployment:
+    """A store, two servers of each service and some nodes; use it as a context."""
+
+    def __init__(self, nodes: int = 2, event_s: float = 0.0) -> None:
+        self.store = RowStoreStandIn()
+        self.engines_by_service: dict[str, list[EngineStandIn]] = {}
+        self.nodes: list[EntryNode] = []
+        self._node_count = nodes
+        self._event_s = event_s
+        self._runners: list[web.AppRunner] = []
+        self._numbers = itertools.count()
+
+    async def __aenter__(self) -> "EntryDeployment":
+        """Start everything and wait until the nodes are ready."""
+        [self.store_address] = free_addresses(1)
+        app = web.Application()
+        self.store.add_routes(app)
+        await self._serve(app, self.store_address)
+        self.store.put("op", "config", configuration())
+        for service in ("desk", "readers", "portal", "clerks"):
+            for number in range(2):
+                await self._start_engine(service, f"{service}-{number}")
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        await self._start_nodes()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Close everything at once."""
+        await self.session.close()
+        for node in self.nodes:
+            await node.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def list_engine(self, service: str, engine: EngineStandIn, state="ready") -> None:
+        """Write the entry of a server."""
+        entry = {
+            "Service": service,
+            "Address": engine.address,
+            "Zone": "a",
+            "Slots": 6,
+            "State": state,
+            "Sequence": next(self._numbers),
+        }
+        self.store.put("servers", engine.server_id, entry)
+
+    async def ask(
+        self,
+        target: str,
+        node: int = 0,
+        method: str = "POST",
+        request_id: str | None = None,
+        body: bytes = b"body",
+        **headers: str,
+    ) -> tuple[int, Any, bytes]:
+        """Send a request; return its status, headers and body."""
+        sent = {
+            "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
+            "Eelgrassward-Attempt-Id": request_id or f"id-{next(self._numbers)}",
+            "Eelgrassward-Deadline-Ms": "3000",
+        }
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        address = self.nodes[node].settings.callers
+        url = URL(f"http://{address}{target}", encoded=True)
+        data = body if method == "POST" else None
+        async with self.session.request(
+            method, url, data=data, headers=sent
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    def runs(self, service: str) -> list:
+        """Return all that the servers of a service have run."""
+        return [run for e in self.engines_by_service[service] for run in e.runs]
+
+    async def _start_engine(self, service: str, server_id: str) -> None:
+        [address] = free_addresses(1)
+        engine = EngineStandIn(server_id, address, self._event_s)
+        self.engines_by_service.setdefault(service, []).append(engine)
+        await self._serve(engine.application(), address)
+        self.list_engine(service, engine)
+
+    async def _start_nodes(self) -> None:
+        addresses = free_addresses(4 * self._node_count)
+        groups = [addresses[n : n + 4] for n in range(0, len(addresses), 4)]
+        seeds = (groups[0][2],)
+        seed_port = int(groups[0][3].rpartition(":")[2])
+        for number, (callers, readiness, internal, gossip) in enumerate(groups):
+            node = EntryNode(
+                HostSettings(
+                    node=NodeId(f"node-{number}"),
+                    data_centre=DataCentre("a"),
+                    callers=callers,
+                    readiness=readiness,
+                    internal=internal,
+                    gossip=gossip,
+                    seeds=seeds,
+                    seed_gossip_port=seed_port,
+                    store=StoreSettings(self.store_address),
+                    memory_bytes=300_000_000,
+                    max_descriptors=4100,
+                    bounds=BOUNDS,
+                )
+            )
+            await node.start()
+            self.nodes.append(node)
+        await until(self._all_ready)
+
+    def _all_ready(self) -> bool:
+        servers = sum(len(group) for group in self.engines_by_service.values())
+        return all(
+            node.deployments.current is not None
+            and len(node.backends.by_id) == servers
+            and len(node.membership.members.reachable()) == len(self.nodes) - 1
+            for node in self.nodes
+        )
+
+    async def _serve(self, app: web.Application, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1, handler_cancellation=True
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, host, int(port)).start()
+
+
+async def until(condition, within_s: float = 5.0) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(within_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_users_platform.py
@@ -0,0 +1,293 @@
+"""Entry nodes before small stand-ins of the users' platform, with faults."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from eelgrass_standins.users_engines import EVENTS, EngineFault
+from support.entry import (
+    HOST,
+    KEY,
+    EntryDeployment,
+    configuration,
+    route,
+    until,
+)
+
+SEGMENTS = {"Eelgrassward_Segments": "2,1,5", "Eelgrassward_Segment_Key": "key"}
+WHOLE = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+
+
+@pytest_asyncio.fixture
+async def entry():
+    async with EntryDeployment() as deployment:
+        yield deployment
+
+
+def fault(deployment, service, *faults):
+    """Let the next calls to the servers of a service fail, whichever gets them."""
+    shared = list(faults)
+    for engine in deployment.engines_by_service[service]:
+        engine.faults = shared
+
+
+class TestPassingOn:
+    async def test_request_and_answer_are_unchanged(self, entry):
+        target = "/safe/a%2fb/../c?q=%20x&y="
+        status, headers, body = await entry.ask(target, X_Other="1", body=b"\x00\xff")
+        assert (status, body) == (200, b"answer of \x00\xff")
+        assert headers["Eelgrassward-Engine-Signature"].startswith("signed-by-desk")
+        [run] = entry.runs("desk")
+        assert (run.method, run.target, run.body) == ("POST", target, b"\x00\xff")
+        assert run.headers["X-Other"] == "1"
+        assert run.headers["Host"] == HOST
+        assert run.headers["Eelgrassward-Tenant"] == "account-1"
+        assert "Authorization" not in run.headers
+        assert int(run.headers["Eelgrassward-Deadline-Ms"]) <= 3000
+
+    async def test_what_the_client_library_would_add_is_not_sent(self, entry):
+        await entry.ask("/safe/x", method="GET")
+        [run] = entry.runs("desk")
+        assert run.method == "GET" and run.body == b""
+        added = {"Accept-Encoding", "User-Agent", "Accept"} & run.headers.keys()
+        sent_by_test = {"Accept-Encoding", "User-Agent", "Accept"}
+        assert added <= sent_by_test and "Content-Type" not in run.headers
+
+    @pytest.mark.parametrize(
+        ("target", "key", "expected"),
+        [("/none/x", KEY, 404), ("/safe/x", "wrong", 401), ("/safe", KEY, 404)],
+    )
+    async def test_what_is_not_allowed_reaches_no_server(
+        self, entry, target, key, expected
+    ):
+        status, _, _ = await entry.ask(target, Authorization=f"Bearer {key}")
+        assert status == expected
+        assert entry.runs("desk") == []
+
+    async def test_a_body_over_the_limit(self, entry):
+        status, _, _ = await entry.ask("/safe/x", body=b"x" * 65_537)
+        assert status == 413
+        assert entry.runs("desk") == []
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET",
+            b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 1\r\n"
+            b"Content-Length: 2\r\n\r\nab",
+            b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+            b"POST /safe/x HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 100_000 + b"\r\n\r\n",
+            b"NONSENSE\r\n\r\n",
+        ],
+    )
+    async def test_malformed_and_smuggled_requests_reach_no_server(self, entry, raw):
+        head, _, rest = raw.partition(b"\r\n")
+        extra = (
+            b"Eelgrassward-Attempt-Id: smuggled\r\nAuthorization: Bearer key-1\r\n"
+            if b"HTTP" in head
+            else b""
+        )
+        host, _, port = entry.nodes[0].settings.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head + b"\r\n" + extra + rest)
+        async with asyncio.timeout(5):
+            answer = await reader.read(65536)
+        writer.close()
+        assert not answer or answer.startswith((b"HTTP/1.1 4", b"HTTP/1.0 4"))
+        assert entry.runs("desk") == []
+
+
+class TestRepeats:
+    async def test_an_idempotent_request_is_repeated_elsewhere(self, entry):
+        fault(entry, "desk", EngineFault.CUT_BEFORE_HEAD)
+        status, _, _ = await entry.ask("/safe/x")
+        assert status == 200
+
+    async def test_a_failed_one_is_repeated_once_and_its_answer_kept(self, entry):
+        fault(entry, "desk", EngineFault.ERROR, EngineFault.ERROR)
+        status, headers, body = await entry.ask("/safe/x")
+        assert (status, body) == (500, b"failed")
+        assert "Eelgrassward-Engine-Signature" in headers
+        assert len(entry.runs("desk")) == 2
+
+    @pytest.mark.parametrize(
+        "kind",
+        [EngineFault.CUT_BEFORE_HEAD, EngineFault.OTHER_ID, EngineFault.UNSIGNED],
+    )
+    async def test_one_that_may_have_run_is_not_sent_again(self, entry, kind):
+        fault(entry, "desk", kind)
+        status, _, _ = await entry.ask("/once/x")
+        assert status == 502
+        assert len(entry.runs("desk")) == 1
+
+    async def test_one_that_surely_did_not_run_is_sent_elsewhere(self, entry):
+        entry.engines_by_service["desk"][0].faults = [EngineFault.REFUSE] * 9
+        for number in range(4):
+            status, _, _ = await entry.ask("/once/x", request_id=f"once-{number}")
+            assert status == 200
+        assert len(entry.runs("desk")) == 4
+
+    async def test_a_refusal_says_when_to_come_back_and_is_true(self, entry):
+        fault(entry, "desk", *[EngineFault.REFUSE] * 9)
+        status, headers, _ = await entry.ask("/once/x")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert entry.runs("desk") == []
+
+    async def test_an_answer_that_does_not_come_ends_with_the_deadline(self, entry):
+        fault(entry, "desk", EngineFault.HANG)
+        began = asyncio.get_running_loop().time()
+        status, _, _ = await entry.ask("/once/x", Eelgrassward_Deadline_Ms="400")
+        assert status == 504
+        assert asyncio.get_running_loop().time() - began < 0.6
+        assert len(entry.runs("desk")) == 1
+
+    async def test_a_server_whose_address_another_has_is_left(self, entry):
+        first = entry.engines_by_service["desk"][0]
+        first.server_id = "another"
+        for _ in range(4):
+            status, _, _ = await entry.ask("/once/x")
+            assert status == 200
+        assert all(
+            run in entry.engines_by_service["desk"][1].runs
+            for run in entry.runs("desk")
+        )
+
+
+class TestStreams:
+    async def test_events_are_passed_on(self, entry):
+        status, headers, body = await entry.ask("/stream/resumed/x")
+        assert (status, body) == (200, WHOLE)
+        assert headers["Content-Type"] == "text/event-stream"
+
+    async def test_a_broken_stream_goes_on_elsewhere(self, entry):
+        fault(entry, "readers", EngineFault.CUT_IN_EVENT)
+        status, _, body = await entry.ask("/stream/resumed/x")
+        assert (status, body) == (200, WHOLE)
+
+    async def test_one_that_may_not_be_resumed_does_not_look_complete(self, entry):
+        fault(entry, "readers", EngineFault.CUT_IN_EVENT)
+        with pytest.raises(Exception, match="not completed|payload"):
+            await entry.ask("/stream/single/x")
+        assert len(entry.runs("readers")) == 1
+
+    async def test_a_caller_that_leaves_stops_the_engine(self):
+        async with EntryDeployment(event_s=0.2) as entry:
+            call = asyncio.create_task(entry.ask("/stream/resumed/x"))
+            await until(lambda: entry.runs("readers"))
+            call.cancel()
+            engines = entry.engines_by_service["readers"]
+            await until(lambda: sum(e.cancelled for e in engines) == 1, 0.5)
+
+
+class TestStages:
+    async def test_each_piece_is_made_once_and_freed(self, entry):
+        status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
+        assert (status, body) == (200, WHOLE)
+        made = {
+            service: self.pieces(entry, service) for service in ("portal", "clerks")
+        }
+        assert made["portal"] == [(0, 0), (0, 1), (1, 0)]
+        assert made["clerks"] == [(2, n) for n in range(5)]
+        [run] = entry.runs("readers")
+        assert len(run.headers["Eelgrassward-Inputs"].split(",")) == 7
+        await until(lambda: not self.results(entry))
+
+    async def test_pieces_of_many_requests_share_calls(self, entry):
+        asks = [
+            entry.ask("/stream/staged/x", node=n % 2, **SEGMENTS) for n in range(20)
+        ]
+        answers = await asyncio.gather(*asks)
+        assert all(answer[0] == 200 for answer in answers)
+        engines = entry.engines_by_service["clerks"]
+        assert sum(len(e.pieces) for e in engines) == 100
+        assert sum(e.calls for e in engines) < 50
+
+    async def test_results_that_are_gone_are_made_again(self, entry):
+        fault(entry, "readers", EngineFault.FORGET_RESULTS)
+        status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
+        assert (status, body) == (200, WHOLE)
+
+    async def test_inputs_that_are_gone_are_made_again(self, entry):
+        fault(entry, "clerks", EngineFault.FORGET_RESULTS)
+        status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
+        assert (status, body) == (200, WHOLE)
+
+    async def test_a_failed_piece_is_made_again(self, entry):
+        fault(entry, "portal", EngineFault.ERROR)
+        status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
+        assert (status, body) == (200, WHOLE)
+
+    async def test_a_dead_owner_of_the_queue_costs_little(self, entry):
+        await entry.nodes[1].close()
+        began = asyncio.get_running_loop().time()
+        status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
+        assert (status, body) == (200, WHOLE)
+        assert asyncio.get_running_loop().time() - began < 1.0
+
+    @staticmethod
+    def pieces(entry, service):
+        engines = entry.engines_by_service[service]
+        return sorted((p["Phase"], p["Segment"]) for e in engines for p in e.pieces)
+
+    @staticmethod
+    def results(entry):
+        engines = [e for group in entry.engines_by_service.values() for e in group]
+        return [handle for engine in engines for handle in engine.results]
+
+
+class TestConfiguration:
+    async def test_a_new_one_is_in_force_and_an_old_one_is_not_taken(self, entry):
+        newer = configuration(
+            5, keys=("key-2",), routes=[route("new", "idempotent", "desk")]
+        )
+        entry.store.put("op", "config", newer)
+        await until(lambda: all(n.deployments.number == 5 for n in entry.nodes), 2.0)
+        status, _, _ = await entry.ask("/new/x", Authorization="Bearer key-2")
+        assert status == 200
+        status, _, _ = await entry.ask("/safe/x")
+        assert status == 401
+        entry.store.put("op", "config", configuration(4))
+        entry.store.put_raw("op", "config", b"{nonsense")
+        await asyncio.sleep(0.3)
+        assert [node.deployments.number for node in entry.nodes] == [5, 5]
+
+    async def test_it_comes_after_lost_history(self, entry):
+        entry.store.drop_history()
+        entry.store.put("op", "config", configuration(3))
+        await until(lambda: all(n.deployments.number == 3 for n in entry.nodes), 2.0)
+
+    async def test_it_outlasts_the_store(self, entry):
+        entry.store.down = True
+        await asyncio.sleep(0.2)
+        status, _, _ = await entry.ask("/safe/x")
+        assert status == 200
+
+
+class TestLeaving:
+    async def test_a_leaving_server_gets_no_new_work(self, entry):
+        leaver, stayer = entry.engines_by_service["desk"]
+        entry.list_engine("desk", leaver, "draining")
+        await until(
+            lambda: all(len(n.backends.usable("desk")) == 1 for n in entry.nodes), 2.0
+        )
+        for number in range(6):
+            status, _, _ = await entry.ask("/safe/x", node=number % 2)
+            assert status == 200
+        assert leaver.runs == [] and len(stayer.runs) == 6
+
+    async def test_a_planned_stop_cuts_off_nothing(self):
+        async with EntryDeployment(event_s=0.4) as entry:
+            call = asyncio.create_task(entry.ask("/stream/single/x"))
+            await until(lambda: entry.runs("readers"))
+            node = entry.nodes[0]
+            node.stopping.request()
+            stop = asyncio.create_task(node.run_until_stopped())
+            status, headers, _ = await entry.ask("/safe/x")
+            assert (status, headers["Connection"]) == (200, "close")
+            status, _, body = await call
+            assert (status, body) == (200, WHOLE)
+            assert await stop is True
