Slow servers are used only where that is sooner than to wait for the others

Cause: an idle server that is five times as slow took calls that the others would have ended long before; calls that were given up taught nothing of its pace.

--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -12,7 +12,6 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 
-from eelgrass_coordination import MovingAverage
 from eelgrass_coordination.ids import BackendId
 
 from ..log import Part, log
@@ -22,6 +21,7 @@
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .queue_load import QueueLoad
 from .reach import DataCentreReach
+from .server_use import ServerUse
 
 __all__ = ["PieceQueue", "RunCall"]
 
@@ -29,9 +29,6 @@
 
 # A piece is run at most this often; the second and third time after a failure.
 MAX_TRIES = 3
-# Weight of the newest call in a server's slowness: it settles in a few calls,
-# and a call takes a fifth of a second.
-SLOWNESS_WEIGHT = 0.3
 # A call is given up after this many times its expected time and this much more:
 # slow servers are 4 to 8 times as slow, dark ones never answer.
 GIVE_UP_FACTOR = 2.5
@@ -64,31 +61,6 @@
 FAILURES = frozenset((PieceTrouble.UNREACHED, PieceTrouble.SILENT, PieceTrouble.FAILED))
 
 
-class _ServerUse:
-    """What this queue has at one server: calls in flight and results held."""
-
-    def __init__(self) -> None:
-        self.calls = 0
-        self.free_at = 0.0
-        self.slowness = MovingAverage(1.0, SLOWNESS_WEIGHT)
-        self._bytes_by_handle: dict[str, tuple[float, int]] = {}
-
-    def hold(self, handle: str, size: int, until: float) -> None:
-        """Note a result that takes up memory until it is freed or expires."""
-        self._bytes_by_handle[handle] = (until, size)
-
-    def free(self, handle: str) -> None:
-        """Note that a result was freed."""
-        self._bytes_by_handle.pop(handle, None)
-
-    def held_bytes(self, now: float) -> int:
-        """Return how much memory results take up."""
-        expired = [h for h, (until, _) in self._bytes_by_handle.items() if until <= now]
-        for handle in expired:
-            del self._bytes_by_handle[handle]
-        return sum(size for _, size in self._bytes_by_handle.values())
-
-
 class PieceQueue:
     """Pieces that wait for a server of ``service``.
 
@@ -114,7 +86,7 @@
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
-        self._use_by_id: dict[BackendId, _ServerUse] = {}
+        self._use_by_id: dict[BackendId, ServerUse] = {}
         self._tasks: set[asyncio.Task] = set()
         self._fill_timer: asyncio.TimerHandle | None = None
         self._size_factor = 1.0
@@ -262,7 +234,25 @@
             for server in self._sound_servers()
             if self._use(server).calls < slots
         ]
-        return sorted(idle, key=lambda server: self._use(server).slowness.mean)
+        useful = [server for server in idle if self._is_useful(server, now)]
+        return sorted(useful, key=lambda server: self._use(server).slowness(now))
+
+    def _is_useful(self, server: Backend, now: float) -> bool:
+        """Return whether pieces end sooner here than by waiting for the others.
+
+        A server that is five times as slow is worth a call only where so many
+        pieces wait that the others would need as long.
+        """
+        others = [self._use(o) for o in self._sound_servers() if o is not server]
+        if not others:
+            return True
+        call_s = self.call_s(self._limits().batch)
+        rounds = len(self._waiting) / (self._limits().batch * len(others))
+        elsewhere = min(
+            max(use.free_at, now) + call_s * use.slowness(now) for use in others
+        )
+        here = now + call_s * self._use(server).slowness(now)
+        return here <= elsewhere + rounds * call_s
 
     def _sound_servers(self) -> Sequence[Backend]:
         return self._reach.sound(self._servers())
@@ -326,7 +316,7 @@
     def _start(self, server: Backend, batch: list[Piece], now: float) -> None:
         use = self._use(server)
         use.calls += 1
-        expected_s = self.call_s(len(batch)) * max(1.0, use.slowness.mean)
+        expected_s = self.call_s(len(batch)) * use.slowness(now)
         use.free_at = now + expected_s
         log(
             Part.PIECES,
@@ -377,7 +367,7 @@
     def _note_call(
         self,
         server: Backend,
-        use: _ServerUse,
+        use: ServerUse,
         batch: list[Piece],
         outcomes: list[PieceOutcome],
         took_s: float,
@@ -388,6 +378,8 @@
             self._note_silent(server, batch)
         else:
             self._reach.note_answer(server.entry.data_centre)
+        if PieceTrouble.SILENT in troubles:
+            use.note_call(took_s / self.call_s(len(batch)), _now())
         if troubles <= FAILURES:
             server.suspect()
             log(
@@ -418,7 +410,7 @@
         else:
             self._size_factor = max(1.0, self._size_factor * SIZE_DECAY)
         server.note_taken()
-        use.slowness.note(took_s / self.call_s(len(batch)))
+        use.note_call(took_s / self.call_s(len(batch)), _now())
 
     def _note_silent(self, server: Backend, batch: list[Piece]) -> None:
         """Note which data centres a call that went silent puts in doubt.
@@ -452,10 +444,10 @@
         if not future.done():
             future.set_result(outcome)
 
-    def _use(self, server: Backend) -> _ServerUse:
+    def _use(self, server: Backend) -> ServerUse:
         use = self._use_by_id.get(server.entry.id)
         if use is None:
-            use = self._use_by_id[server.entry.id] = _ServerUse()
+            use = self._use_by_id[server.entry.id] = ServerUse()
         return use
 
 
--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -246,3 +246,18 @@
         await service.queue.run(pieces("r", near=place, size=LARGE))
         used = {"a": "s1", "b": "s2"}[place]
         assert [call[0] for call in service.calls] == [used]
+
+
+class TestSlowServer:
+    async def test_it_gets_only_what_the_others_could_not_do_sooner(self):
+        """srv_slow makes one of three servers four to eight times as slow."""
+
+        async def slow_s1(backend, given):
+            if backend.entry.id == "s1":
+                await asyncio.sleep(0.08)
+            return None
+
+        service = Service(server("s1"), server("s2"), behave=slow_s1)
+        for n in range(12):
+            await service.queue.run(pieces(f"r{n}", 2))
+        assert [call[0] for call in service.calls].count("s1") <= 2
