Nodes that reach no store get configuration and servers from other nodes

Cause: a node that started in an outage of the store served nothing until its end, though its neighbours had all it needed. Tested by a node started in an outage and by one that alone loses the store.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -8,13 +8,17 @@
 import time
 from collections.abc import Callable
 
+import aiohttp
 from aiohttp import web
 
 from eelgrass_coordination import Member, Membership, MemberState
-from eelgrass_coordination.ids import BackendId
+from eelgrass_coordination.ids import BackendId, Revision
 
+from .connection.peer_calls import PeerCalls
+from .connection.peer_state import STATE_CALL, PeerState, PeerStateInterface
 from .connection.piece_calls import PieceCalls
 from .connection.piece_handoff import HandoffClient, HandoffInterface
+from .connection.sockets import open_socket
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
 from .platform.names import READY_PATH
@@ -23,6 +27,7 @@
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
 from .process.host_settings import HostSettings
+from .process.peer_catch_up import PeerCatchUp
 from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
 from .process.pieces import Piece, PieceOutcome
@@ -64,6 +69,8 @@
 # limits of 16 KiB.
 MAX_LINE_BYTES = 32_768
 MAX_BODY_BYTES = 64 << 20
+# A state is some 100 kB and comes from a node that is idle or near.
+PEER_STATE_S = 1.0
 # Kept connections between nodes; longer than the callers' side keeps them.
 PEER_IDLE_S = 90.0
 # One probe a second finds a dead node in some 5 s; until then hand-offs to it
@@ -107,10 +114,20 @@
             stage_calls.maker_of,
         )
         self.backends.on_change = self.pieces.servers_changed
+        self._build_tables()
+        self.peer_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, socket_factory=open_socket),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self.peer_calls = PeerCalls(self.peer_session)
+        self.catch_up = PeerCatchUp(
+            self._take_state_of, lambda: self.deployments.number, self._peer_addresses
+        )
         self.membership = Membership(
             self._own_member(), settings.seed_gossip(), GOSSIP_INTERVAL_S
         )
         self.membership.on_change = self._members_changed
+        self.membership.on_revision = self.catch_up.heard
         self.queue_loads = QueueLoads(loop.time)
         self.handoff = HandoffClient(self.queue_loads.hear)
         self.owners = PieceOwners(
@@ -142,7 +159,11 @@
         await self.membership.start()
         await self._listen_callers()
         await self._listen_readiness()
-        for work in (self._follow_configuration(), self._follow_servers()):
+        for work in (
+            self.operator_table.run(),
+            self.servers_table.run(),
+            self.catch_up.start(),
+        ):
             self._tasks.append(asyncio.create_task(work))
         log(Part.NODE, "Started.", node=self.settings.node)
 
@@ -174,20 +195,18 @@
             await runner.cleanup()
         await self.backends.close()
         await self.handoff.close()
+        await self.peer_session.close()
         await self.store.close()
 
-    def _follow_configuration(self):
-        table = FollowedTable(
+    def _build_tables(self) -> None:
+        self.operator_table = FollowedTable(
             self.store,
             configuration.OPERATOR_TABLE,
             self.deployments.take_rows,
             lambda keys, was_lost: None,
             CONFIGURATION_WAIT_S,
         )
-        return table.run()
-
-    def _follow_servers(self):
-        table = FollowedTable(
+        self.servers_table = FollowedTable(
             self.store,
             servers.SERVERS_TABLE,
             self.server_list.take_rows,
@@ -195,7 +214,23 @@
             SERVERS_WAIT_S,
             SERVERS_PAUSE_S,
         )
-        return table.run()
+
+    def _state(self) -> PeerState:
+        return PeerState(self.operator_table.rows(), self.servers_table.rows())
+
+    async def _take_state_of(self, address: str) -> None:
+        state = await self.peer_calls.ask(
+            address, STATE_CALL, None, PeerState, PEER_STATE_S
+        )
+        self.operator_table.take_from_peer(state.operator)
+        self.servers_table.take_from_peer(state.servers)
+
+    def _peer_addresses(self) -> list[str]:
+        """Return where other nodes may be found, as far as is known."""
+        members = self.membership.members.reachable()
+        known = [member.internal for member in members]
+        seeds = [s for s in self.settings.seeds if s != self.settings.internal]
+        return known or seeds
 
     async def _listen_callers(self) -> None:
         parts = ServingParts(
@@ -251,6 +286,7 @@
         )
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         interface.add_routes(app)
+        PeerStateInterface(self._state).add_routes(app)
         runner = web.AppRunner(
             app,
             access_log=None,
@@ -295,7 +331,7 @@
         )
 
     def _advanced(self, number: int) -> None:
-        """Note that a configuration came into force."""
+        self.membership.announce_revision(Revision(number))
 
     def _server_leaves(self, server_id: BackendId) -> None:
         """Note that a server leaves or is gone."""
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -72,7 +72,7 @@
         self._on_whole = on_whole
         self._wait_s = wait_s
         self._pause_s = pause_s
-        self._version_by_key: dict[str, int] = {}
+        self._row_by_key: dict[str, StoredRow] = {}
         self._version = -1
         self._whole = False
         self._asked = asyncio.Event()
@@ -98,6 +98,16 @@
         """Ask again at once: somebody knows of a change that is not here yet."""
         self._asked.set()
 
+    def rows(self) -> tuple[StoredRow, ...]:
+        """Return all rows that are known, for a node that reaches no store."""
+        return tuple(self._row_by_key.values())
+
+    def take_from_peer(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take in what another node knows of the table."""
+        news = tuple(row for row in rows if self._is_news(row))
+        if news:
+            self._on_rows(news)
+
     async def _pause(self, seconds: float) -> None:
         if seconds <= 0:
             return
@@ -121,8 +131,8 @@
     def _take_whole(self, changes: TableChanges) -> None:
         self._whole = True
         keys = {row.key for row in changes.rows}
-        for key in self._version_by_key.keys() - keys:
-            del self._version_by_key[key]
+        for key in self._row_by_key.keys() - keys:
+            del self._row_by_key[key]
         self._take(changes)
         was_lost = not self.reachable
         self._on_whole(keys, was_lost)
@@ -134,9 +144,10 @@
             self._on_rows(news)
 
     def _is_news(self, row: StoredRow) -> bool:
-        if row.version <= self._version_by_key.get(row.key, -1):
+        known = self._row_by_key.get(row.key)
+        if known is not None and row.version <= known.version:
             return False
-        self._version_by_key[row.key] = row.version
+        self._row_by_key[row.key] = row
         return True
 
     def _note_reached(self) -> None:
--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -255,7 +255,7 @@
         async def slow_s1(backend, given):
             if backend.entry.id == "s1":
                 await asyncio.sleep(0.08)
-            return None
+            return
 
         service = Service(server("s1"), server("s2"), behave=slow_s1)
         for n in range(12):
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -163,30 +163,35 @@
         await self._serve(engine.application(), address)
         self.list_engine(service, engine)
 
-    async def _start_nodes(self) -> None:
-        addresses = free_addresses(4 * self._node_count)
-        groups = [addresses[n : n + 4] for n in range(0, len(addresses), 4)]
-        seeds = (groups[0][2],)
-        seed_port = int(groups[0][3].rpartition(":")[2])
-        for number, (callers, readiness, internal, gossip) in enumerate(groups):
-            node = EntryNode(
-                HostSettings(
-                    node=NodeId(f"node-{number}"),
-                    data_centre=DataCentre("a"),
-                    callers=callers,
-                    readiness=readiness,
-                    internal=internal,
-                    gossip=gossip,
-                    seeds=seeds,
-                    seed_gossip_port=seed_port,
-                    store=StoreSettings(self.store_address),
-                    memory_bytes=300_000_000,
-                    max_descriptors=4100,
-                    bounds=BOUNDS,
-                )
+    async def add_node(self) -> EntryNode:
+        """Start one more node, without waiting until it is ready."""
+        callers, readiness, internal, gossip = free_addresses(4)
+        first = self.nodes[0].settings if self.nodes else None
+        seeds = (first.internal if first else internal,)
+        seed_gossip = first.gossip if first else gossip
+        node = EntryNode(
+            HostSettings(
+                node=NodeId(f"node-{len(self.nodes)}"),
+                data_centre=DataCentre("a"),
+                callers=callers,
+                readiness=readiness,
+                internal=internal,
+                gossip=gossip,
+                seeds=seeds,
+                seed_gossip_port=int(seed_gossip.rpartition(":")[2]),
+                store=StoreSettings(self.store_address),
+                memory_bytes=300_000_000,
+                max_descriptors=4100,
+                bounds=BOUNDS,
             )
-            await node.start()
-            self.nodes.append(node)
+        )
+        self.nodes.append(node)
+        await node.start()
+        return node
+
+    async def _start_nodes(self) -> None:
+        for _ in range(self._node_count):
+            await self.add_node()
         await until(self._all_ready)
 
     def _all_ready(self) -> bool:
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_asyncio
 
+from eelgrass_node.exceptions import StoreUnavailable
 from eelgrass_standins.users_engines import EVENTS, EngineFault
 from support.entry import (
     HOST,
@@ -291,3 +292,28 @@
             status, _, body = await call
             assert (status, body) == (200, WHOLE)
             assert await stop is True
+
+
+class TestPeers:
+    async def test_a_node_that_starts_in_an_outage_learns_from_others(self, entry):
+        entry.store.down = True
+        late = await entry.add_node()
+        await until(lambda: late.deployments.number == 1, 3.0)
+        status, _, _ = await entry.ask("/safe/x", node=len(entry.nodes) - 1)
+        assert status == 200
+
+    async def test_a_node_without_the_store_gets_a_newer_version(self, entry):
+        first = entry.nodes[0]
+        first.operator_table._reader = DeadReader()
+        entry.store.put("op", "config", configuration(6))
+        await until(lambda: first.deployments.number == 6, 4.0)
+
+
+class DeadReader:
+    """A store that this node alone does not reach."""
+
+    async def read_table(self, table):
+        raise StoreUnavailable(table, "out of reach")
+
+    async def feed(self, table, after, wait_s):
+        raise StoreUnavailable(table, "out of reach")
