--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -8,9 +8,8 @@
 """
 
 import asyncio
-import math
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 
 from eelgrass_coordination.ids import BackendId
 
@@ -18,10 +17,10 @@
 from ..version.deployment import PieceLimits
 from .backends import Backend
 from .piece_batch import take_batch
+from .piece_servers import FAILURES, PieceServers
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .queue_load import QueueLoad
 from .reach import DataCentreReach
-from .server_use import ServerUse
 
 __all__ = ["PieceQueue", "RunCall"]
 
@@ -35,19 +34,8 @@
 GIVE_UP_SLACK_S = 0.25
 # Refused callers come back spread over this much, so as not to come together.
 MIN_RETRY_AFTER_S = 0.2
-# Sizes of results are told as about so much. Where a server has less room than
-# they add up to, they are taken for larger, up to a half; the decay forgets
-# that over some fifty calls.
-SIZE_GROWTH = 1.1
-SIZE_DECAY = 0.995
-MAX_SIZE_FACTOR = 1.5
-# Longer waits than this are all the same.
-MAX_WAIT_S = 30.0
 # How much later a set goes for each second of a server that it takes.
 LARGE_SET_WEIGHT = 3.0
-# A server that has no room is taken for full for this long, about a call.
-UNKNOWN_RESULTS_S = 0.25
-UNKNOWN_RESULTS = "unknown"
 # Late pieces beyond this much work of all servers are refused: after a burst
 # they are served within some three times as long, which callers still wait.
 LATE_BACKLOG_S = 1.0
@@ -58,9 +46,6 @@
 NEAR_PATIENCE_S = 0.2
 
 
-FAILURES = frozenset((PieceTrouble.UNREACHED, PieceTrouble.SILENT, PieceTrouble.FAILED))
-
-
 class PieceQueue:
     """Pieces that wait for a server of ``service``.
 
@@ -80,18 +65,12 @@
     ) -> None:
         self.service = service
         self._limits = limits
-        self._servers = servers
-        self._reach = reach
-        self._data_centre_of = data_centre_of
+        self._servers = PieceServers(service, limits, servers, reach, data_centre_of)
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
-        self._use_by_id: dict[BackendId, ServerUse] = {}
         self._tasks: set[asyncio.Task] = set()
         self._fill_timer: asyncio.TimerHandle | None = None
-        self._size_factor = 1.0
-        self.calls_made = 0
-        self.pieces_run = 0
 
     @property
     def waiting(self) -> int:
@@ -123,31 +102,15 @@
 
     def free(self, server_id: BackendId, handles: list[str]) -> None:
         """Note that results were freed at a server."""
-        use = self._use_by_id.get(server_id)
-        if use is None:
-            return
-        for handle in handles:
-            use.free(handle)
+        self._servers.free(server_id, handles)
         self.fill()
 
-    def expected_wait(self, ahead: int) -> float:
-        """Return the seconds until a piece behind ``ahead`` others is taken."""
-        limits = self._limits()
-        servers = self._sound_servers()
-        if not servers:
-            return 0.0 if self._servers() else math.inf
-        slots = len(servers) * limits.slots
-        free_at = sorted(self._use(server).free_at for server in servers)
-        residual = max(0.0, free_at[0] - _now())
-        rounds = ahead / (limits.batch * slots)
-        return residual + rounds * self.call_s(limits.batch)
-
     def load(self) -> QueueLoad:
         """Return the load of the queue, for other nodes."""
         now = _now()
         limits = self._limits()
-        slots = max(1, len(self._sound_servers()) * limits.slots)
-        piece_s = self.call_s(limits.batch) / (limits.batch * slots)
+        places = limits.batch * self._servers.slots()
+        piece_s = self._servers.call_s(limits.batch) / places
         late = sum(1 for piece in self._waiting if self._is_late(piece, now))
         priorities = Counter(
             piece.priority for piece in self._waiting if not self._is_late(piece, now)
@@ -156,14 +119,9 @@
         ahead = 0
         for priority in sorted(priorities):
             ahead += priorities[priority]
-            waits.append((priority, round(self.expected_wait(ahead), 3)))
+            waits.append((priority, round(self._servers.expected_wait(ahead, now), 3)))
         return QueueLoad(tuple(waits), round(late * piece_s, 3))
 
-    def call_s(self, pieces: int) -> float:
-        """Return the expected seconds of a call with that many pieces."""
-        limits = self._limits()
-        return limits.call_s + limits.piece_s * pieces
-
     def fill(self) -> None:
         """Start calls at idle servers, as far as pieces wait."""
         while self._waiting:
@@ -175,7 +133,7 @@
 
     def _start_one(self, now: float) -> bool:
         """Start a call at the first idle server that has pieces to take."""
-        for server in self._idle_servers(now):
+        for server in self._servers.idle(len(self._waiting), now):
             batch = self._take_batch(server, now)
             if batch:
                 self._start(server, batch, now)
@@ -195,8 +153,8 @@
     def _refusal(self, pieces: list[Piece], now: float) -> PieceOutcome | None:
         """Return a refusal where the pieces cannot be run in time."""
         first = pieces[0]
-        wait_s = self.expected_wait(self._ahead_of(first))
-        end = now + wait_s + self.call_s(len(pieces))
+        wait_s = self._servers.expected_wait(self._ahead_of(first), now)
+        end = now + wait_s + self._servers.call_s(len(pieces))
         if first.inputs and end <= first.deadline:
             return None
         if end <= first.due:
@@ -214,49 +172,15 @@
         return sum(1 for piece in self._waiting if _rank(piece) <= _rank(first))
 
     def _drop_hopeless(self, now: float) -> None:
-        shortest = self.call_s(1)
+        shortest = self._servers.call_s(1)
         for piece, future in list(self._waiting.items()):
             if piece.deadline - now < shortest:
                 self._settle(piece, future, PieceOutcome(trouble=PieceTrouble.LATE))
-            elif any(self._reach.in_doubt(place) for place in self._places(piece)):
+            elif self._servers.inputs_lost(piece):
                 # Its inputs are out of reach; they can be made again here.
                 gone = PieceOutcome(trouble=PieceTrouble.INPUT_GONE)
                 self._settle(piece, future, gone)
 
-    def _places(self, piece: Piece) -> set[str]:
-        """Return the data centres that hold the inputs of a piece."""
-        return {self._data_centre_of(handle) for handle in piece.inputs}
-
-    def _idle_servers(self, now: float) -> list[Backend]:
-        slots = self._limits().slots
-        idle = [
-            server
-            for server in self._sound_servers()
-            if self._use(server).calls < slots
-        ]
-        useful = [server for server in idle if self._is_useful(server, now)]
-        return sorted(useful, key=lambda server: self._use(server).slowness(now))
-
-    def _is_useful(self, server: Backend, now: float) -> bool:
-        """Return whether pieces end sooner here than by waiting for the others.
-
-        A server that is five times as slow is worth a call only where so many
-        pieces wait that the others would need as long.
-        """
-        others = [self._use(o) for o in self._sound_servers() if o is not server]
-        if not others:
-            return True
-        call_s = self.call_s(self._limits().batch)
-        rounds = len(self._waiting) / (self._limits().batch * len(others))
-        elsewhere = min(
-            max(use.free_at, now) + call_s * use.slowness(now) for use in others
-        )
-        here = now + call_s * self._use(server).slowness(now)
-        return here <= elsewhere + rounds * call_s
-
-    def _sound_servers(self) -> Sequence[Backend]:
-        return self._reach.sound(self._servers())
-
     def _take_batch(self, server: Backend, now: float) -> list[Piece]:
         limits = self._limits()
         place = server.entry.data_centre
@@ -264,15 +188,12 @@
         return take_batch(
             [p for p in ordered if not self._waits_for_near(p, server, now)],
             limits.batch,
-            limits.memory_bytes - self._use(server).held_bytes(now),
+            self._servers.room(server, now),
             limits.memory_bytes,
-            self._size,
+            self._servers.size,
             now,
         )
 
-    def _size(self, piece: Piece) -> float:
-        return piece.result_bytes * self._size_factor
-
     def _waits_for_near(self, piece: Piece, server: Backend, now: float) -> bool:
         """Return whether a piece rather waits for a server nearer to its use."""
         if not piece.near or piece.near == server.entry.data_centre:
@@ -281,10 +202,9 @@
             return False
         if now - piece.queued_at >= NEAR_PATIENCE_S:
             return False
-        if piece.due - now < NEAR_PATIENCE_S + 2 * self.call_s(1):
+        if piece.due - now < NEAR_PATIENCE_S + 2 * self._servers.call_s(1):
             return False
-        sound = self._sound_servers()
-        return any(other.entry.data_centre == piece.near for other in sound)
+        return self._servers.any_at(piece.near)
 
     def _order(
         self, piece: Piece, data_centre: str, now: float
@@ -306,7 +226,7 @@
 
     def _is_late(self, piece: Piece, now: float) -> bool:
         """Return whether a request cannot be on time even if it is next."""
-        return piece.due < now + self.call_s(1)
+        return piece.due < now + self._servers.call_s(1)
 
     def _work_s(self, pieces: int) -> float:
         """Return the seconds of a server that pieces take in full calls."""
@@ -314,9 +234,9 @@
         return pieces * (limits.call_s / limits.batch + limits.piece_s)
 
     def _start(self, server: Backend, batch: list[Piece], now: float) -> None:
-        use = self._use(server)
+        use = self._servers.use(server)
         use.calls += 1
-        expected_s = self.call_s(len(batch)) * use.slowness(now)
+        expected_s = self._servers.call_s(len(batch)) * use.slowness(now)
         use.free_at = now + expected_s
         log(
             Part.PIECES,
@@ -348,81 +268,20 @@
         batch = list(futures)
         within_s = expected_s * GIVE_UP_FACTOR + GIVE_UP_SLACK_S
         began = _now()
-        self.calls_made += 1
-        self.pieces_run += len(batch)
-        use = self._use(server)
+        use = self._servers.use(server)
         try:
             outcomes = await self._run_call(server, batch, within_s)
         finally:
             use.calls -= 1
         now = _now()
-        self._note_call(server, use, batch, outcomes, now - began)
+        self._servers.note_call(server, batch, outcomes, now - began)
         until = now + self._limits().result_life_s
         for piece, outcome in zip(batch, outcomes, strict=True):
             if outcome.handle is not None:
-                use.hold(outcome.handle, int(self._size(piece)), until)
+                use.hold(outcome.handle, int(self._servers.size(piece)), until)
             self._finish(piece, futures[piece], outcome)
         self.fill()
 
-    def _note_call(
-        self,
-        server: Backend,
-        use: ServerUse,
-        batch: list[Piece],
-        outcomes: list[PieceOutcome],
-        took_s: float,
-    ) -> None:
-        troubles = {outcome.trouble for outcome in outcomes}
-        # A server that works fails single pieces now and then.
-        if PieceTrouble.SILENT in troubles:
-            self._note_silent(server, batch)
-        else:
-            self._reach.note_answer(server.entry.data_centre)
-        if PieceTrouble.SILENT in troubles:
-            use.note_call(took_s / self.call_s(len(batch)), _now())
-        if troubles <= FAILURES:
-            server.suspect()
-            log(
-                Part.PIECES,
-                "A call failed.",
-                backend=server.entry.id,
-                pieces=len(batch),
-                took_s=round(took_s, 3),
-                troubles=[t.value for t in troubles if t],
-            )
-            return
-        if PieceTrouble.NO_ROOM in troubles:
-            self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
-            # It holds results that this node does not know of, such as those
-            # of an owner before it; they go within their short life.
-            rest = self._limits().memory_bytes - use.held_bytes(_now())
-            use.hold(UNKNOWN_RESULTS, int(rest), _now() + UNKNOWN_RESULTS_S)
-            log(
-                Part.PIECES,
-                "A server has no room for results.",
-                backend=server.entry.id,
-                service=self.service,
-                pieces=len(batch),
-                refused=sum(o.trouble is PieceTrouble.NO_ROOM for o in outcomes),
-                held=use.held_bytes(_now()),
-                memory=self._limits().memory_bytes,
-            )
-        else:
-            self._size_factor = max(1.0, self._size_factor * SIZE_DECAY)
-        server.note_taken()
-        use.note_call(took_s / self.call_s(len(batch)), _now())
-
-    def _note_silent(self, server: Backend, batch: list[Piece]) -> None:
-        """Note which data centres a call that went silent puts in doubt.
-
-        The server may be out of reach, or those that hold its inputs from it.
-        """
-        for piece in batch:
-            piece.alone = True
-            for place in self._places(piece) - {server.entry.data_centre}:
-                self._reach.note_silent(place, piece.inputs[0])
-        self._reach.note_silent(server.entry.data_centre, server.entry.id)
-
     def _finish(
         self, piece: Piece, future: asyncio.Future[PieceOutcome], outcome: PieceOutcome
     ) -> None:
@@ -444,12 +303,6 @@
         if not future.done():
             future.set_result(outcome)
 
-    def _use(self, server: Backend) -> ServerUse:
-        use = self._use_by_id.get(server.entry.id)
-        if use is None:
-            use = self._use_by_id[server.entry.id] = ServerUse()
-        return use
-
 
 def _rank(piece: Piece) -> tuple[int, float]:
     return (piece.priority, piece.due)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/piece_servers.py
@@ -0,0 +1,224 @@
+"""The servers behind a queue of pieces: which are idle, and how fast they are.
+
+The patterns it answers: one of three servers turns four to eight times as slow;
+servers go dark; a server holds results that this node does not know of.
+"""
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from eelgrass_coordination.ids import BackendId
+
+from ..log import Part, log
+from ..version.deployment import PieceLimits
+from .backends import Backend
+from .pieces import Piece, PieceOutcome, PieceTrouble
+from .reach import DataCentreReach
+from .server_use import ServerUse
+
+__all__ = ["FAILURES", "PieceServers"]
+
+# Sizes of results are told as about so much. Where a server has less room than
+# they add up to, they are taken for larger, up to a half; the decay forgets
+# that over some fifty calls.
+SIZE_GROWTH = 1.1
+SIZE_DECAY = 0.995
+MAX_SIZE_FACTOR = 1.5
+# A server that has no room is taken for full for this long, about a call.
+UNKNOWN_RESULTS_S = 0.25
+UNKNOWN_RESULTS = "unknown"
+# What is kept of servers that are gone, against those that are listed.
+MAX_KEPT_FACTOR = 4
+
+FAILURES = frozenset((PieceTrouble.UNREACHED, PieceTrouble.SILENT, PieceTrouble.FAILED))
+
+
+class PieceServers:
+    """The servers of ``service`` as one queue uses them.
+
+    ``listed`` returns those that may get work, and ``data_centre_of`` tells
+    where a result lies.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        limits: Callable[[], PieceLimits],
+        listed: Callable[[], list[Backend]],
+        reach: DataCentreReach,
+        data_centre_of: Callable[[str], str],
+    ) -> None:
+        self.service = service
+        self._limits = limits
+        self._listed = listed
+        self._reach = reach
+        self._data_centre_of = data_centre_of
+        self._use_by_id: dict[BackendId, ServerUse] = {}
+        self._size_factor = 1.0
+
+    def sound(self) -> Sequence[Backend]:
+        """Return the most trusted servers there are."""
+        return self._reach.sound(self._listed())
+
+    def use(self, server: Backend) -> ServerUse:
+        """Return what the queue has at a server."""
+        use = self._use_by_id.get(server.entry.id)
+        if use is None:
+            self._forget_gone()
+            use = self._use_by_id[server.entry.id] = ServerUse()
+        return use
+
+    def free(self, server_id: BackendId, handles: list[str]) -> None:
+        """Note that results were freed at a server."""
+        use = self._use_by_id.get(server_id)
+        if use is not None:
+            for handle in handles:
+                use.free(handle)
+
+    def call_s(self, pieces: int) -> float:
+        """Return the expected seconds of a call with that many pieces."""
+        limits = self._limits()
+        return limits.call_s + limits.piece_s * pieces
+
+    def size(self, piece: Piece) -> float:
+        """Return the bytes that the result of a piece is expected to take."""
+        return piece.result_bytes * self._size_factor
+
+    def room(self, server: Backend, now: float) -> float:
+        """Return the bytes that a server has left for results."""
+        return self._limits().memory_bytes - self.use(server).held_bytes(now)
+
+    def slots(self) -> int:
+        """Return how many calls the sound servers run at a time, at least 1."""
+        return max(1, len(self.sound()) * self._limits().slots)
+
+    def expected_wait(self, ahead: int, now: float) -> float:
+        """Return the seconds until a piece behind ``ahead`` others is taken."""
+        servers = self.sound()
+        if not servers:
+            return math.inf
+        batch = self._limits().batch
+        free_at = min(self.use(server).free_at for server in servers)
+        rounds = ahead / (batch * self.slots())
+        return max(0.0, free_at - now) + rounds * self.call_s(batch)
+
+    def idle(self, waiting: int, now: float) -> list[Backend]:
+        """Return the idle servers that are worth a call, the fastest first."""
+        slots = self._limits().slots
+        idle = [s for s in self.sound() if self.use(s).calls < slots]
+        useful = [server for server in idle if self._is_useful(server, waiting, now)]
+        return sorted(useful, key=lambda server: self.use(server).slowness(now))
+
+    def any_at(self, data_centre: str) -> bool:
+        """Return whether a sound server is in a data centre."""
+        return any(s.entry.data_centre == data_centre for s in self.sound())
+
+    def inputs_lost(self, piece: Piece) -> bool:
+        """Return whether inputs of a piece are probably out of reach."""
+        return any(self._reach.in_doubt(place) for place in self._places(piece))
+
+    def note_call(
+        self,
+        server: Backend,
+        batch: list[Piece],
+        outcomes: list[PieceOutcome],
+        took_s: float,
+    ) -> None:
+        """Take in how a call ended and how long it took, in seconds."""
+        troubles = {outcome.trouble for outcome in outcomes}
+        use = self.use(server)
+        if PieceTrouble.SILENT in troubles:
+            self._note_silent(server, batch)
+        else:
+            self._reach.note_answer(server.entry.data_centre)
+        if PieceTrouble.UNREACHED not in troubles:
+            use.note_call(took_s / self.call_s(len(batch)), _now())
+        # A server that works fails single pieces now and then.
+        if troubles <= FAILURES:
+            server.suspect()
+            self._log_call("A call failed.", server, batch, outcomes, took_s)
+            return
+        server.note_taken()
+        if PieceTrouble.NO_ROOM in troubles:
+            self._note_full(use)
+            self._log_call("No room for results.", server, batch, outcomes, took_s)
+        else:
+            self._size_factor = max(1.0, self._size_factor * SIZE_DECAY)
+
+    def _is_useful(self, server: Backend, waiting: int, now: float) -> bool:
+        """Return whether pieces end sooner here than by waiting for the others.
+
+        A server that is five times as slow is worth a call only where so many
+        pieces wait that the others would need as long.
+        """
+        others = [self.use(other) for other in self.sound() if other is not server]
+        if not others:
+            return True
+        batch = self._limits().batch
+        call_s = self.call_s(batch)
+        rounds = waiting / (batch * len(others))
+        elsewhere = min(
+            max(use.free_at, now) + call_s * use.slowness(now) for use in others
+        )
+        here = now + call_s * self.use(server).slowness(now)
+        return here <= elsewhere + rounds * call_s
+
+    def _note_full(self, use: ServerUse) -> None:
+        """Take a server for full for a moment, and results for larger.
+
+        It may hold results that this node does not know of, such as those of
+        an owner of the queue before it; they go within their short life.
+        """
+        self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
+        now = _now()
+        rest = self._limits().memory_bytes - use.held_bytes(now)
+        use.hold(UNKNOWN_RESULTS, int(rest), now + UNKNOWN_RESULTS_S)
+
+    def _note_silent(self, server: Backend, batch: list[Piece]) -> None:
+        """Note which data centres a call that went silent puts in doubt.
+
+        The server may be out of reach, or those that hold its inputs from it.
+        """
+        for piece in batch:
+            piece.alone = True
+            for place in self._places(piece) - {server.entry.data_centre}:
+                self._reach.note_silent(place, piece.inputs[0])
+        self._reach.note_silent(server.entry.data_centre, server.entry.id)
+
+    def _places(self, piece: Piece) -> set[str]:
+        """Return the data centres that hold the inputs of a piece."""
+        return {self._data_centre_of(handle) for handle in piece.inputs}
+
+    def _forget_gone(self) -> None:
+        """Drop what is known of servers that are no longer listed."""
+        listed = {server.entry.id for server in self._listed()}
+        if len(self._use_by_id) > MAX_KEPT_FACTOR * len(listed):
+            for server_id in self._use_by_id.keys() - listed:
+                del self._use_by_id[server_id]
+
+    def _log_call(
+        self,
+        sentence: str,
+        server: Backend,
+        batch: list[Piece],
+        outcomes: list[PieceOutcome],
+        took_s: float,
+    ) -> None:
+        troubles = Counter(o.trouble.value for o in outcomes if o.trouble)
+        log(
+            Part.PIECES,
+            sentence,
+            service=self.service,
+            backend=server.entry.id,
+            pieces=len(batch),
+            took_s=round(took_s, 3),
+            troubles=dict(troubles),
+            held_mb=round(self.use(server).held_bytes(_now()) / 1e6, 2),
+            requests=sorted({piece.request_id for piece in batch}),
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
