--- a/packages/ctl/src/eelgrass_ctl/commands/__init__.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/__init__.py
@@ -6,6 +6,7 @@
 from .claims import claims
 from .costs import costs
 from .drain import drain
+from .explain import explain
 from .history import history
 from .resolve import resolve
 from .show import show
@@ -18,6 +19,7 @@
     "claims",
     "costs",
     "drain",
+    "explain",
     "history",
     "resolve",
     "show",
--- a/packages/ctl/src/eelgrass_ctl/commands/check.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/check.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 from eelgrass_node.exceptions import SettingsError
+from eelgrass_node.platform.settings import load_host_settings
 from eelgrass_node.settings import load_settings
 
 from ..exceptions import ExitCode
@@ -10,13 +11,17 @@
 __all__ = ["check"]
 
 
-def check(settings: Path) -> int:
+def check(settings: Path, *, platform: bool = False) -> int:
     """Check a settings file without starting a node.
 
     :param settings: the YAML file of a node's settings
+    :param platform: the file has the format of the users' platform
     """
     try:
-        load_settings(settings)
+        if platform:
+            load_host_settings(settings)
+        else:
+            load_settings(settings)
     except SettingsError as error:
         print(error)
         return ExitCode.WRONG_INPUT
--- a/packages/ctl/src/eelgrass_ctl/exceptions.py
+++ b/packages/ctl/src/eelgrass_ctl/exceptions.py
@@ -2,7 +2,14 @@
 
 from enum import IntEnum
 
-__all__ = ["ChangeFileError", "CommandError", "ExitCode", "NodeRefused", "NoNode"]
+__all__ = [
+    "ChangeFileError",
+    "CommandError",
+    "ExitCode",
+    "LogUnreadable",
+    "NoNode",
+    "NodeRefused",
+]
 
 
 class ExitCode(IntEnum):
@@ -51,3 +58,10 @@
             f"{file}: {reason}. Correct the file; 'eelgrassctl show' prints objects "
             "in the form that it takes."
         )
+
+
+class LogUnreadable(CommandError):
+    """A log file cannot be read."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        super().__init__(f"{file}: {reason}. Give the path of a readable log file.")
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/story.py
@@ -0,0 +1,52 @@
+"""One request's story, put together from the log lines of all hosts."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+__all__ = ["LogLine", "story_of"]
+
+# What every line carries and nobody asks for.
+_FRAME = frozenset(("message", "timestamp", "task_uuid", "task_level", "message_type"))
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """A log line; ``origin`` is what stood before it, such as a host's name."""
+
+    timestamp: float
+    origin: str
+    sentence: str
+    fields: dict[str, Any]
+
+    def text(self, first: float) -> str:
+        """Return the line for a reader, with seconds since ``first``."""
+        shown = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        return f"{self.timestamp - first:8.3f}  {self.origin}  {self.sentence}  {shown}"
+
+
+def story_of(request_id: str, lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines that touch a request, in the order of their time."""
+    found = [line for line in map(_parsed, lines) if _touches(line, request_id)]
+    return sorted(found, key=lambda line: line.timestamp)
+
+
+def _parsed(raw: str) -> LogLine | None:
+    origin, brace, rest = raw.partition("{")
+    try:
+        fields = msgspec.json.decode(brace + rest.strip())
+    except msgspec.DecodeError:
+        return None
+    if not isinstance(fields, dict) or "timestamp" not in fields:
+        return None
+    shown = {name: value for name, value in fields.items() if name not in _FRAME}
+    sentence = str(fields.get("message", ""))
+    return LogLine(float(fields["timestamp"]), origin.strip(), sentence, shown)
+
+
+def _touches(line: LogLine | None, request_id: str) -> bool:
+    if line is None:
+        return False
+    requests = line.fields.get("requests")
+    listed = isinstance(requests, list) and request_id in requests
+    return listed or line.fields.get("id") == request_id
--- /dev/null
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -0,0 +1,55 @@
+"""What holds now at an entry node, for the metrics."""
+
+import asyncio
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from .process.metrics import Gauge
+
+if TYPE_CHECKING:
+    from .entry_node import EntryNode
+
+__all__ = ["entry_gauges"]
+
+
+def entry_gauges(node: "EntryNode") -> Iterator[Gauge]:
+    """Return the gauges of a node; ages are in seconds."""
+    now = asyncio.get_running_loop().time()
+    yield Gauge("in_flight", "Requests in flight.", node.stopping.count)
+    yield Gauge(
+        "configuration_version", "Version in force.", float(node.deployments.number)
+    )
+    yield Gauge(
+        "configuration_age_seconds",
+        "Time since the version in force was taken.",
+        now - node.deployments.since,
+    )
+    yield Gauge(
+        "members", "Other nodes in reach.", len(node.membership.members.reachable())
+    )
+    for name, table in (
+        ("operator", node.operator_table),
+        ("servers", node.servers_table),
+    ):
+        yield Gauge(
+            "store_reachable",
+            "Whether the store answers, by table.",
+            float(table.reachable),
+            "table",
+            name,
+        )
+        yield Gauge(
+            "store_confirmed_age_seconds",
+            "Time since the store last answered, by table.",
+            now - table.confirmed_at,
+            "table",
+            name,
+        )
+    for service, servers in node.backends.by_service.items():
+        usable = len(node.backends.usable(service))
+        yield Gauge("servers", "Servers listed.", len(servers), "service", service)
+        yield Gauge("servers_usable", "Servers in use.", usable, "service", service)
+    for service, queue in node.pieces.by_service.items():
+        yield Gauge(
+            "pieces_waiting", "Pieces in the queue.", queue.waiting, "service", service
+        )
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -19,6 +19,7 @@
 from .connection.piece_calls import PieceCalls
 from .connection.piece_handoff import HandoffClient, HandoffInterface
 from .connection.sockets import open_socket
+from .entry_gauges import entry_gauges
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
 from .platform.names import READY_PATH
@@ -27,6 +28,7 @@
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
 from .process.host_settings import HostSettings
+from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
 from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
@@ -86,6 +88,7 @@
         loop = asyncio.get_running_loop()
         bounds = settings.bounds
         self.counters = Counters()
+        self.metrics = Metrics(self.counters, lambda: entry_gauges(self))
         self.stopping = Stopping(
             STOP_NOTICE_S, bounds.stop_s - STOP_NOTICE_S - STOP_RESERVE_S
         )
@@ -112,6 +115,7 @@
             self.piece_calls.run,
             self.piece_calls.free,
             stage_calls.maker_of,
+            self.metrics.note_wait,
         )
         self.backends.on_change = self.pieces.servers_changed
         self._build_tables()
@@ -155,6 +159,8 @@
 
     async def start(self) -> None:
         """Listen, join the others, and begin to follow the store."""
+        if self.settings.metrics is not None:
+            await self._listen_metrics(self.settings.metrics)
         await self._listen_peers()
         await self.membership.start()
         await self._listen_callers()
@@ -246,6 +252,7 @@
             note_load=_note_load,
             server_gone=self._server_replaced,
             count=self.counters.count,
+            metrics=self.metrics,
         )
         accept = Acceptance(
             requests, self.deployments, parts, self.stopping, self.counters.count
@@ -302,6 +309,15 @@
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
         await self._serve(runner, self.settings.readiness)
 
+    async def _listen_metrics(self, address: str) -> None:
+        app = web.Application()
+        app.router.add_get("/metrics", self._answer_metrics)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
+        await self._serve(runner, address)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=self.metrics.text(), content_type="text/plain")
+
     async def _answer_ready(self, request: web.Request) -> web.Response:
         ready = self.deployments.current is not None and not self.stopping.stopping
         return web.Response(status=200 if ready else 503)
--- a/packages/node/src/eelgrass_node/log.py
+++ b/packages/node/src/eelgrass_node/log.py
@@ -6,6 +6,8 @@
 
 import eliot
 
+from .log_pipe import LogPipe
+
 __all__ = ["Part", "log", "log_to_stderr", "log_to_stdout"]
 
 
@@ -31,8 +33,8 @@
 
 
 def log_to_stdout() -> None:
-    """Write logs as JSON lines to standard output."""
-    eliot.to_file(sys.stdout)
+    """Write logs as JSON lines to standard output, never waiting for a reader."""
+    eliot.add_destinations(LogPipe(sys.stdout.fileno()).write)
 
 
 def log(part: Part, sentence: str, **fields: Any) -> None:
--- a/packages/node/src/eelgrass_node/platform/settings.py
+++ b/packages/node/src/eelgrass_node/platform/settings.py
@@ -10,7 +10,10 @@
 from ..exceptions import SettingsError
 from ..process.host_settings import HostSettings, ServingBounds, StoreSettings
 
-__all__ = ["load_host_settings"]
+__all__ = ["METRICS_PORT", "load_host_settings"]
+
+# As deploy/system.toml tells the platform.
+METRICS_PORT = 9464
 
 
 class _Wire(msgspec.Struct, frozen=True, rename="pascal"):
@@ -83,6 +86,7 @@
         store=StoreSettings(wire.platform.address),
         memory_bytes=int(wire.limits.memory_mb * 1e6),
         max_descriptors=wire.limits.max_fds,
+        metrics=f"{wire.bind_ip}:{METRICS_PORT}",
         bounds=ServingBounds(
             stop_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget,
--- a/packages/node/src/eelgrass_node/process/host_settings.py
+++ b/packages/node/src/eelgrass_node/process/host_settings.py
@@ -38,7 +38,8 @@
     """All settings of one node; addresses are IP addresses and ports.
 
     ``seeds`` are internal addresses of a few nodes, some of which may be gone;
-    each listens for gossip at ``seed_gossip_port``.
+    each listens for gossip at ``seed_gossip_port``. ``metrics`` is where scrapers
+    ask, None for nowhere.
     """
 
     node: NodeId
@@ -53,6 +54,7 @@
     memory_bytes: int
     max_descriptors: int
     bounds: ServingBounds
+    metrics: str | None = None
 
     def seed_gossip(self) -> list[str]:
         """Return the gossip addresses of the seeds."""
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -50,7 +50,8 @@
     """Pieces that wait for a server of ``service``.
 
     ``servers`` returns those that may get work, ``data_centre_of`` tells where a
-    result lies, and ``may_repeat`` asks the budget for one more call of a piece.
+    result lies, ``may_repeat`` asks the budget for one more call of a piece, and
+    ``note_wait`` is told how long pieces waited.
     """
 
     def __init__(
@@ -62,12 +63,14 @@
         data_centre_of: Callable[[str], str],
         run_call: RunCall,
         may_repeat: Callable[[], bool],
+        note_wait: Callable[[str, float], None],
     ) -> None:
         self.service = service
         self._limits = limits
         self._servers = PieceServers(service, limits, servers, reach, data_centre_of)
         self._run_call = run_call
         self._may_repeat = may_repeat
+        self._note_wait = note_wait
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._fill_timer: asyncio.TimerHandle | None = None
@@ -250,6 +253,8 @@
             held_mb=round(use.held_bytes(now) / 1e6, 2),
             requests=sorted({piece.request_id for piece in batch}),
         )
+        for piece in batch:
+            self._note_wait(self.service, now - piece.queued_at)
         futures = {piece: self._waiting.pop(piece) for piece in batch}
         taken = {(piece.request_id, piece.stage) for piece in batch}
         for piece in self._waiting:
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -30,7 +30,8 @@
 class LocalPieces:
     """Runs pieces from queues in this process, and frees their results.
 
-    ``maker_of`` gives the address of the server that holds a result.
+    ``maker_of`` gives the address of the server that holds a result, and
+    ``note_wait`` is told how long the pieces of a service waited, in seconds.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         run_call: RunCall,
         free_call: FreeCall,
         maker_of: Callable[[str], str],
+        note_wait: Callable[[str, float], None],
     ) -> None:
         self._backends = backends
         self._deployment = deployment
@@ -50,6 +52,7 @@
         self._run_call = run_call
         self._free_call = free_call
         self._maker_of = maker_of
+        self._note_wait = note_wait
         self._tasks: set[asyncio.Task] = set()
         self.by_service: dict[ServiceName, PieceQueue] = {}
 
@@ -95,6 +98,7 @@
                 self.data_centre_of,
                 self._run_call,
                 lambda: self._retries.try_spend(service, owner=True),
+                self._note_wait,
             )
         return found
 
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -14,6 +14,7 @@
 from ..exceptions import CallFailed, RequestRefused, StagesFailed
 from ..log import Part, log
 from ..process.backends import Backend
+from ..process.metrics import Metrics
 from ..process.pieces import PieceTrouble
 from ..process.reach import DataCentreReach
 from ..process.retry_window import RetryWindows
@@ -75,6 +76,7 @@
     note_load: Callable[[Backend, EngineHead], None]
     server_gone: Callable[[Backend], None]
     count: Callable[[str], None]
+    metrics: Metrics
 
 
 class RoutedRequest:
@@ -122,6 +124,8 @@
             raise RequestRefused("the stages have no room in time", hopeless_s)
         inputs = await self._run_stages()
         self._staged_at = _now()
+        if self._routed.route.stages:
+            self._parts.metrics.note_stages(self._routed.route.name, self._age_s())
         while True:
             if self._parts.reach.in_doubt(self._inputs_at()):
                 # No server here could fetch them.
@@ -297,6 +301,9 @@
             headed_s=round(self._headed_at - arrived_at, 3),
         )
 
+    def _age_s(self) -> float:
+        return _now() - self._routed.arrival.arrived_at
+
     def _log_end(self, sentence: str, **fields: object) -> None:
         routed = self._routed
         log(
@@ -307,9 +314,11 @@
             runs=self._runs,
             refused_calls=self._refused_calls,
             may_have_run=self._may_have_run,
-            took_s=round(_now() - routed.arrival.arrived_at, 3),
+            took_s=round(self._age_s(), 3),
             **fields,
         )
+        outcome = sentence.rstrip(".").lower().replace(" ", "_")
+        self._parts.metrics.note_request(outcome, self._age_s())
 
 
 # After these a server is left alone for a while; one that is only full is not.
--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -50,6 +50,7 @@
             lambda handle: handle.partition("@")[2],
             self._run,
             lambda: may_repeat,
+            lambda service, waited_s: None,
         )
 
     async def _run(self, backend, pieces, within_s):
