--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -31,6 +31,7 @@
 SILENCE_S = 0.75
 KEEP_ALIVE_S = 60.0
 BEAT = b"\n"
+UNKNOWN_SERVICE = 503
 
 RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
 
@@ -133,15 +134,21 @@
 
 
 class HandoffInterface:
-    """Takes pieces from other nodes, for the queues of this one."""
+    """Takes pieces from other nodes, for the queues of this one.
+
+    ``knows`` tells whether this node has servers of a service; one that has
+    none is no owner of its queue.
+    """
 
     def __init__(
         self,
         run: RunPieces,
+        knows: Callable[[ServiceName], bool],
         load: Callable[[ServiceName], QueueLoad],
         free: Callable[[ServiceName, list[str]], None],
     ) -> None:
         self._run = run
+        self._knows = knows
         self._load = load
         self._free = free
         self._decoder = msgspec.json.Decoder(_Handoff)
@@ -151,6 +158,8 @@
         handoff = self._decoder.decode(await request.read())
         now = asyncio.get_running_loop().time()
         pieces = [_received(sent, now) for sent in handoff.pieces]
+        if not self._knows(handoff.service):
+            return web.Response(status=UNKNOWN_SERVICE)
         response = web.StreamResponse()
         await response.prepare(request)
         running = asyncio.ensure_future(self._run(handoff.service, pieces))
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -209,7 +209,8 @@
             self.store,
             configuration.OPERATOR_TABLE,
             self.deployments.take_rows,
-            lambda keys, was_lost: None,
+            lambda keys: None,
+            lambda: None,
             CONFIGURATION_WAIT_S,
         )
         self.servers_table = FollowedTable(
@@ -217,6 +218,7 @@
             servers.SERVERS_TABLE,
             self.server_list.take_rows,
             self.server_list.take_whole,
+            self.server_list.note_outage_end,
             SERVERS_WAIT_S,
             SERVERS_PAUSE_S,
         )
@@ -289,7 +291,10 @@
 
     async def _listen_peers(self) -> None:
         interface = HandoffInterface(
-            self._run_handed_over, self.pieces.load, self.pieces.free
+            self._run_handed_over,
+            self.pieces.knows,
+            self.pieces.load,
+            self.pieces.free,
         )
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         interface.add_routes(app)
--- a/packages/node/src/eelgrass_node/process/piece_servers.py
+++ b/packages/node/src/eelgrass_node/process/piece_servers.py
@@ -137,7 +137,8 @@
             use.note_call(took_s / self.call_s(len(batch)), _now())
         # A server that works fails single pieces now and then.
         if troubles <= FAILURES:
-            server.suspect()
+            if not self._hangs_on_inputs(server, batch, troubles):
+                server.suspect()
             self._log_call("A call failed.", server, batch, outcomes, took_s)
             return
         server.note_taken()
@@ -187,6 +188,14 @@
                 self._reach.note_silent(place, piece.inputs[0])
         self._reach.note_silent(server.entry.data_centre, server.entry.id)
 
+    def _hangs_on_inputs(
+        self, server: Backend, batch: list[Piece], troubles: set[PieceTrouble | None]
+    ) -> bool:
+        """Return whether a silent call may be the fault of inputs from elsewhere."""
+        own = {server.entry.data_centre}
+        foreign = any(self._places(piece) - own for piece in batch)
+        return foreign and PieceTrouble.SILENT in troubles
+
     def _places(self, piece: Piece) -> set[str]:
         """Return the data centres that hold the inputs of a piece."""
         return {self._data_centre_of(handle) for handle in piece.inputs}
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -65,6 +65,13 @@
             return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
         return await self.queue(service).run(pieces)
 
+    def knows(self, service: ServiceName) -> bool:
+        """Return whether this node knows a server of a service.
+
+        One that has just started is a member before it has read the list.
+        """
+        return bool(self._backends.usable(service))
+
     def load(self, service: ServiceName) -> QueueLoad:
         """Return the load of the queue of a service, for other nodes."""
         return self.queue(service).load()
--- a/packages/node/src/eelgrass_node/process/reach.py
+++ b/packages/node/src/eelgrass_node/process/reach.py
@@ -69,10 +69,11 @@
         """Return the servers to choose from, the most trusted there are.
 
         Those are untried, unsuspected and not in a data centre that is in
-        doubt; failing that, untried and unsuspected; untried; or any.
+        doubt. Failing that, one that failed once but is within reach is better
+        than one that probably cannot be reached at all.
         """
         now = self._clock()
         untried = [server for server in servers if server.entry.id not in tried]
-        trusted = [server for server in untried if server.suspect_until <= now]
-        near = [s for s in trusted if not self.in_doubt(s.entry.data_centre)]
-        return near or trusted or untried or servers
+        in_reach = [s for s in untried if not self.in_doubt(s.entry.data_centre)]
+        trusted = [server for server in in_reach if server.suspect_until <= now]
+        return trusted or in_reach or untried or servers
--- a/packages/node/src/eelgrass_node/process/server_list.py
+++ b/packages/node/src/eelgrass_node/process/server_list.py
@@ -53,10 +53,8 @@
                 self._listed(server_id, row.value)
         self._apply()
 
-    def take_whole(self, keys: set[str], was_lost: bool) -> None:
+    def take_whole(self, keys: set[str]) -> None:
         """Take in which entries there are, after a whole read."""
-        if was_lost:
-            self._outage_ended_at = _now()
         for server_id in self._entry_by_id.keys() - keys:
             self._missing(server_id)
         self._apply()
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -51,9 +51,9 @@
 class FollowedTable:
     """One table of the store, kept up to date by :meth:`run`.
 
-    ``on_rows`` is told the rows that changed. ``on_whole`` is told the keys
-    there are after a whole read, and whether the store had been out of reach
-    before it. ``wait_s`` bounds one wait for changes and ``pause_s`` is how
+    ``on_rows`` is told the rows that changed, ``on_whole`` the keys there are
+    after a whole read, and before either ``on_return`` that the store had been
+    out of reach. ``wait_s`` bounds one wait for changes and ``pause_s`` is how
     long changes are collected between two calls; both in seconds.
     """
 
@@ -62,7 +62,8 @@
         reader: TableReader,
         table: str,
         on_rows: Callable[[tuple[StoredRow, ...]], None],
-        on_whole: Callable[[set[str], bool], None],
+        on_whole: Callable[[set[str]], None],
+        on_return: Callable[[], None],
         wait_s: float,
         pause_s: float = 0.0,
     ) -> None:
@@ -70,6 +71,7 @@
         self._table = table
         self._on_rows = on_rows
         self._on_whole = on_whole
+        self._on_return = on_return
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._row_by_key: dict[str, StoredRow] = {}
@@ -85,7 +87,6 @@
         while True:
             try:
                 await self._step()
-                self._note_reached()
                 await self._pause(self._pause_s)
             except HistoryGone:
                 self._whole = False
@@ -121,9 +122,11 @@
     async def _step(self) -> None:
         if self._whole:
             changes = await self._reader.feed(self._table, self._version, self._wait_s)
+            self._note_reached()
             self._take(changes)
             return
         changes = await self._reader.read_table(self._table)
+        self._note_reached()
         if changes.version < self._version:
             raise StoreUnavailable(self._table, "an old state was read")
         self._take_whole(changes)
@@ -134,8 +137,7 @@
         for key in self._row_by_key.keys() - keys:
             del self._row_by_key[key]
         self._take(changes)
-        was_lost = not self.reachable
-        self._on_whole(keys, was_lost)
+        self._on_whole(keys)
 
     def _take(self, changes: TableChanges) -> None:
         news = tuple(row for row in changes.rows if self._is_news(row))
@@ -156,6 +158,7 @@
             self.reachable = True
             lost_s = self.confirmed_at - self.lost_at
             log(Part.STORE, "Reached again.", table=self._table, lost_s=lost_s)
+            self._on_return()
 
     def _note_lost(self, error: StoreUnavailable) -> None:
         if self.reachable:
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -300,6 +300,17 @@
             reach.note_silent("a", name)
         assert not reach.in_doubt("a")
 
+    def test_a_suspect_within_reach_is_better_than_one_beyond_a_cut(self):
+        reach, clock = self.reach()
+        near, far = (
+            Backend(HostEntry(BackendId(n), "s", f"{n}:1", DataCentre(n))) for n in "ab"
+        )
+        near.suspect_until = clock.now + 1.0
+        assert reach.sound([near, far]) == [far]
+        for name in "xy":
+            reach.note_silent("b", name)
+        assert reach.sound([near, far]) == [near]
+
 
 class TestOwners:
     def setup_method(self):
--- a/packages/node/tests/test_store_following.py
+++ b/packages/node/tests/test_store_following.py
@@ -63,7 +63,8 @@
         script,
         "t",
         lambda rows: taken.extend((r.key, r.version) for r in rows),
-        lambda keys, was_lost: whole.append((keys, was_lost)),
+        whole.append,
+        lambda: whole.append("returned"),
         wait_s=0.01,
     )
     task = asyncio.create_task(table.run())
@@ -97,14 +98,23 @@
         )
         assert taken == [("a", 9), ("b", 10)]
 
-    async def test_an_outage_is_told_after_it(self):
+    async def test_an_outage_is_told_before_what_changed_in_it(self):
         asked, taken, whole = await follow(
             changes(1, row("a", 1)),
             StoreUnavailable("t", "down"),
             HistoryGone("t"),
             changes(2, row("a", 1)),
         )
-        assert whole == [({"a"}, False), ({"a"}, True)]
+        assert whole == [{"a"}, "returned", {"a"}]
+
+    async def test_also_where_the_feed_goes_on(self):
+        asked, taken, whole = await follow(
+            changes(1, row("a", 1)),
+            StoreUnavailable("t", "down"),
+            changes(2, row("a", 2, None)),
+        )
+        assert whole == [{"a"}, "returned"]
+        assert taken == [("a", 1), ("a", 2)]
 
 
 def decode(key, value):
@@ -130,7 +140,7 @@
         self.backends = Backends()
         servers = ServerList(self.backends, decode, self.left.append)
         servers.take_rows(tuple(row(key, 1, b"{}") for key in keys))
-        servers.take_whole(set(keys), False)
+        servers.take_whole(set(keys))
         return servers
 
     def usable(self):
@@ -149,15 +159,23 @@
 
     async def test_entries_that_lapsed_in_an_outage_may_come_back(self):
         servers = self.listing("i1", "i2")
-        servers.take_whole({"i2"}, True)
+        servers.note_outage_end()
+        servers.take_whole({"i2"})
         assert self.usable() == {"i1", "i2"}
         servers.take_rows((row("i1", 3, b"{}"),))
         await asyncio.sleep(0.3)
         assert self.usable() == {"i1", "i2"}
 
+    async def test_also_where_the_feed_tells_of_them(self):
+        servers = self.listing("i1", "i2")
+        servers.note_outage_end()
+        servers.take_rows((row("i1", 2, None),))
+        assert self.usable() == {"i1", "i2"}
+
     async def test_one_still_missing_then_is_gone(self):
         servers = self.listing("i1", "i2")
-        servers.take_whole({"i2"}, True)
+        servers.note_outage_end()
+        servers.take_whole({"i2"})
         await asyncio.sleep(0.3)
         assert self.usable() == {"i2"}
 
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -222,6 +222,13 @@
         status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
         assert (status, body) == (200, WHOLE)
 
+    async def test_an_owner_without_servers_takes_no_pieces(self, entry):
+        """One that has just started is a member before it has read the list."""
+        entry.nodes[1].backends.update([])
+        for _ in range(3):
+            status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
+            assert (status, body) == (200, WHOLE)
+
     async def test_a_dead_owner_of_the_queue_costs_little(self, entry):
         await entry.nodes[1].close()
         began = asyncio.get_running_loop().time()
