--- a/packages/node/src/eelgrass_node/process/placement.py
+++ b/packages/node/src/eelgrass_node/process/placement.py
@@ -21,7 +21,7 @@
 # Seconds by which a running request slows a new one down, and by which one that
 # waits does: a step takes some 0.15 ms more for each running request and a
 # request some hundred steps; one that waits holds up by its whole prompt.
-RUNNING_S = 0.012
+RUNNING_S = 0.006
 WAITING_S = 0.15
 # Extra seconds for a server in another data centre: the way there and back,
 # and the price of the bytes.
