--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -43,7 +43,7 @@
 FILL_AGAIN_S = 0.05
 # A piece waits this long at most for a server in the data centre where its
 # result will be fetched, if it can afford that: about one call.
-NEAR_PATIENCE_S = 0.2
+NEAR_PATIENCE_S = 0.3
 
 
 class PieceQueue:
