--- a/packages/node/src/eelgrass_node/process/piece_servers.py
+++ b/packages/node/src/eelgrass_node/process/piece_servers.py
@@ -21,11 +21,11 @@
 __all__ = ["FAILURES", "PieceServers"]
 
 # Sizes of results are told as about so much. Where a server has less room than
-# they add up to, they are taken for larger, up to a half; the decay forgets
-# that over some fifty calls.
-SIZE_GROWTH = 1.1
-SIZE_DECAY = 0.995
-MAX_SIZE_FACTOR = 1.5
+# they add up to, they are taken for larger, up to a third; the decay forgets
+# that over some twenty calls, a few seconds.
+SIZE_GROWTH = 1.05
+SIZE_DECAY = 0.985
+MAX_SIZE_FACTOR = 1.35
 # A server that has no room is taken for full for this long, about a call.
 UNKNOWN_RESULTS_S = 0.25
 UNKNOWN_RESULTS = "unknown"
@@ -67,7 +67,7 @@
         use = self._use_by_id.get(server.entry.id)
         if use is None:
             self._forget_gone()
-            use = self._use_by_id[server.entry.id] = ServerUse()
+            use = self._use_by_id[server.entry.id] = ServerUse(_now())
         return use
 
     def free(self, server_id: BackendId, handles: list[str]) -> None:
@@ -169,11 +169,13 @@
     def _note_full(self, use: ServerUse) -> None:
         """Take a server for full for a moment, and results for larger.
 
-        It may hold results that this node does not know of, such as those of
-        an owner of the queue before it; they go within their short life.
+        A server that this node has not called for long may hold results of an
+        owner of the queue before it, which go within their short life: that
+        says nothing of their size.
         """
-        self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
         now = _now()
+        if now - use.known_since > self._limits().result_life_s:
+            self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
         rest = self._limits().memory_bytes - use.held_bytes(now)
         use.hold(UNKNOWN_RESULTS, int(rest), now + UNKNOWN_RESULTS_S)
 
