--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -318,7 +318,11 @@
         app = web.Application()
         app.router.add_get("/metrics", self._answer_metrics)
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
-        await self._serve(runner, address)
+        try:
+            await self._serve(runner, address)
+        except OSError as error:
+            # Serving goes on: metrics are no reason to refuse callers.
+            log(Part.NODE, "No metrics.", address=address, error=repr(error))
 
     async def _answer_metrics(self, request: web.Request) -> web.Response:
         return web.Response(body=self.metrics.text(), content_type="text/plain")
--- /dev/null
+++ b/packages/node/tests/test_piece_handoff.py
@@ -0,0 +1,162 @@
+"""Handing pieces to owners that are dead, frozen, slow or wrong."""
+
+import asyncio
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from eelgrass_node.connection.piece_handoff import (
+    ACCEPT_S,
+    SILENCE_S,
+    HandoffClient,
+    HandoffInterface,
+)
+from eelgrass_node.exceptions import PeerUnreachable
+from eelgrass_node.process.pieces import Piece, PieceOutcome
+from eelgrass_node.process.queue_load import QueueLoad
+from eelgrass_node.version.deployment import ServiceName
+from eelgrass_standins.ports import free_addresses
+
+SERVICE = ServiceName("portal")
+SLACK_S = 0.25
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+def piece():
+    return Piece("id1", 0, 0, "key", (), now() + 6, now() + 1, 0, 8_000)
+
+
+class Owner:
+    """An owner whose answer is scripted; use it as a context."""
+
+    def __init__(self, handle=None, run=None, knows=True):
+        self.heard = []
+        self._handle = handle
+        self._run = run
+        self._knows = knows
+
+    async def __aenter__(self):
+        [self.address] = free_addresses(1)
+        app = web.Application()
+        if self._handle is not None:
+            app.router.add_post("/peer/v1/pieces", self._handle)
+        else:
+            interface = HandoffInterface(
+                self._run,
+                lambda service: self._knows,
+                lambda service: QueueLoad(((0, 0.5),), 0.25),
+                lambda service, handles: None,
+            )
+            interface.add_routes(app)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self.client = HandoffClient(lambda *load: self.heard.append(load))
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.client.close()
+        await self._runner.cleanup()
+
+    async def hand_over(self):
+        return await self.client.run(self.address, SERVICE, [piece()])
+
+
+async def made(service, pieces):
+    return [PieceOutcome(handle=f"a:1/{p.number}") for p in pieces]
+
+
+class TestHandoff:
+    async def test_outcomes_and_the_load_come_back(self):
+        async with Owner(run=made) as owner:
+            assert await owner.hand_over() == [PieceOutcome(handle="a:1/0")]
+            assert owner.heard == [(SERVICE, QueueLoad(((0, 0.5),), 0.25))]
+
+    async def test_a_long_wait_at_a_living_owner_is_no_silence(self):
+        async def slowly(service, pieces):
+            await asyncio.sleep(SILENCE_S * 1.5)
+            return await made(service, pieces)
+
+        async with Owner(run=slowly) as owner:
+            assert await owner.hand_over() == [PieceOutcome(handle="a:1/0")]
+
+    async def test_a_caller_that_gives_up_withdraws_its_pieces(self):
+        withdrawn = asyncio.Event()
+
+        async def wait(service, pieces):
+            try:
+                await asyncio.sleep(5)
+            except asyncio.CancelledError:
+                withdrawn.set()
+                raise
+
+        async with Owner(run=wait) as owner:
+            call = asyncio.create_task(owner.hand_over())
+            await asyncio.sleep(0.1)
+            call.cancel()
+            async with asyncio.timeout(1):
+                await withdrawn.wait()
+
+
+class TestOwnersThatFail:
+    async def fails_within(self, owner, seconds):
+        began = now()
+        with pytest.raises(PeerUnreachable):
+            await owner.hand_over()
+        assert now() - began < seconds + SLACK_S
+
+    async def test_one_that_never_accepts(self):
+        async def hang(request):
+            await asyncio.sleep(5)
+
+        async with Owner(handle=hang) as owner:
+            await self.fails_within(owner, ACCEPT_S)
+
+    async def test_one_that_freezes_after_it_has_accepted(self):
+        async def freeze(request):
+            response = web.StreamResponse()
+            await response.prepare(request)
+            await response.write(b"\n")
+            await asyncio.sleep(5)
+            return response
+
+        async with Owner(handle=freeze) as owner:
+            await self.fails_within(owner, ACCEPT_S + SILENCE_S)
+
+    async def test_one_that_is_killed_while_pieces_run(self):
+        async def die(request):
+            response = web.StreamResponse()
+            await response.prepare(request)
+            await response.write(b"\n")
+            request.transport.abort()
+            return response
+
+        async with Owner(handle=die) as owner:
+            await self.fails_within(owner, ACCEPT_S)
+
+    async def test_one_that_knows_no_server_of_the_service(self):
+        async with Owner(run=made, knows=False) as owner:
+            await self.fails_within(owner, ACCEPT_S)
+
+    @pytest.mark.parametrize(
+        "answer", [b"nonsense\n", b'{"outcomes": [], "load": []}\n', b""]
+    )
+    async def test_one_whose_answer_does_not_fit(self, answer):
+        async def garble(request):
+            msgspec.json.decode(await request.read())
+            return web.Response(body=b"\n" + answer)
+
+        async with Owner(handle=garble) as owner:
+            await self.fails_within(owner, ACCEPT_S)
+
+    async def test_one_that_is_gone(self):
+        async with Owner(run=made) as owner:
+            [owner.address] = free_addresses(1)
+            await self.fails_within(owner, ACCEPT_S)
