One way to make client sessions; long-lived work that fails unexpectedly begins anew

The session with sockets that notice silence was written four times. An error that nobody foresaw would have ended the following of the store without a word.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -11,13 +11,14 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from .sockets import open_socket
+from .sockets import new_session, open_socket
 
 __all__ = ["BackendConnections"]
 
 CONNECT_S = 1.0
 KEEP_ALIVE_S = 15.0
 MAX_LINE = 1 << 20
+SESSION_OPTIONS = {"auto_decompress": False, "read_bufsize": MAX_LINE}
 # What the client library would add to a request that must go out unchanged.
 LIBRARY_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -108,13 +109,11 @@
 
     def _reusing(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=KEEP_ALIVE_S,
-                use_dns_cache=False,
-                socket_factory=open_socket,
-            )
-            self._session = _session(connector)
+            self._session = new_session(KEEP_ALIVE_S, **SESSION_OPTIONS)
+            # The library would repeat a GET by itself on a dropped connection.
+            # Repeats are decided and counted in one place only, and it has no
+            # public option for this.
+            self._session._retry_connection = False
         return self._session
 
     def _fresh(self) -> aiohttp.ClientSession:
@@ -122,7 +121,11 @@
             connector = aiohttp.TCPConnector(
                 limit=0, force_close=True, socket_factory=open_socket
             )
-            self._single_use = _session(connector)
+            self._single_use = aiohttp.ClientSession(
+                connector=connector,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                **SESSION_OPTIONS,
+            )
         return self._single_use
 
     def _retire(self, session: aiohttp.ClientSession) -> None:
@@ -146,16 +149,3 @@
     task = asyncio.create_task(session.close())
     _closing_tasks.add(task)
     task.add_done_callback(_closing_tasks.discard)
-
-
-def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        read_bufsize=MAX_LINE,
-    )
-    # The library would repeat a GET by itself on a dropped connection. Repeats
-    # are decided and counted in one place only, and it has no option for this.
-    session._retry_connection = False
-    return session
--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -16,7 +16,7 @@
 from ..process.pieces import Piece, PieceOutcome
 from ..process.queue_load import QueueLoad
 from ..version.deployment import ServiceName
-from .sockets import open_socket
+from .sockets import new_session
 
 __all__ = ["HandoffClient", "HandoffInterface"]
 
@@ -74,17 +74,7 @@
 
     def __init__(self, hear_load: Callable[[ServiceName, QueueLoad], None]) -> None:
         self._hear_load = hear_load
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=KEEP_ALIVE_S,
-                use_dns_cache=False,
-                socket_factory=open_socket,
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
-        )
+        self._session = new_session(KEEP_ALIVE_S, CONNECT_S)
 
     async def run(
         self, address: str, service: ServiceName, pieces: list[Piece]
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -1,4 +1,4 @@
-"""Sockets that notice a peer that has gone silent.
+"""Sockets and client sessions that notice a peer that has gone silent.
 
 Connections may go silent for good without a reset, and a host behind a cut does
 not answer. Without these options a write to it would hang for many minutes.
@@ -7,7 +7,9 @@
 import socket
 from typing import Any
 
-__all__ = ["open_socket"]
+import aiohttp
+
+__all__ = ["new_session", "open_socket"]
 
 # Unacknowledged data is given up after this long: three losses in a row on a
 # link of a few milliseconds, and well under the shortest deadlines of 1.6 s.
@@ -28,3 +30,25 @@
     opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
     opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     return opened
+
+
+def new_session(
+    keep_alive_s: float, connect_s: float | None = None, **options: Any
+) -> aiohttp.ClientSession:
+    """Return a client session with such sockets, which the caller closes.
+
+    ``keep_alive_s`` is how long an idle connection is kept and ``connect_s``
+    bounds the time to connect; both in seconds. ``options`` go to the session.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=keep_alive_s,
+        use_dns_cache=False,
+        socket_factory=open_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+        **options,
+    )
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -8,7 +8,6 @@
 import time
 from collections.abc import Callable
 
-import aiohttp
 from aiohttp import web
 
 from eelgrass_coordination import Member, Membership, MemberState
@@ -18,7 +17,7 @@
 from .connection.peer_state import STATE_CALL, PeerState, PeerStateInterface
 from .connection.piece_calls import PieceCalls
 from .connection.piece_handoff import HandoffClient, HandoffInterface
-from .connection.sockets import open_socket
+from .connection.sockets import new_session
 from .entry_gauges import entry_gauges
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
@@ -41,6 +40,7 @@
 from .process.shared_pieces import SharedPieces
 from .process.stopping import Stopping
 from .process.store_tables import FollowedTable
+from .process.supervision import keep_running
 from .request.accept import Acceptance
 from .request.arrival import Routed
 from .request.graph import StagePlan
@@ -119,10 +119,7 @@
         )
         self.backends.on_change = self.pieces.servers_changed
         self._build_tables()
-        self.peer_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, socket_factory=open_socket),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self.peer_session = new_session(PEER_IDLE_S / 2)
         self.peer_calls = PeerCalls(self.peer_session)
         self.catch_up = PeerCatchUp(
             self._take_state_of, lambda: self.deployments.number, self._peer_addresses
@@ -166,11 +163,11 @@
         await self._listen_callers()
         await self._listen_readiness()
         for work in (
-            self.operator_table.run(),
-            self.servers_table.run(),
-            self.catch_up.start(),
+            self.operator_table.run,
+            self.servers_table.run,
+            self.catch_up.start,
         ):
-            self._tasks.append(asyncio.create_task(work))
+            self._tasks.append(asyncio.create_task(keep_running(work)))
         log(Part.NODE, "Started.", node=self.settings.node)
 
     def reload(self) -> None:
--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from ..connection.sockets import open_socket
+from ..connection.sockets import new_session
 from ..exceptions import HistoryGone, StoreUnavailable
 from ..process.store_tables import StoredRow, TableChanges
 
@@ -45,16 +45,7 @@
 
     def __init__(self, address: str) -> None:
         self._url = f"http://{address}"
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=KEEP_ALIVE_S,
-                use_dns_cache=False,
-                socket_factory=open_socket,
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        )
+        self._session = new_session(KEEP_ALIVE_S)
         self.calls = 0
 
     async def read_table(self, table: str) -> TableChanges:
@@ -108,4 +99,8 @@
 def _stored(row: _Row) -> StoredRow:
     if row.deleted or row.value is None:
         return StoredRow(row.key, row.ver, None)
-    return StoredRow(row.key, row.ver, base64.b64decode(row.value))
+    try:
+        value = base64.b64decode(row.value, validate=True)
+    except ValueError as error:
+        raise StoreUnavailable(row.key, f"its value is not base64: {error}") from error
+    return StoredRow(row.key, row.ver, value)
--- a/packages/node/tests/test_store_following.py
+++ b/packages/node/tests/test_store_following.py
@@ -11,7 +11,7 @@
     ServerEntryMalformed,
     StoreUnavailable,
 )
-from eelgrass_node.process import server_list as server_list_module
+from eelgrass_node.process import server_list as server_list_module, supervision
 from eelgrass_node.process.backends import Backends, BackendState, HostEntry
 from eelgrass_node.process.deployments import DeploymentInForce
 from eelgrass_node.process.server_list import ServerList
@@ -185,6 +185,20 @@
         assert self.usable() == {"i1"}
 
 
+class TestSupervision:
+    async def test_work_that_fails_unexpectedly_begins_anew(self, monkeypatch):
+        monkeypatch.setattr(supervision, "AGAIN_S", 0.01)
+        began = []
+
+        async def work():
+            began.append(1)
+            if len(began) < 3:
+                raise KeyError("nobody foresaw this")
+
+        await supervision.keep_running(work)
+        assert len(began) == 3
+
+
 class TestDeploymentInForce:
     def decode(self, raw):
         number = int(raw)
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -260,6 +260,7 @@
         assert status == 401
         entry.store.put("op", "config", configuration(4))
         entry.store.put_raw("op", "config", b"{nonsense")
+        entry.store.put_raw("servers", "desk-9", b"\xff\xfe")
         await asyncio.sleep(0.3)
         assert [node.deployments.number for node in entry.nodes] == [5, 5]
 
