--- a/packages/coordination/src/eelgrass_coordination/http_objects.py
+++ b/packages/coordination/src/eelgrass_coordination/http_objects.py
@@ -2,12 +2,12 @@
 
 import aiohttp
 
-from .exceptions import PlatformUnavailable
+from .exceptions import OutcomeUnknown, PlatformUnavailable
+from .platform_call import call_platform
 
 __all__ = ["HttpObjects"]
 
 DEFAULT_TIMEOUT_S = 5.0
-HTTP_OK = 200
 
 
 class HttpObjects:
@@ -21,7 +21,7 @@
     ) -> None:
         self._session = session
         self._address = address
-        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._timeout_s = timeout
 
     async def put(self, name: str, body: bytes) -> None:
         """Write an object; a repeat of the same write is harmless."""
@@ -34,11 +34,9 @@
     async def _call(self, method: str, name: str, body: bytes | None) -> bytes:
         url = f"{self._address}/v1/objects/{name}"
         try:
-            async with self._session.request(
-                method, url, data=body, timeout=self._timeout, allow_redirects=False
-            ) as response:
-                if response.status != HTTP_OK:
-                    raise PlatformUnavailable(f"status {response.status} for {name}")
-                return await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise PlatformUnavailable(repr(error)) from error
+            return await call_platform(
+                self._session, method, url, body, self._timeout_s
+            )
+        except OutcomeUnknown as error:
+            # Objects are only written whole and with the same bytes again.
+            raise PlatformUnavailable(str(error)) from error
--- a/packages/coordination/src/eelgrass_coordination/http_table.py
+++ b/packages/coordination/src/eelgrass_coordination/http_table.py
@@ -1,23 +1,17 @@
-"""Client of the table service over HTTP with JSON.
-
-Every call is a POST without redirects, because aiohttp repeats a dropped call
-by itself only for idempotent methods, and follows a 307 by sending the body
-again.
-"""
+"""Client of the table service over HTTP with JSON."""
 
 from typing import Any
 
 import aiohttp
 import msgspec
 
-from .exceptions import OutcomeUnknown, PlatformUnavailable, Throttled
+from .exceptions import OutcomeUnknown, PlatformUnavailable
+from .platform_call import call_platform
 from .table import Row, RowKey, Transaction, TransactionResult
 
 __all__ = ["HttpTable"]
 
 DEFAULT_TIMEOUT_S = 0.5
-HTTP_TOO_MANY = 429
-HTTP_UNAVAILABLE = 503
 
 
 class _Rows(msgspec.Struct, frozen=True):
@@ -70,27 +64,10 @@
             raise PlatformUnavailable(str(error.__cause__ or error)) from error
 
     async def _post(self, path: str, message: Any, timeout: float | None) -> bytes:
-        limit = aiohttp.ClientTimeout(total=timeout or self._timeout)
-        try:
-            async with self._session.post(
-                self._address + path,
-                data=msgspec.json.encode(message),
-                headers={"Content-Type": "application/json"},
-                timeout=limit,
-                allow_redirects=False,
-            ) as response:
-                return _checked(response.status, await response.read())
-        except aiohttp.ClientConnectorError as error:
-            raise PlatformUnavailable(str(error)) from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise OutcomeUnknown(repr(error)) from error
-
-
-def _checked(status: int, body: bytes) -> bytes:
-    if status == HTTP_TOO_MANY:
-        raise Throttled("rate limit")
-    if status == HTTP_UNAVAILABLE:
-        raise PlatformUnavailable("503 from the table service")
-    if status != 200:  # noqa: PLR2004
-        raise OutcomeUnknown(f"status {status}")
-    return body
+        return await call_platform(
+            self._session,
+            "POST",
+            self._address + path,
+            msgspec.json.encode(message),
+            timeout or self._timeout,
+        )
--- a/packages/ctl/src/eelgrass_ctl/commands/claims.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/claims.py
@@ -1,13 +1,13 @@
 """``eelgrassctl claims``: keyed requests that have no end yet."""
 
-from datetime import UTC, datetime
-
 from ..client import call, target_of
 from ..exceptions import ExitCode
-from ..output import print_json, print_table
+from ..output import print_list, shown_time
 
 __all__ = ["claims"]
 
+HEAD = ("account", "pipeline", "key", "state", "node", "deadline", "note")
+
 
 def claims(
     *,
@@ -20,21 +20,17 @@
     :param json: print JSON for scripts
     """
     found = call(target_of(node), "claims")
-    if json:
-        print_json(found)
-        return ExitCode.DONE
-    rows = [
-        (
-            claim["account"],
-            claim["pipeline"],
-            claim["key"],
-            claim["state"],
-            claim["owner"],
-            datetime.fromtimestamp(claim["deadline_at"], UTC).isoformat("T", "seconds"),
-            claim["note"],
-        )
-        for claim in found
-    ]
-    head = ("account", "pipeline", "key", "state", "node", "deadline", "note")
-    print_table(head, rows)
+    print_list(found, HEAD, _row, json)
     return ExitCode.DONE
+
+
+def _row(claim: dict) -> tuple:
+    return (
+        claim["account"],
+        claim["pipeline"],
+        claim["key"],
+        claim["state"],
+        claim["owner"],
+        shown_time(claim["deadline_at"]),
+        claim["note"],
+    )
--- a/packages/ctl/src/eelgrass_ctl/commands/costs.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/costs.py
@@ -2,10 +2,22 @@
 
 from ..client import call, target_of
 from ..exceptions import ExitCode
-from ..output import print_json, print_table
+from ..output import print_list
 
 __all__ = ["costs"]
 
+HEAD = (
+    "account",
+    "pipeline",
+    "stage",
+    "requests",
+    "attempts",
+    "useful ms",
+    "wasted ms",
+    "tokens",
+    "unreported",
+)
+
 
 def costs(
     *,
@@ -20,23 +32,19 @@
     :param json: print JSON for scripts
     """
     found = call(target_of(node), "costs?of=all" if all else "costs")
-    if json:
-        print_json(found)
-        return ExitCode.DONE
-    rows = [
-        (
-            row["account"],
-            row["pipeline"],
-            row["stage"],
-            row["requests"],
-            row["attempts"],
-            f"{row['useful_ms']:.1f}",
-            f"{row['wasted_ms']:.1f}",
-            row["tokens"],
-            row["unreported"],
-        )
-        for row in found
-    ]
-    head = ("account", "pipeline", "stage", "requests", "attempts")
-    print_table((*head, "useful ms", "wasted ms", "tokens", "unreported"), rows)
+    print_list(found, HEAD, _row, json)
     return ExitCode.DONE
+
+
+def _row(cost: dict) -> tuple:
+    return (
+        cost["account"],
+        cost["pipeline"],
+        cost["stage"],
+        cost["requests"],
+        cost["attempts"],
+        f"{cost['useful_ms']:.1f}",
+        f"{cost['wasted_ms']:.1f}",
+        cost["tokens"],
+        cost["unreported"],
+    )
--- a/packages/ctl/src/eelgrass_ctl/commands/history.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/history.py
@@ -1,13 +1,13 @@
 """``eelgrassctl history``: the latest changes."""
 
-from datetime import UTC, datetime
-
 from ..client import call, target_of
 from ..exceptions import ExitCode
-from ..output import print_json, print_table
+from ..output import print_list, shown_time
 
 __all__ = ["history"]
 
+HEAD = ("revision", "at", "author", "change", "items")
+
 
 def history(
     *,
@@ -20,24 +20,19 @@
     :param json: print JSON for scripts
     """
     found = call(target_of(node), "history")
-    if json:
-        print_json(found)
-        return ExitCode.DONE
-    rows = [
-        (
-            change["revision"],
-            datetime.fromtimestamp(change["at"], UTC).isoformat("T", "seconds"),
-            change["author"],
-            change["change_id"],
-            ", ".join(
-                f"{i['action']} {i['kind']}/{i['name']}" for i in change["items"]
-            ),
-        )
-        for change in found
-    ]
-    print_table(("revision", "at", "author", "change", "items"), rows)
+    print_list(found, HEAD, _row, json)
     return ExitCode.DONE
 
 
+def _row(change: dict) -> tuple:
+    return (
+        change["revision"],
+        shown_time(change["at"]),
+        change["author"],
+        change["change_id"],
+        ", ".join(map(_described, change["items"])),
+    )
+
+
 def _described(item: dict) -> str:
     return f"{item['action']} {item['kind']}/{item['name']}"
--- a/packages/ctl/src/eelgrass_ctl/output.py
+++ b/packages/ctl/src/eelgrass_ctl/output.py
@@ -1,12 +1,13 @@
 """How commands print: for people by default, as JSON for scripts."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from datetime import UTC, datetime
 from typing import Any
 
 import msgspec
 import yaml
 
-__all__ = ["print_json", "print_table", "print_yaml"]
+__all__ = ["print_json", "print_list", "print_table", "print_yaml", "shown_time"]
 
 
 def print_json(value: Any) -> None:
@@ -26,3 +27,21 @@
     for line in lines:
         cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
         print("  ".join(cells).rstrip())
+
+
+def print_list(
+    found: Sequence[Any],
+    head: Sequence[str],
+    row: Callable[[Any], Sequence[Any]],
+    json: bool,
+) -> None:
+    """Print what a list command has found, as JSON or as a table of rows."""
+    if json:
+        print_json(found)
+    else:
+        print_table(head, map(row, found))
+
+
+def shown_time(timestamp: float) -> str:
+    """Return a time in seconds since 1970 as people and scripts read it."""
+    return datetime.fromtimestamp(timestamp, UTC).isoformat("T", "seconds")
--- a/packages/standins/src/eelgrass_standins/platform.py
+++ b/packages/standins/src/eelgrass_standins/platform.py
@@ -19,8 +19,6 @@
 
 __all__ = ["PlatformStandIn", "RateLimit", "TableStandIn", "build_platform"]
 
-HOST_LIST = web.AppKey("host_list", object)
-
 
 class TableStandIn:
     """Tables in memory; one consistent state, row versions that count writes.
