Results that nobody waits for are freed; that a deadline passes says nothing of a server

The bounds of a call and the deadline of its request could fire in either order, and one order would have put the server in doubt; the test of that passed before too, since the deadline's timer is older. An enum and a field that nothing used are gone.

--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -178,13 +178,7 @@
     ``retry_after_s`` is in seconds, None where nothing is known of it.
     """
 
-    def __init__(
-        self,
-        reason: str,
-        retry_after_s: float | None = None,
-        overloaded: bool = False,
-    ) -> None:
+    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
         super().__init__(f"The request is refused ({reason}). Repeat it later.")
         self.reason = reason
         self.retry_after_s = retry_after_s
-        self.overloaded = overloaded
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -51,7 +51,8 @@
 
     ``servers`` returns those that may get work, ``data_centre_of`` tells where a
     result lies, ``may_repeat`` asks the budget for one more call of a piece, and
-    ``note_wait`` is told how long pieces waited.
+    ``note_wait`` is told how long pieces waited. ``free_results`` frees results
+    that nobody waits for any more.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         run_call: RunCall,
         may_repeat: Callable[[], bool],
         note_wait: Callable[[str, float], None],
+        free_results: Callable[[list[str]], None],
     ) -> None:
         self.service = service
         self._limits = limits
@@ -71,6 +73,7 @@
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._note_wait = note_wait
+        self._free_results = free_results
         self._waiting: dict[Piece, asyncio.Future[PieceOutcome]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._fill_timer: asyncio.TimerHandle | None = None
@@ -285,8 +288,23 @@
             if outcome.handle is not None:
                 use.hold(outcome.handle, int(self._servers.size(piece)), until)
             self._finish(piece, futures[piece], outcome)
+        self._free_unwanted(futures, outcomes)
         self.fill()
 
+    def _free_unwanted(
+        self,
+        futures: dict[Piece, asyncio.Future[PieceOutcome]],
+        outcomes: list[PieceOutcome],
+    ) -> None:
+        """Free results whose caller has gone away; they would hold memory."""
+        unwanted = [
+            outcome.handle
+            for future, outcome in zip(futures.values(), outcomes, strict=True)
+            if outcome.handle is not None and future.cancelled()
+        ]
+        if unwanted:
+            self._free_results(unwanted)
+
     def _finish(
         self, piece: Piece, future: asyncio.Future[PieceOutcome], outcome: PieceOutcome
     ) -> None:
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -106,6 +106,7 @@
                 self._run_call,
                 lambda: self._retries.try_spend(service, owner=True),
                 self._note_wait,
+                lambda handles: self.free(service, handles),
             )
         return found
 
--- a/packages/node/src/eelgrass_node/request/accept.py
+++ b/packages/node/src/eelgrass_node/request/accept.py
@@ -10,16 +10,18 @@
 from ..log import Part, log
 from ..process.deployments import DeploymentInForce
 from ..process.stopping import Stopping
-from ..version.deployment import Deployment, Route
+from ..version.deployment import AccountGrant, Deployment, Route
 from .answering import CallerAnswer
 from .arrival import Arrival, Routed, WireCodec
 from .routed import ANSWER_MARGIN_S, RoutedRequest, ServingParts
 
 __all__ = ["Acceptance"]
 
+# When to come back, in seconds: a node has its configuration within half a
+# second of its start, and another node can take a request at once.
 START_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.1
-# The deadline of a caller that names none, where its route gives none.
+# The deadline of a caller that names none; its route's timeout is shorter.
 DEFAULT_DEADLINE_S = 30.0
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
@@ -106,10 +108,12 @@
             if account is None:
                 self._log_refused(arrival, deployment, "unknown key")
                 return answer.refusal(HTTP_UNAUTHORIZED, "unknown key")
-        routed = self._routed(arrival, route, deployment, account)
+        routed = self._routed(arrival, route, account)
         return await RoutedRequest(self._parts, routed, answer).serve()
 
-    def _routed(self, arrival, route: Route, deployment: Deployment, account) -> Routed:
+    def _routed(
+        self, arrival: Arrival, route: Route, account: AccountGrant | None
+    ) -> Routed:
         wait_s = arrival.caller_deadline_s
         if wait_s is None:
             wait_s = DEFAULT_DEADLINE_S
--- a/packages/node/src/eelgrass_node/request/exchange.py
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -1,12 +1,11 @@
 """One call of a routed request to one backend server, and what became of it.
 
-A call is NOT_RUN only where no connection came about, or where the server
-promises that it did not run the request. Whatever else fails once bytes may
-have left the node MAY_HAVE_RUN.
+A call that fails surely did not run only where no connection came about, or
+where the server promises so. Whatever else fails, once bytes may have left the
+node, may have run.
 """
 
 import asyncio
-from enum import Enum
 
 import aiohttp
 import msgspec
@@ -16,7 +15,7 @@
 from .arrival import EngineHead, Routed, WireCodec
 from .reasons import RetryReason
 
-__all__ = ["CallEnd", "EngineCall", "Reply", "failure_of"]
+__all__ = ["EngineCall", "Reply", "failure_of"]
 
 # A connection comes about in a few milliseconds, or its first packet was lost
 # and is sent again after a second.
@@ -25,13 +24,6 @@
 HTTP_MISDIRECTED = 421
 
 
-class CallEnd(Enum):
-    """What is known of a call that has no answer to pass on."""
-
-    NOT_RUN = "not_run"
-    MAY_HAVE_RUN = "may_have_run"
-
-
 class Reply(msgspec.Struct, frozen=True):
     """A whole answer that the server gave and signed."""
 
@@ -42,7 +34,9 @@
 class EngineCall:
     """A call under way; leave it with :meth:`close` whatever happened.
 
-    ``silence_s`` bounds the wait for the head of the answer, in seconds.
+    ``silence_s`` bounds the wait for the head of the answer, in seconds. The
+    deadline of the request is left to its caller: that it passes says nothing
+    about the server.
     """
 
     def __init__(
@@ -77,9 +71,8 @@
     async def read(self) -> bytes:
         """Read the whole body; raises :class:`CallFailed` where it breaks off."""
         try:
-            async with asyncio.timeout(self._remaining()):
-                body = await self._response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            body = await self._response.read()
+        except (aiohttp.ClientError, OSError) as error:
             raise failure_of(error) from error
         self.check_whole()
         return body
@@ -90,7 +83,7 @@
         Raises :class:`CallFailed` where it breaks off or falls silent.
         """
         try:
-            async with asyncio.timeout(min(within_s, self._remaining())):
+            async with asyncio.timeout(self._before_deadline(within_s)):
                 data = await self._response.content.readany()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise failure_of(error) from error
@@ -134,7 +127,7 @@
             reuse=routed.route.repeatable,
         )
         try:
-            async with asyncio.timeout(min(self._silence_s, remaining_s)):
+            async with asyncio.timeout(self._before_deadline(self._silence_s)):
                 return await context
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise failure_of(error) from error
@@ -153,6 +146,10 @@
         headers = self._response.headers
         return "Content-Length" in headers or "Transfer-Encoding" in headers
 
+    def _before_deadline(self, bound_s: float) -> float | None:
+        """Return a bound, or None where the deadline comes first."""
+        return bound_s if bound_s < self._remaining() else None
+
     def _remaining(self) -> float:
         now = asyncio.get_running_loop().time()
         return max(0.001, self._routed.deadline - now)
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -32,8 +32,8 @@
 
     After ``due_by_stage`` the request will be late, and after
     ``deadline_by_stage`` it is not worth going on with. A stage begins once
-    those of ``begin_after`` are done. ``near`` is the data
-    centre where the request itself will probably run.
+    those of ``begin_after`` are done. ``near`` is the data centre where the
+    request itself will probably run.
     """
 
     due_by_stage: tuple[float, ...]
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -15,7 +15,6 @@
 from ..log import Part, log
 from ..process.backends import Backend
 from ..process.metrics import Metrics
-from ..process.pieces import PieceTrouble
 from ..process.reach import DataCentreReach
 from ..process.retry_window import RetryWindows
 from ..version.deployment import RouteKind, ServiceName
@@ -44,6 +43,8 @@
 # memory for them is scarcer than anything else in a burst. One that is asked
 # for later is gone, and the engine says so without having run.
 FETCHED_S = 0.06
+# When to come back, in seconds: a restarted server is listed after about its
+# heartbeat of 1.2 s, and a place comes free within a call or two.
 RETRY_NO_SERVER_S = 0.5
 RETRY_FULL_S = 0.4
 HTTP_BAD_GATEWAY = 502
@@ -155,7 +156,6 @@
             raise RequestRefused(
                 f"stages: {failed.trouble.value}",
                 max(failed.retry_after_s, RETRY_FULL_S),
-                overloaded=failed.trouble is PieceTrouble.OVERLOADED,
             ) from failed
 
     def _inputs_at(self) -> str:
--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -40,6 +40,7 @@
     def __init__(self, *servers, behave=None, may_repeat=True):
         self.servers = list(servers)
         self.calls = []
+        self.freed = []
         self._behave = behave
         self.reach = DataCentreReach(DataCentre("a"), now)
         self.queue = PieceQueue(
@@ -51,6 +52,7 @@
             self._run,
             lambda: may_repeat,
             lambda service, waited_s: None,
+            self.freed.extend,
         )
 
     async def _run(self, backend, pieces, within_s):
@@ -215,6 +217,15 @@
         await asyncio.sleep(0.05)
         assert {p.request_id for _, given in service.calls for p in given} == {"busy"}
 
+    async def test_results_that_nobody_waits_for_are_freed(self):
+        """Else they take up a server's memory until they expire."""
+        service = Service(server("s1"))
+        gone = asyncio.create_task(service.queue.run(pieces("gone", 2, size=LARGE)))
+        await asyncio.sleep(0.005)
+        gone.cancel()
+        await asyncio.sleep(0.1)
+        assert service.freed == ["gone/0@a", "gone/1@a"]
+
 
 class TestRefusals:
     async def test_what_cannot_be_done_in_time_is_refused_at_once(self):
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -145,6 +145,9 @@
         assert status == 504
         assert asyncio.get_running_loop().time() - began < 0.6
         assert len(entry.runs("desk")) == 1
+        # That a deadline passes says nothing against the server.
+        servers = entry.nodes[0].backends.by_id.values()
+        assert all(server.suspect_until == 0.0 for server in servers)
 
     async def test_a_server_whose_address_another_has_is_left(self, entry):
         first = entry.engines_by_service["desk"][0]
