Deadlines go on while a host is suspended

Cause: the steady clock stands still then, so a request whose caller had left would have been sent on with time that it no longer had.

--- a/packages/node/src/eelgrass_node/platform/cli.py
+++ b/packages/node/src/eelgrass_node/platform/cli.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+from ..boot_clock import BootClockLoop
 from ..entry_node import EntryNode
 from ..exceptions import SettingsError
 from ..log import log_to_stdout
@@ -30,7 +31,8 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     log_to_stdout()
-    return asyncio.run(_serve(settings))
+    with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+        return runner.run(_serve(settings))
 
 
 async def _serve(settings: HostSettings) -> int:
