Connections of a server that is taken off the list stay open under its requests

Cause, found on the last read of the diff: EngineCall did not count itself in and out of its server's connections, as its twins in piece_calls.py and attempt.py do, so they were closed as idle when the entry went or another call fell silent. A stream that may not be resumed was cut off; the new test failed before.

--- a/packages/node/src/eelgrass_node/request/exchange.py
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -53,6 +53,9 @@
         self._inputs = inputs
         self._silence_s = silence_s
         self._response: aiohttp.ClientResponse | None = None
+        # From here to close() its connections are not closed under the call,
+        # also where the server is taken off the list meanwhile.
+        backend.connections.enter()
         self._closed: asyncio.Future | None = None
 
     async def open(self, last_event_id: str | None = None) -> EngineHead:
@@ -110,6 +113,7 @@
             self._closed.exception()
         if self._response is not None:
             self._response.close()
+        self._backend.connections.leave()
 
     async def _send(self, last_event_id: str | None) -> aiohttp.ClientResponse:
         routed = self._routed
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -291,6 +291,18 @@
             assert status == 200
         assert leaver.runs == [] and len(stayer.runs) == 6
 
+    async def test_a_server_that_is_taken_off_the_list_ends_what_it_runs(self):
+        """Some servers leave without a word and still serve for seconds."""
+        async with EntryDeployment(event_s=0.3) as entry:
+            call = asyncio.create_task(entry.ask("/stream/single/x"))
+            await until(lambda: entry.runs("readers"))
+            node = entry.nodes[0]
+            for engine in entry.engines_by_service["readers"]:
+                entry.store.remove("servers", engine.server_id)
+            await until(lambda: not node.backends.usable("readers"), 2.0)
+            status, _, body = await call
+            assert (status, body) == (200, WHOLE)
+
     async def test_a_planned_stop_cuts_off_nothing(self):
         async with EntryDeployment(event_s=0.4) as entry:
             call = asyncio.create_task(entry.ask("/stream/single/x"))
