--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -77,7 +77,6 @@
         self._row_by_key: dict[str, StoredRow] = {}
         self._version = -1
         self._whole = False
-        self._asked = asyncio.Event()
         self.reachable = True
         self.lost_at = 0.0
         self.confirmed_at = 0.0
@@ -87,17 +86,13 @@
         while True:
             try:
                 await self._step()
-                await self._pause(self._pause_s)
+                await asyncio.sleep(self._pause_s)
             except HistoryGone:
                 self._whole = False
                 log(Part.STORE, "The history is gone; reading all.", table=self._table)
             except StoreUnavailable as error:
                 self._note_lost(error)
-                await self._pause(RETRY_S * random.uniform(0.6, 1.4))
-
-    def hurry(self) -> None:
-        """Ask again at once: somebody knows of a change that is not here yet."""
-        self._asked.set()
+                await asyncio.sleep(RETRY_S * random.uniform(0.6, 1.4))
 
     def rows(self) -> tuple[StoredRow, ...]:
         """Return all rows that are known, for a node that reaches no store."""
@@ -109,16 +104,6 @@
         if news:
             self._on_rows(news)
 
-    async def _pause(self, seconds: float) -> None:
-        if seconds <= 0:
-            return
-        self._asked.clear()
-        try:
-            async with asyncio.timeout(seconds):
-                await self._asked.wait()
-        except TimeoutError:
-            pass
-
     async def _step(self) -> None:
         if self._whole:
             changes = await self._reader.feed(self._table, self._version, self._wait_s)
