--- a/packages/coordination/src/eelgrass_coordination/members.py
+++ b/packages/coordination/src/eelgrass_coordination/members.py
@@ -30,7 +30,8 @@
     """A record of a member.
 
     ``epoch`` grows with each start of the node and ``version`` with each time
-    it denies being dead. Addresses are IP numbers and ports.
+    it denies being dead. Addresses are IP numbers and ports. ``capacity`` says how
+    much work for all nodes it can take on, in processor cores.
     """
 
     id: NodeId
@@ -40,6 +41,7 @@
     epoch: int
     version: int = 0
     state: MemberState = MemberState.ALIVE
+    capacity: float = 1.0
 
     def supersedes(self, other: "Member") -> bool:
         """Return whether this record is newer than another of the same member."""
--- a/packages/coordination/tests/test_membership.py
+++ b/packages/coordination/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from eelgrass_coordination import Mark, Member, Membership, MemberState
@@ -80,7 +81,7 @@
         async with Group(4) as group:
             victim = group.members[3].own
             for n in range(3):
-                record = Member(*_fields(victim)[:-1], MemberState.DEAD)
+                record = msgspec.structs.replace(victim, state=MemberState.DEAD)
                 group.members[n]._merge(record)
             await group.until(
                 lambda: all(group.state(n, 3) is MemberState.ALIVE for n in range(3))
@@ -120,7 +121,3 @@
                 sent = sum(m.sent_messages for m in group.members) - before
             rates.append(sent / count / 20)
         assert rates[1] <= rates[0] * 1.25
-
-
-def _fields(member):
-    return [getattr(member, name) for name in member.__struct_fields__]
--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -36,12 +36,16 @@
 RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
 
 
-class _SentPiece(msgspec.Struct, omit_defaults=True):
-    """A piece between nodes; times are what is left, in seconds."""
+class _SentSet(msgspec.Struct, omit_defaults=True):
+    """The pieces of one stage of a request; times are what is left, in seconds.
+
+    They differ in their numbers alone. Their common inputs are most of what is
+    sent, and links are of 5 Mbit/s on the grown sheets.
+    """
 
     request_id: str
     stage: int
-    number: int
+    numbers: list[int]
     deadline_in_s: float
     due_in_s: float
     priority: int
@@ -53,7 +57,7 @@
 
 class _Handoff(msgspec.Struct):
     service: ServiceName
-    pieces: list[_SentPiece]
+    pieces: _SentSet
 
 
 class _Done(msgspec.Struct):
@@ -79,11 +83,12 @@
     async def run(
         self, address: str, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
-        """Have pieces run by another node; raises :class:`PeerUnreachable`."""
+        """Have pieces of one stage of a request run by another node.
+
+        Raises :class:`PeerUnreachable`.
+        """
         now = asyncio.get_running_loop().time()
-        body = msgspec.json.encode(
-            _Handoff(service, [_sent(piece, now) for piece in pieces])
-        )
+        body = msgspec.json.encode(_Handoff(service, _sent(pieces, now)))
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(ACCEPT_S) as bound:
@@ -147,7 +152,7 @@
         """Answer ``POST /peer/v1/pieces``: beats, then the outcomes."""
         handoff = self._decoder.decode(await request.read())
         now = asyncio.get_running_loop().time()
-        pieces = [_received(sent, now) for sent in handoff.pieces]
+        pieces = _received(handoff.pieces, now)
         if not self._knows(handoff.service):
             return web.Response(status=UNKNOWN_SERVICE)
         response = web.StreamResponse()
@@ -176,31 +181,35 @@
         app.router.add_post(FREE_PATH, self.handle_free)
 
 
-def _sent(piece: Piece, now: float) -> _SentPiece:
-    return _SentPiece(
-        request_id=piece.request_id,
-        stage=piece.stage,
-        number=piece.number,
-        deadline_in_s=piece.deadline - now,
-        due_in_s=piece.due - now,
-        priority=piece.priority,
-        result_bytes=piece.result_bytes,
-        key=piece.key,
-        inputs=piece.inputs,
-        near=piece.near,
+def _sent(pieces: list[Piece], now: float) -> _SentSet:
+    first = pieces[0]
+    return _SentSet(
+        request_id=first.request_id,
+        stage=first.stage,
+        numbers=[piece.number for piece in pieces],
+        deadline_in_s=first.deadline - now,
+        due_in_s=first.due - now,
+        priority=first.priority,
+        result_bytes=first.result_bytes,
+        key=first.key,
+        inputs=first.inputs,
+        near=first.near,
     )
 
 
-def _received(sent: _SentPiece, now: float) -> Piece:
-    return Piece(
-        request_id=sent.request_id,
-        stage=sent.stage,
-        number=sent.number,
-        key=sent.key,
-        inputs=sent.inputs,
-        deadline=now + sent.deadline_in_s,
-        due=now + sent.due_in_s,
-        priority=sent.priority,
-        result_bytes=sent.result_bytes,
-        near=sent.near,
-    )
+def _received(sent: _SentSet, now: float) -> list[Piece]:
+    return [
+        Piece(
+            request_id=sent.request_id,
+            stage=sent.stage,
+            number=number,
+            key=sent.key,
+            inputs=sent.inputs,
+            deadline=now + sent.deadline_in_s,
+            due=now + sent.due_in_s,
+            priority=sent.priority,
+            result_bytes=sent.result_bytes,
+            near=sent.near,
+        )
+        for number in sent.numbers
+    ]
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -134,6 +134,7 @@
         self.owners = PieceOwners(
             settings.node,
             settings.data_centre,
+            settings.capacity(),
             self.membership.members.reachable,
             self.reach,
             loop.time,
@@ -350,6 +351,7 @@
             internal=settings.internal,
             gossip=settings.gossip,
             epoch=time.time_ns() // 1000,
+            capacity=round(settings.capacity(), 2),
         )
 
     def _advanced(self, number: int) -> None:
--- a/packages/node/src/eelgrass_node/platform/settings.py
+++ b/packages/node/src/eelgrass_node/platform/settings.py
@@ -27,6 +27,10 @@
 
 
 class _Limits(_Wire):
+    # Of one core, which is ``cores`` times as fast as a usual one.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    bandwidth_mbps: float = 1000.0
     memory_mb: float = 300.0
     max_fds: int = 1024
 
@@ -87,6 +91,8 @@
         memory_bytes=int(wire.limits.memory_mb * 1e6),
         max_descriptors=wire.limits.max_fds,
         metrics=f"{wire.bind_ip}:{METRICS_PORT}",
+        cores=wire.limits.cpu_share * wire.limits.cores,
+        link_bits_per_s=wire.limits.bandwidth_mbps * 1e6,
         bounds=ServingBounds(
             stop_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget,
--- a/packages/node/src/eelgrass_node/process/host_settings.py
+++ b/packages/node/src/eelgrass_node/process/host_settings.py
@@ -6,6 +6,11 @@
 
 __all__ = ["HostSettings", "ServingBounds", "StoreSettings"]
 
+# The traffic of a queue's owner that uses up a core: some 800 sets a second (see
+# benchmarks/piece_queue.py), each of 4 kB on its way in and 4 kB out, on the
+# grown sheets.
+LINK_BITS_PER_CORE = 50e6
+
 
 class StoreSettings(msgspec.Struct, frozen=True):
     """Where the platform's store is, as an IP address and port."""
@@ -39,7 +44,8 @@
 
     ``seeds`` are internal addresses of a few nodes, some of which may be gone;
     each listens for gossip at ``seed_gossip_port``. ``metrics`` is where scrapers
-    ask, None for nowhere.
+    ask, None for nowhere. ``cores`` is the processor time that the node has, in
+    cores of usual speed, and ``link_bits_per_s`` the speed of its network link.
     """
 
     node: NodeId
@@ -55,6 +61,12 @@
     max_descriptors: int
     bounds: ServingBounds
     metrics: str | None = None
+    cores: float = 1.0
+    link_bits_per_s: float = 1e9
+
+    def capacity(self) -> float:
+        """Return how much work for all nodes this one can take on, in cores."""
+        return min(self.cores, self.link_bits_per_s / LINK_BITS_PER_CORE)
 
     def seed_gossip(self) -> list[str]:
         """Return the gossip addresses of the seeds."""
--- a/packages/node/src/eelgrass_node/process/piece_batch.py
+++ b/packages/node/src/eelgrass_node/process/piece_batch.py
@@ -36,8 +36,9 @@
 ) -> list[Piece]:
     """Return pieces for one call with ``places``, from sets in their order.
 
-    A set holds the waiting pieces of one stage of one request. ``room`` is what a server has left of its ``memory`` for results, in bytes;
-    ``size_of`` gives the bytes of a result.
+    A set holds the waiting pieces of one stage of one request. ``room`` is what a
+    server has left of its ``memory`` for results, in bytes; ``size_of`` gives the
+    bytes of a result.
     """
     batch: list[Piece] = []
     reserved = False
--- a/packages/node/src/eelgrass_node/process/piece_owners.py
+++ b/packages/node/src/eelgrass_node/process/piece_owners.py
@@ -7,6 +7,10 @@
 break no promise. An owner that fails to answer is passed over for a while, in
 favour of one in the own data centre, which a cut between data centres leaves in
 reach.
+
+The pattern that capacities answer: hosts are of unequal size (0.5 to 2.2 cores,
+links of 5 to 100 Mbit/s on the grown sheets). A queue on a small one was late with
+every answer in a burst, so that each node went its own way.
 """
 
 from collections import Counter
@@ -24,21 +28,29 @@
 # after a few.
 DISTRUST_S = 1.5
 MAX_DISTRUST_S = 6.0
+# Nodes own queues whose capacity is at least this part of the greatest there is:
+# hosts of one kind differ by little, those of another by more than two.
+STRONG_FRACTION = 0.5
 
 
 class PieceOwners:
-    """The owners of the queues, for the node ``own`` in ``data_centre``."""
+    """The owners of the queues, for the node ``own`` in ``data_centre``.
+
+    ``capacity`` is that of this node, in cores like those of the members.
+    """
 
     def __init__(
         self,
         own: NodeId,
         data_centre: DataCentre,
+        capacity: float,
         members: Callable[[], list[Member]],
         reach: DataCentreReach,
         clock: Callable[[], float],
     ) -> None:
         self._own = own
         self._data_centre = data_centre
+        self._capacity = capacity
         self._members = members
         self._reach = reach
         self._clock = clock
@@ -84,7 +96,12 @@
         names: list[Member | None] = list(members)
         if not self._leaving or not members:
             names.append(None)
-        return ranked(names, service, name=self._name)[0]
+        least = max(map(self._capacity_of, names)) * STRONG_FRACTION
+        strong = [name for name in names if self._capacity_of(name) >= least]
+        return ranked(strong, service, name=self._name)[0]
+
+    def _capacity_of(self, member: Member | None) -> float:
+        return self._capacity if member is None else member.capacity
 
     def _name(self, member: Member | None) -> str:
         return self._own if member is None else member.id
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -321,7 +321,12 @@
         others = [m for m in self.members if m.id != own]
         reach = DataCentreReach(DataCentre(data_centre), self.clock)
         return PieceOwners(
-            NodeId(own), DataCentre(data_centre), lambda: others, reach, self.clock
+            NodeId(own),
+            DataCentre(data_centre),
+            next((m.capacity for m in self.members if m.id == own), 1.0),
+            lambda: others,
+            reach,
+            self.clock,
         )
 
     def first(self, own, data_centre):
@@ -332,6 +337,19 @@
         firsts = {self.first(m.id, m.data_centre) for m in self.members}
         assert len(firsts) == 1
 
+    def test_small_hosts_own_nothing_beside_strong_ones(self):
+        """6 hosts of 2 cores beside 70 with a tenth of that, grown deployments."""
+        self.members += [member(f"s{n}", "abc"[n % 3], 0.1) for n in range(70)]
+        for service in map(str, range(50)):
+            for own in (self.members[0], self.members[-1]):
+                owners = self.owners(own.id, own.data_centre)
+                owner = owners.candidates(service)[0]
+                assert (owner or own).capacity == 1.0
+
+    def test_small_hosts_own_queues_where_no_strong_one_is_left(self):
+        self.members = [member(f"s{n}", "a", 0.1) for n in range(5)]
+        assert self.owners("s0", "a").candidates("portal")[0] in [None, *self.members]
+
     def test_one_that_does_not_answer_is_passed_over_for_a_while(self):
         owner = ranked(self.members, "portal", lambda m: m.id)[0]
         own = next(m for m in self.members if m.data_centre != owner.data_centre)
@@ -352,8 +370,15 @@
         assert len(found) == 1 and found <= {"n0", "n1"}
 
 
-def member(name, data_centre):
-    return Member(NodeId(name), DataCentre(data_centre), f"{name}:1", f"{name}:2", 1)
+def member(name, data_centre, capacity=1.0):
+    return Member(
+        NodeId(name),
+        DataCentre(data_centre),
+        f"{name}:1",
+        f"{name}:2",
+        1,
+        capacity=capacity,
+    )
 
 
 class TestEvents:
