One node of each data centre follows a table of the store for the others

Followers ask a relay, found by rendezvous hashing over the strong live nodes, and go to the store themselves as soon as it does not answer. Ruled out: two pollers a data centre as in the product's own deployment (twice the calls, for a node that is passed over in 1.1 s anyway).

--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/table_feed.py
@@ -0,0 +1,83 @@
+"""How a node asks the relay of its data centre for changes of a table."""
+
+import msgspec
+from aiohttp import web
+
+from ..exceptions import HistoryGone, StoreUnavailable
+from ..process.store_tables import TableChanges
+from ..process.table_relay import TableRelay
+from .peer_calls import PeerCalls
+
+__all__ = ["TableFeedClient", "TableFeedInterface"]
+
+FEED_CALL = "table-feed"
+# Over the wait that was asked for; two ways in a data centre and a busy node.
+SLACK_S = 0.3
+# A wait that a node asks for is cut to this.
+MAX_WAIT_S = 5.0
+NOT_A_RELAY = 503
+
+
+class _Feed(msgspec.Struct):
+    table: str
+    after: int
+    wait_s: float
+
+
+class _FeedReply(msgspec.Struct):
+    """The changes, or None where the relay does not know so old a version."""
+
+    changes: TableChanges | None
+
+
+class TableFeedClient:
+    """Asks relays at their internal addresses."""
+
+    def __init__(self, calls: PeerCalls) -> None:
+        self._calls = calls
+
+    async def ask(
+        self, address: str, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        """Return the changes that a relay knows; ``wait_s`` bounds its wait.
+
+        Raises :class:`PeerUnreachable` and :class:`HistoryGone`.
+        """
+        reply = await self._calls.ask(
+            address,
+            FEED_CALL,
+            _Feed(table, after, wait_s),
+            _FeedReply,
+            wait_s + SLACK_S,
+        )
+        if reply.changes is None:
+            raise HistoryGone(table)
+        return reply.changes
+
+
+class TableFeedInterface:
+    """Answers nodes of the data centre."""
+
+    def __init__(self, relay: TableRelay) -> None:
+        self._relay = relay
+        self._decoder = msgspec.json.Decoder(_Feed)
+
+    async def handle_feed(self, request: web.Request) -> web.Response:
+        """Answer ``POST /peer/v1/table-feed``; a node that is no relay says so."""
+        feed = self._decoder.decode(await request.read())
+        try:
+            changes = await self._relay.changes(
+                feed.table, feed.after, min(feed.wait_s, MAX_WAIT_S)
+            )
+        except HistoryGone:
+            changes = None
+        except StoreUnavailable:
+            return web.Response(status=NOT_A_RELAY)
+        return web.Response(
+            body=msgspec.json.encode(_FeedReply(changes)),
+            content_type="application/json",
+        )
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the route for other nodes."""
+        app.router.add_post(f"/peer/v1/{FEED_CALL}", self.handle_feed)
--- a/packages/node/src/eelgrass_node/entry_gauges.py
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -28,8 +28,8 @@
         "members", "Other nodes in reach.", len(node.membership.members.reachable())
     )
     for name, table in (
-        ("operator", node.operator_table),
-        ("servers", node.servers_table),
+        ("operator", node.tables.operator),
+        ("servers", node.tables.servers),
     ):
         yield Gauge(
             "store_reachable",
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -18,6 +18,7 @@
 from .connection.piece_calls import PieceCalls
 from .connection.piece_handoff import HandoffClient, HandoffInterface
 from .connection.sockets import new_session
+from .connection.table_feed import TableFeedClient, TableFeedInterface
 from .entry_gauges import entry_gauges
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
@@ -32,6 +33,7 @@
 from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
 from .process.pieces import Piece, PieceOutcome
+from .process.platform_tables import PlatformTables, TableNames
 from .process.queue_load import QueueLoads
 from .process.reach import DataCentreReach
 from .process.retry_window import RetryWindows
@@ -39,7 +41,6 @@
 from .process.server_list import ServerList
 from .process.shared_pieces import SharedPieces
 from .process.stopping import Stopping
-from .process.store_tables import FollowedTable
 from .process.supervision import keep_running
 from .request.accept import Acceptance
 from .request.arrival import Routed
@@ -50,13 +51,6 @@
 
 __all__ = ["EntryNode"]
 
-# The operator's table changes seldom, so a call may wait; but a wait is also
-# how long a feed that has fallen silent goes unnoticed.
-CONFIGURATION_WAIT_S = 1.0
-# Servers write every 1.2 s or so. Changes are collected between two calls, which
-# keeps the calls few and leaves most of the 2 s for a server that leaves.
-SERVERS_WAIT_S = 1.0
-SERVERS_PAUSE_S = 0.6
 # The balancer asks every second and leaves out a node after two misses.
 STOP_NOTICE_S = 2.6
 # Kept back from the time until the process is killed.
@@ -118,7 +112,6 @@
             self.metrics.note_wait,
         )
         self.backends.on_change = self.pieces.servers_changed
-        self._build_tables()
         self.peer_session = new_session(PEER_IDLE_S / 2)
         self.peer_calls = PeerCalls(self.peer_session)
         self.catch_up = PeerCatchUp(
@@ -129,6 +122,16 @@
         )
         self.membership.on_change = self._members_changed
         self.membership.on_revision = self.catch_up.heard
+        self.tables = PlatformTables(
+            TableNames(configuration.OPERATOR_TABLE, servers.SERVERS_TABLE),
+            self.store,
+            TableFeedClient(self.peer_calls).ask,
+            lambda: self.membership.own,
+            self.membership.members.reachable,
+            self.deployments,
+            self.server_list,
+            loop.time,
+        )
         self.queue_loads = QueueLoads(loop.time)
         self.handoff = HandoffClient(self.queue_loads.hear)
         self.owners = PieceOwners(
@@ -164,8 +167,8 @@
         await self._listen_callers()
         await self._listen_readiness()
         for work in (
-            self.operator_table.run,
-            self.servers_table.run,
+            self.tables.operator.run,
+            self.tables.servers.run,
             self.catch_up.start,
         ):
             self._tasks.append(asyncio.create_task(keep_running(work)))
@@ -202,34 +205,15 @@
         await self.peer_session.close()
         await self.store.close()
 
-    def _build_tables(self) -> None:
-        self.operator_table = FollowedTable(
-            self.store,
-            configuration.OPERATOR_TABLE,
-            self.deployments.take_rows,
-            lambda keys: None,
-            lambda: None,
-            CONFIGURATION_WAIT_S,
-        )
-        self.servers_table = FollowedTable(
-            self.store,
-            servers.SERVERS_TABLE,
-            self.server_list.take_rows,
-            self.server_list.take_whole,
-            self.server_list.note_outage_end,
-            SERVERS_WAIT_S,
-            SERVERS_PAUSE_S,
-        )
-
     def _state(self) -> PeerState:
-        return PeerState(self.operator_table.rows(), self.servers_table.rows())
+        return PeerState(self.tables.operator.rows(), self.tables.servers.rows())
 
     async def _take_state_of(self, address: str) -> None:
         state = await self.peer_calls.ask(
             address, STATE_CALL, None, PeerState, PEER_STATE_S
         )
-        self.operator_table.take_from_peer(state.operator)
-        self.servers_table.take_from_peer(state.servers)
+        self.tables.operator.take_from_peer(state.operator)
+        self.tables.servers.take_from_peer(state.servers)
 
     def _peer_addresses(self) -> list[str]:
         """Return where other nodes may be found, as far as is known."""
@@ -297,6 +281,7 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         interface.add_routes(app)
         PeerStateInterface(self._state).add_routes(app)
+        TableFeedInterface(self.tables.relay).add_routes(app)
         runner = web.AppRunner(
             app,
             access_log=None,
--- a/packages/node/src/eelgrass_node/process/piece_owners.py
+++ b/packages/node/src/eelgrass_node/process/piece_owners.py
@@ -20,6 +20,7 @@
 from eelgrass_coordination.ids import DataCentre, NodeId
 
 from .reach import DataCentreReach
+from .strong_nodes import strong_nodes
 
 __all__ = ["PieceOwners"]
 
@@ -28,9 +29,6 @@
 # after a few.
 DISTRUST_S = 1.5
 MAX_DISTRUST_S = 6.0
-# Nodes own queues whose capacity is at least this part of the greatest there is:
-# hosts of one kind differ by little, those of another by more than two.
-STRONG_FRACTION = 0.5
 
 
 class PieceOwners:
@@ -96,8 +94,7 @@
         names: list[Member | None] = list(members)
         if not self._leaving or not members:
             names.append(None)
-        least = max(map(self._capacity_of, names)) * STRONG_FRACTION
-        strong = [name for name in names if self._capacity_of(name) >= least]
+        strong = strong_nodes(names, self._capacity_of)
         return ranked(strong, service, name=self._name)[0]
 
     def _capacity_of(self, member: Member | None) -> float:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -0,0 +1,78 @@
+"""The tables of the platform's store that a node follows, and how."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from eelgrass_coordination import Member
+
+from .deployments import DeploymentInForce
+from .server_list import ServerList
+from .store_tables import FollowedTable, TableReader
+from .table_relay import AskRelay, RelayedReader, TableRelay, relay_of
+
+__all__ = ["PlatformTables", "TableNames"]
+
+# The operator's table changes seldom, so a call may wait; but a wait is also
+# how long a feed that has fallen silent goes unnoticed.
+CONFIGURATION_WAIT_S = 1.0
+# Servers write every 1.2 s or so. Changes are collected between two calls, which
+# keeps the calls few. Pause, wait and the client's slack (0.6 s) add up to 1.5 s,
+# after which a relay that has lost the store tells its followers: that leaves
+# them half a second of the 2 s for a server that leaves.
+SERVERS_WAIT_S = 0.5
+SERVERS_PAUSE_S = 0.4
+
+
+class TableNames(msgspec.Struct, frozen=True):
+    """What the store calls the operator's table and that of the servers."""
+
+    operator: str
+    servers: str
+
+
+class PlatformTables:
+    """Follows both tables, and relays them to other nodes of the data centre.
+
+    ``own`` and ``members`` return this node and the others that may be reached;
+    ``ask_relay`` asks one of them. ``clock`` returns seconds.
+    """
+
+    def __init__(
+        self,
+        names: TableNames,
+        store: TableReader,
+        ask_relay: AskRelay,
+        own: Callable[[], Member],
+        members: Callable[[], list[Member]],
+        deployments: DeploymentInForce,
+        server_list: ServerList,
+        clock: Callable[[], float],
+    ) -> None:
+        reader = RelayedReader(
+            store,
+            lambda table: relay_of(own(), members(), table),
+            ask_relay,
+            {names.servers: SERVERS_PAUSE_S},
+            clock,
+        )
+        self.operator = FollowedTable(
+            reader,
+            names.operator,
+            deployments.take_rows,
+            lambda keys: None,
+            lambda: None,
+            CONFIGURATION_WAIT_S,
+        )
+        self.servers = FollowedTable(
+            reader,
+            names.servers,
+            server_list.take_rows,
+            server_list.take_whole,
+            server_list.note_outage_end,
+            SERVERS_WAIT_S,
+        )
+        self.relay = TableRelay(
+            {names.operator: self.operator, names.servers: self.servers},
+            reader.reads_itself,
+        )
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -53,8 +53,7 @@
 
     ``on_rows`` is told the rows that changed, ``on_whole`` the keys there are
     after a whole read, and before either ``on_return`` that the store had been
-    out of reach. ``wait_s`` bounds one wait for changes and ``pause_s`` is how
-    long changes are collected between two calls; both in seconds.
+    out of reach. ``wait_s`` bounds one wait for changes, in seconds.
     """
 
     def __init__(
@@ -65,7 +64,6 @@
         on_whole: Callable[[set[str]], None],
         on_return: Callable[[], None],
         wait_s: float,
-        pause_s: float = 0.0,
     ) -> None:
         self._reader = reader
         self._table = table
@@ -73,10 +71,12 @@
         self._on_whole = on_whole
         self._on_return = on_return
         self._wait_s = wait_s
-        self._pause_s = pause_s
         self._row_by_key: dict[str, StoredRow] = {}
         self._version = -1
         self._whole = False
+        # Removals before this version are not known one by one.
+        self._complete_from = -1
+        self._changed = asyncio.Event()
         self.reachable = True
         self.lost_at = 0.0
         self.confirmed_at = 0.0
@@ -86,7 +86,6 @@
         while True:
             try:
                 await self._step()
-                await asyncio.sleep(self._pause_s)
             except HistoryGone:
                 self._whole = False
                 log(Part.STORE, "The history is gone; reading all.", table=self._table)
@@ -98,6 +97,29 @@
         """Return all rows that are known, for a node that reaches no store."""
         return tuple(self._row_by_key.values())
 
+    def changes_after(self, version: int) -> TableChanges:
+        """Return the rows changed after a version, in the order of their change.
+
+        Raises :class:`HistoryGone` where removals since then may be missing, and
+        :class:`StoreUnavailable` where the table has yet to be read whole.
+        """
+        if not self._whole:
+            raise StoreUnavailable(self._table, "it has yet to be read whole")
+        if version < self._complete_from:
+            raise HistoryGone(self._table)
+        rows = [row for row in self._row_by_key.values() if row.version > version]
+        rows.sort(key=lambda row: row.version)
+        return TableChanges(tuple(rows), self._version)
+
+    async def wait_for_change(self, within_s: float) -> None:
+        """Wait until rows have changed or the store is lost, or for so long."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(within_s):
+                await changed.wait()
+        except TimeoutError:
+            return
+
     def take_from_peer(self, rows: tuple[StoredRow, ...]) -> None:
         """Take in what another node knows of the table."""
         news = tuple(row for row in rows if self._is_news(row))
@@ -118,6 +140,7 @@
 
     def _take_whole(self, changes: TableChanges) -> None:
         self._whole = True
+        self._complete_from = changes.version
         keys = {row.key for row in changes.rows}
         for key in self._row_by_key.keys() - keys:
             del self._row_by_key[key]
@@ -129,6 +152,11 @@
         self._version = max(self._version, changes.version)
         if news:
             self._on_rows(news)
+            self._note_change()
+
+    def _note_change(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _is_news(self, row: StoredRow) -> bool:
         known = self._row_by_key.get(row.key)
@@ -150,3 +178,4 @@
             self.reachable = False
             self.lost_at = asyncio.get_running_loop().time()
             log(Part.STORE, "Lost.", table=self._table, error=str(error))
+            self._note_change()
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -0,0 +1,140 @@
+"""One node of each data centre follows a table of the store for the others.
+
+The pattern it answers: each call to the store is paid for, and its rates are
+shared by all nodes; 82 nodes that follow two tables make 170 calls a second where
+six would do. A node asks the relay of its data centre, which rendezvous hashing
+finds over the live members, and goes to the store itself as soon as that one does
+not answer or cannot reach the store. A relay answers only from what it read from
+the store itself, so that no two nodes take their word from each other.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+
+from eelgrass_coordination import Member, MemberState, ranked
+
+from ..exceptions import PeerUnreachable, StoreUnavailable
+from ..log import Part, log
+from .store_tables import FollowedTable, TableChanges, TableReader
+from .strong_nodes import strong_nodes
+
+__all__ = ["RelayedReader", "TableRelay", "relay_of"]
+
+# A follower's wait at its relay. With the slack that the client adds it notices a
+# frozen relay after 1.1 s, which leaves most of a second of the 2 s within which a
+# change must be in force.
+RELAY_WAIT_S = 0.8
+# A relay that failed is passed over for this long; a frozen host wakes, and a dead
+# one is found dead, within a few seconds.
+DISTRUST_S = 3.0
+# What a node read from the store itself this long ago still makes it a relay: over
+# the pause, the wait and the slack of one turn (1.6 s).
+FRESH_S = 2.0
+
+AskRelay = Callable[[str, str, int, float], Awaitable[TableChanges]]
+
+
+def relay_of(own: Member, members: list[Member], table: str) -> Member | None:
+    """Return the relay of a table for ``own``'s data centre; None for ``own``."""
+    near = [
+        member
+        for member in members
+        if member.data_centre == own.data_centre and member.state is MemberState.ALIVE
+    ]
+    able = strong_nodes([*near, own], lambda member: member.capacity)
+    first = ranked(able, f"table/{table}", name=lambda member: member.id)[0]
+    return None if first.id == own.id else first
+
+
+class RelayedReader:
+    """Reads the store's tables, feeds of changes rather from a relay.
+
+    ``relay`` names the relay of a table, None where that is this node; ``ask``
+    gets an address, a table, a version and a wait, and raises
+    :class:`PeerUnreachable` or :class:`HistoryGone`. ``pause_s_by_table`` is how
+    long changes are collected between two calls to the store.
+    """
+
+    def __init__(
+        self,
+        store: TableReader,
+        relay: Callable[[str], Member | None],
+        ask: AskRelay,
+        pause_s_by_table: Mapping[str, float],
+        clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._relay = relay
+        self._ask = ask
+        self._pause_s_by_table = pause_s_by_table
+        self._clock = clock
+        self._read_at_by_table: dict[str, float] = {}
+        self._distrusted_until: dict[str, float] = {}
+
+    def reads_itself(self, table: str) -> bool:
+        """Return whether this node has just read a table from the store."""
+        read_at = self._read_at_by_table.get(table, float("-inf"))
+        return self._clock() - read_at <= FRESH_S
+
+    async def read_table(self, table: str) -> TableChanges:
+        """Return all rows of a table, from the store."""
+        changes = await self._store.read_table(table)
+        self._read_at_by_table[table] = self._clock()
+        return changes
+
+    async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
+        """Return changed rows, from a relay or from the store."""
+        relay = self._relay(table)
+        if relay is not None and self._is_trusted(relay):
+            try:
+                return await self._ask(relay.internal, table, after, RELAY_WAIT_S)
+            except PeerUnreachable as error:
+                self._note_failure(relay, table, error)
+        await asyncio.sleep(self._pause_s_by_table.get(table, 0.0))
+        changes = await self._store.feed(table, after, wait_s)
+        self._read_at_by_table[table] = self._clock()
+        return changes
+
+    def _is_trusted(self, relay: Member) -> bool:
+        return self._distrusted_until.get(relay.id, 0.0) <= self._clock()
+
+    def _note_failure(self, relay: Member, table: str, error: PeerUnreachable) -> None:
+        self._distrusted_until[relay.id] = self._clock() + DISTRUST_S
+        log(
+            Part.STORE,
+            "The relay of a table does not answer; reading the store.",
+            table=table,
+            relay=relay.id,
+            error=str(error),
+        )
+
+
+class TableRelay:
+    """Answers other nodes from the tables that this one follows."""
+
+    def __init__(
+        self,
+        table_by_name: Mapping[str, FollowedTable],
+        reads_itself: Callable[[str], bool],
+    ) -> None:
+        self._table_by_name = table_by_name
+        self._reads_itself = reads_itself
+
+    async def changes(self, name: str, after: int, wait_s: float) -> TableChanges:
+        """Return what changed after a version, waiting for the first change.
+
+        Raises :class:`StoreUnavailable` where this node is no relay, and
+        :class:`HistoryGone` where it does not know so old a version.
+        """
+        table = self._table_by_name.get(name)
+        if table is None:
+            raise StoreUnavailable(name, "no such table is followed here")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        while True:
+            if not table.reachable or not self._reads_itself(name):
+                raise StoreUnavailable(name, "this node does not read the store")
+            changes = table.changes_after(after)
+            if changes.rows or loop.time() >= end:
+                return changes
+            await table.wait_for_change(end - loop.time())
--- /dev/null
+++ b/packages/node/tests/test_table_relay.py
@@ -0,0 +1,177 @@
+"""One node of a data centre reads the store's tables for the others."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from eelgrass_coordination import Member, MemberState
+from eelgrass_coordination.ids import DataCentre, NodeId
+from eelgrass_node.exceptions import HistoryGone, PeerUnreachable, StoreUnavailable
+from eelgrass_node.process.store_tables import FollowedTable, StoredRow, TableChanges
+from eelgrass_node.process.table_relay import (
+    DISTRUST_S,
+    RelayedReader,
+    TableRelay,
+    relay_of,
+)
+
+TABLE = "servers"
+
+
+def member(name, data_centre="a", capacity=1.0):
+    return Member(
+        NodeId(name),
+        DataCentre(data_centre),
+        f"{name}:1",
+        f"{name}:2",
+        1,
+        capacity=capacity,
+    )
+
+
+def row(key, version, value=b"x"):
+    return StoredRow(key, version, value)
+
+
+def changes(version, *rows):
+    return TableChanges(tuple(rows), version)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+class Source:
+    """Answers feeds with what is set; counts how often it was asked."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.asked = 0
+
+    async def read_table(self, table):
+        return await self.feed(table, 0, 0.0)
+
+    async def feed(self, table, after, wait_s):
+        self.asked += 1
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+    async def ask(self, address, table, after, wait_s):
+        return await self.feed(table, after, wait_s)
+
+
+class TestChoice:
+    def relays(self, members):
+        found = set()
+        for own in members:
+            others = [m for m in members if m.id != own.id]
+            found.add((relay_of(own, others, TABLE) or own).id)
+        return found
+
+    def test_all_nodes_of_a_data_centre_agree(self):
+        near = [member(f"n{n}") for n in range(27)]
+        assert len(self.relays(near)) == 1
+
+    def test_other_data_centres_have_relays_of_their_own(self):
+        members = [member(f"n{n}", "abc"[n % 3]) for n in range(9)]
+        assert len(self.relays(members)) == 3
+
+    def test_a_small_host_is_no_relay_beside_a_strong_one(self):
+        members = [member(f"n{n}", capacity=0.1) for n in range(26)]
+        assert self.relays([*members, member("strong")]) == {"strong"}
+
+    def test_a_suspect_is_not_asked(self):
+        near = [member(f"n{n}") for n in range(5)]
+        relay = relay_of(member("own"), near, TABLE)
+        assert relay is not None
+        suspect = msgspec.structs.replace(relay, state=MemberState.SUSPECT)
+        others = [suspect if m.id == relay.id else m for m in near]
+        assert relay_of(member("own"), others, TABLE) != suspect
+
+
+class TestFollower:
+    def setup_method(self):
+        self.clock = Clock()
+        self.store = Source(changes(5))
+        self.relay = Source(changes(6, row("a", 6)))
+        self.reader = RelayedReader(
+            self.store, lambda table: member("relay"), self.relay.ask, {}, self.clock
+        )
+
+    async def test_changes_come_from_the_relay(self):
+        assert (await self.reader.feed(TABLE, 4, 1.0)).version == 6
+        assert self.store.asked == 0
+        assert not self.reader.reads_itself(TABLE)
+
+    async def test_a_relay_that_does_not_answer_is_passed_over_for_a_while(self):
+        self.relay.answer = PeerUnreachable("relay:1", "silent")
+        for _ in range(3):
+            assert (await self.reader.feed(TABLE, 4, 1.0)).version == 5
+        assert (self.relay.asked, self.store.asked) == (1, 3)
+        assert self.reader.reads_itself(TABLE)
+        self.clock.now = DISTRUST_S
+        await self.reader.feed(TABLE, 4, 1.0)
+        assert self.relay.asked == 2
+
+    async def test_a_relay_that_does_not_know_the_version_says_so(self):
+        self.relay.answer = HistoryGone(TABLE)
+        with pytest.raises(HistoryGone):
+            await self.reader.feed(TABLE, 4, 1.0)
+
+    async def test_an_outage_of_both_is_an_outage(self):
+        self.relay.answer = PeerUnreachable("relay:1", "no store either")
+        self.store.answer = StoreUnavailable(TABLE, "down")
+        with pytest.raises(StoreUnavailable):
+            await self.reader.feed(TABLE, 4, 1.0)
+
+
+class TestRelay:
+    def setup_method(self):
+        self.table = FollowedTable(
+            Source(changes(0)), TABLE, lambda rows: None, set, lambda: None, 0.01
+        )
+        self.reads_itself = True
+        self.relay = TableRelay({TABLE: self.table}, lambda table: self.reads_itself)
+        self.table._take_whole(changes(5, row("a", 3)))
+
+    async def test_changes_wake_those_that_wait(self):
+        asked = asyncio.create_task(self.relay.changes(TABLE, 5, 2.0))
+        await asyncio.sleep(0.01)
+        assert not asked.done()
+        self.table._take(changes(7, row("a", 6, None), row("b", 7)))
+        found = await asyncio.wait_for(asked, 0.5)
+        assert found == changes(7, row("a", 6, None), row("b", 7))
+
+    async def test_without_changes_the_wait_ends(self):
+        assert await self.relay.changes(TABLE, 5, 0.02) == changes(5)
+
+    async def test_removals_that_it_did_not_see_are_not_hidden(self):
+        """After lost history a whole read shows what is there, not what went."""
+        self.table._take_whole(changes(9))
+        with pytest.raises(HistoryGone):
+            await self.relay.changes(TABLE, 5, 0.02)
+        assert await self.relay.changes(TABLE, 9, 0.02) == changes(9)
+
+    async def test_a_lost_store_ends_the_wait(self):
+        asked = asyncio.create_task(self.relay.changes(TABLE, 5, 2.0))
+        await asyncio.sleep(0.01)
+        self.table._note_lost(StoreUnavailable(TABLE, "down"))
+        with pytest.raises(StoreUnavailable):
+            await asyncio.wait_for(asked, 0.5)
+
+    async def test_one_that_reads_the_table_anew_is_none_meanwhile(self):
+        self.table._whole = False
+        with pytest.raises(StoreUnavailable):
+            await self.relay.changes(TABLE, 5, 0.02)
+
+    async def test_one_that_follows_a_relay_itself_is_none(self):
+        """Two nodes that follow each other would never hear of a change."""
+        self.reads_itself = False
+        with pytest.raises(StoreUnavailable):
+            await self.relay.changes(TABLE, 5, 0.02)
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -6,6 +6,7 @@
 import pytest_asyncio
 
 from eelgrass_node.exceptions import StoreUnavailable
+from eelgrass_node.process.table_relay import relay_of
 from eelgrass_standins.users_engines import EVENTS, EngineFault
 from support.entry import (
     HOST,
@@ -339,11 +340,38 @@
 
     async def test_a_node_without_the_store_gets_a_newer_version(self, entry):
         first = entry.nodes[0]
-        first.operator_table._reader = DeadReader()
+        first.tables.operator._reader = DeadReader()
         entry.store.put("op", "config", configuration(6))
         await until(lambda: first.deployments.number == 6, 4.0)
 
 
+class TestRelays:
+    async def test_one_node_of_a_data_centre_reads_for_all(self):
+        async with EntryDeployment(nodes=4) as entry:
+            await asyncio.sleep(1.5)
+            before = entry.store.calls
+            await asyncio.sleep(3.0)
+            # One relay a table and about one call a second of each: 4 nodes alone
+            # would make 24.
+            assert entry.store.calls - before <= 8
+            entry.store.put("op", "config", configuration(9))
+            await until(lambda: all(n.deployments.number == 9 for n in entry.nodes), 1)
+
+    async def test_a_relay_that_is_killed_delays_no_version(self):
+        async with EntryDeployment(nodes=4) as entry:
+            await asyncio.sleep(1.5)
+            first = entry.nodes[0]
+            relay = relay_of(
+                first.membership.own, first.membership.members.reachable(), "op"
+            )
+            relay_id = first.settings.node if relay is None else relay.id
+            [killed] = [n for n in entry.nodes if n.settings.node == relay_id]
+            await killed.close()
+            entry.store.put("op", "config", configuration(9))
+            rest = [node for node in entry.nodes if node is not killed]
+            await until(lambda: all(n.deployments.number == 9 for n in rest), 2.0)
+
+
 class DeadReader:
     """A store that this node alone does not reach."""
 
