Callers' headers are bounded in size (431) and time (408), bodies in time (408)

Before, a header over the operator's limit was passed on, and a caller that began its first request and did not go on held its connection for 75 s, or its handler for ever. The server towards callers left the root.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 
 from aiohttp import web
 
 from eelgrass_coordination import Member, Membership, MemberState
 from eelgrass_coordination.ids import BackendId, Revision
 
+from .connection.caller_server import CallerServer
 from .connection.peer_calls import PeerCalls
 from .connection.peer_state import STATE_CALL, PeerState, PeerStateInterface
 from .connection.piece_calls import PieceCalls
@@ -55,16 +55,12 @@
 STOP_NOTICE_S = 2.6
 # Kept back from the time until the process is killed.
 STOP_RESERVE_S = 0.7
-# Callers use connections that have been idle for long; one that is closed under
-# a request costs an answer, an idle one a little memory.
-CALLER_IDLE_S = 75.0
 # How long a listener that is closed waits for its handlers; whoever had to be
 # waited for has been served by then.
 CLOSE_S = 0.1
-# Header lines and their sum that callers may send, well over the operator's
-# limits of 16 KiB.
-MAX_LINE_BYTES = 32_768
 MAX_BODY_BYTES = 64 << 20
+# For the header of a first request, before there is a configuration.
+DEFAULT_HEADER_S = 10.0
 # A state is some 100 kB and comes from a node that is idle or near.
 PEER_STATE_S = 1.0
 # Kept connections between nodes; longer than the callers' side keeps them.
@@ -241,19 +237,14 @@
         accept = Acceptance(
             requests, self.deployments, parts, self.stopping, self.counters.count
         )
-        server = web.Server(
-            accept.handle,
-            request_factory=_request_factory(),
-            keepalive_timeout=CALLER_IDLE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            access_log=None,
-            auto_decompress=False,
-            handler_cancellation=True,
-        )
+        server = CallerServer(accept.handle, self._header_s, MAX_BODY_BYTES)
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await self._serve(runner, self.settings.callers)
 
+    def _header_s(self) -> float:
+        deployment = self.deployments.current
+        return DEFAULT_HEADER_S if deployment is None else deployment.limits.header_s
+
     def _plan(self, routed: Routed) -> StagePlan:
         prompt = routed.arrival.prompt
         expected = self.choice.choose(
@@ -353,18 +344,3 @@
     if head.load is not None:
         running, waiting, _ = head.load
         backend.note_load(running, waiting)
-
-
-def _request_factory() -> Callable:
-    def build(message, payload, protocol, writer, task):
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            asyncio.get_running_loop(),
-            client_max_size=MAX_BODY_BYTES,
-        )
-
-    return build
--- a/packages/node/src/eelgrass_node/platform/configuration.py
+++ b/packages/node/src/eelgrass_node/platform/configuration.py
@@ -28,7 +28,9 @@
     "streaming": RouteKind.STREAM,
 }
 _DEFAULT_TIMEOUT_MS = 30_000.0
+_DEFAULT_HEADER_BYTES = 16 << 10
 _DEFAULT_BODY_BYTES = 4 << 20
+_DEFAULT_HEADER_MS = 3000.0
 _DEFAULT_IDLE_MS = 15_000.0
 
 
@@ -89,7 +91,9 @@
 
 
 class _Limits(_Wire):
+    max_header_bytes: int = _DEFAULT_HEADER_BYTES
     max_body_bytes: int = _DEFAULT_BODY_BYTES
+    header_timeout_ms: float = _DEFAULT_HEADER_MS
     idle_timeout_ms: float = _DEFAULT_IDLE_MS
 
 
@@ -140,7 +144,9 @@
         },
         has_accounts=bool(tenants),
         limits=CallerLimits(
+            max_header_bytes=wire.limits.max_header_bytes,
             max_body_bytes=wire.limits.max_body_bytes,
+            header_s=wire.limits.header_timeout_ms / 1000,
             idle_s=wire.limits.idle_timeout_ms / 1000,
         ),
     )
--- a/packages/node/src/eelgrass_node/request/accept.py
+++ b/packages/node/src/eelgrass_node/request/accept.py
@@ -26,7 +26,9 @@
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
+HTTP_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
+HTTP_HEADER_TOO_LARGE = 431
 HTTP_UNAVAILABLE = 503
 HTTP_INTERNAL_ERROR = 500
 
@@ -77,9 +79,17 @@
         if self._stopping.refusing:
             self._count("refusal.node-stopping")
             return answer.refusal(HTTP_UNAVAILABLE, "stopping", STOPPING_RETRY_S)
+        if _header_bytes(request) > deployment.limits.max_header_bytes:
+            self._count("refusal.header-too-large")
+            return answer.refusal(HTTP_HEADER_TOO_LARGE, "the header is too large")
         try:
-            body = await request.read()
+            async with asyncio.timeout(DEFAULT_DEADLINE_S):
+                body = await request.read()
+        except TimeoutError:
+            self._count("refusal.body-too-slow")
+            return answer.refusal(HTTP_TIMEOUT, "the body did not come in time")
         except web.HTTPRequestEntityTooLarge:
+            self._count("refusal.body-too-large")
             return answer.refusal(HTTP_TOO_LARGE, "the body is too large")
         if len(body) > deployment.limits.max_body_bytes:
             self._count("refusal.body-too-large")
@@ -140,5 +150,9 @@
         )
 
 
+def _header_bytes(request: web.BaseRequest) -> int:
+    return sum(len(name) + len(value) for name, value in request.raw_headers)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/node/src/eelgrass_node/version/deployment.py
+++ b/packages/node/src/eelgrass_node/version/deployment.py
@@ -142,10 +142,15 @@
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
-    """What a caller may send, and how long a connection may be idle."""
+    """What a caller may send, and how long a connection may be idle.
+
+    ``header_s`` bounds the time for the header of a first request.
+    """
 
     max_body_bytes: int
     idle_s: float
+    max_header_bytes: int = 16 << 10
+    header_s: float = 3.0
 
 
 class Deployment(msgspec.Struct, frozen=True):
