A reload while a process starts does not end it

Cause: SIGHUP ends a process by default, and the node's own handling came only after its libraries had loaded, half a second after the start; also between its last word and its exit. The new test failed before. Connections are closed at a planned stop, which printed warnings.

--- a/packages/node/src/eelgrass_node/platform/cli.py
+++ b/packages/node/src/eelgrass_node/platform/cli.py
@@ -32,7 +32,10 @@
         return EXIT_SETTINGS
     log_to_stdout()
     with asyncio.Runner(loop_factory=BootClockLoop) as runner:
-        return runner.run(_serve(settings))
+        code = runner.run(_serve(settings))
+    # Nor may it end one that is about to exit.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    return code
 
 
 async def _serve(settings: HostSettings) -> int:
@@ -43,4 +46,5 @@
     loop.add_signal_handler(signal.SIGHUP, node.reload)
     await node.start()
     clean = await node.run_until_stopped()
+    await node.close()
     return EXIT_CLEAN if clean else EXIT_CUT_OFF
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -5,11 +5,13 @@
 import os
 import signal
 import sys
+import types
 
 import aiohttp
 import pytest
 from aiohttp import web
 
+from eelgrass_node.platform.__main__ import main
 from eelgrass_standins.ports import free_addresses
 from eelgrass_standins.row_store import RowStoreStandIn
 from support.entry import configuration
@@ -106,3 +108,24 @@
         _, errors = await asyncio.wait_for(process.communicate(), 10.0)
         assert process.returncode == 2
         assert b"Correct the value that is named" in errors
+
+
+class TestSignals:
+    def test_a_reload_while_it_starts_does_not_end_it(self, monkeypatch):
+        """Found by the soak: its libraries take half a second to load."""
+        seen = []
+
+        class Loading(types.ModuleType):
+            def __getattr__(self, name):
+                seen.append(signal.getsignal(signal.SIGHUP))
+                return lambda: 0
+
+        module = "eelgrass_node.platform.cli"
+        monkeypatch.setitem(sys.modules, module, Loading(module))
+        before = signal.getsignal(signal.SIGHUP)
+        try:
+            with pytest.raises(SystemExit):
+                main()
+        finally:
+            signal.signal(signal.SIGHUP, before)
+        assert seen[-1] is signal.SIG_IGN
