--- a/packages/node/src/eelgrass_node/connection/table_feed.py
+++ b/packages/node/src/eelgrass_node/connection/table_feed.py
@@ -20,8 +20,10 @@
 
 
 class _Feed(msgspec.Struct):
+    """Asks for what changed after a version, or for the whole table."""
+
     table: str
-    after: int
+    after: int | None
     wait_s: float
 
 
@@ -47,10 +49,12 @@
         self._calls = calls
 
     async def ask(
-        self, address: str, table: str, after: int, wait_s: float
+        self, address: str, table: str, after: int | None, wait_s: float
     ) -> TableChanges:
         """Return the changes that a relay knows; ``wait_s`` bounds its wait.
 
+        Without a version they are the whole table.
+
         Raises :class:`PeerUnreachable`, :class:`HistoryGone`, and
         :class:`StoreUnavailable` where the relay does not read the store.
         """
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -102,20 +102,32 @@
         """Return all rows that are known, for a node that reaches no store."""
         return tuple(self._row_by_key.values())
 
+    def whole(self) -> TableChanges:
+        """Return all rows that there are, as of the version that is known.
+
+        Raises :class:`StoreUnavailable` where the table has yet to be read whole.
+        """
+        self._check_whole()
+        rows = (row for row in self._row_by_key.values() if row.value is not None)
+        return TableChanges(tuple(rows), self._version)
+
     def changes_after(self, version: int) -> TableChanges:
         """Return the rows changed after a version, in the order of their change.
 
         Raises :class:`HistoryGone` where removals since then may be missing, and
         :class:`StoreUnavailable` where the table has yet to be read whole.
         """
-        if not self._whole:
-            raise StoreUnavailable(self._table, "it has yet to be read whole")
+        self._check_whole()
         if version < self._complete_from:
             raise HistoryGone(self._table)
         rows = [row for row in self._row_by_key.values() if row.version > version]
         rows.sort(key=lambda row: row.version)
         return TableChanges(tuple(rows), self._version)
 
+    def _check_whole(self) -> None:
+        if not self._whole:
+            raise StoreUnavailable(self._table, "it has yet to be read whole")
+
     async def wait_for_change(self, within_s: float) -> None:
         """Wait until rows have changed or the store is lost, or for so long."""
         changed = self._changed
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -35,7 +35,8 @@
 # the pause, the wait and the slack of one turn (1.6 s).
 FRESH_S = 2.0
 
-AskRelay = Callable[[str, str, int, float], Awaitable[TableChanges]]
+# Gets an address, a table, a version (None for the whole table) and a wait.
+AskRelay = Callable[[str, str, int | None, float], Awaitable[TableChanges]]
 
 
 def relay_of(own: Member, members: list[Member], table: str) -> Member | None:
@@ -54,10 +55,10 @@
     """Reads the store's tables, feeds of changes rather from a relay.
 
     ``relay`` names the relay of a table, None where that is this node; ``ask``
-    gets an address, a table, a version and a wait, and raises
-    :class:`PeerUnreachable`, :class:`HistoryGone`, or :class:`StoreUnavailable`
-    where the relay itself does not read the store. ``pause_s_by_table`` is how long
-    changes are collected between two calls to the store.
+    raises :class:`PeerUnreachable`, :class:`HistoryGone`, or
+    :class:`StoreUnavailable` where the relay itself does not read the store.
+    ``pause_s_by_table`` is how long changes are collected between two calls to the
+    store.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self._clock = clock
         self._read_at_by_table: dict[str, float] = {}
         self._distrusted_until: dict[str, float] = {}
+        self._known_by_table: dict[str, int] = {}
         self._store_tried_at = float("-inf")
 
     def reads_itself(self, table: str) -> bool:
@@ -83,13 +85,28 @@
         return self._clock() - read_at <= FRESH_S
 
     async def read_table(self, table: str) -> TableChanges:
-        """Return all rows of a table, from the store."""
+        """Return all rows of a table, from a relay or from the store.
+
+        A relay whose state is older than what this node knows is passed over.
+        """
+        relay = self._relay(table)
+        if relay is not None and self._is_trusted(relay):
+            try:
+                changes = await self._ask(relay.internal, table, None, RELAY_WAIT_S)
+                if changes.version >= self._known_by_table.get(table, -1):
+                    return changes
+            except PeerUnreachable as error:
+                self._note_failure(relay, table, error)
+            except StoreUnavailable:
+                # The store says more about itself than the relay can.
+                pass
         changes = await self._store.read_table(table)
         self._read_at_by_table[table] = self._clock()
         return changes
 
     async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
         """Return changed rows, from a relay or from the store."""
+        self._known_by_table[table] = after
         relay = self._relay(table)
         if relay is not None and self._is_trusted(relay):
             try:
@@ -138,9 +155,13 @@
         self._table_by_name = table_by_name
         self._reads_itself = reads_itself
 
-    async def changes(self, name: str, after: int, wait_s: float) -> TableChanges:
+    async def changes(
+        self, name: str, after: int | None, wait_s: float
+    ) -> TableChanges:
         """Return what changed after a version, waiting for the first change.
 
+        Without a version the whole table is returned, at once.
+
         Raises :class:`StoreUnavailable` where this node is no relay, and
         :class:`HistoryGone` where it does not know so old a version.
         """
@@ -152,6 +173,8 @@
         while True:
             if not table.reachable or not self._reads_itself(name):
                 raise StoreUnavailable(name, "this node does not read the store")
+            if after is None:
+                return table.whole()
             changes = table.changes_after(after)
             if changes.rows or loop.time() >= end:
                 return changes
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -146,6 +146,35 @@
             await self.reader.feed(TABLE, 4, 1.0)
 
 
+class TestWholeReads:
+    """A store that forgets its history made 82 nodes read both tables whole."""
+
+    def setup_method(self):
+        self.store = Source(changes(9))
+        self.relay = Source(changes(8, row("a", 3)))
+        self.reader = RelayedReader(
+            self.store, lambda table: member("relay"), self.relay.ask, {}, Clock()
+        )
+
+    async def test_they_come_from_the_relay(self):
+        assert (await self.reader.read_table(TABLE)).version == 8
+        assert self.store.asked == 0
+
+    async def test_a_relay_that_knows_less_than_this_node_is_passed_over(self):
+        self.relay.answer = changes(9)
+        await self.reader.feed(TABLE, 9, 1.0)
+        self.relay.answer = changes(8)
+        assert (await self.reader.read_table(TABLE)).version == 9
+        assert self.store.asked == 1
+
+    @pytest.mark.parametrize(
+        "failure", [PeerUnreachable("relay:1", "dead"), StoreUnavailable(TABLE, "no")]
+    )
+    async def test_without_a_relay_they_come_from_the_store(self, failure):
+        self.relay.answer = failure
+        assert (await self.reader.read_table(TABLE)).version == 9
+
+
 class TestRelay:
     def setup_method(self):
         self.table = FollowedTable(
@@ -163,6 +192,11 @@
         found = await asyncio.wait_for(asked, 0.5)
         assert found == changes(7, row("a", 6, None), row("b", 7))
 
+    async def test_the_whole_table_is_without_what_is_gone(self):
+        self.table._take(changes(7, row("a", 6, None), row("b", 7)))
+        found = await self.relay.changes(TABLE, None, 2.0)
+        assert found == changes(7, row("b", 7))
+
     async def test_without_changes_the_wait_ends(self):
         assert await self.relay.changes(TABLE, 5, 0.02) == changes(5)
 
