--- a/packages/ctl/src/eelgrass_ctl/commands/__init__.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/__init__.py
@@ -8,6 +8,7 @@
 from .drain import drain
 from .explain import explain
 from .history import history
+from .hosts import hosts
 from .resolve import resolve
 from .show import show
 from .status import status
@@ -21,6 +22,7 @@
     "drain",
     "explain",
     "history",
+    "hosts",
     "resolve",
     "show",
     "status",
--- a/packages/ctl/src/eelgrass_ctl/exceptions.py
+++ b/packages/ctl/src/eelgrass_ctl/exceptions.py
@@ -9,6 +9,7 @@
     "LogUnreadable",
     "NoNode",
     "NodeRefused",
+    "StoreUnreadable",
 ]
 
 
@@ -65,3 +66,15 @@
 
     def __init__(self, file: str, reason: str) -> None:
         super().__init__(f"{file}: {reason}. Give the path of a readable log file.")
+
+
+class StoreUnreadable(CommandError):
+    """The platform's store cannot be read."""
+
+    code = ExitCode.NO_NODE
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(
+            f"The store at {address} cannot be read ({reason}). Give the IP address "
+            "and port that the nodes' settings name, or leave --store out."
+        )
--- /dev/null
+++ b/packages/ctl/src/eelgrass_ctl/host_metrics.py
@@ -0,0 +1,112 @@
+"""What the nodes on the users' platform tell of themselves, and the store."""
+
+import asyncio
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from eelgrass_node.exceptions import ConfigurationMalformed, StoreUnavailable
+from eelgrass_node.platform.configuration import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    decode_deployment,
+)
+from eelgrass_node.platform.servers import SERVERS_TABLE
+from eelgrass_node.platform.store import RowStore
+
+from .exceptions import StoreUnreadable
+
+__all__ = ["HostMetrics", "StoreState", "read_hosts", "read_store"]
+
+# A host that does not answer within this, in seconds, is shown as silent.
+SCRAPE_S = 2.0
+PREFIX = "eelgrassward_"
+HTTP_OK = 200
+
+
+class HostMetrics(msgspec.Struct, frozen=True):
+    """One node, from its metrics; ``silent`` says why it did not answer."""
+
+    address: str
+    silent: str | None = None
+    version: int = -1
+    version_age_s: float = 0.0
+    members: int = 0
+    store_reachable: bool = False
+    servers: int = 0
+    servers_usable: int = 0
+    pieces_waiting: int = 0
+    refusals: int = 0
+    retries: int = 0
+
+
+class StoreState(msgspec.Struct, frozen=True):
+    """What the store says: the newest configuration, and the servers listed."""
+
+    version: int
+    servers: int
+
+
+async def read_hosts(addresses: Sequence[str]) -> list[HostMetrics]:
+    """Return the metrics of all nodes, in the order of their addresses."""
+    timeout = aiohttp.ClientTimeout(total=SCRAPE_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        return await asyncio.gather(*(_read(session, a) for a in addresses))
+
+
+async def _read(session: aiohttp.ClientSession, address: str) -> HostMetrics:
+    try:
+        async with session.get(f"http://{address}/metrics") as response:
+            text = await response.text()
+            if response.status != HTTP_OK:
+                return HostMetrics(address, f"status {response.status}")
+        return _host(address, text)
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        return HostMetrics(address, str(error) or type(error).__name__)
+
+
+def _host(address: str, text: str) -> HostMetrics:
+    samples = [
+        (sample.name.removeprefix(PREFIX), sample.labels, sample.value)
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    ]
+
+    def values(name: str, kind: str = "") -> list[float]:
+        return [
+            value
+            for found, labels, value in samples
+            if found == name and labels.get("kind", "").startswith(kind)
+        ]
+
+    def total(name: str, kind: str = "") -> int:
+        return int(sum(values(name, kind)))
+
+    return HostMetrics(
+        address,
+        version=total("configuration_version"),
+        version_age_s=sum(values("configuration_age_seconds")),
+        members=total("members"),
+        store_reachable=all(values("store_reachable")),
+        servers=total("servers"),
+        servers_usable=total("servers_usable"),
+        pieces_waiting=total("pieces_waiting"),
+        refusals=total("events_total", "refusal."),
+        retries=total("events_total", "retry."),
+    )
+
+
+async def read_store(address: str) -> StoreState:
+    """Read the store; raises :class:`StoreUnreadable`."""
+    store = RowStore(address)
+    try:
+        operator = await store.read_table(OPERATOR_TABLE)
+        servers = await store.read_table(SERVERS_TABLE)
+        [value] = [row.value for row in operator.rows if row.key == CONFIGURATION_KEY]
+        return StoreState(decode_deployment(value or b"").number, len(servers.rows))
+    except (StoreUnavailable, ConfigurationMalformed, ValueError) as error:
+        raise StoreUnreadable(address, str(error)) from error
+    finally:
+        await store.close()
--- a/packages/ctl/src/eelgrass_ctl/output.py
+++ b/packages/ctl/src/eelgrass_ctl/output.py
@@ -21,11 +21,14 @@
 
 
 def print_table(head: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
-    """Print rows in aligned columns under a head."""
+    """Print rows in aligned columns under a head; rows may be shorter than it."""
     lines = [[str(cell) for cell in row] for row in (head, *rows)]
-    widths = [max(len(line[n]) for line in lines) for n in range(len(head))]
+    # The last cell of a shorter row may be a sentence, which widens no column.
+    whole = [line for line in lines if len(line) == len(head)]
+    widths = [max(len(line[n]) for line in whole) for n in range(len(head))]
+    widths[0] = max(len(line[0]) for line in lines)
     for line in lines:
-        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=False))
         print("  ".join(cells).rstrip())
 
 
