--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from eelgrass_coordination import Member, ranked
+from eelgrass_coordination import ranked
 from eelgrass_coordination.ids import BackendId, DataCentre, NodeId
 from eelgrass_node.process.backends import Backend, HostEntry
 from eelgrass_node.process.piece_owners import DISTRUST_S, PieceOwners
@@ -29,6 +29,7 @@
     ServiceName,
     WeightedService,
 )
+from support.members import member
 
 PORTAL, CLERKS, ARCHIVE = (ServiceName(n) for n in ("portal", "clerks", "archive"))
 LARGE = 3_000_000
@@ -395,17 +396,6 @@
         assert len(found) == 1 and found <= {"n0", "n1"}
 
 
-def member(name, data_centre, capacity=1.0):
-    return Member(
-        NodeId(name),
-        DataCentre(data_centre),
-        f"{name}:1",
-        f"{name}:2",
-        1,
-        capacity=capacity,
-    )
-
-
 class TestEvents:
     def test_only_whole_events_are_passed_on(self):
         splitter = EventSplitter()
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -5,8 +5,7 @@
 import msgspec
 import pytest
 
-from eelgrass_coordination import Member, MemberState
-from eelgrass_coordination.ids import DataCentre, NodeId
+from eelgrass_coordination import MemberState
 from eelgrass_node.exceptions import HistoryGone, PeerUnreachable, StoreUnavailable
 from eelgrass_node.process.store_tables import FollowedTable, StoredRow, TableChanges
 from eelgrass_node.process.table_relay import (
@@ -15,21 +14,11 @@
     TableRelay,
     relay_of,
 )
+from support.members import member
 
 TABLE = "servers"
 
 
-def member(name, data_centre="a", capacity=1.0):
-    return Member(
-        NodeId(name),
-        DataCentre(data_centre),
-        f"{name}:1",
-        f"{name}:2",
-        1,
-        capacity=capacity,
-    )
-
-
 def row(key, version, value=b"x"):
     return StoredRow(key, version, value)
 
--- a/tests/test_platform_bad_input.py
+++ b/tests/test_platform_bad_input.py
@@ -127,22 +127,21 @@
 
 
 class TestSlowCallers:
-    async def test_a_header_that_does_not_end_is_given_up(self, entry):
+    async def bound_headers(self, entry, milliseconds):
+        """Put a bound on the time for a header into force."""
         settings = configuration(version=2)
-        settings["Limits"]["HeaderTimeoutMs"] = 200
+        settings["Limits"]["HeaderTimeoutMs"] = milliseconds
         entry.store.put("op", "config", settings)
-        node = entry.nodes[0]
-        await until(lambda: node.deployments.number == 2)
+        await until(lambda: entry.nodes[0].deployments.number == 2)
+
+    async def test_a_header_that_does_not_end_is_given_up(self, entry):
+        await self.bound_headers(entry, 200)
         began = asyncio.get_running_loop().time()
         assert await send(entry, f"POST /safe/x HTTP/1.1\r\n{HEAD}") == 408
         assert 0.2 <= asyncio.get_running_loop().time() - began < 1.5
 
     async def test_an_idle_connection_stays_open(self, entry):
-        settings = configuration(version=2)
-        settings["Limits"]["HeaderTimeoutMs"] = 100
-        entry.store.put("op", "config", settings)
-        node = entry.nodes[0]
-        await until(lambda: node.deployments.number == 2)
+        await self.bound_headers(entry, 100)
         reader, writer = await connect(entry)
         for _ in range(2):
             await asyncio.sleep(1.0)
