A relay does not hand on what it has only heard from other nodes

Found on the last read of the diff: rows that a relay took from another node (where the store is slow for it) are newer than what it has read itself, so its followers got them again with each call, at once, until the relay had caught up: a loop of calls without a pause for a second or two. The new test failed before.

--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -126,7 +126,13 @@
         self._check_whole()
         if version < self._complete_from:
             raise HistoryGone(self._table)
-        rows = [row for row in self._row_by_key.values() if row.version > version]
+        # Rows that came from other nodes may be newer than what is complete here; a
+        # follower would get them again with each call, at once.
+        rows = [
+            row
+            for row in self._row_by_key.values()
+            if version < row.version <= self._version
+        ]
         rows.sort(key=lambda row: row.version)
         return TableChanges(tuple(rows), self._version)
 
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -196,6 +196,14 @@
             await self.relay.changes(TABLE, 5, 0.02)
         assert await self.relay.changes(TABLE, 9, 0.02) == changes(9)
 
+    async def test_rows_from_other_nodes_end_no_wait(self):
+        """They are newer than what is complete here, and would come back for ever."""
+        self.table.take_from_peer((row("a", 9),))
+        assert await self.relay.changes(TABLE, 5, 0.02) == changes(5)
+        self.table._take(changes(10))
+        found = await self.relay.changes(TABLE, 5, 0.02)
+        assert found == changes(10, row("a", 9))
+
     async def test_a_lost_store_ends_the_wait(self):
         asked = asyncio.create_task(self.relay.changes(TABLE, 5, 2.0))
         await asyncio.sleep(0.01)
