--- a/tests/support/platform_soak.py
+++ b/tests/support/platform_soak.py
@@ -1,14 +1,12 @@
-"""Runs the platform's program as processes, harms them, and checks the promises.
+"""Runs the platform's program as processes and harms them, as drawn from a seed.
 
-Everything that happens is drawn from a seed. What is checked is what callers and
-backend servers saw.
+What may not come of it stands in ``soak_checks``.
 """
 
 import asyncio
 import os
 import random
 import signal
-from collections import Counter
 from pathlib import Path
 
 import aiohttp
@@ -16,23 +14,18 @@
 from yarl import URL
 
 from eelgrass_standins.ports import free_addresses
-from eelgrass_standins.users_engines import EVENTS, EngineFault, EngineStandIn
+from eelgrass_standins.users_engines import EngineFault, EngineStandIn
 from support.entry import HOST, KEY, EntryDeployment, configuration, route
 from support.fault_proxy import Direction, FaultProxy
 from support.processes import Process
 
-__all__ = ["Call", "SoakDeployment", "Soak", "violations"]
+__all__ = ["Call", "DEADLINE_S", "Soak", "SoakDeployment"]
 
-WHOLE = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 SEGMENTS = {"Eelgrassward-Segments": "2,1,5", "Eelgrassward-Segment-Key": "key"}
 KINDS = ("safe", "once", "stream/resumed", "stream/single", "stream/staged")
 DEADLINE_S = 3.0
-# An answer may be late by the way back and a busy machine's pauses.
-LATE_S = 1.0
 CALLS_PER_S = 40
-# The promises: a server that leaves gets no new work after 2 s, and a version is
-# in force after 2 s, both with the time that a busy machine takes on top.
-LEAVE_S = 2.5
+# A version is in force after 2 s, with the time that a busy machine takes on top.
 APPLY_S = 3.0
 SETTINGS = """
 NodeName: "edge-{number}"
@@ -47,10 +40,6 @@
 """
 # Until then the interpreter itself starts, and no program could take a signal.
 INTERPRETER_S = 0.25
-# A process that was asked to stop (also before it served anybody), or killed; 1
-# where something was cut off.
-EXPECTED_EXITS = (0, 1, -signal.SIGKILL, -signal.SIGTERM)
-NOT_RUN = (408, 421, 429, 503)
 
 
 class Call(msgspec.Struct):
@@ -373,79 +362,3 @@
         engines = self.random.choice(list(self._deployment.engines_by_service.values()))
         engine = self.random.choice(engines)
         engine.faults.append(self.random.choice(list(EngineFault)))
-
-
-def violations(soak: Soak, deployment: SoakDeployment) -> list[str]:
-    """Return the broken promises, from what callers and servers saw."""
-    engines = [e for group in deployment.engines_by_service.values() for e in group]
-    runs = [run for engine in engines for run in engine.runs]
-    runs_by_id = Counter(run.request_id for run in runs)
-    found = []
-    for call in soak.calls:
-        ran = runs_by_id[call.request_id]
-        found += _broken_by(call, ran, deployment)
-        if soak.planned and ran and call.status == 0:
-            found.append(f"{call.request_id} ({call.kind}) was cut off")
-    found += _wrong_inputs(engines)
-    for node in deployment.soak_nodes:
-        if not node.process.running():
-            found.append(f"{node.name} ended by itself")
-        odd = [code for code in node.exit_codes if code not in EXPECTED_EXITS]
-        if odd:
-            found.append(f"{node.name} ended with {odd}")
-    for engine in engines:
-        left_at = soak.left_at.get(engine.server_id)
-        late = [r for r in engine.runs if left_at and r.at > left_at + LEAVE_S]
-        if late and soak.planned:
-            found.append(f"{engine.server_id} left and got {len(late)} runs")
-    return found
-
-
-def _broken_by(call: Call, runs: int, deployment: SoakDeployment) -> list[str]:
-    """Return the promises that the answer to one call breaks."""
-    found = []
-    name = f"{call.request_id} ({call.kind}, {call.status})"
-    if call.kind in ("once", "stream/single") and runs > 1:
-        found.append(f"{name} ran {runs} times")
-    if call.status in NOT_RUN and call.kind != "safe" and runs:
-        if call.kind in ("once", "stream/single"):
-            found.append(f"{name} was refused as not run, and ran")
-    if call.status == 503 and call.retry_after is None:
-        found.append(f"{name} was not told when to come back")
-    if call.status == 200:
-        stream = call.kind.startswith("stream")
-        whole = WHOLE if stream else b"answer of " + call.request_id.encode()
-        if call.body != whole:
-            found.append(f"{name} got {call.body!r}")
-        if call.answered_id != call.request_id:
-            found.append(f"{name} got the answer to {call.answered_id}")
-    if call.status in (400, 401, 404, 413, 431):
-        found.append(f"{name} was refused though it is allowed")
-    harmed_until = deployment.soak_nodes[call.node].harmed_until
-    held_s = call.ended_at - max(call.sent_at, min(harmed_until, call.ended_at))
-    if held_s > DEADLINE_S + LATE_S:
-        found.append(f"{name} was held for {held_s:.1f} s")
-    return found
-
-
-def _wrong_inputs(engines: list[EngineStandIn]) -> list[str]:
-    """Return requests and pieces that were given inputs of others."""
-    made = {h: item for engine in engines for h, item in engine.made_by_handle.items()}
-    found = []
-    given = [
-        (run.request_id, run.headers["Eelgrassward-Inputs"].split(","), 7)
-        for engine in engines
-        for run in engine.runs
-        if "Eelgrassward-Inputs" in run.headers
-    ]
-    given += [
-        (item["Id"], item["Inputs"], 1)
-        for engine in engines
-        for item in engine.pieces
-        if "Inputs" in item
-    ]
-    for request_id, handles, count in given:
-        foreign = [h for h in handles if made[h]["Id"] != request_id]
-        if foreign or len(set(handles)) != count:
-            found.append(f"{request_id} was given {handles}")
-    return found
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from support.platform_soak import Soak, SoakDeployment, violations
+from support.platform_soak import Soak, SoakDeployment
+from support.soak_checks import violations
 
 FIRST = int(os.environ.get("EELGRASS_SOAK_FIRST", "3"))
 COUNT = int(os.environ.get("EELGRASS_SOAK_SEEDS", "2"))
