A server's life is an identity: what is known of one does not pass to the next

Cause: a server may start again under its id, with 'born' in all it says of itself, and nothing read it. Its counts start anew, so a handle of its earlier life may name another result; and an entry may come from another writer.

A life (id and start) now keys results, the use of a server by a queue, tried servers and replaced ones. Old news (a delayed write, a lagging list) changes nothing, also after the entry was removed; news of a newer life drops the older at once: its calls in flight are broken off, its results made again and not freed.

A request whose caller leaves logs its end and where it was.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import weakref
 from collections.abc import Callable
 
 import aiohttp
@@ -34,6 +35,8 @@
         self._retired: list[aiohttp.ClientSession] = []
         self._in_use = 0
         self._closing = False
+        self._responses: weakref.WeakSet[aiohttp.ClientResponse] = weakref.WeakSet()
+        self.aborted = False
 
     def post(
         self, path: str, body: bytes, attempt_id: str, connect_s: float, reuse: bool
@@ -104,6 +107,24 @@
         if self._in_use == 0:
             self._close_retired()
 
+    def track(self, response: aiohttp.ClientResponse) -> None:
+        """Note an answer whose body is being read, for :meth:`abort`."""
+        self._responses.add(response)
+
+    def abort(self) -> None:
+        """Break off all calls, because the server is known to have ended.
+
+        A body without a length then ends as if it were whole; ``aborted`` tells
+        its reader that it is not.
+        """
+        self.aborted = True
+        self._closing = True
+        for response in self._responses:
+            # Closing the session alone leaves readers of a body waiting.
+            if response.connection is not None and response.connection.transport:
+                response.connection.transport.abort()
+        self._close_retired()
+
     async def close(self) -> None:
         """Close everything now."""
         sessions = [self._session, self._single_use, *self._retired]
--- a/packages/node/src/eelgrass_node/connection/piece_calls.py
+++ b/packages/node/src/eelgrass_node/connection/piece_calls.py
@@ -96,6 +96,7 @@
             async with connections.request(
                 "POST", path, headers, body, CONNECT_S, reuse=True
             ) as response:
+                connections.track(response)
                 return response.status, await response.read()
         finally:
             connections.leave()
--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from ..exceptions import PeerUnreachable
+from ..process.backends import ServerLife
 from ..process.pieces import Piece, PieceOutcome
 from ..process.queue_load import QueueLoad
 from ..version.deployment import ServiceName
@@ -53,6 +54,7 @@
     key: str | None = None
     inputs: tuple[str, ...] = ()
     near: str = ""
+    makers: tuple[ServerLife, ...] = ()
 
 
 class _Handoff(msgspec.Struct):
@@ -194,6 +196,7 @@
         key=first.key,
         inputs=first.inputs,
         near=first.near,
+        makers=first.makers,
     )
 
 
@@ -210,6 +213,7 @@
             priority=sent.priority,
             result_bytes=sent.result_bytes,
             near=sent.near,
+            makers=sent.makers,
         )
         for number in sent.numbers
     ]
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -223,6 +223,7 @@
             codec=requests,
             choose=self.choice.choose,
             data_centre_of=self.pieces.data_centre_of,
+            is_over=self.backends.is_over,
             plan=self._plan,
             refuse_hopeless=self._refuse_hopeless,
             run_pieces=self.shared_pieces.run,
@@ -337,7 +338,7 @@
         """Note that a server leaves or is gone."""
 
     def _server_replaced(self, backend: Backend) -> None:
-        self.server_list.forget(backend.entry.id)
+        self.server_list.forget(backend.entry.life)
 
 
 def _note_load(backend: Backend, head) -> None:
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -102,7 +102,8 @@
     def __init__(self, server_id: str, reason: str) -> None:
         super().__init__(
             f"The entry of backend server {server_id} cannot be read ({reason}). "
-            "Its last good entry stays in use; correct what the server writes."
+            "The server gets no new work until a good one comes; correct what "
+            "is written there."
         )
 
 
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -11,7 +11,7 @@
 
 from ..connection.backend import BackendConnections
 
-__all__ = ["Backend", "BackendState", "Backends", "HostEntry"]
+__all__ = ["Backend", "BackendState", "Backends", "HostEntry", "ServerLife"]
 
 CALL_HALF_LIFE_S = 5.0
 FULL_PAUSE_FRACTION = 0.25
@@ -32,11 +32,24 @@
     LEAVING = "leaving"
 
 
+class ServerLife(msgspec.Struct, frozen=True, array_like=True):
+    """One life of a backend server, from its start to its end.
+
+    A server may start again under its id. It then holds nothing of before, so
+    whatever is known of a server (results, load, suspicion, connections) is
+    known of one life. ``started`` grows with each start; it is 0 where the
+    server does not tell.
+    """
+
+    id: BackendId
+    started: int = 0
+
+
 class HostEntry(msgspec.Struct, frozen=True):
     """A backend server in the platform's host list.
 
-    ``started`` tells apart two servers that had the same id one after the
-    other; ``limit`` is how many calls it takes at a time.
+    ``started`` tells apart the lives of a server, the newer by the greater
+    number; ``limit`` is how many calls it takes at a time.
     """
 
     id: BackendId
@@ -48,6 +61,11 @@
     started: int = 0
     checks_fencing: bool = True
 
+    @property
+    def life(self) -> ServerLife:
+        """The life of the server that the entry tells of."""
+        return ServerLife(self.id, self.started)
+
 
 class Backend:
     """One backend server: its entry, our calls to it, and when it last failed.
@@ -186,6 +204,11 @@
         servers = self.by_service.get(service, ())
         return [backend for backend in servers if not self.is_leaving(backend)]
 
+    def is_over(self, life: ServerLife) -> bool:
+        """Return whether a server is known to have started again since a life."""
+        backend = self.by_id.get(life.id)
+        return backend is not None and backend.entry.started > life.started
+
     def at_address(self, address: str) -> Backend | None:
         """Return the server at an IP address and port, if one is listed."""
         return self._by_address.get(address)
@@ -211,8 +234,15 @@
 
     def _put(self, entry: HostEntry) -> None:
         backend = self.by_id.get(entry.id)
+        if backend is not None and self.is_over(entry.life):
+            # Old news: the server has started again since.
+            return
         if backend is not None and _is_successor(entry, backend.entry):
+            ended = backend.entry.started < entry.started
             self._remove(entry.id)
+            if ended:
+                # What still waits for the earlier life would wait in vain.
+                backend.connections.abort()
             backend = None
         if backend is None:
             backend = Backend(entry)
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -11,11 +11,11 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 
-from eelgrass_coordination.ids import BackendId
+import msgspec
 
 from ..log import Part, log
 from ..version.deployment import PieceLimits
-from .backends import Backend
+from .backends import Backend, ServerLife
 from .piece_batch import take_batch
 from .piece_servers import FAILURES, PieceServers
 from .pieces import Piece, PieceOutcome, PieceTrouble
@@ -51,9 +51,10 @@
     """Pieces that wait for a server of ``service``.
 
     ``servers`` returns those that may get work, ``data_centre_of`` tells where a
-    result lies, ``may_repeat`` asks the budget for one more call of a piece, and
-    ``note_wait`` is told how long pieces waited. ``free_results`` frees results
-    that nobody waits for any more.
+    result lies, and ``is_over`` whether a life of a server has ended.
+    ``may_repeat`` asks the budget for one more call of a piece, ``note_wait`` is
+    told how long pieces waited, and ``free_results`` frees results that nobody
+    waits for any more.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         servers: Callable[[], list[Backend]],
         reach: DataCentreReach,
         data_centre_of: Callable[[str], str],
+        is_over: Callable[[ServerLife], bool],
         run_call: RunCall,
         may_repeat: Callable[[], bool],
         note_wait: Callable[[str, float], None],
@@ -70,7 +72,9 @@
     ) -> None:
         self.service = service
         self._limits = limits
-        self._servers = PieceServers(service, limits, servers, reach, data_centre_of)
+        self._servers = PieceServers(
+            service, limits, servers, reach, data_centre_of, is_over
+        )
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._note_wait = note_wait
@@ -106,9 +110,9 @@
         finally:
             self._waiting.withdraw(pieces)
 
-    def free(self, server_id: BackendId, handles: list[str]) -> None:
+    def free(self, life: ServerLife, handles: list[str]) -> None:
         """Note that results were freed at a server."""
-        self._servers.free(server_id, handles)
+        self._servers.free(life, handles)
         self.fill()
 
     def load(self) -> QueueLoad:
@@ -291,9 +295,11 @@
         now = _now()
         self._servers.note_call(server, batch, outcomes, now - began)
         until = now + self._limits().result_life_s
+        maker = server.entry.life
         for piece, outcome in zip(batch, outcomes, strict=True):
             if outcome.handle is not None:
                 use.hold(outcome.handle, int(self._servers.size(piece)), until)
+                outcome = msgspec.structs.replace(outcome, maker=maker)
             self._finish(piece, futures[piece], outcome)
         self._free_unwanted(futures, outcomes)
         self.fill()
--- a/packages/node/src/eelgrass_node/process/piece_servers.py
+++ b/packages/node/src/eelgrass_node/process/piece_servers.py
@@ -9,11 +9,9 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from eelgrass_coordination.ids import BackendId
-
 from ..log import Part, log
 from ..version.deployment import PieceLimits
-from .backends import Backend
+from .backends import Backend, ServerLife
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .reach import DataCentreReach
 from .server_use import ServerUse
@@ -39,7 +37,8 @@
     """The servers of ``service`` as one queue uses them.
 
     ``listed`` returns those that may get work, and ``data_centre_of`` tells
-    where a result lies.
+    where a result lies. ``is_over`` tells of a life of a server whether it has
+    ended.
     """
 
     def __init__(
@@ -49,13 +48,15 @@
         listed: Callable[[], list[Backend]],
         reach: DataCentreReach,
         data_centre_of: Callable[[str], str],
+        is_over: Callable[[ServerLife], bool],
     ) -> None:
         self.service = service
         self._limits = limits
         self._listed = listed
         self._reach = reach
         self._data_centre_of = data_centre_of
-        self._use_by_id: dict[BackendId, ServerUse] = {}
+        self._is_over = is_over
+        self._use_by_life: dict[ServerLife, ServerUse] = {}
         self._size_factor = 1.0
 
     def sound(self) -> Sequence[Backend]:
@@ -64,15 +65,16 @@
 
     def use(self, server: Backend) -> ServerUse:
         """Return what the queue has at a server."""
-        use = self._use_by_id.get(server.entry.id)
+        life = server.entry.life
+        use = self._use_by_life.get(life)
         if use is None:
             self._forget_gone()
-            use = self._use_by_id[server.entry.id] = ServerUse(_now())
+            use = self._use_by_life[life] = ServerUse(_now())
         return use
 
-    def free(self, server_id: BackendId, handles: list[str]) -> None:
+    def free(self, life: ServerLife, handles: list[str]) -> None:
         """Note that results were freed at a server."""
-        use = self._use_by_id.get(server_id)
+        use = self._use_by_life.get(life)
         if use is not None:
             for handle in handles:
                 use.free(handle)
@@ -116,7 +118,9 @@
         return any(s.entry.data_centre == data_centre for s in self.sound())
 
     def inputs_lost(self, piece: Piece) -> bool:
-        """Return whether inputs of a piece are probably out of reach."""
+        """Return whether inputs of a piece are gone, or probably out of reach."""
+        if any(self._is_over(maker) for maker in piece.makers):
+            return True
         return any(self._reach.in_doubt(place) for place in self._places(piece))
 
     def note_call(
@@ -204,10 +208,10 @@
 
     def _forget_gone(self) -> None:
         """Drop what is known of servers that are no longer listed."""
-        listed = {server.entry.id for server in self._listed()}
-        if len(self._use_by_id) > MAX_KEPT_FACTOR * len(listed):
-            for server_id in self._use_by_id.keys() - listed:
-                del self._use_by_id[server_id]
+        listed = {server.entry.life for server in self._listed()}
+        if len(self._use_by_life) > MAX_KEPT_FACTOR * len(listed):
+            for life in self._use_by_life.keys() - listed:
+                del self._use_by_life[life]
 
     def _log_call(
         self,
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -103,6 +103,7 @@
                 lambda: self._backends.usable(service),
                 self._reach,
                 self.data_centre_of,
+                self._backends.is_over,
                 self._run_call,
                 lambda: self._retries.try_spend(service, owner=True),
                 self._note_wait,
@@ -120,7 +121,7 @@
         self, service: ServiceName, backend: Backend, handles: list[str]
     ) -> None:
         if await self._free_call(backend, handles):
-            self.queue(service).free(backend.entry.id, handles)
+            self.queue(service).free(backend.entry.life, handles)
 
     def _limits(self, service: ServiceName) -> PieceLimits:
         deployment = self._deployment()
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .backends import ServerLife
+
 __all__ = ["Piece", "PieceOutcome", "PieceTrouble"]
 
 
@@ -23,7 +25,8 @@
     """One piece of one stage of a request.
 
     ``key`` names its input where the stage follows no other; otherwise
-    ``inputs`` holds the handles of the results that it needs. ``deadline`` and
+    ``inputs`` holds the handles of the results that it needs, and ``makers`` the
+    lives of the servers that hold these. ``deadline`` and
     ``due`` are on the clock of the event loop: when the piece must be done to be
     of any use, and when it should be done for its request to be on time. ``near``
     is the data centre where the result will be fetched, if it matters.
@@ -44,6 +47,7 @@
     priority: int
     result_bytes: int
     near: str = ""
+    makers: tuple[ServerLife, ...] = ()
     queued_at: float = 0.0
     begun: bool = False
     alone: bool = False
@@ -54,9 +58,11 @@
 class PieceOutcome(msgspec.Struct, frozen=True):
     """A handle of the result, or why there is none.
 
-    ``retry_after_s`` says when to come back where the piece was refused.
+    ``retry_after_s`` says when to come back where the piece was refused, and
+    ``maker`` which life of a server holds the result.
     """
 
     handle: str | None = None
     trouble: PieceTrouble | None = None
     retry_after_s: float = 0.0
+    maker: ServerLife | None = None
--- a/packages/node/src/eelgrass_node/process/reach.py
+++ b/packages/node/src/eelgrass_node/process/reach.py
@@ -11,7 +11,7 @@
 
 from eelgrass_coordination.ids import DataCentre
 
-from .backends import Backend
+from .backends import Backend, ServerLife
 
 __all__ = ["DataCentreReach"]
 
@@ -64,7 +64,7 @@
         return place is not None and place.doubted_until > self._clock()
 
     def sound(
-        self, servers: Sequence[Backend], tried: frozenset[str] = frozenset()
+        self, servers: Sequence[Backend], tried: frozenset[ServerLife] = frozenset()
     ) -> Sequence[Backend]:
         """Return the servers to choose from, the most trusted there are.
 
@@ -73,7 +73,7 @@
         than one that probably cannot be reached at all.
         """
         now = self._clock()
-        untried = [server for server in servers if server.entry.id not in tried]
+        untried = [server for server in servers if server.entry.life not in tried]
         in_reach = [s for s in untried if not self.in_doubt(s.entry.data_centre)]
         trusted = [server for server in in_reach if server.suspect_until <= now]
         return trusted or in_reach or untried or servers
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -6,7 +6,7 @@
 from eelgrass_coordination.ids import DataCentre
 
 from ..version.deployment import Deployment, ServiceName
-from .backends import Backend, Backends
+from .backends import Backend, Backends, ServerLife
 from .placement import place_plain, place_prompt
 from .reach import DataCentreReach
 
@@ -33,7 +33,7 @@
         service: ServiceName,
         subject: str | None,
         shared_tokens: int,
-        tried: frozenset[str],
+        tried: frozenset[ServerLife],
         inputs_at: str = "",
     ) -> Backend | None:
         """Return a server, or None where the service has none in use.
--- a/packages/node/src/eelgrass_node/process/server_list.py
+++ b/packages/node/src/eelgrass_node/process/server_list.py
@@ -4,6 +4,10 @@
 store was out of reach entries may lapse although their servers live; those are
 back within two seconds of its return, so removals that are seen just after an
 outage wait that long.
+
+An entry that cannot be read names no server to use: the one under its id gets no
+new work until it is listed again. One of an earlier life of its server, which a
+delayed write may bring, changes nothing.
 """
 
 import asyncio
@@ -13,7 +17,7 @@
 
 from ..exceptions import ServerEntryMalformed
 from ..log import Part, log
-from .backends import Backends, BackendState, HostEntry
+from .backends import Backends, BackendState, HostEntry, ServerLife
 from .store_tables import StoredRow
 
 __all__ = ["ServerList"]
@@ -21,6 +25,9 @@
 # Entries that lapsed in an outage are back within about 2 s of its end (the
 # users' letter); the rest is the time in which a read sees them.
 RETURN_S = 2.6
+# Starts that are remembered of servers that are no longer listed; a delayed
+# write comes within seconds, in which a few dozen servers come and go.
+MAX_REMEMBERED = 4096
 
 
 class ServerList:
@@ -40,6 +47,7 @@
         self._decode = decode
         self._on_leaving = on_leaving
         self._entry_by_id: dict[BackendId, HostEntry] = {}
+        self._newest_start_by_id: dict[BackendId, int] = {}
         self._remove_at: dict[BackendId, float] = {}
         self._outage_ended_at = float("-inf")
 
@@ -63,22 +71,36 @@
         """Note that the store answers again after an outage."""
         self._outage_ended_at = _now()
 
-    def forget(self, server_id: BackendId) -> None:
+    def forget(self, life: ServerLife) -> None:
         """Drop a server whose address belongs to another one by now."""
-        if self._entry_by_id.pop(server_id, None) is not None:
-            log(Part.HOSTS, "A server was replaced at its address.", backend=server_id)
+        entry = self._entry_by_id.get(life.id)
+        if entry is not None and entry.life == life:
+            del self._entry_by_id[life.id]
+            log(Part.HOSTS, "A server was replaced at its address.", backend=life.id)
             self._apply()
 
     def _listed(self, server_id: BackendId, value: bytes) -> None:
-        self._remove_at.pop(server_id, None)
         try:
             entry = self._decode(server_id, value)
         except ServerEntryMalformed as error:
             log(Part.HOSTS, "An entry is not taken.", error=str(error))
+            self._remove_at.pop(server_id, None)
+            self._entry_by_id.pop(server_id, None)
+            return
+        if entry.started < self._newest_start_by_id.get(server_id, 0):
+            log(
+                Part.HOSTS,
+                "An entry of an earlier life is not taken.",
+                backend=server_id,
+                started=entry.started,
+                known=self._newest_start_by_id[server_id],
+            )
             return
+        self._remember(entry)
+        self._remove_at.pop(server_id, None)
         known = self._entry_by_id.get(server_id)
         self._entry_by_id[server_id] = entry
-        if known is None or known.state is not entry.state:
+        if known is None or (known.state, known.life) != (entry.state, entry.life):
             log(
                 Part.HOSTS,
                 "A server is listed.",
@@ -86,10 +108,21 @@
                 service=entry.service,
                 address=entry.address,
                 state=entry.state.value,
+                started=entry.started,
             )
             if entry.state is BackendState.LEAVING:
                 self._on_leaving(server_id)
 
+    def _remember(self, entry: HostEntry) -> None:
+        """Remember the start of a server, also for when it is no longer listed."""
+        starts = self._newest_start_by_id
+        starts.pop(entry.id, None)
+        starts[entry.id] = entry.started
+        if len(starts) > MAX_REMEMBERED:
+            oldest = next((i for i in starts if i not in self._entry_by_id), None)
+            if oldest is not None:
+                del starts[oldest]
+
     def _missing(self, server_id: BackendId) -> None:
         if server_id not in self._entry_by_id or server_id in self._remove_at:
             return
--- a/packages/node/src/eelgrass_node/request/exchange.py
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -68,6 +68,7 @@
         """
         response = await self._send(last_event_id)
         self._response = response
+        self._backend.connections.track(response)
         if response.connection is not None and response.connection.protocol is not None:
             self._closed = response.connection.protocol.closed
         head = self._codec.decode_head(response.status, response.raw_headers)
@@ -103,10 +104,9 @@
         A body without a length ends with its connection. The client library
         takes every end for a good one there.
         """
-        closed = self._closed
-        if closed is None or not closed.done() or closed.cancelled():
+        if self._has_length():
             return
-        if closed.exception() is not None and not self._has_length():
+        if self._backend.connections.aborted or self._was_reset():
             raise CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
 
     def close(self) -> None:
@@ -150,6 +150,12 @@
         if not head.signed or "Content-Encoding" in head.headers:
             raise CallFailed(RetryReason.BAD_ANSWER, not_run=False)
 
+    def _was_reset(self) -> bool:
+        closed = self._closed
+        if closed is None or not closed.done() or closed.cancelled():
+            return False
+        return closed.exception() is not None
+
     def _has_length(self) -> bool:
         headers = self._response.headers
         return "Content-Length" in headers or "Transfer-Encoding" in headers
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..exceptions import StagesFailed
+from ..process.backends import ServerLife
 from ..process.pieces import Piece, PieceOutcome, PieceTrouble
 from ..version.deployment import PieceStage, ServiceName
 from .arrival import Routed
@@ -42,8 +43,19 @@
     near: str = ""
 
 
+class _Result(msgspec.Struct, frozen=True):
+    """A result that a life of a server holds under a handle."""
+
+    handle: str
+    maker: ServerLife | None
+
+
 class StageGraph:
-    """The stages of one request; results are kept by stage and piece."""
+    """The stages of one request; results are kept by stage and piece.
+
+    ``is_over`` tells of a life of a server whether it has ended, and with it
+    the results that it held.
+    """
 
     def __init__(
         self,
@@ -52,6 +64,7 @@
         run_pieces: RunPieces,
         free: Callable[[ServiceName, list[str]], None],
         data_centre_of: Callable[[str], str],
+        is_over: Callable[[ServerLife], bool],
     ) -> None:
         self._routed = routed
         self._plan = plan
@@ -60,7 +73,8 @@
         self._data_centre_of = data_centre_of
         self._done: set[int] = set()
         self.released = False
-        self._handle_by_piece: dict[tuple[int, int], str] = {}
+        self._is_over = is_over
+        self._result_by_piece: dict[tuple[int, int], _Result] = {}
 
     async def run(self) -> tuple[str, ...]:
         """Make what is missing; return the handles for the request itself.
@@ -71,7 +85,7 @@
         for _ in range(MAX_ROUNDS):
             try:
                 await self._run_missing()
-                return self._inputs_of(self._routed.route.final_stages())
+                return self._handles(self._routed.route.final_stages())
             except _ResultsGone:
                 self.release()
         raise StagesFailed(PieceTrouble.INPUT_GONE, 0.0)
@@ -82,14 +96,21 @@
         Nothing is returned where they are too small to matter.
         """
         bytes_by_place: Counter[str] = Counter()
-        for (stage, _), handle in self._handle_by_piece.items():
+        for (stage, _), result in self._result_by_piece.items():
             if stage in stages:
                 size = self._routed.route.stages[stage].result_bytes
-                bytes_by_place[self._data_centre_of(handle)] += size
+                bytes_by_place[self._data_centre_of(result.handle)] += size
         if bytes_by_place.total() < LARGE_BYTES:
             return ""
         return bytes_by_place.most_common(1)[0][0]
 
+    def outdated(self) -> bool:
+        """Return whether a server that held a result has started again."""
+        return any(
+            result.maker is not None and self._is_over(result.maker)
+            for result in self._result_by_piece.values()
+        )
+
     def release(self) -> None:
         """Free all results, which nobody needs any more or one of which is gone."""
         self._done.clear()
@@ -114,10 +135,10 @@
         missing = [
             piece
             for piece in range(self._routed.arrival.pieces_of(number))
-            if number not in self._done and (number, piece) not in self._handle_by_piece
+            if number not in self._done and (number, piece) not in self._result_by_piece
         ]
         if missing:
-            pieces = [self._piece(number, stage, piece) for piece in missing]
+            pieces = self._pieces(number, stage, missing)
             outcomes = await self._run_pieces(stage.service, pieces)
             self._take(number, missing, outcomes)
         self._done.add(number)
@@ -139,8 +160,14 @@
                 self._release_stage(before, self._routed.route.stages[before])
 
     def _release_stage(self, number: int, stage: PieceStage) -> None:
-        held = [key for key in self._handle_by_piece if key[0] == number]
-        handles = [self._handle_by_piece.pop(key) for key in held]
+        held = [key for key in self._result_by_piece if key[0] == number]
+        results = [self._result_by_piece.pop(key) for key in held]
+        # Under its handle a server that has started again may hold another result.
+        handles = [
+            result.handle
+            for result in results
+            if result.maker is None or not self._is_over(result.maker)
+        ]
         if handles:
             self._free(stage.service, handles)
 
@@ -149,7 +176,8 @@
     ) -> None:
         for piece, outcome in zip(missing, outcomes, strict=True):
             if outcome.handle is not None:
-                self._handle_by_piece[number, piece] = outcome.handle
+                result = _Result(outcome.handle, outcome.maker)
+                self._result_by_piece[number, piece] = result
         troubles = [outcome for outcome in outcomes if outcome.trouble is not None]
         if not troubles:
             return
@@ -158,20 +186,29 @@
         first = troubles[0]
         raise StagesFailed(first.trouble, first.retry_after_s)
 
-    def _piece(self, number: int, stage: PieceStage, piece: int) -> Piece:
+    def _pieces(
+        self, number: int, stage: PieceStage, numbers: list[int]
+    ) -> list[Piece]:
         routed = self._routed
-        return Piece(
-            request_id=routed.arrival.request_id,
-            stage=number,
-            number=piece,
-            key=None if stage.after else routed.arrival.piece_key,
-            inputs=self._inputs_of(stage.after),
-            deadline=self._plan.deadline_by_stage[number],
-            due=self._plan.due_by_stage[number],
-            priority=routed.priority,
-            result_bytes=stage.result_bytes,
-            near=self._near(stage),
-        )
+        inputs = self._handles(stage.after)
+        makers = {result.maker for result in self._results(stage.after)}
+        near = self._near(stage)
+        return [
+            Piece(
+                request_id=routed.arrival.request_id,
+                stage=number,
+                number=piece,
+                key=None if stage.after else routed.arrival.piece_key,
+                inputs=inputs,
+                deadline=self._plan.deadline_by_stage[number],
+                due=self._plan.due_by_stage[number],
+                priority=routed.priority,
+                result_bytes=stage.result_bytes,
+                near=near,
+                makers=tuple(maker for maker in makers if maker is not None),
+            )
+            for piece in numbers
+        ]
 
     def _near(self, stage: PieceStage) -> str:
         """Return where a piece is best run, if that matters.
@@ -184,12 +221,21 @@
             return at
         return self._plan.near if stage.result_bytes >= LARGE_BYTES else ""
 
-    def _inputs_of(self, stages: tuple[int, ...]) -> tuple[str, ...]:
-        return tuple(
-            self._handle_by_piece[stage, piece]
+    def _handles(self, stages: tuple[int, ...]) -> tuple[str, ...]:
+        """Return the handles of all results of some stages, in order.
+
+        Raises :class:`_ResultsGone` where a server that held one started again.
+        """
+        if self.outdated():
+            raise _ResultsGone
+        return tuple(result.handle for result in self._results(stages))
+
+    def _results(self, stages: tuple[int, ...]) -> list[_Result]:
+        return [
+            self._result_by_piece[stage, piece]
             for stage in stages
             for piece in range(self._routed.arrival.pieces_of(stage))
-        )
+        ]
 
 
 class _ResultsGone(Exception):
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -7,13 +7,14 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 from aiohttp import web
 
-from ..exceptions import CallFailed, RequestRefused, StagesFailed
+from ..exceptions import CallerGone, CallFailed, RequestRefused, StagesFailed
 from ..log import Part, log
-from ..process.backends import Backend
+from ..process.backends import Backend, ServerLife
 from ..process.metrics import Metrics
 from ..process.reach import DataCentreReach
 from ..process.retry_window import RetryWindows
@@ -53,21 +54,32 @@
 SERVER_ERROR = 500
 
 
+class Step(Enum):
+    """Where a request is on its way, for the log line of its end."""
+
+    ADMISSION = "admission"
+    STAGES = "stages"
+    CALL = "call"
+    ANSWER = "answer"
+
+
 class ServingParts(msgspec.Struct, frozen=True):
     """What the process lends to a request.
 
     ``choose`` picks a server of a service for a prompt with a shared part and
     its tokens, rather not one of those tried and near its large inputs;
-    ``data_centre_of`` tells where the result of a handle lies; ``plan`` says
-    when the stages of a request should be done. ``refuse_hopeless`` returns
-    when to come back where they cannot be done in time.
+    ``data_centre_of`` tells where the result of a handle lies, and ``is_over``
+    whether a life of a server has ended. ``plan`` says when the stages of a
+    request should be done; ``refuse_hopeless`` returns when to come back where
+    they cannot be done in time.
     """
 
     codec: WireCodec
     choose: Callable[
-        [ServiceName, str | None, int, frozenset[str], str], Backend | None
+        [ServiceName, str | None, int, frozenset[ServerLife], str], Backend | None
     ]
     data_centre_of: Callable[[str], str]
+    is_over: Callable[[ServerLife], bool]
     plan: Callable[[Routed], StagePlan]
     refuse_hopeless: Callable[[Routed], float | None]
     run_pieces: RunPieces
@@ -89,11 +101,12 @@
         self._parts = parts
         self._routed = routed
         self._answer = answer
-        self._tried: frozenset[str] = frozenset()
+        self._tried: frozenset[ServerLife] = frozenset()
         self._runs = 0
         self._refused_calls = 0
         self._may_have_run = False
         self._calling = False
+        self._step = Step.ADMISSION
         self._staged_at = 0.0
         self._headed_at = 0.0
         self._fetched: asyncio.TimerHandle | None = None
@@ -105,6 +118,7 @@
             parts.run_pieces,
             parts.free_results,
             parts.data_centre_of,
+            parts.is_over,
         )
 
     async def serve(self) -> web.StreamResponse:
@@ -117,6 +131,9 @@
             return self._timed_out()
         except RequestRefused as refused:
             return self._refuse(refused)
+        except (CallerGone, asyncio.CancelledError):
+            self._log_end("The caller left.", at=self._step.value)
+            raise
         finally:
             self._graph.release()
 
@@ -129,8 +146,9 @@
         if self._routed.route.stages:
             self._parts.metrics.note_stages(self._routed.route.name, self._age_s())
         while True:
-            if self._parts.reach.in_doubt(self._inputs_at()):
-                # No server here could fetch them.
+            out_of_reach = self._parts.reach.in_doubt(self._inputs_at())
+            if out_of_reach or self._graph.outdated():
+                # No server could fetch them.
                 self._graph.release()
             if self._graph.released:
                 inputs = await self._run_stages()
@@ -151,6 +169,7 @@
     async def _run_stages(self) -> tuple[str, ...]:
         if not self._routed.route.stages:
             return ()
+        self._step = Step.STAGES
         try:
             return await self._graph.run()
         except StagesFailed as failed:
@@ -180,6 +199,7 @@
         self, backend: Backend, inputs: tuple[str, ...]
     ) -> web.StreamResponse:
         routed = self._routed
+        self._step = Step.CALL
         call = EngineCall(
             self._parts.codec,
             routed,
@@ -191,6 +211,7 @@
         began = _now()
         try:
             head = await call.open(self._events.last_id)
+            self._step = Step.ANSWER
             self._headed_at = _now()
             self._parts.reach.note_answer(backend.entry.data_centre)
             self._parts.note_load(backend, head)
@@ -236,7 +257,7 @@
         return await self._answer.end()
 
     def _note_failure(self, backend: Backend, failed: CallFailed) -> None:
-        self._tried |= {backend.entry.id}
+        self._tried |= {backend.entry.life}
         self._events.restart()
         if failed.not_run:
             self._refused_calls += 1
--- /dev/null
+++ b/packages/node/tests/test_server_lives.py
@@ -0,0 +1,194 @@
+"""What is known of one life of a server does not pass to the next one.
+
+A server that starts again under its id holds nothing of before and counts its
+results anew: a handle of its earlier life may name another request's result.
+"""
+
+import asyncio
+
+import pytest
+
+from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.exceptions import CallFailed
+from eelgrass_node.platform import requests
+from eelgrass_node.process.backends import Backends, HostEntry, ServerLife
+from eelgrass_node.process.pieces import Piece, PieceOutcome, PieceTrouble
+from eelgrass_node.request.exchange import EngineCall
+from eelgrass_node.request.graph import StageGraph, StagePlan
+from eelgrass_node.version.deployment import PieceStage, ServiceName
+from support.pieces import Service, pieces, routed, server
+
+FIRST, SECOND = (ServerLife(BackendId("s1"), started) for started in (5, 9))
+
+
+class Lives:
+    """Makes results whose handles repeat in each life of one server."""
+
+    def __init__(self):
+        self.current = FIRST
+        self.made = []
+        self.freed = []
+
+    async def run(self, service, given):
+        life = self.current
+        self.made.append((service, given[0].stage, life, given[0].inputs))
+        return [PieceOutcome(handle=f"s1/{p.number}", maker=life) for p in given]
+
+    def is_over(self, life):
+        return life.started < self.current.started
+
+    def graph(self):
+        stages = (
+            PieceStage(ServiceName("a"), (), 8_000),
+            PieceStage(ServiceName("b"), (0,), 8_000),
+        )
+        plan = StagePlan((9.0, 9.0), (9.0, 9.0), ((), (0,)))
+        return StageGraph(
+            routed(stages=stages, counts=(2, 1)),
+            plan,
+            self.run,
+            lambda service, handles: self.freed.extend(handles),
+            lambda handle: "a",
+            self.is_over,
+        )
+
+
+class TestResults:
+    async def test_results_of_a_life_that_ended_are_made_again(self):
+        lives = Lives()
+        graph = lives.graph()
+        first_run = lives.run
+
+        async def restart_after_first_stage(service, given):
+            outcomes = await first_run(service, given)
+            if len(lives.made) == 1:
+                lives.current = SECOND
+            return outcomes
+
+        graph._run_pieces = restart_after_first_stage
+        assert await graph.run() == ("s1/0",)
+        assert [(service, life) for service, _, life, _ in lives.made] == [
+            ("a", FIRST),
+            ("a", SECOND),
+            ("b", SECOND),
+        ]
+
+    async def test_they_are_not_freed_where_the_next_life_may_hold_others(self):
+        lives = Lives()
+        graph = lives.graph()
+        await graph.run()
+        freed_before = list(lives.freed)
+        lives.current = SECOND
+        assert graph.outdated()
+        graph.release()
+        assert lives.freed == freed_before
+
+    async def test_those_of_the_current_life_are_freed(self):
+        lives = Lives()
+        graph = lives.graph()
+        await graph.run()
+        assert not graph.outdated()
+        graph.release()
+        assert "s1/0" in lives.freed
+
+
+class TestQueue:
+    async def test_inputs_of_a_life_that_ended_are_not_used(self):
+        service = Service(server("s1"))
+        service.ended.add(FIRST)
+        [piece] = pieces("r", inputs=("s1/1@a",))
+        piece.makers = (FIRST,)
+        [outcome] = await service.queue.run([piece])
+        assert outcome.trouble is PieceTrouble.INPUT_GONE
+        assert service.calls == []
+
+    async def test_a_result_tells_which_life_holds_it(self):
+        service = Service(server("s1"))
+        [outcome] = await service.queue.run(pieces("r"))
+        assert outcome.maker == service.servers[0].entry.life
+
+    async def test_the_use_of_one_life_is_not_that_of_the_next(self):
+        backends = Backends()
+        backends.update([entry(FIRST)])
+        service = Service(backends.by_id["s1"])
+        await service.queue.run(pieces("r", count=4, size=3_000_000))
+        held = service.queue._servers.use(service.servers[0]).held_bytes(0.0)
+        backends.update([entry(SECOND)])
+        service.servers[:] = [backends.by_id["s1"]]
+        use = service.queue._servers.use(service.servers[0])
+        assert held > 0 and use.held_bytes(0.0) == 0 and use.calls == 0
+
+
+def entry(life, address="127.0.0.1:1"):
+    return HostEntry(life.id, "portal", address, DataCentre("a"), started=life.started)
+
+
+class TestBackends:
+    def test_an_older_list_does_not_bring_an_earlier_life_back(self):
+        backends = Backends()
+        backends.update([entry(SECOND)])
+        known = backends.by_id["s1"]
+        backends.update([entry(FIRST)])
+        assert backends.by_id["s1"] is known
+
+
+class TestCalls:
+    """Calls that wait for a life that has ended end with it."""
+
+    @staticmethod
+    async def listening(answer):
+        """Return the address of a server that sends ``answer`` and then nothing."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await asyncio.sleep(30)
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        return listener, f"{host}:{port}"
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"",
+            b"HTTP/1.1 200 OK\r\nEelgrassward-Attempt-Id: id\r\n"
+            b"Eelgrassward-Engine-Signature: s\r\n\r\nid: 1\ndata: x\n\n",
+            b"HTTP/1.1 200 OK\r\nEelgrassward-Attempt-Id: id\r\nContent-Length: 99\r\n"
+            b"Eelgrassward-Engine-Signature: s\r\n\r\nid: 1\ndata: x\n\n",
+        ],
+        ids=["no-head", "body-without-length", "body-with-length"],
+    )
+    async def test_a_waiting_call_fails_at_once(self, answer):
+        listener, address = await self.listening(answer)
+        backends = Backends()
+        backends.update([entry(FIRST, address)])
+        request = routed(deadline_s=asyncio.get_running_loop().time() + 30.0)
+        call = EngineCall(
+            requests, request, backends.by_id["s1"], (), float("inf"), lambda: None
+        )
+        reading = asyncio.create_task(self.read_whole(call))
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        backends.update([entry(SECOND, address)])
+        async with asyncio.timeout(1.0):
+            with pytest.raises(CallFailed) as failed:
+                await reading
+        assert not failed.value.not_run
+        call.close()
+        listener.close()
+
+    @staticmethod
+    async def read_whole(call):
+        await call.open()
+        while await call.read_some(float("inf")):
+            pass
+
+
+class TestHandOff:
+    def test_lives_travel_with_the_pieces(self):
+        from eelgrass_node.connection import piece_handoff
+
+        piece = Piece("r", 1, 0, None, ("s1/0",), 2.0, 1.0, 0, 8, makers=(FIRST,))
+        [received] = piece_handoff._received(piece_handoff._sent([piece], 0.0), 0.0)
+        assert received.makers == (FIRST,)
--- a/packages/standins/src/eelgrass_standins/users_engines.py
+++ b/packages/standins/src/eelgrass_standins/users_engines.py
@@ -41,7 +41,7 @@
 
 
 class EngineStandIn:
-    """One backend server with the id ``server_id``.
+    """One backend server with the id ``server_id``; ``started`` tells its life.
 
     ``runs`` and ``pieces`` are what it has run, ``results`` what it holds, and
     ``made_by_handle`` tells the piece of which each result was made.
@@ -58,6 +58,7 @@
         self.results: set[str] = set()
         self.made_by_handle: dict[str, dict] = {}
         self.cancelled = 0
+        self.started = 1_700_000_000_000
         self._number = 0
 
     def application(self) -> web.Application:
@@ -68,6 +69,13 @@
         app.router.add_route("*", "/{path:.*}", self._handle)
         return app
 
+    def restart(self) -> None:
+        """Begin a new life: forget all results, and count them anew."""
+        self.started += 1
+        self.results = set()
+        self.made_by_handle = {}
+        self._number = 0
+
     def _take(self, *faults: EngineFault) -> EngineFault | None:
         if self.faults and self.faults[0] in faults:
             return self.faults.pop(0)
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -130,9 +130,12 @@
             "Service": service,
             "Address": address or engine.address,
             "Zone": "a",
+            "Version": "v1",
             "Slots": 6,
             "State": state,
             "Sequence": next(self._numbers),
+            "WarmupLeftMs": 0,
+            "born": engine.started,
         }
         self.store.put("servers", engine.server_id, entry)
 
--- /dev/null
+++ b/tests/support/pieces.py
@@ -0,0 +1,135 @@
+"""Servers, queues and requests with stages, as tests of load need them."""
+
+import asyncio
+
+from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.process.backends import Backend, HostEntry
+from eelgrass_node.process.piece_queue import PieceQueue
+from eelgrass_node.process.pieces import Piece, PieceOutcome
+from eelgrass_node.process.reach import DataCentreReach
+from eelgrass_node.request.arrival import Arrival, PromptShape, Routed
+from eelgrass_node.version.deployment import (
+    PieceLimits,
+    PieceStage,
+    Route,
+    RouteKind,
+    ServiceName,
+    WeightedService,
+)
+
+__all__ = ["CHAIN", "LARGE", "LIMITS", "Service", "now", "pieces", "routed", "server"]
+
+LARGE = 3_000_000
+# A tenth of the times on the sheets, so that tests are quick.
+LIMITS = PieceLimits(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_s=0.015,
+    piece_s=0.0032,
+    memory_bytes=21_000_000.0,
+    result_life_s=0.4,
+)
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+def server(name, data_centre="a"):
+    return Backend(
+        HostEntry(BackendId(name), "portal", f"{name}:1", DataCentre(data_centre))
+    )
+
+
+class Service:
+    """Servers that run pieces; ``behave`` may give outcomes of its own."""
+
+    def __init__(self, *servers, behave=None, may_repeat=True):
+        self.servers = list(servers)
+        self.calls = []
+        self.freed = []
+        self.ended = set()
+        self._behave = behave
+        self.reach = DataCentreReach(DataCentre("a"), now)
+        self.queue = PieceQueue(
+            "portal",
+            lambda: LIMITS,
+            lambda: self.servers,
+            self.reach,
+            lambda handle: handle.partition("@")[2],
+            self.ended.__contains__,
+            self._run,
+            lambda: may_repeat,
+            lambda service, waited_s: None,
+            self.freed.extend,
+        )
+
+    async def _run(self, backend, pieces, within_s):
+        self.calls.append((backend.entry.id, pieces))
+        if self._behave is not None:
+            outcomes = await self._behave(backend, pieces)
+            if outcomes is not None:
+                return outcomes
+        await asyncio.sleep(LIMITS.call_s + LIMITS.piece_s * len(pieces))
+        return [PieceOutcome(handle=f"{p.request_id}/{p.number}@a") for p in pieces]
+
+
+def pieces(request, count=1, in_s=1.0, size=8_000, priority=0, **fields):
+    return [
+        Piece(
+            request_id=request,
+            stage=0,
+            number=number,
+            key="key",
+            inputs=fields.get("inputs", ()),
+            deadline=now() + fields.get("deadline_s", 4.0),
+            due=now() + in_s,
+            priority=priority,
+            result_bytes=size,
+            near=fields.get("near", ""),
+        )
+        for number in range(count)
+    ]
+
+
+CHAIN = (
+    PieceStage(ServiceName("portal"), (), LARGE),
+    PieceStage(ServiceName("portal"), (), 8_000),
+    PieceStage(ServiceName("clerks"), (1,), 60_000),
+    PieceStage(ServiceName("archive"), (2,), 6_000),
+)
+
+
+def routed(stages=CHAIN, counts=(2, 1, 8, 16), target_s=3.3, deadline_s=15.0):
+    route = Route(
+        name="r",
+        host="h",
+        prefix="/r/",
+        kind=RouteKind.STREAM,
+        timeout_s=deadline_s,
+        target_s=target_s,
+        gap_target_s=0.8,
+        priority=1,
+        services=(WeightedService(ServiceName("readers")),),
+        max_attempts=2,
+        stages=stages,
+        public=False,
+        resumable=True,
+    )
+    arrival = Arrival(
+        request_id="id",
+        method="POST",
+        target="/r/x",
+        host="h",
+        headers=(),
+        body=b"",
+        arrived_at=0.0,
+        caller_deadline_s=deadline_s,
+        api_key=None,
+        last_event_id=None,
+        piece_counts=counts,
+        piece_key="key",
+        prompt=PromptShape(),
+    )
+    return Routed(arrival, route, ServiceName("readers"), None, deadline_s, target_s)
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -6,6 +6,7 @@
 import pytest_asyncio
 
 from eelgrass_node.exceptions import StoreUnavailable
+from eelgrass_node.process import platform_tables
 from eelgrass_node.process.table_relay import relay_of
 from eelgrass_standins.users_engines import EVENTS, EngineFault
 from support.entry import (
@@ -103,6 +104,54 @@
         assert entry.runs("desk") == []
 
 
+class TestLives:
+    """A server starts again under its id; it counts its results anew."""
+
+    @pytest.fixture(autouse=True)
+    def prompt_news(self, monkeypatch):
+        monkeypatch.setattr(platform_tables, "SERVERS_PAUSE_S", 0.01)
+
+    async def test_results_of_the_earlier_life_are_made_again(self, entry):
+        """A handle of the earlier life names another request's result by now."""
+        portal = entry.engines_by_service["portal"]
+        clerks = entry.engines_by_service["clerks"]
+        # They have no room until the news of the new lives has come.
+        fault(entry, "clerks", *[EngineFault.REFUSE] * 2)
+        asking = asyncio.create_task(
+            entry.ask("/stream/staged/x", request_id="first", **SEGMENTS)
+        )
+        await until(lambda: any(engine.pieces for engine in portal))
+        for engine in portal:
+            engine.restart()
+            entry.list_engine("portal", engine)
+        await entry.ask("/stream/staged/x", request_id="second", **SEGMENTS)
+        status, _, body = await asking
+        assert (status, body) == (200, WHOLE)
+        made = {handle: i for e in portal for handle, i in e.made_by_handle.items()}
+        for item in [i for e in clerks for i in e.made_by_handle.values()]:
+            used = [made[handle] for handle in item["Inputs"]]
+            assert [(u["Id"], u["Phase"]) for u in used] == [(item["Id"], 1)]
+
+    async def test_a_stream_of_the_earlier_life_goes_on_elsewhere(self, entry):
+        for engine in entry.engines_by_service["readers"]:
+            engine.event_s = 0.2
+        asking = asyncio.create_task(entry.ask("/stream/resumed/x"))
+        await until(lambda: entry.runs("readers"))
+        [serving] = [e for e in entry.engines_by_service["readers"] if e.runs]
+        serving.restart()
+        entry.list_engine("readers", serving)
+        status, _, body = await asking
+        assert (status, body) == (200, WHOLE)
+        assert len(entry.runs("readers")) == 2
+
+    async def test_entries_that_cannot_be_read_leave_the_others(self, entry):
+        for key, value in (("x1", b"\xff\x00"), ("x2", b'{"Service": 1}'), ("x3", b"")):
+            entry.store.put_raw("servers", key, value)
+        status, _, _ = await entry.ask("/safe/x")
+        assert status == 200
+        assert len(entry.nodes[0].backends.by_id) == 8
+
+
 class TestRepeats:
     async def test_an_idempotent_request_is_repeated_elsewhere(self, entry):
         fault(entry, "desk", EngineFault.CUT_BEFORE_HEAD)
