Pieces wait for a near server as long as it needs, and leave idle ones to their own

Cause: where pieces had no time left to wait, whichever idle server came first took them, though one near the use of their results was idle, too; goal-explainer's last stage nearly never had the 0.6 s that waiting asked for.

A piece now leaves a server to others where one near its use is idle with room, or will be free soon enough for it to be on time; late ones wait, too.

--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -219,13 +219,15 @@
         """Return whether a piece rather waits for a server nearer to its use."""
         if not piece.near or piece.near == server.entry.data_centre:
             return False
-        if piece.begun:
+        if piece.begun or now - piece.queued_at >= NEAR_PATIENCE_S:
             return False
-        if now - piece.queued_at >= NEAR_PATIENCE_S:
+        size = self._servers.size(piece) * min(piece.set_size, self._limits().batch)
+        wait_s = self._servers.wait_at(piece.near, size, now)
+        if wait_s > NEAR_PATIENCE_S:
             return False
-        if piece.due - now < NEAR_PATIENCE_S + 2 * self._servers.call_s(1):
-            return False
-        return self._servers.any_at(piece.near)
+        # One that is late anyway has the time; others must not become so.
+        end = now + wait_s + self._servers.call_s(self._limits().batch)
+        return wait_s == 0.0 or end <= piece.due or self._is_late(piece, now)
 
     def _order(
         self, piece: Piece, data_centre: str, now: float
--- a/packages/node/src/eelgrass_node/process/piece_servers.py
+++ b/packages/node/src/eelgrass_node/process/piece_servers.py
@@ -113,9 +113,22 @@
         useful = [server for server in idle if self._is_useful(server, waiting, now)]
         return sorted(useful, key=lambda server: self.use(server).slowness(now))
 
-    def any_at(self, data_centre: str) -> bool:
-        """Return whether a sound server is in a data centre."""
-        return any(s.entry.data_centre == data_centre for s in self.sound())
+    def wait_at(self, data_centre: str, size: float, now: float) -> float:
+        """Return the seconds until a sound server in a data centre is free.
+
+        An idle one without room for results of ``size`` bytes counts as one that
+        is not there; where there is none, the wait is infinite.
+        """
+        near = [s for s in self.sound() if s.entry.data_centre == data_centre]
+        return min(
+            (self._wait_for(server, size, now) for server in near), default=math.inf
+        )
+
+    def _wait_for(self, server: Backend, size: float, now: float) -> float:
+        use = self.use(server)
+        if use.calls >= self._limits().slots:
+            return max(0.0, use.free_at - now)
+        return 0.0 if self.room(server, now) >= size else math.inf
 
     def inputs_lost(self, piece: Piece) -> bool:
         """Return whether inputs of a piece are gone, or probably out of reach."""
--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -187,6 +187,40 @@
         used = {"a": "s1", "b": "s2"}[place]
         assert [call[0] for call in service.calls] == [used]
 
+    @pytest.mark.parametrize("in_s", [0.03, 0.0])
+    async def test_also_where_it_has_no_time_to_wait(self, in_s):
+        """The near server is idle, so that nothing has to wait.
+
+        Before, whichever idle server came first took a piece without time left,
+        and 2 to 4 GB of results went between data centres on a day.
+        """
+        service = Service(server("s1", "a"), server("s2", "b"))
+        runs = [service.queue.run(pieces(n, near=n, in_s=in_s)) for n in "bab"]
+        await asyncio.gather(*runs)
+        places = {p.near: name for name, given in service.calls for p in given}
+        assert places == {"a": "s1", "b": "s2"}
+
+    async def test_it_waits_for_a_busy_near_server_as_far_as_it_has_time(self):
+        full_call_s = LIMITS.call_s + LIMITS.piece_s * LIMITS.batch
+        for in_s, expected in ((3.5 * full_call_s, "s2"), (1.2 * full_call_s, "s1")):
+            service = Service(server("s1", "a"), server("s2", "b"))
+            busy = service.queue.run(pieces("busy", 4, near="b"))
+            busy = asyncio.create_task(busy)
+            await asyncio.sleep(0.001)
+            await service.queue.run(pieces("r", near="b", in_s=in_s))
+            [used] = {n for n, given in service.calls if given[0].request_id == "r"}
+            assert used == expected
+            await busy
+
+    async def test_an_idle_near_server_without_room_is_not_waited_for(self):
+        service = Service(server("s1", "a"), server("s2", "b"))
+        await service.queue.run(pieces("held", 4, near="b", size=LARGE))
+        await service.queue.run(pieces("more", 3, near="b", size=LARGE))
+        began = now()
+        await service.queue.run(pieces("r", 2, near="b", size=LARGE, in_s=0.03))
+        assert service.calls[-1][0] == "s1"
+        assert now() - began < 2 * LIMITS.call_s
+
 
 class TestSlowServer:
     async def test_it_gets_only_what_the_others_could_not_do_sooner(self):
