--- a/packages/node/src/eelgrass_node/request/arrival.py
+++ b/packages/node/src/eelgrass_node/request/arrival.py
@@ -9,7 +9,7 @@
 import msgspec
 from multidict import CIMultiDict
 
-from ..version.deployment import AccountGrant, Route, ServiceName
+from ..version.deployment import AccountGrant, Route, RouteKind, ServiceName
 
 __all__ = [
     "Arrival",
@@ -87,6 +87,20 @@
     deadline: float
     due: float
 
+    @property
+    def caller_leaves_at(self) -> float:
+        """When the caller gives up: at its deadline, or before the first event.
+
+        Callers of a stream wait for an event no longer than the longest of 2 s,
+        four times the target and eight times the longest pause (the users'
+        protocol).
+        """
+        if self.route.kind is not RouteKind.STREAM:
+            return self.deadline
+        route = self.route
+        wait_s = max(2.0, 4 * route.target_s, 8 * route.gap_target_s)
+        return min(self.deadline, self.arrival.arrived_at + wait_s)
+
     @property
     def priority(self) -> int:
         """The rank of the request; 0 is the most urgent."""
--- a/packages/node/src/eelgrass_node/request/planning.py
+++ b/packages/node/src/eelgrass_node/request/planning.py
@@ -80,7 +80,7 @@
     is told earlier can still come back.
     """
     arrived_at = routed.arrival.arrived_at
-    return arrived_at + GIVE_UP_FRACTION * (routed.deadline - arrived_at)
+    return arrived_at + GIVE_UP_FRACTION * (routed.caller_leaves_at - arrived_at)
 
 
 def _ends(
