A request is due from its caller's first try

Cause: callers that come back after a refusal went before those that can still be on time, though their time counts from their first try and most are late. Most callers of a route state the same time that they wait; one that states less has waited already. Without a usual figure nothing is concluded.

--- a/packages/node/src/eelgrass_node/request/accept.py
+++ b/packages/node/src/eelgrass_node/request/accept.py
@@ -14,6 +14,7 @@
 from .answering import CallerAnswer
 from .arrival import Arrival, Routed, WireCodec
 from .routed import ANSWER_MARGIN_S, RoutedRequest, ServingParts
+from .usual_deadline import UsualDeadlines
 
 __all__ = ["Acceptance"]
 
@@ -50,6 +51,7 @@
         self._stopping = stopping
         self._count = count
         self._random = random.Random()
+        self._usual_deadlines = UsualDeadlines()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -127,6 +129,7 @@
         wait_s = arrival.caller_deadline_s
         if wait_s is None:
             wait_s = DEFAULT_DEADLINE_S
+        waited_s = self._usual_deadlines.note(route.name, wait_s)
         limit_s = min(wait_s - ANSWER_MARGIN_S, route.timeout_s)
         return Routed(
             arrival=arrival,
@@ -134,7 +137,7 @@
             service=route.pick_service(self._random),
             account=account,
             deadline=arrival.arrived_at + max(0.0, limit_s),
-            due=arrival.arrived_at + route.target_s,
+            due=arrival.arrived_at + route.target_s - waited_s,
         )
 
     def _log_refused(
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -12,11 +12,17 @@
 from eelgrass_node.process.retry_window import OWNER_SHARE, USED_FRACTION, RetryWindows
 from eelgrass_node.request.events import EventSplitter
 from eelgrass_node.request.graph import StageGraph
-from eelgrass_node.request.planning import plan_stages, refuse_hopeless
+from eelgrass_node.request.planning import (
+    GIVE_UP_FRACTION,
+    plan_stages,
+    refuse_hopeless,
+)
+from eelgrass_node.request.usual_deadline import UsualDeadlines
 from eelgrass_node.version.deployment import (
     CallerLimits,
     Deployment,
     PieceLimits,
+    RouteKind,
     Service,
     ServiceName,
 )
@@ -66,6 +72,67 @@
         assert short.due_by_stage[3] == whole.due_by_stage[3]
 
 
+class TestPatience:
+    """Callers of a stream leave before their deadline if nothing comes."""
+
+    def test_stages_are_given_up_before_the_caller_leaves(self):
+        """With a target of 1.3 s callers leave after 5.2 s of their 10 s."""
+        request = routed(target_s=1.3, deadline_s=10.0)
+        assert request.caller_leaves_at == 6.4
+        plan = plan_stages(request, deployment(), "a")
+        assert max(plan.deadline_by_stage) < GIVE_UP_FRACTION * 6.4
+
+    @pytest.mark.parametrize(
+        ("target_s", "gap_s", "leaves_at"), [(0.1, 0.1, 2.0), (1.7, 0.5, 6.8)]
+    )
+    def test_it_is_the_longest_of_three(self, target_s, gap_s, leaves_at):
+        request = routed(target_s=target_s, gap_target_s=gap_s, deadline_s=10.0)
+        assert request.caller_leaves_at == pytest.approx(leaves_at)
+
+    def test_but_never_after_the_deadline(self):
+        assert routed(target_s=3.3, deadline_s=4.0).caller_leaves_at == 4.0
+
+    def test_callers_of_other_kinds_wait_until_their_deadline(self):
+        request = routed(target_s=0.1, deadline_s=9.0, kind=RouteKind.IDEMPOTENT)
+        assert request.caller_leaves_at == 9.0
+
+
+class TestUsualDeadlines:
+    """Refused callers come back; their time counts from their first try."""
+
+    def test_one_that_comes_back_has_waited_for_what_it_states_less(self):
+        usual = UsualDeadlines()
+        assert [usual.note("r", 10.0) for _ in range(5)] == [0.0] * 5
+        assert usual.note("r", 6.4) == pytest.approx(3.6)
+        assert usual.note("r", 10.0) == 0.0
+
+    def test_an_overload_in_which_more_come_back_than_come_first(self):
+        usual = UsualDeadlines()
+        waited = []
+        for number in range(200):
+            usual.note("r", 10.0)
+            waited.append(usual.note("r", 7.0 - (number % 50) / 31))
+        assert all(waited_s >= 3.0 for waited_s in waited[1:])
+
+    def test_callers_without_a_usual_figure_have_waited_for_nothing(self):
+        usual = UsualDeadlines()
+        assert not any(usual.note("r", 3.0 + n / 10) for n in range(100))
+
+    def test_a_new_usual_figure_is_taken_up(self):
+        """A configuration or its callers change; nothing is kept of before."""
+        usual = UsualDeadlines()
+        for _ in range(100):
+            usual.note("r", 10.0)
+        waited = [usual.note("r", 5.0) for _ in range(64)]
+        assert waited[-1] == 0.0 and usual.note("r", 4.0) == 1.0
+
+    def test_routes_do_not_share_it(self):
+        usual = UsualDeadlines()
+        for _ in range(5):
+            usual.note("r", 10.0)
+        assert usual.note("other", 5.0) == 0.0
+
+
 class TestHopeless:
     def loads(self, **load_by_service):
         loads = QueueLoads(Clock())
--- a/tests/support/pieces.py
+++ b/tests/support/pieces.py
@@ -101,15 +101,22 @@
 )
 
 
-def routed(stages=CHAIN, counts=(2, 1, 8, 16), target_s=3.3, deadline_s=15.0):
+def routed(
+    stages=CHAIN,
+    counts=(2, 1, 8, 16),
+    target_s=3.3,
+    deadline_s=15.0,
+    gap_target_s=0.8,
+    kind=RouteKind.STREAM,
+):
     route = Route(
         name="r",
         host="h",
         prefix="/r/",
-        kind=RouteKind.STREAM,
+        kind=kind,
         timeout_s=deadline_s,
         target_s=target_s,
-        gap_target_s=0.8,
+        gap_target_s=gap_target_s,
         priority=1,
         services=(WeightedService(ServiceName("readers")),),
         max_attempts=2,
