Members that start together agree within half a second

Cause: after a loss of all processes each node held all queues for itself for 3 s and more: seeds were greeted once, which is lost where they are not up yet, and a new member was told of with the next probes only.

Greetings are repeated until the seed is heard of; changes of members are pushed at once, those that come together in one message.

--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -39,6 +39,14 @@
 MAX_MARKS = 8
 DEAD_PROBE_PERIODS = 5
 FORGET_PERIODS = 7200
+# All members may start at once: a greeting is then lost where its seed is not up
+# yet. It is repeated so often, for so many intervals, until the seed is heard of.
+GREETINGS_PER_INTERVAL = 5
+GREETING_INTERVALS = 4
+# Changes of members are pushed at once, those that come within this part of an
+# interval together: a group that starts as a whole agrees on its members within
+# half an interval instead of four.
+PUSH_FRACTION = 0.05
 
 
 class Membership(asyncio.DatagramProtocol):
@@ -81,7 +89,8 @@
         self._dead_at: dict[NodeId, int] = {}
         self._period = 0
         self._transport: asyncio.DatagramTransport | None = None
-        self._task: asyncio.Task | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._push_timer: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Listen, greet the seeds and begin to probe."""
@@ -91,8 +100,10 @@
             lambda: self, local_addr=(host.strip("[]"), int(port))
         )
         self._note_update(self.own)
-        self._greet_seeds()
-        self._task = asyncio.create_task(self._run())
+        self._tasks = [
+            asyncio.create_task(self._join()),
+            asyncio.create_task(self._run()),
+        ]
 
     async def leave(self) -> None:
         """Tell others that this node leaves, then stop."""
@@ -103,9 +114,11 @@
 
     async def stop(self) -> None:
         """Stop without a word, as a crash would."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._push_timer is not None:
+            self._push_timer.cancel()
         if self._transport is not None:
             self._transport.close()
 
@@ -176,6 +189,17 @@
         if relayed is not None:
             self._send(relayed[0], MessageKind.ACK, relayed[1])
 
+    async def _join(self) -> None:
+        """Greet the seeds until each is heard of, or is given up for down."""
+        for _ in range(GREETINGS_PER_INTERVAL * GREETING_INTERVALS):
+            heard = {member.gossip for member in self.members.reachable()}
+            missing = [seed for seed in self._seeds if seed not in heard]
+            if not missing:
+                return
+            for seed in missing:
+                self._send(seed, MessageKind.PROBE)
+            await asyncio.sleep(self._interval_s / GREETINGS_PER_INTERVAL)
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -272,6 +296,7 @@
         elif member.state in (MemberState.DEAD, MemberState.LEFT):
             self._dead_at[member.id] = self._period
         if known is None or known.state is not member.state:
+            self._push_soon()
             self.on_change()
 
     def _refute_if_needed(self, said: Member) -> None:
@@ -291,6 +316,17 @@
     def _retransmissions(self) -> int:
         return 3 * math.ceil(math.log2(len(self.members.by_id) + 2))
 
+    def _push_soon(self) -> None:
+        """Push what has changed, with what else changes meanwhile."""
+        if self._push_timer is None:
+            loop = asyncio.get_running_loop()
+            wait_s = self._interval_s * PUSH_FRACTION
+            self._push_timer = loop.call_later(wait_s, self._push_changes)
+
+    def _push_changes(self) -> None:
+        self._push_timer = None
+        self._push()
+
     def _push(self) -> None:
         for member in self._sample(self.members.reachable(), FAN_OUT):
             self._send(member.gossip, MessageKind.NEWS)
--- a/packages/coordination/tests/test_membership.py
+++ b/packages/coordination/tests/test_membership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from eelgrass_coordination import Mark, Member, Membership, MemberState
+from eelgrass_coordination.membership import GREETING_INTERVALS
 from eelgrass_standins.ports import free_addresses
 
 INTERVAL_S = 0.1
@@ -111,6 +112,38 @@
             assert heard == [mark] * 5
             assert not group.members[0].announce_mark(Mark("leaving", "engine-1", 2))
 
+    async def test_a_group_that_starts_as_a_whole_agrees_within_an_interval(self):
+        """All hosts lose power and start again, the seeds after the others.
+
+        Until nodes agree on the members each holds the queues for itself, and
+        servers have no room; it took four intervals of a second.
+        """
+        addresses = free_addresses(8)
+        members = []
+        for number, address in enumerate(addresses):
+            own = Member(f"entry-{number}", "x", address, address, 1)
+            members.append(Membership(own, addresses[:2], interval_s=1.0))
+        for member in reversed(members):
+            await member.start()
+            await asyncio.sleep(0.04)
+        async with asyncio.timeout(0.8):
+            while any(len(m.members.reachable()) < 7 for m in members):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        for member in members:
+            await member.stop()
+
+    async def test_a_seed_that_is_down_is_not_greeted_for_ever(self):
+        down, address = free_addresses(2)
+        alone = Membership(
+            Member("entry-0", "x", address, address, 1), [down], INTERVAL_S
+        )
+        await alone.start()
+        await asyncio.sleep(GREETING_INTERVALS * INTERVAL_S * 1.5)
+        sent = alone.sent_messages
+        await asyncio.sleep(3 * INTERVAL_S)
+        assert alone.sent_messages - sent <= 1
+        await alone.stop()
+
     async def test_messages_do_not_grow_with_members(self):
         rates = []
         for count in (3, 12):
