Probes of its nodes tell whether a data centre is out of reach

Cause: in a cut each node found out with calls that went silent (0.15 to 0.95 s, a try each), in each data centre anew, and again after every doubt that ended by its time: 'stages: silent' until 2.5 s after the begin of a cut.

A silent call has the nodes there probed over the membership; where none of two or three answers in 0.15 s the data centre is in doubt until one does, and the others are probed as well: it may be this one that is cut off. A data centre of one node is judged as before.

--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -54,7 +54,8 @@
 
     ``on_revision`` is told of a revision with the member that has it and the
     age of its confirmation in seconds; ``on_mark`` of a mark the first time;
-    ``on_change`` whenever the set of members has changed.
+    ``on_change`` whenever the set of members has changed; ``on_ack`` of a member
+    that has answered a probe, which proves the way there and back.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self.on_revision: Callable[[Revision, Member, float], None] = _ignore
         self.on_mark: Callable[[Mark], None] = _ignore
         self.on_change: Callable[[], None] = _ignore
+        self.on_ack: Callable[[Member], None] = _ignore
         self.sent_messages = 0
         self.sent_bytes = 0
         self._seeds = [seed for seed in seeds if seed != own.gossip]
@@ -122,6 +124,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def probe(self, member: Member) -> None:
+        """Probe a member now; ``on_ack`` is told if it answers."""
+        self._send(member.gossip, MessageKind.PROBE, self._next_number())
+
     def announce_revision(self, revision: Revision) -> None:
         """Tell of a new configuration revision at once."""
         if revision > self.revision:
@@ -180,6 +186,7 @@
             self._send(message.target.gossip, MessageKind.PROBE, number)
         elif message.kind is MessageKind.ACK:
             self._note_ack(message.number)
+            self.on_ack(message.sender)
 
     def _note_ack(self, number: int) -> None:
         awaited = self._awaited.get(number)
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -36,6 +36,7 @@
 from .process.platform_tables import PlatformTables, TableNames
 from .process.queue_load import QueueLoads
 from .process.reach import DataCentreReach
+from .process.reach_checks import ReachChecks
 from .process.retry_window import RetryWindows
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
@@ -118,6 +119,14 @@
         )
         self.membership.on_change = self._members_changed
         self.membership.on_revision = self.catch_up.heard
+        self.checks = ReachChecks(
+            settings.data_centre,
+            self.reach,
+            lambda: list(self.membership.members.by_id.values()),
+            self.membership.probe,
+        )
+        self.membership.on_ack = self.checks.note_ack
+        self.reach.on_silent = self.checks.check
         self.tables = PlatformTables(
             TableNames(configuration.OPERATOR_TABLE, servers.SERVERS_TABLE),
             self.store,
@@ -193,6 +202,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.checks.stop()
         await self.membership.stop()
         for runner in self._runners:
             await runner.cleanup()
--- a/packages/node/src/eelgrass_node/process/reach.py
+++ b/packages/node/src/eelgrass_node/process/reach.py
@@ -31,12 +31,16 @@
 
 
 class DataCentreReach:
-    """What one node, in the data centre ``own``, believes of the others."""
+    """What one node, in the data centre ``own``, believes of the others.
+
+    ``on_silent`` is told of each data centre in which a call went silent.
+    """
 
     def __init__(self, own: DataCentre, clock: Callable[[], float]) -> None:
         self._own = own
         self._clock = clock
         self._by_data_centre: dict[str, _Place] = {}
+        self.on_silent: Callable[[str], None] = lambda data_centre: None
 
     def note_silent(self, data_centre: str, name: str) -> None:
         """Note that a server or node there did not answer in time."""
@@ -53,6 +57,12 @@
         if len(recent) >= needed and place.doubted_until <= now:
             place.doubted_until = now + place.doubt_s
             place.doubt_s = min(MAX_DOUBT_S, place.doubt_s * 2)
+        self.on_silent(data_centre)
+
+    def doubt(self, data_centre: str, for_s: float) -> None:
+        """Doubt a data centre for so long, unless something there answers."""
+        place = self._by_data_centre.setdefault(data_centre, _Place())
+        place.doubted_until = max(place.doubted_until, self._clock() + for_s)
 
     def note_answer(self, data_centre: str) -> None:
         """Note that a server or node there answered."""
--- /dev/null
+++ b/packages/node/tests/test_reach_checks.py
@@ -0,0 +1,96 @@
+"""Whether a data centre is out of reach, told by probes of its nodes."""
+
+import asyncio
+
+import pytest
+
+from eelgrass_coordination.ids import DataCentre
+from eelgrass_node.process import reach_checks
+from eelgrass_node.process.reach import FIRST_DOUBT_S, DataCentreReach
+from eelgrass_node.process.reach_checks import ReachChecks
+from support.members import member
+
+NODES = {"a": ("a1", "a2"), "b": ("b1", "b2", "b3"), "c": ("c1", "c2"), "d": ("d1",)}
+
+
+class Network:
+    """Nodes in four data centres, seen from one in ``a``; some are cut off."""
+
+    def __init__(self):
+        self.cut = set()
+        self.probed = []
+        self.members = [member(n, dc) for dc, names in NODES.items() for n in names]
+        loop = asyncio.get_running_loop()
+        self.reach = DataCentreReach(DataCentre("a"), loop.time)
+        self.checks = ReachChecks("a", self.reach, lambda: self.members, self.probe)
+        self.reach.on_silent = self.checks.check
+
+    def probe(self, to):
+        self.probed.append(to.id)
+        if to.data_centre not in self.cut:
+            asyncio.get_running_loop().call_soon(self.checks.note_ack, to)
+
+    def doubted(self):
+        return {dc for dc in NODES if self.reach.in_doubt(dc)}
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(reach_checks, "ANSWER_S", 0.02)
+    monkeypatch.setattr(reach_checks, "AGAIN_S", 0.03)
+
+
+class TestReachChecks:
+    async def test_one_silent_call_says_nothing_where_nodes_answer(self):
+        network = Network()
+        network.reach.note_silent("b", "server")
+        await asyncio.sleep(0.1)
+        assert network.doubted() == set()
+        assert len(network.probed) <= reach_checks.MOST_PROBED
+
+    async def test_one_silent_call_is_enough_where_no_node_answers(self):
+        """Each call that found out for itself took up to a second and a try."""
+        network = Network()
+        network.cut = {"b"}
+        network.reach.note_silent("b", "server")
+        await asyncio.sleep(0.03)
+        assert network.doubted() == {"b"}
+
+    async def test_a_node_that_is_cut_off_itself_doubts_all_others(self):
+        network = Network()
+        network.cut = {"b", "c", "d"}
+        network.reach.note_silent("b", "server")
+        await asyncio.sleep(0.05)
+        assert network.doubted() >= {"b", "c"}
+
+    async def test_the_doubt_lasts_until_a_node_answers(self):
+        """A doubt that ended by its time cost the same silent calls again."""
+        network = Network()
+        network.cut = {"b"}
+        network.reach.note_silent("b", "server")
+        for _ in range(20):
+            await asyncio.sleep(0.03)
+            assert network.doubted() == {"b"}
+        network.cut = set()
+        await asyncio.sleep(0.07)
+        assert network.doubted() == set()
+        probed = len(network.probed)
+        await asyncio.sleep(0.1)
+        assert len(network.probed) == probed
+
+    async def test_one_node_is_too_few_to_judge_by(self):
+        """It may be down or suspended while the servers beside it are well."""
+        network = Network()
+        network.cut = {"d"}
+        network.reach.note_silent("d", "server")
+        await asyncio.sleep(0.1)
+        assert network.doubted() == set()
+        network.reach.note_silent("d", "another")
+        assert network.doubted() == {"d"}
+        assert FIRST_DOUBT_S < 2.0
+
+    async def test_the_own_data_centre_is_not_checked(self):
+        network = Network()
+        network.checks.check("a")
+        await asyncio.sleep(0.03)
+        assert network.probed == []
