Refused callers come back after as long as the overload has lasted

Nobody knows how long an overload lasts; one that has lasted for some time is expected to last as long again. The owner of a queue tells it with its load, also to the door.

Deployments of tests stand in one place.

--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -16,6 +16,7 @@
 from ..log import Part, log
 from ..version.deployment import PieceLimits
 from .backends import Backend, ServerLife
+from .overload import Overload
 from .piece_batch import take_batch
 from .piece_servers import FAILURES, PieceServers
 from .pieces import Piece, PieceOutcome, PieceTrouble
@@ -80,6 +81,7 @@
         self._note_wait = note_wait
         self._free_results = free_results
         self._waiting = WaitingSets()
+        self._overload = Overload()
         self._tasks: set[asyncio.Task] = set()
         self._fill_timer: asyncio.TimerHandle | None = None
 
@@ -133,7 +135,8 @@
         for priority in sorted(priorities):
             ahead += priorities[priority]
             waits.append((priority, round(self._servers.expected_wait(ahead, now), 3)))
-        return QueueLoad(tuple(waits), round(late * piece_s, 3))
+        lasted_s = self._overload.lasted_s(now)
+        return QueueLoad(tuple(waits), round(late * piece_s, 3), round(lasted_s, 3))
 
     def fill(self) -> None:
         """Start calls at idle servers, as far as pieces wait."""
@@ -177,8 +180,13 @@
         late_s = self.load().late_s
         if end <= first.deadline and late_s < LATE_BACKLOG_S:
             return None
+        self._overload.note_refusal(now)
         wait_s = max(wait_s, late_s)
-        after_s = max(MIN_RETRY_AFTER_S, min(wait_s, first.deadline - now))
+        after_s = max(
+            MIN_RETRY_AFTER_S,
+            min(wait_s, first.deadline - now),
+            self._overload.lasted_s(now),
+        )
         return PieceOutcome(trouble=PieceTrouble.OVERLOADED, retry_after_s=after_s)
 
     def _ahead_of(self, first: Piece) -> int:
@@ -189,7 +197,12 @@
         shortest = self._servers.call_s(1)
         for pieces in self._waiting:
             if pieces[0].deadline - now < shortest:
-                self._settle_all(pieces, PieceOutcome(trouble=PieceTrouble.LATE))
+                self._overload.note_refusal(now)
+                outcome = PieceOutcome(
+                    trouble=PieceTrouble.LATE,
+                    retry_after_s=self._overload.lasted_s(now),
+                )
+                self._settle_all(pieces, outcome)
             elif self._servers.inputs_lost(pieces[0]):
                 # Their inputs are out of reach; they can be made again here.
                 self._settle_all(pieces, PieceOutcome(trouble=PieceTrouble.INPUT_GONE))
--- a/packages/node/src/eelgrass_node/process/queue_load.py
+++ b/packages/node/src/eelgrass_node/process/queue_load.py
@@ -24,11 +24,13 @@
 
     ``wait_by_priority`` holds, in ascending order of the priority number, the
     wait of a newcomer that can still be on time; ``late_s`` is the work of those
-    that wait and are late already.
+    that wait and are late already. ``overload_s`` is how long requests have been
+    refused there without a pause.
     """
 
     wait_by_priority: tuple[tuple[int, float], ...] = ()
     late_s: float = 0.0
+    overload_s: float = 0.0
 
     def wait_s(self, priority: int) -> float:
         """Return the wait of a newcomer of that priority."""
@@ -57,6 +59,11 @@
         known = (self._known(service) for service in services)
         return max((load.late_s * weight for load, weight in known), default=0.0)
 
+    def overload_s(self, services: Iterable[ServiceName]) -> float:
+        """Return how long the worst of some services has been overloaded."""
+        known = (self._known(service) for service in services)
+        return max((load.overload_s * weight for load, weight in known), default=0.0)
+
     def _known(self, service: ServiceName) -> tuple[QueueLoad, float]:
         heard = self._heard_by_service.get(service)
         if heard is None:
--- a/packages/node/src/eelgrass_node/request/planning.py
+++ b/packages/node/src/eelgrass_node/request/planning.py
@@ -74,7 +74,8 @@
     late_s = loads.late_s(stage.service for stage in routed.route.stages)
     if end <= _give_up_at(routed) and late_s < LATE_BACKLOG_S:
         return None
-    return max(late_s, end - routed.due)
+    overload_s = loads.overload_s(stage.service for stage in routed.route.stages)
+    return max(late_s, end - routed.due, overload_s)
 
 
 def _give_up_at(routed: Routed) -> float:
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -22,17 +22,11 @@
 )
 from eelgrass_node.request.usual_deadline import UsualDeadlines
 from eelgrass_node.version.deployment import (
-    CallerLimits,
-    Deployment,
-    PieceLimits,
     RouteKind,
-    Service,
     ServiceName,
 )
 from support.members import member
-from support.pieces import routed
-
-PORTAL, CLERKS, ARCHIVE = (ServiceName(n) for n in ("portal", "clerks", "archive"))
+from support.pieces import ARCHIVE, CLERKS, deployment, routed
 
 FINAL_S = 0.35
 
@@ -45,19 +39,6 @@
         return self.now
 
 
-def limits(batch, piece_s, memory=21e6):
-    return PieceLimits(1, 2, batch, 0.15, piece_s, memory, 4.0)
-
-
-def deployment():
-    by_name = {
-        PORTAL: Service(PORTAL, 100, pieces=limits(4, 0.032)),
-        CLERKS: Service(CLERKS, 100, pieces=limits(15, 0.0085)),
-        ARCHIVE: Service(ARCHIVE, 100, pieces=limits(30, 0.0043)),
-    }
-    return Deployment(1, {}, by_name, {}, False, CallerLimits(1 << 20, 15.0))
-
-
 class TestPlan:
     def test_earlier_stages_are_due_before_later_ones(self):
         plan = plan_stages(routed(), deployment(), "a", FINAL_S)
--- a/tests/support/pieces.py
+++ b/tests/support/pieces.py
@@ -9,16 +9,33 @@
 from eelgrass_node.process.reach import DataCentreReach
 from eelgrass_node.request.arrival import Arrival, PromptShape, Routed
 from eelgrass_node.version.deployment import (
+    CallerLimits,
+    Deployment,
     PieceLimits,
     PieceStage,
     Route,
     RouteKind,
+    Service as DeployedService,
     ServiceName,
     WeightedService,
 )
 
-__all__ = ["CHAIN", "LARGE", "LIMITS", "Service", "now", "pieces", "routed", "server"]
-
+__all__ = [
+    "ARCHIVE",
+    "CHAIN",
+    "CLERKS",
+    "LARGE",
+    "LIMITS",
+    "PORTAL",
+    "Service",
+    "deployment",
+    "now",
+    "pieces",
+    "routed",
+    "server",
+]
+
+PORTAL, CLERKS, ARCHIVE = (ServiceName(n) for n in ("portal", "clerks", "archive"))
 LARGE = 3_000_000
 # A tenth of the times on the sheets, so that tests are quick.
 LIMITS = PieceLimits(
@@ -140,3 +157,16 @@
         prompt=PromptShape(),
     )
     return Routed(arrival, route, ServiceName("readers"), None, deadline_s, target_s)
+
+
+def _limits(batch, piece_s, memory=21e6):
+    return PieceLimits(1, 2, batch, 0.15, piece_s, memory, 4.0)
+
+
+def deployment():
+    by_name = {
+        PORTAL: DeployedService(PORTAL, 100, pieces=_limits(4, 0.032)),
+        CLERKS: DeployedService(CLERKS, 100, pieces=_limits(15, 0.0085)),
+        ARCHIVE: DeployedService(ARCHIVE, 100, pieces=_limits(30, 0.0043)),
+    }
+    return Deployment(1, {}, by_name, {}, False, CallerLimits(1 << 20, 15.0))
