--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -48,7 +48,7 @@
 from .request.final_times import FinalTimes
 from .request.graph import StagePlan
 from .request.planning import plan_stages, refuse_hopeless
-from .request.routed import ServingParts
+from .request.serving_parts import ServingParts
 from .version.deployment import ServiceName
 
 __all__ = ["EntryNode"]
--- a/packages/node/src/eelgrass_node/log_pipe.py
+++ b/packages/node/src/eelgrass_node/log_pipe.py
@@ -20,7 +20,13 @@
 LINES_PER_S = 100
 MAX_KEPT_BYTES = 1 << 18
 # Kinds of lines that are never left out for their number.
-UNBOUNDED = frozenset(("requests: Refused.", "requests: The deadline passed."))
+UNBOUNDED = frozenset(
+    (
+        "requests: Refused.",
+        "requests: The deadline passed.",
+        "requests: The caller left.",
+    )
+)
 
 
 class LogPipe:
--- a/packages/node/src/eelgrass_node/request/accept.py
+++ b/packages/node/src/eelgrass_node/request/accept.py
@@ -13,7 +13,8 @@
 from ..version.deployment import AccountGrant, Deployment, Route
 from .answering import CallerAnswer
 from .arrival import Arrival, Routed, WireCodec
-from .routed import ANSWER_MARGIN_S, RoutedRequest, ServingParts
+from .routed import ANSWER_MARGIN_S, RoutedRequest
+from .serving_parts import ServingParts
 from .usual_deadline import UsualDeadlines
 
 __all__ = ["Acceptance"]
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -6,28 +6,23 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from enum import Enum
 
-import msgspec
 from aiohttp import web
 
 from ..exceptions import CallerGone, CallFailed, RequestRefused, StagesFailed
 from ..log import Part, log
 from ..process.backends import Backend, ServerLife
-from ..process.metrics import Metrics
-from ..process.reach import DataCentreReach
-from ..process.retry_window import RetryWindows
-from ..version.deployment import RouteKind, ServiceName
+from ..version.deployment import RouteKind
 from .answering import CallerAnswer
-from .arrival import EngineHead, Routed, WireCodec
+from .arrival import EngineHead, Routed
 from .events import EventSplitter
 from .exchange import EngineCall, Reply
-from .final_times import FinalTimes
-from .graph import RunPieces, StageGraph, StagePlan
+from .graph import StageGraph
 from .reasons import RetryReason
+from .serving_parts import ServingParts
 
-__all__ = ["RoutedRequest", "ServingParts"]
+__all__ = ["ANSWER_MARGIN_S", "RoutedRequest"]
 
 # Calls that a server refuses unrun, or that never reached one, a request.
 MAX_REFUSED_CALLS = 4
@@ -64,38 +59,6 @@
     ANSWER = "answer"
 
 
-class ServingParts(msgspec.Struct, frozen=True):
-    """What the process lends to a request.
-
-    ``choose`` picks a server of a service for a prompt with a shared part and
-    its tokens, rather not one of those tried and near its large inputs, and
-    ``warm_engine`` another that holds the part already. ``data_centre_of`` tells
-    where the result of a handle lies, and ``is_over`` whether a life of a server
-    has ended. ``plan`` says when the stages of a request should be done;
-    ``refuse_hopeless`` returns when to come back where they cannot be done in
-    time.
-    """
-
-    codec: WireCodec
-    choose: Callable[
-        [ServiceName, str | None, int, frozenset[ServerLife], str], Backend | None
-    ]
-    warm_engine: Callable[[Backend, str | None, int], Backend | None]
-    data_centre_of: Callable[[str], str]
-    is_over: Callable[[ServerLife], bool]
-    plan: Callable[[Routed], StagePlan]
-    refuse_hopeless: Callable[[Routed], float | None]
-    run_pieces: RunPieces
-    free_results: Callable[[ServiceName, list[str]], None]
-    final_times: FinalTimes
-    retries: RetryWindows
-    reach: DataCentreReach
-    note_load: Callable[[Backend, EngineHead], None]
-    server_gone: Callable[[Backend], None]
-    count: Callable[[str], None]
-    metrics: Metrics
-
-
 class RoutedRequest:
     """One request on its way; :meth:`serve` returns its answer."""
 
