Nodes tell each other of servers that fail, and older successes end no suspicion

Cause: an engine that resets nearly half of its requests was never left alone: a success of a call that had begun before the failure ended the suspicion at once; each of the nodes found out for itself, with streams that cannot be repeated; and five streams cut by one crash put a server aside for 16 s.

A call counts against a suspicion only if it began after it; calls that fail together are one failure; failures are forgotten after ten seconds without one, and told to the other nodes as marks of the membership.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -27,6 +27,7 @@
 from .process.backends import Backend, Backends
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
+from .process.failing_servers import FailingServers
 from .process.host_settings import HostSettings
 from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
@@ -126,6 +127,10 @@
             lambda: list(self.membership.members.by_id.values()),
             self.membership.probe,
         )
+        self.failing = FailingServers(
+            self.backends, self.membership.announce_mark, _unix_ms
+        )
+        self.membership.on_mark = self.failing.hear
         self.membership.on_ack = self.checks.note_ack
         self.reach.on_silent = self.checks.check
         self.tables = PlatformTables(
@@ -246,6 +251,7 @@
             reach=self.reach,
             note_load=_note_load,
             server_gone=self._server_replaced,
+            server_fails=self.failing.note_failure,
             count=self.counters.count,
             metrics=self.metrics,
         )
@@ -359,6 +365,10 @@
         self.server_list.forget(backend.entry.life)
 
 
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def _note_load(backend: Backend, head) -> None:
     if head.load is not None:
         running, waiting, _ = head.load
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -20,6 +20,9 @@
 WINDOW_DECREASE = 0.9
 FIRST_SUSPICION_S = 1.0
 MAX_SUSPICION_S = 16.0
+# A server without failures for this long begins with the first suspicion again;
+# one that fails part of its calls succeeds in between.
+FORGIVEN_S = 10.0
 # How long a load that a server told is worth more than our own counts: the
 # usual request takes about half of this.
 TOLD_LOAD_S = 1.5
@@ -83,6 +86,7 @@
         self.listed_at = float("-inf")
         self.window = 1.0
         self.suspect_until = 0.0
+        self._suspected_at = float("-inf")
         self._full_until = 0.0
         self._failures = 0
         self.call_s = MovingAverage(0.0)
@@ -92,10 +96,19 @@
         self._in_flight_then = 0
 
     def suspect(self) -> None:
-        """Prefer other servers for a while, twice as long after each failure."""
+        """Prefer other servers for a while, twice as long after each failure.
+
+        Calls that fail together, as those of a server that ends, are one failure.
+        """
+        now = asyncio.get_running_loop().time()
+        if now < self.suspect_until:
+            return
+        if now - self._suspected_at > FORGIVEN_S:
+            self._failures = 0
         suspicion_s = min(MAX_SUSPICION_S, FIRST_SUSPICION_S * 2**self._failures)
         self._failures += 1
-        self.suspect_until = asyncio.get_running_loop().time() + suspicion_s
+        self._suspected_at = now
+        self.suspect_until = now + suspicion_s
 
     def note_call(self, took_s: float) -> None:
         """Take in how long a call took, in seconds."""
@@ -144,10 +157,15 @@
         self._full_until = asyncio.get_running_loop().time() + pause_s
         return pause_s
 
-    def note_taken(self) -> None:
-        """End a suspicion, and let the window grow by one for each full window."""
-        self._failures = 0
-        self.suspect_until = 0.0
+    def note_taken(self, took_s: float = 0.0) -> None:
+        """End a suspicion, and let the window grow by one for each full window.
+
+        A call that began before the suspicion, ``took_s`` seconds ago, says
+        nothing against it.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - took_s >= self._suspected_at:
+            self.suspect_until = 0.0
         self.window = min(float(self.entry.limit), self.window + 1 / self.window)
 
 
--- a/packages/node/src/eelgrass_node/process/piece_servers.py
+++ b/packages/node/src/eelgrass_node/process/piece_servers.py
@@ -158,7 +158,7 @@
                 server.suspect()
             self._log_call("A call failed.", server, batch, outcomes, took_s)
             return
-        server.note_taken()
+        server.note_taken(took_s)
         if PieceTrouble.NO_ROOM in troubles:
             self._note_full(use)
             self._log_call("No room for results.", server, batch, outcomes, took_s)
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -187,7 +187,7 @@
             self._parts.reach.note_answer(backend.entry.data_centre)
             self._parts.note_load(backend, head)
             if routed.route.kind is RouteKind.STREAM and head.status < 300:
-                return await self._relay(call, head, backend)
+                return await self._relay(call, head, backend, began)
             reply = Reply(head, await call.read())
         finally:
             self._cancel_release()
@@ -196,7 +196,7 @@
             self._last_reply = reply
             raise CallFailed(RetryReason.BACKEND_ERROR, not_run=False)
         backend.note_call(_now() - began)
-        backend.note_taken()
+        backend.note_taken(_now() - began)
         self._log_answered(backend, head)
         return self._answer.whole(reply)
 
@@ -218,7 +218,7 @@
             self._fetched = None
 
     async def _relay(
-        self, call: EngineCall, head: EngineHead, backend: Backend
+        self, call: EngineCall, head: EngineHead, backend: Backend, began: float
     ) -> web.StreamResponse:
         await self._answer.begin(head)
         gap_s = STREAM_GAP_S if self._routed.route.resumable else float("inf")
@@ -231,7 +231,7 @@
             await self._answer.write(self._events.feed(data))
         if self._events.partial:
             raise CallFailed(RetryReason.STREAM_CUT, not_run=False)
-        backend.note_taken()
+        backend.note_taken(_now() - began)
         self._log_answered(backend, head)
         return await self._answer.end()
 
@@ -247,6 +247,8 @@
             self._parts.server_gone(backend)
         elif failed.reason in _SUSPICIOUS:
             backend.suspect()
+            if failed.reason in _FAILING:
+                self._parts.server_fails(backend)
         if failed.reason is RetryReason.CONNECTION_SILENT:
             backend.connections.replace()
         if failed.reason in _SILENCES:
@@ -348,6 +350,8 @@
     )
 )
 
+# These say that the server fails, and not the way to it: other nodes are told.
+_FAILING = frozenset((RetryReason.CONNECTION_LOST, RetryReason.BAD_ANSWER))
 _UNCONNECTED = frozenset((RetryReason.CONNECT_FAILED, RetryReason.CONNECT_SILENT))
 _SILENCES = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
 
--- a/packages/node/src/eelgrass_node/request/serving_parts.py
+++ b/packages/node/src/eelgrass_node/request/serving_parts.py
@@ -44,5 +44,6 @@
     reach: DataCentreReach
     note_load: Callable[[Backend, EngineHead], None]
     server_gone: Callable[[Backend], None]
+    server_fails: Callable[[Backend], None]
     count: Callable[[str], None]
     metrics: Metrics
--- /dev/null
+++ b/packages/node/tests/test_failing_servers.py
@@ -0,0 +1,118 @@
+"""Servers that fail part of their requests: how long they are left alone."""
+
+import asyncio
+import random
+
+import pytest
+
+from eelgrass_coordination import Mark
+from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.process import backends as backends_module
+from eelgrass_node.process.backends import Backends, HostEntry
+from eelgrass_node.process.failing_servers import MARK_KIND, FailingServers
+
+FIRST_S = 0.04
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(backends_module, "FIRST_SUSPICION_S", FIRST_S)
+
+
+def known(*names):
+    backends = Backends()
+    place = DataCentre("a")
+    backends.update(
+        [HostEntry(BackendId(name), "readers", f"{name}:1", place) for name in names]
+    )
+    return backends
+
+
+class TestSuspicion:
+    async def test_calls_that_fail_together_are_one_failure(self):
+        """Five streams of an engine that ends put it aside for 16 s before."""
+        [backend] = known("e1").by_id.values()
+        for _ in range(5):
+            backend.suspect()
+        assert backend.suspect_until - now() <= FIRST_S
+
+    async def test_an_older_call_that_succeeds_ends_no_suspicion(self):
+        """Of an engine that fails half of its requests the others succeed."""
+        [backend] = known("e1").by_id.values()
+        backend.suspect()
+        backend.note_taken(took_s=0.5)
+        assert backend.suspect_until > now()
+        await asyncio.sleep(0.01)
+        backend.note_taken(took_s=0.005)
+        assert backend.suspect_until <= now()
+
+    async def test_successes_in_between_do_not_make_a_failing_server_sound(self):
+        [backend] = known("e1").by_id.values()
+        pauses = []
+        for _ in range(4):
+            backend.suspect()
+            pauses.append(backend.suspect_until - now())
+            await asyncio.sleep(pauses[-1] + 0.01)
+            backend.note_taken(took_s=0.001)
+        assert pauses[-1] > 6 * pauses[0]
+
+    async def test_failures_of_long_ago_are_forgiven(self, monkeypatch):
+        monkeypatch.setattr(backends_module, "FORGIVEN_S", 0.05)
+        [backend] = known("e1").by_id.values()
+        for _ in range(3):
+            backend.suspect()
+            await asyncio.sleep(0.1)
+        backend.suspect()
+        assert backend.suspect_until - now() <= FIRST_S
+
+
+class Nodes:
+    """Some nodes that hear each other's marks at once."""
+
+    def __init__(self, count):
+        self.backends = [known("grey", "sound") for _ in range(count)]
+        self.time_ms = 0
+        self.failing = [
+            FailingServers(each, self.announce, self.clock) for each in self.backends
+        ]
+
+    def clock(self):
+        self.time_ms += 1
+        return self.time_ms
+
+    def announce(self, mark):
+        for failing in self.failing:
+            failing.hear(mark)
+        return True
+
+
+class TestTelling:
+    async def test_a_failure_at_one_node_spares_the_others(self):
+        """A server that resets 45 of 100 requests, before eight nodes.
+
+        Each found out for itself, with a request that could not be repeated.
+        """
+        draw = random.Random(3)
+        lost = {True: 0, False: 0}
+        for telling in lost:
+            nodes = Nodes(8)
+            for _ in range(200):
+                at = draw.randrange(8)
+                grey = nodes.backends[at].by_id["grey"]
+                if grey.suspect_until <= now() and draw.random() < 0.45:
+                    lost[telling] += 1
+                    grey.suspect()
+                    if telling:
+                        nodes.failing[at].note_failure(grey)
+                await asyncio.sleep(0.001)
+        assert lost[True] <= lost[False] / 2
+
+    async def test_marks_of_other_kinds_and_unknown_servers_are_nothing(self):
+        nodes = Nodes(1)
+        for mark in (Mark("leaving", "grey", 1), Mark(MARK_KIND, "unknown", 2)):
+            nodes.failing[0].hear(mark)
+        assert nodes.backends[0].by_id["grey"].suspect_until == 0.0
