Measured times cannot shut a route, doubts end, callers are told a time that they have

A route whose engines were slow once could keep more time for them than there was until its stages are given up: all requests would be refused, and no answer would tell of better times. A data centre whose nodes are gone for good would have been doubted for as long as they stay away, though its servers are well. A failure of an earlier life of a server counted against the next one. A caller could be told to come back when its deadline has passed.

--- a/packages/node/src/eelgrass_node/process/failing_servers.py
+++ b/packages/node/src/eelgrass_node/process/failing_servers.py
@@ -45,5 +45,8 @@
         backend = self._backends.by_id.get(BackendId(mark.name))
         if mark.kind != MARK_KIND or backend is None:
             return
+        if mark.number < backend.entry.started:
+            # It failed in an earlier life.
+            return
         log(Part.HOSTS, "Another node says that a server fails.", backend=mark.name)
         backend.suspect()
--- a/packages/node/src/eelgrass_node/process/reach_checks.py
+++ b/packages/node/src/eelgrass_node/process/reach_checks.py
@@ -29,6 +29,9 @@
 # one data centre are seldom frozen together.
 MOST_PROBED = 3
 LEAST_PROBED = 2
+# Cuts last some 5 s. After this long calls may try again: the nodes there may be
+# gone for good while its servers are well.
+MAX_DOUBT_S = 8.0
 
 
 class ReachChecks:
@@ -75,7 +78,7 @@
             return
         for other in {member.data_centre for member in self._members()}:
             self.check(other)
-        while True:
+        for _ in range(round(MAX_DOUBT_S / AGAIN_S)):
             self._reach.doubt(data_centre, 2 * AGAIN_S)
             if await self._answers(data_centre, AGAIN_S):
                 return
--- a/packages/node/src/eelgrass_node/request/planning.py
+++ b/packages/node/src/eelgrass_node/request/planning.py
@@ -14,6 +14,10 @@
 # The part of a request's time after which its stages are given up.
 GIVE_UP_FRACTION = 0.75
 UNKNOWN_STAGE_S = 0.3
+# The time kept for the request itself is at most this part of the time until its
+# stages are given up: else engines that were slow once would have all requests
+# refused, and nobody would learn that they are well again.
+MAX_FINAL_FRACTION = 0.5
 
 
 def plan_stages(
@@ -24,6 +28,7 @@
     ``final_s`` is the time kept for the request itself after its stages.
     """
     stages = routed.route.stages
+    final_s = _kept_s(routed, final_s)
     took_s = [
         expected_s(deployment.service_by_name.get(stage.service))
         if routed.arrival.pieces_of(number)
@@ -55,7 +60,7 @@
                 service
             )
         ends.append(begins)
-    return max(ends, default=arrived_at) + final_s
+    return max(ends, default=arrived_at) + _kept_s(routed, final_s)
 
 
 def refuse_hopeless(
@@ -78,6 +83,12 @@
     return max(late_s, end - routed.due, overload_s)
 
 
+def _kept_s(routed: Routed, final_s: float) -> float:
+    """Return the time to keep for a request after its stages."""
+    whole_s = _give_up_at(routed) - routed.arrival.arrived_at
+    return min(final_s, MAX_FINAL_FRACTION * whole_s)
+
+
 def _give_up_at(routed: Routed) -> float:
     """Return until when the stages of a request are worth waiting for.
 
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -44,6 +44,9 @@
 # heartbeat of 1.2 s, and a place comes free within a call or two.
 RETRY_NO_SERVER_S = 0.5
 RETRY_FULL_S = 0.4
+# Callers wait at most a third of the time that they have left (the users'
+# protocol); what they are told is spread upwards by up to a third.
+RETRY_FRACTION = 0.25
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -305,7 +308,9 @@
             self._parts.count("refusal.may-have-run")
             return self._answer.refusal(HTTP_BAD_GATEWAY, refused.reason)
         self._parts.count("refusal.not-run")
-        retry_after_s = refused.retry_after_s or RETRY_FULL_S
+        # A caller that is told to come back later than this cannot be served.
+        latest_s = RETRY_FRACTION * (self._routed.deadline - _now())
+        retry_after_s = min(refused.retry_after_s or RETRY_FULL_S, max(0.0, latest_s))
         return self._answer.refusal(HTTP_UNAVAILABLE, refused.reason, retry_after_s)
 
     def _log_answered(self, backend: Backend, head: EngineHead) -> None:
--- a/packages/node/tests/test_failing_servers.py
+++ b/packages/node/tests/test_failing_servers.py
@@ -111,6 +111,17 @@
                 await asyncio.sleep(0.001)
         assert lost[True] <= lost[False] / 2
 
+    async def test_failures_of_an_earlier_life_are_nothing(self):
+        nodes = Nodes(1)
+        place = DataCentre("a")
+        entry = HostEntry(BackendId("grey"), "readers", "g:1", place, started=500)
+        nodes.backends[0].update([entry])
+        grey = nodes.backends[0].by_id["grey"]
+        nodes.failing[0].hear(Mark(MARK_KIND, "grey", 499))
+        assert grey.suspect_until == 0.0
+        nodes.failing[0].hear(Mark(MARK_KIND, "grey", 501))
+        assert grey.suspect_until > now()
+
     async def test_marks_of_other_kinds_and_unknown_servers_are_nothing(self):
         nodes = Nodes(1)
         for mark in (Mark("leaving", "grey", 1), Mark(MARK_KIND, "unknown", 2)):
--- a/packages/node/tests/test_reach_checks.py
+++ b/packages/node/tests/test_reach_checks.py
@@ -89,6 +89,15 @@
         assert network.doubted() == {"d"}
         assert FIRST_DOUBT_S < 2.0
 
+    async def test_servers_are_tried_again_where_the_nodes_stay_away(self, monkeypatch):
+        """The nodes of a data centre may be gone for good, and its servers not."""
+        monkeypatch.setattr(reach_checks, "MAX_DOUBT_S", 0.15)
+        network = Network()
+        network.cut = {"b"}
+        network.reach.note_silent("b", "server")
+        await asyncio.sleep(0.4)
+        assert network.doubted() == set()
+
     async def test_the_own_data_centre_is_not_checked(self):
         network = Network()
         network.checks.check("a")
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -26,7 +26,7 @@
     ServiceName,
 )
 from support.members import member
-from support.pieces import ARCHIVE, CLERKS, deployment, routed
+from support.pieces import ARCHIVE, CHAIN, CLERKS, deployment, routed
 
 FINAL_S = 0.35
 
@@ -113,6 +113,14 @@
             times.note("slow", 3.0)
         assert times.expected_s("other") == UNKNOWN_S
 
+    def test_engines_that_were_slow_once_do_not_shut_a_route_for_good(self):
+        """Where all requests are refused, no answer tells of better times."""
+        request = routed(target_s=1.3, deadline_s=10.0, stages=CHAIN[1:2], counts=(1,))
+        plan = plan_stages(request, deployment(), "a", 60.0)
+        assert plan.deadline_by_stage[0] >= 2.0
+        loads = QueueLoads(Clock())
+        assert refuse_hopeless(request, deployment(), loads, 60.0) is None
+
     def test_stages_have_more_time_before_fast_engines(self):
         slow = plan_stages(routed(), deployment(), "a", 1.0)
         fast = plan_stages(routed(), deployment(), "a", 0.05)
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -259,6 +259,20 @@
         assert [(li["id"], li["at"]) for li in found] == [("leaves", "answer")]
 
 
+class TestComingBack:
+    async def test_the_time_to_come_back_fits_in_what_the_caller_has_left(self, entry):
+        for engine in entry.engines_by_service["portal"]:
+            entry.store.remove("servers", engine.server_id)
+        portal = [e.server_id for e in entry.engines_by_service["portal"]]
+        known = entry.nodes[0].backends.by_id
+        await until(lambda: not any(name in known for name in portal))
+        status, headers, _ = await entry.ask(
+            "/stream/staged/x", Eelgrassward_Deadline_Ms="600", **SEGMENTS
+        )
+        assert status == 503
+        assert float(headers["Retry-After"]) <= 0.2
+
+
 class TestStages:
     async def test_each_piece_is_made_once_and_freed(self, entry):
         status, _, body = await entry.ask("/stream/staged/x", **SEGMENTS)
