Each failed try at the store is told, and from where its rows came

Cause: after the incident the logs could not tell whether the store was not asked, did not answer, or showed an old state: only the first failure was logged, a call that was not made left no line, and a configuration that came from another node was logged as read from the store. Now: a line a failure with its reason and the next try, a line where the source of a table changes, the node from which rows came; calls to the store as a metric. Decisions are unchanged. Tests: packages/node/tests/test_store_logs.py.

--- a/packages/node/src/eelgrass_node/entry_gauges.py
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -27,6 +27,7 @@
     yield Gauge(
         "members", "Other nodes in reach.", len(node.membership.members.reachable())
     )
+    yield Gauge("store_calls", "Calls made to the store.", float(node.store.calls))
     for name, table in (
         ("operator", node.tables.operator),
         ("servers", node.tables.servers),
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -225,8 +225,8 @@
         state = await self.peer_calls.ask(
             address, STATE_CALL, None, PeerState, PEER_STATE_S
         )
-        self.tables.operator.take_from_peer(state.operator)
-        self.tables.servers.take_from_peer(state.servers)
+        self.tables.operator.take_from_peer(state.operator, address)
+        self.tables.servers.take_from_peer(state.servers, address)
 
     def _peer_addresses(self) -> list[str]:
         """Return where other nodes may be found, as far as is known."""
--- a/packages/node/src/eelgrass_node/process/deployments.py
+++ b/packages/node/src/eelgrass_node/process/deployments.py
@@ -36,11 +36,11 @@
         """The number of the configuration in force; -1 before the first."""
         return -1 if self.current is None else self.current.number
 
-    def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take in rows of the operator's table."""
+    def take_rows(self, rows: tuple[StoredRow, ...], source: str) -> None:
+        """Take in rows of the operator's table; ``source`` says from where."""
         for row in rows:
             if row.key == self._key and row.value is not None:
-                self.take(row.value, "store")
+                self.take(row.value, source)
 
     def take(self, raw: bytes, source: str) -> bool:
         """Take in a configuration; returns whether it is newer than the last."""
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -67,7 +67,7 @@
         self.servers = FollowedTable(
             reader,
             names.servers,
-            server_list.take_rows,
+            lambda rows, source: server_list.take_rows(rows),
             server_list.take_whole,
             server_list.note_outage_end,
             SERVERS_WAIT_S,
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -53,16 +53,16 @@
 class FollowedTable:
     """One table of the store, kept up to date by :meth:`run`.
 
-    ``on_rows`` is told the rows that changed, ``on_whole`` the keys there are
-    after a whole read, and before either ``on_return`` that the store had been
-    out of reach. ``wait_s`` bounds one wait for changes, in seconds.
+    ``on_rows`` is told the rows that changed and from where they came, ``on_whole``
+    the keys there are after a whole read, and before either ``on_return`` that the
+    store had been out of reach. ``wait_s`` bounds one wait for changes, in seconds.
     """
 
     def __init__(
         self,
         reader: TableReader,
         table: str,
-        on_rows: Callable[[tuple[StoredRow, ...]], None],
+        on_rows: Callable[[tuple[StoredRow, ...], str], None],
         on_whole: Callable[[set[str]], None],
         on_return: Callable[[], None],
         wait_s: float,
@@ -100,8 +100,9 @@
                 await asyncio.sleep(gone_s)
                 gone_s = min(MAX_RETRY_S, max(FIRST_RETRY_S, gone_s * 2))
             except StoreUnavailable as error:
-                self._note_lost(error)
-                await asyncio.sleep(retry_s * random.uniform(0.6, 1.4))
+                again_s = retry_s * random.uniform(0.6, 1.4)
+                self._note_lost(error, again_s)
+                await asyncio.sleep(again_s)
                 retry_s = min(MAX_RETRY_S, retry_s * 2)
 
     def rows(self) -> tuple[StoredRow, ...]:
@@ -149,11 +150,21 @@
         except TimeoutError:
             return
 
-    def take_from_peer(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take in what another node knows of the table."""
+    def take_from_peer(self, rows: tuple[StoredRow, ...], node: str) -> None:
+        """Take in what another node, named by its address, knows of the table."""
         news = tuple(row for row in rows if self._is_news(row))
-        if news:
-            self._on_rows(news)
+        if not news:
+            return
+        log(
+            Part.STORE,
+            "Rows came from another node.",
+            table=self._table,
+            node=node,
+            rows=len(news),
+            newest=max(row.version for row in news),
+            complete_to=self._version,
+        )
+        self._on_rows(news, f"node {node}")
 
     async def _step(self) -> bool:
         """Make one call; return whether it brought changes, and not the whole."""
@@ -182,7 +193,7 @@
         news = tuple(row for row in changes.rows if self._is_news(row))
         self._version = max(self._version, changes.version)
         if news:
-            self._on_rows(news)
+            self._on_rows(news, "store")
             self._note_change()
 
     def _note_change(self) -> None:
@@ -204,9 +215,17 @@
             log(Part.STORE, "Reached again.", table=self._table, lost_s=lost_s)
             self._on_return()
 
-    def _note_lost(self, error: StoreUnavailable) -> None:
-        if self.reachable:
+    def _note_lost(self, error: StoreUnavailable, again_s: float) -> None:
+        first = self.reachable
+        if first:
             self.reachable = False
             self.lost_at = asyncio.get_running_loop().time()
-            log(Part.STORE, "Lost.", table=self._table, error=str(error))
             self._note_change()
+        log(
+            Part.STORE,
+            "Lost." if first else "Still lost.",
+            table=self._table,
+            error=str(error),
+            lost_s=asyncio.get_running_loop().time() - self.lost_at,
+            again_s=again_s,
+        )
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -78,6 +78,7 @@
         self._distrusted_until: dict[str, float] = {}
         self._known_by_table: dict[str, int] = {}
         self._store_tried_at = float("-inf")
+        self._source_by_table: dict[str, str] = {}
 
     def reads_itself(self, table: str) -> bool:
         """Return whether this node has just read a table from the store."""
@@ -94,6 +95,7 @@
             try:
                 changes = await self._ask(relay.internal, table, None, RELAY_WAIT_S)
                 if changes.version >= self._known_by_table.get(table, -1):
+                    self._note_source(table, relay.id)
                     return changes
             except PeerUnreachable as error:
                 self._note_failure(relay, table, error)
@@ -101,7 +103,7 @@
                 # The store says more about itself than the relay can.
                 pass
         changes = await self._store.read_table(table)
-        self._read_at_by_table[table] = self._clock()
+        self._note_read(table)
         return changes
 
     async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
@@ -110,15 +112,22 @@
         relay = self._relay(table)
         if relay is not None and self._is_trusted(relay):
             try:
-                return await self._ask(relay.internal, table, after, RELAY_WAIT_S)
+                changes = await self._ask(relay.internal, table, after, RELAY_WAIT_S)
+                self._note_source(table, relay.id)
+                return changes
             except PeerUnreachable as error:
                 self._note_failure(relay, table, error)
-            except StoreUnavailable:
-                if self._clock() - self._store_tried_at < STORE_AGAIN_S:
-                    raise
+            except StoreUnavailable as error:
+                left_s = self._store_tried_at + STORE_AGAIN_S - self._clock()
+                if left_s > 0:
+                    reason = (
+                        f"relay {relay.id} does not read it, and the store itself "
+                        f"is not asked for another {left_s:.2f} s"
+                    )
+                    raise StoreUnavailable(table, reason) from error
         await asyncio.sleep(self._pause_s_by_table.get(table, 0.0))
         changes = await self._feed_from_store(table, after, wait_s)
-        self._read_at_by_table[table] = self._clock()
+        self._note_read(table)
         return changes
 
     async def _feed_from_store(
@@ -130,6 +139,23 @@
             self._store_tried_at = self._clock()
             raise
 
+    def _note_read(self, table: str) -> None:
+        self._read_at_by_table[table] = self._clock()
+        self._note_source(table, "store")
+
+    def _note_source(self, table: str, source: str) -> None:
+        before = self._source_by_table.get(table)
+        if source == before:
+            return
+        self._source_by_table[table] = source
+        log(
+            Part.STORE,
+            "A table is read from another source.",
+            table=table,
+            source=source,
+            before=before,
+        )
+
     def _is_trusted(self, relay: Member) -> bool:
         return self._distrusted_until.get(relay.id, 0.0) <= self._clock()
 
--- a/packages/node/tests/test_store_following.py
+++ b/packages/node/tests/test_store_following.py
@@ -66,7 +66,7 @@
     table = FollowedTable(
         script,
         "t",
-        lambda rows: taken.extend((r.key, r.version) for r in rows),
+        lambda rows, source: taken.extend((r.key, r.version) for r in rows),
         whole.append,
         lambda: whole.append("returned"),
         wait_s=0.01,
@@ -98,7 +98,12 @@
         answers = [changes(5), HistoryGone("t")] * 50
         script = Script(*answers)
         table = FollowedTable(
-            script, "t", lambda rows: None, lambda keys: None, lambda: None, 0.01
+            script,
+            "t",
+            lambda rows, source: None,
+            lambda keys: None,
+            lambda: None,
+            0.01,
         )
         task = asyncio.create_task(table.run())
         await asyncio.sleep(0.5)
@@ -288,7 +293,7 @@
     async def test_it_never_goes_back(self):
         heard = []
         in_force = DeploymentInForce("config", self.decode, heard.append)
-        in_force.take_rows((row("config", 1, b"5"), row("other", 2, b"9")))
+        in_force.take_rows((row("config", 1, b"5"), row("other", 2, b"9")), "store")
         assert in_force.take(b"4", "peer") is False
         assert in_force.number == 5
         assert in_force.take(b"8", "peer") is True
--- /dev/null
+++ b/packages/node/tests/test_store_logs.py
@@ -0,0 +1,93 @@
+"""What the logs tell of how a node follows the store.
+
+After a configuration had come into force late at several hosts, they could not tell
+whether the store had not been asked, had not answered, or had shown an old state.
+"""
+
+import asyncio
+
+from eelgrass_node.exceptions import StoreUnavailable
+from eelgrass_node.process.store_tables import FollowedTable, StoredRow, TableChanges
+from eelgrass_node.process.table_relay import RelayedReader
+from support.log_lines import log_lines
+from support.members import member
+
+TABLE = "op"
+
+
+class Down:
+    """A store that never answers."""
+
+    async def read_table(self, table):
+        raise StoreUnavailable(table, "TimeoutError")
+
+    async def feed(self, table, after, wait_s):
+        raise StoreUnavailable(table, "TimeoutError")
+
+
+class Clock:
+    def __init__(self):
+        self.now = 10.0
+
+    def __call__(self):
+        return self.now
+
+
+def of(lines, sentence):
+    return [line for line in lines if line.get("message") == f"store: {sentence}"]
+
+
+class TestFailures:
+    async def test_each_failure_is_told_with_its_reason_and_the_next_try(self):
+        table = FollowedTable(
+            Down(), TABLE, lambda rows, source: None, set, lambda: None, 0.01
+        )
+        with log_lines() as lines:
+            task = asyncio.create_task(table.run())
+            await asyncio.sleep(0.6)
+            task.cancel()
+        assert len(of(lines, "Lost.")) == 1
+        again = of(lines, "Still lost.")
+        assert again
+        for line in again:
+            assert "TimeoutError" in line["error"]
+            assert line["lost_s"] > 0.1 and line["again_s"] > 0.1
+
+    async def test_rows_from_another_node_are_told_as_such(self):
+        sources = []
+        table = FollowedTable(
+            Down(),
+            TABLE,
+            lambda rows, source: sources.append(source),
+            set,
+            lambda: None,
+            0.01,
+        )
+        with log_lines() as lines:
+            table.take_from_peer((StoredRow("config", 7, b"x"),), "10.0.0.2:1")
+        [line] = of(lines, "Rows came from another node.")
+        assert (line["node"], line["newest"], line["complete_to"]) == (
+            "10.0.0.2:1",
+            7,
+            -1,
+        )
+        assert sources == ["node 10.0.0.2:1"]
+
+
+class TestSources:
+    async def test_a_change_of_the_source_is_told_once(self):
+        async def ask(address, table, after, wait_s):
+            return TableChanges((), 5)
+
+        relays = [member("relay"), member("relay"), None, None]
+
+        class Store(Down):
+            async def feed(self, table, after, wait_s):
+                return TableChanges((), 5)
+
+        reader = RelayedReader(Store(), lambda table: relays.pop(0), ask, {}, Clock())
+        with log_lines() as lines:
+            for _ in range(4):
+                await reader.feed(TABLE, 4, 1.0)
+        found = of(lines, "A table is read from another source.")
+        assert [line["source"] for line in found] == ["relay", "store"]
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -167,7 +167,12 @@
 class TestRelay:
     def setup_method(self):
         self.table = FollowedTable(
-            Source(changes(0)), TABLE, lambda rows: None, set, lambda: None, 0.01
+            Source(changes(0)),
+            TABLE,
+            lambda rows, source: None,
+            set,
+            lambda: None,
+            0.01,
         )
         self.reads_itself = True
         self.relay = TableRelay({TABLE: self.table}, lambda table: self.reads_itself)
@@ -198,7 +203,7 @@
 
     async def test_rows_from_other_nodes_end_no_wait(self):
         """They are newer than what is complete here, and would come back for ever."""
-        self.table.take_from_peer((row("a", 9),))
+        self.table.take_from_peer((row("a", 9),), "n1:1")
         assert await self.relay.changes(TABLE, 5, 0.02) == changes(5)
         self.table._take(changes(10))
         found = await self.relay.changes(TABLE, 5, 0.02)
@@ -207,7 +212,7 @@
     async def test_a_lost_store_ends_the_wait(self):
         asked = asyncio.create_task(self.relay.changes(TABLE, 5, 2.0))
         await asyncio.sleep(0.01)
-        self.table._note_lost(StoreUnavailable(TABLE, "down"))
+        self.table._note_lost(StoreUnavailable(TABLE, "down"), 0.3)
         with pytest.raises(StoreUnavailable):
             await asyncio.wait_for(asked, 0.5)
 
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -5,7 +5,6 @@
 import pytest
 import pytest_asyncio
 
-import eelgrass_node.log
 from eelgrass_node.exceptions import StoreUnavailable
 from eelgrass_node.process import platform_tables
 from eelgrass_node.process.table_relay import relay_of
@@ -19,6 +18,7 @@
     route,
     until,
 )
+from support.log_lines import log_lines
 
 SEGMENTS = {"Eelgrassward_Segments": "2,1,5", "Eelgrassward_Segment_Key": "key"}
 WHOLE = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
@@ -239,11 +239,8 @@
             await until(lambda: sum(e.cancelled for e in engines) == 1, 0.5)
 
     async def test_a_caller_that_leaves_is_logged_with_where_it_was(self):
-        lines = []
-        eelgrass_node.log.eliot.add_destinations(lines.append)
-        # A first destination is given what was logged before it.
-        lines.clear()
-        try:
+        left = "requests: The caller left."
+        with log_lines() as lines:
             async with EntryDeployment(event_s=0.2) as entry:
                 call = asyncio.create_task(
                     entry.ask("/stream/resumed/x", request_id="leaves")
@@ -251,10 +248,7 @@
                 await until(lambda: entry.runs("readers"))
                 await asyncio.sleep(0.05)
                 call.cancel()
-                left = "requests: The caller left."
                 await until(lambda: any(li.get("message") == left for li in lines))
-        finally:
-            eelgrass_node.log.eliot.remove_destination(lines.append)
         found = [li for li in lines if li.get("message") == left]
         assert [(li["id"], li["at"]) for li in found] == [("leaves", "answer")]
 
