--- /dev/null
+++ b/tests/support/instant_loop.py
@@ -0,0 +1,32 @@
+"""An event loop whose clock jumps to the next timer instead of waiting for it."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+__all__ = ["run_instantly"]
+
+T = TypeVar("T")
+
+
+class InstantLoop(asyncio.SelectorEventLoop):
+    """Runs minutes of timers in an instant; for work without sockets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now = 0.0
+
+    def time(self) -> float:
+        """Return the simulated seconds since the loop began."""
+        return self._now
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:
+            self._now = max(self._now, self._scheduled[0].when())
+        super()._run_once()
+
+
+def run_instantly(main: Coroutine[Any, Any, T]) -> T:
+    """Run ``main`` to its end in simulated time."""
+    with asyncio.Runner(loop_factory=InstantLoop) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/tests/support/store_day.py
@@ -0,0 +1,254 @@
+"""Nodes of one data centre before a store that turns some or all of them away."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from eelgrass_coordination import Member
+from eelgrass_node.exceptions import (
+    HistoryGone,
+    PeerUnreachable,
+    StoreUnavailable,
+)
+from eelgrass_node.platform.store import FEED_SLACK_S, READ_TIMEOUT_S
+from eelgrass_node.process.deployments import DeploymentInForce
+from eelgrass_node.process.platform_tables import PlatformTables, TableNames
+from eelgrass_node.process.store_tables import StoredRow, TableChanges
+from eelgrass_node.process.table_relay import relay_of
+from eelgrass_node.version.deployment import CallerLimits, Deployment
+
+from .members import member
+
+__all__ = ["Outage", "StoreDay"]
+
+OPERATOR = "op"
+SERVERS = "servers"
+ANSWER_S = 0.004
+# Between two nodes of a data centre, and what a call waits over the asked time.
+HOP_S = 0.001
+PEER_SLACK_S = 0.3
+
+
+class Outage(msgspec.Struct, frozen=True):
+    """From ``begin`` to ``end`` the store gives ``nodes`` no answer (None: nobody).
+
+    Calls that it overlaps hang until their caller gives them up, or are refused at
+    once.
+    """
+
+    begin: float
+    end: float
+    nodes: frozenset[str] | None = None
+    refuses: bool = False
+
+    def hits(self, node: str, begin: float, end: float) -> bool:
+        """Return whether it overlaps a call of ``node``."""
+        meant = self.nodes is None or node in self.nodes
+        return meant and begin < self.end and end >= self.begin
+
+
+class Store:
+    """The rows of the store, and the calls that nodes make."""
+
+    def __init__(self, outages: Iterable[Outage]) -> None:
+        self.outages = tuple(outages)
+        self.calls = 0
+        self._version = 0
+        self._oldest = 0
+        self._row_by_key: dict[tuple[str, str], StoredRow] = {}
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row, or remove it."""
+        self._version += 1
+        self._row_by_key[table, key] = StoredRow(key, self._version, value)
+        self._wake()
+
+    def drop_history(self) -> None:
+        """Forget all changes so far."""
+        self._version += 1
+        self._oldest = self._version
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def read(self, node: str, table: str) -> TableChanges:
+        """Answer a whole read."""
+        await self._answer(node, table, _now(), READ_TIMEOUT_S)
+        return self._rows(table, -1)
+
+    async def feed(
+        self, node: str, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        """Answer a call for changes."""
+        begun = _now()
+        while not self._rows(table, after).rows and after >= self._oldest:
+            changed = self._changed
+            left_s = begun + wait_s - _now()
+            try:
+                async with asyncio.timeout(max(0.0, left_s)):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        await self._answer(node, table, begun, wait_s + FEED_SLACK_S)
+        if after < self._oldest:
+            raise HistoryGone(table)
+        return self._rows(table, after)
+
+    async def _answer(
+        self, node: str, table: str, begun: float, within_s: float
+    ) -> None:
+        self.calls += 1
+        for outage in self.outages:
+            if outage.hits(node, begun, _now()):
+                if not outage.refuses:
+                    await asyncio.sleep(begun + within_s - _now())
+                raise StoreUnavailable(table, "out of order")
+        await asyncio.sleep(ANSWER_S)
+
+    def _rows(self, table: str, after: int) -> TableChanges:
+        rows = [
+            row
+            for (of, _), row in self._row_by_key.items()
+            if of == table and row.version > after
+        ]
+        rows.sort(key=lambda row: row.version)
+        return TableChanges(tuple(rows), self._version)
+
+
+class Reader:
+    """The store as one node sees it."""
+
+    def __init__(self, store: Store, node: str) -> None:
+        self._store = store
+        self._node = node
+
+    async def read_table(self, table: str) -> TableChanges:
+        """Return all rows of a table."""
+        return await self._store.read(self._node, table)
+
+    async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
+        """Return changed rows."""
+        return await self._store.feed(self._node, table, after, wait_s)
+
+
+class Removals:
+    """Stands where the list of servers does, and tells which are taken off."""
+
+    def __init__(self, on_removed: Callable[[str], None]) -> None:
+        self._on_removed = on_removed
+        self._listed: set[str] = set()
+
+    def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take in rows that changed."""
+        for row in rows:
+            if row.value is not None:
+                self._listed.add(row.key)
+            elif row.key in self._listed:
+                self._remove(row.key)
+
+    def take_whole(self, keys: set[str]) -> None:
+        """Take in which rows there are."""
+        for key in self._listed - keys:
+            self._remove(key)
+
+    def note_outage_end(self) -> None:
+        """Take no notice: nothing lapses here."""
+
+    def _remove(self, key: str) -> None:
+        self._listed.discard(key)
+        self._on_removed(key)
+
+
+class StoreDay:
+    """Runs the nodes of a data centre, and notes when each had which change.
+
+    Nothing but their relay and the store brings them changes: what other data
+    centres tell would hide a node that does not ask.
+    """
+
+    def __init__(self, outages: Iterable[Outage] = (), nodes: int = 3) -> None:
+        self.store = Store(outages)
+        self.members = [member(f"n{number}") for number in range(nodes)]
+        self.taken_at: dict[tuple[str, int], float] = {}
+        self.removed_at: dict[tuple[str, str], float] = {}
+        self._tables_by_node = {m.id: self._tables(m) for m in self.members}
+        self._numbers = itertools.count(1)
+
+    @staticmethod
+    def relay(nodes: int = 3, table: str = OPERATOR) -> str:
+        """Return the name of the node that reads a table for the others."""
+        own, *others = [member(f"n{number}") for number in range(nodes)]
+        return (relay_of(own, others, table) or own).id
+
+    def change(self) -> int:
+        """Let the operator write the next configuration; returns its number."""
+        number = next(self._numbers)
+        self.store.put(OPERATOR, "config", str(number).encode())
+        return number
+
+    def list_server(self, name: str) -> None:
+        """List a server."""
+        self.store.put(SERVERS, name, b"{}")
+
+    def remove_server(self, name: str) -> None:
+        """Take a server off the list."""
+        self.store.put(SERVERS, name, None)
+
+    async def run(self, until: float) -> None:
+        """Let all nodes follow the store until a time."""
+        tasks = [
+            asyncio.create_task(table.run())
+            for tables in self._tables_by_node.values()
+            for table in (tables.operator, tables.servers)
+        ]
+        await asyncio.sleep(until - _now())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _tables(self, own: Member) -> PlatformTables:
+        deployments = DeploymentInForce(
+            "config",
+            lambda raw: Deployment(int(raw), {}, {}, {}, False, CallerLimits(1, 1.0)),
+            lambda number: self._note_taken(own.id, number),
+        )
+        return PlatformTables(
+            TableNames(OPERATOR, SERVERS),
+            Reader(self.store, own.id),
+            self._ask,
+            lambda: own,
+            lambda: [other for other in self.members if other.id != own.id],
+            deployments,
+            Removals(lambda server: self._note_removed(own.id, server)),
+            _now,
+        )
+
+    def _note_taken(self, node: str, number: int) -> None:
+        for earlier in range(1, number + 1):
+            self.taken_at.setdefault((node, earlier), _now())
+
+    def _note_removed(self, node: str, server: str) -> None:
+        self.removed_at.setdefault((node, server), _now())
+
+    async def _ask(
+        self, address: str, table: str, after: int | None, wait_s: float
+    ) -> TableChanges:
+        node = address.partition(":")[0]
+        await asyncio.sleep(HOP_S)
+        try:
+            async with asyncio.timeout(wait_s + PEER_SLACK_S):
+                relay = self._tables_by_node[node].relay
+                return await relay.changes(table, after, wait_s)
+        except TimeoutError as error:
+            raise PeerUnreachable(address, "silent") from error
+        finally:
+            await asyncio.sleep(HOP_S)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
