Pauses between tries at the store are worked out from what is promised

Now: FollowPace works the longest pause out from the promise (ConfigApplyMs and DrainMs of the settings, no figure of a site); a relay that has lost the store does not keep its followers from it; the first call to the store after a failure or a relay does not wait for changes, so that its silence is noticed after 0.6 s in place of 1.6 s, and without the pause in which changes are collected.

Price: in an outage of 8 s that refuses all, 25 calls a node with a promise of 2 s and 15 with one of 3 s, in place of 5.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -141,6 +141,8 @@
             self.membership.members.reachable,
             self.deployments,
             self.server_list,
+            bounds.apply_s,
+            bounds.drain_s,
             loop.time,
         )
         self.queue_loads = QueueLoads(loop.time)
--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -8,16 +8,13 @@
 
 from ..connection.sockets import new_session
 from ..exceptions import HistoryGone, StoreUnavailable
+from ..process.follow_pace import READ_S, TRY_S
 from ..process.store_tables import StoredRow, TableChanges
 
 __all__ = ["RowStore"]
 
-READ_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 KEEP_ALIVE_S = 60.0
-# A feed answers within its wait; what comes later than that by this much is
-# taken for a connection that has gone silent.
-FEED_SLACK_S = 0.6
 HTTP_OK = 200
 HTTP_GONE = 410
 
@@ -55,7 +52,7 @@
         first = ""
         while True:
             params = {"Table": table, "part": "", "FromKey": first}
-            page = await self._get("/-/rows-get", params, READ_TIMEOUT_S)
+            page = await self._get("/-/rows-get", params, READ_S)
             rows += [_stored(row) for row in page.rows]
             if not page.has_more or not page.rows:
                 return TableChanges(tuple(rows), page.ver)
@@ -72,7 +69,9 @@
             "After": str(after),
             "WaitMs": str(int(wait_s * 1000)),
         }
-        page = await self._get("/-/rows-feed", params, wait_s + FEED_SLACK_S)
+        # What comes later than its wait by so much is taken for a connection that
+        # has gone silent.
+        page = await self._get("/-/rows-feed", params, wait_s + TRY_S)
         return TableChanges(tuple(_stored(row) for row in page.rows), page.ver)
 
     async def close(self) -> None:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/follow_pace.py
@@ -0,0 +1,55 @@
+"""How soon a node asks the store again, worked out from what is promised of changes.
+
+The pattern it answers: the store turns nodes away, falls silent or forgets its
+history, and changes are made meanwhile. A node notices the store's return only by
+asking. What passes until then is a sum: a call that is under way at the return and
+gets no answer, then the pause before the next one. The longest pause is therefore what
+the longest call leaves of the promise, and no figure of its own.
+
+What it buys: with a promise of 2 s, each of 46,695 changes on 1,000 simulated days of
+outages was in force at most 1.5 s after it was confirmed and the store answered the
+node again; with a fixed pause of 1.2 s, and 3 s for a node whose relay had lost the
+store, 2,335 of them came later than 2 s, the last after 9 s.
+
+What it costs: in an outage of 8 s in which all calls are refused, a node makes 25
+calls for its two tables with a promise of 2 s and 15 with one of 3 s, in place of 5.
+"""
+
+import random
+
+__all__ = ["FIRST_PAUSE_S", "FollowPace", "READ_S", "TRY_S"]
+
+# A call that asks for nothing but what there is gets this long; the store answers in
+# 4 ms, and in 200 ms where it is slow.
+TRY_S = 0.6
+# One part of a whole read: up to 500 rows, some 100 kB on a narrow link.
+READ_S = 1.0
+# After the first failure; short, since a call that waited for changes has already
+# taken 1.6 s to be given up.
+FIRST_PAUSE_S = 0.3
+# Kept back from the promise for the way of the change through the node.
+RESERVE = 0.1
+# Pauses vary by this part downwards, so that nodes do not all come back together.
+JITTER = 0.25
+
+
+class FollowPace:
+    """The pauses between tries of one table while the store does not answer.
+
+    ``promised_s`` is the time within which a change must be in force, in seconds.
+    """
+
+    def __init__(self, promised_s: float) -> None:
+        left_s = promised_s * (1 - RESERVE) - READ_S
+        self.longest_s = max(FIRST_PAUSE_S, left_s)
+        self._next_s = FIRST_PAUSE_S
+
+    def note_answer(self) -> None:
+        """Note that the store has answered."""
+        self._next_s = FIRST_PAUSE_S
+
+    def pause_s(self) -> float:
+        """Return how long to wait before the next try; grows with each call."""
+        pause_s = self._next_s * random.uniform(1 - JITTER, 1)
+        self._next_s = min(self.longest_s, self._next_s * 2)
+        return pause_s
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -35,7 +35,9 @@
     """Follows both tables, and relays them to other nodes of the data centre.
 
     ``own`` and ``members`` return this node and the others that may be reached;
-    ``ask_relay`` asks one of them. ``clock`` returns seconds.
+    ``ask_relay`` asks one of them. A configuration must be in force ``apply_s`` after
+    it was confirmed, and a server that leaves must get no new work after ``drain_s``.
+    ``clock`` returns seconds.
     """
 
     def __init__(
@@ -47,6 +49,8 @@
         members: Callable[[], list[Member]],
         deployments: DeploymentInForce,
         server_list: ServerList,
+        apply_s: float,
+        drain_s: float,
         clock: Callable[[], float],
     ) -> None:
         reader = RelayedReader(
@@ -63,6 +67,7 @@
             lambda keys: None,
             lambda: None,
             CONFIGURATION_WAIT_S,
+            apply_s,
         )
         self.servers = FollowedTable(
             reader,
@@ -71,6 +76,7 @@
             server_list.take_whole,
             server_list.note_outage_end,
             SERVERS_WAIT_S,
+            drain_s,
         )
         self.relay = TableRelay(
             {names.operator: self.operator, names.servers: self.servers},
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -14,16 +13,10 @@
 
 from ..exceptions import HistoryGone, StoreUnavailable
 from ..log import Part, log
+from .follow_pace import FollowPace
 
 __all__ = ["FollowedTable", "StoredRow", "TableChanges", "TableReader"]
 
-# Between tries while the store does not answer, the first and the longest; with
-# jitter, so that the nodes do not all come back together. Both are short against
-# the 2 s within which a change must be in force; all calls are paid for, also those
-# that are refused in an outage of 8 s.
-FIRST_RETRY_S = 0.3
-MAX_RETRY_S = 1.2
-
 
 class StoredRow(msgspec.Struct, frozen=True):
     """A row of a table; ``value`` is None where the row is gone."""
@@ -55,7 +48,8 @@
 
     ``on_rows`` is told the rows that changed and from where they came, ``on_whole``
     the keys there are after a whole read, and before either ``on_return`` that the
-    store had been out of reach. ``wait_s`` bounds one wait for changes, in seconds.
+    store had been out of reach. ``wait_s`` bounds one wait for changes and
+    ``promised_s`` is the time within which a change must be in force, in seconds.
     """
 
     def __init__(
@@ -66,6 +60,7 @@
         on_whole: Callable[[set[str]], None],
         on_return: Callable[[], None],
         wait_s: float,
+        promised_s: float,
     ) -> None:
         self._reader = reader
         self._table = table
@@ -73,6 +68,8 @@
         self._on_whole = on_whole
         self._on_return = on_return
         self._wait_s = wait_s
+        self._lost_pace = FollowPace(promised_s)
+        self._gone_pace = FollowPace(promised_s)
         self._row_by_key: dict[str, StoredRow] = {}
         self._version = -1
         self._whole = False
@@ -85,25 +82,25 @@
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
-        retry_s = FIRST_RETRY_S
-        gone_s = 0.0
+        gone_before = False
         while True:
             try:
                 if await self._step():
-                    gone_s = 0.0
-                retry_s = FIRST_RETRY_S
+                    gone_before = False
+                    self._gone_pace.note_answer()
+                self._lost_pace.note_answer()
             except HistoryGone:
                 self._whole = False
                 log(Part.STORE, "The history is gone; reading all.", table=self._table)
                 # Once is cured by reading all at once; where it is gone again
                 # straight after that, nothing is gained by haste.
-                await asyncio.sleep(gone_s)
-                gone_s = min(MAX_RETRY_S, max(FIRST_RETRY_S, gone_s * 2))
+                if gone_before:
+                    await asyncio.sleep(self._gone_pace.pause_s())
+                gone_before = True
             except StoreUnavailable as error:
-                again_s = retry_s * random.uniform(0.6, 1.4)
+                again_s = self._lost_pace.pause_s()
                 self._note_lost(error, again_s)
                 await asyncio.sleep(again_s)
-                retry_s = min(MAX_RETRY_S, retry_s * 2)
 
     def rows(self) -> tuple[StoredRow, ...]:
         """Return all rows that are known, for a node that reaches no store."""
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -27,10 +27,6 @@
 # A relay that failed is passed over for this long; a frozen host wakes, and a dead
 # one is found dead, within a few seconds.
 DISTRUST_S = 3.0
-# While the relay lives and has lost the store, too, a follower tries the store only
-# this often: it may be that the store turns away the relay alone, but mostly it is
-# down for all, and the relay is back within a second of its return.
-STORE_AGAIN_S = 3.0
 # What a node read from the store itself this long ago still makes it a relay: over
 # the pause, the wait and the slack of one turn (1.6 s).
 FRESH_S = 2.0
@@ -77,7 +73,7 @@
         self._read_at_by_table: dict[str, float] = {}
         self._distrusted_until: dict[str, float] = {}
         self._known_by_table: dict[str, int] = {}
-        self._store_tried_at = float("-inf")
+        self._answered_tables: set[str] = set()
         self._source_by_table: dict[str, str] = {}
 
     def reads_itself(self, table: str) -> bool:
@@ -107,37 +103,40 @@
         return changes
 
     async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
-        """Return changed rows, from a relay or from the store."""
+        """Return changed rows, from a relay or from the store.
+
+        A relay that has lost the store says nothing of whether the store answers
+        this node, so it is asked in any case, and how often is for the caller to say.
+        """
         self._known_by_table[table] = after
         relay = self._relay(table)
         if relay is not None and self._is_trusted(relay):
             try:
                 changes = await self._ask(relay.internal, table, after, RELAY_WAIT_S)
+                self._answered_tables.discard(table)
                 self._note_source(table, relay.id)
                 return changes
             except PeerUnreachable as error:
                 self._note_failure(relay, table, error)
-            except StoreUnavailable as error:
-                left_s = self._store_tried_at + STORE_AGAIN_S - self._clock()
-                if left_s > 0:
-                    reason = (
-                        f"relay {relay.id} does not read it, and the store itself "
-                        f"is not asked for another {left_s:.2f} s"
-                    )
-                    raise StoreUnavailable(table, reason) from error
-        await asyncio.sleep(self._pause_s_by_table.get(table, 0.0))
-        changes = await self._feed_from_store(table, after, wait_s)
-        self._note_read(table)
-        return changes
+            except StoreUnavailable:
+                # The store may have turned away the relay alone.
+                pass
+        return await self._feed_from_store(table, after, wait_s)
 
     async def _feed_from_store(
         self, table: str, after: int, wait_s: float
     ) -> TableChanges:
-        try:
-            return await self._store.feed(table, after, wait_s)
-        except StoreUnavailable:
-            self._store_tried_at = self._clock()
-            raise
+        if table in self._answered_tables:
+            await asyncio.sleep(self._pause_s_by_table.get(table, 0.0))
+        else:
+            # A call that does not wait tells soonest whether the store answers, and
+            # is given up a second earlier where it does not.
+            wait_s = 0.0
+        self._answered_tables.discard(table)
+        changes = await self._store.feed(table, after, wait_s)
+        self._answered_tables.add(table)
+        self._note_read(table)
+        return changes
 
     def _note_read(self, table: str) -> None:
         self._read_at_by_table[table] = self._clock()
--- a/packages/node/tests/test_store_return.py
+++ b/packages/node/tests/test_store_return.py
@@ -20,6 +20,8 @@
 import asyncio
 import random
 
+import pytest
+
 from support.instant_loop import run_instantly
 from support.store_day import Outage, StoreDay
 
@@ -117,3 +119,27 @@
             if entry[-1] > IN_FORCE_S
         ]
         assert late == []
+
+
+class TestCalls:
+    """Each call is paid for: in an outage 82 nodes once made 4,000 in 8 s."""
+
+    async def calls_per_node(self, promised_s, refuses):
+        day = StoreDay([Outage(5.0, 13.0, None, refuses)], promised_s=promised_s)
+        day.change()
+        day.list_server("i1")
+        running = asyncio.create_task(day.run(until=14.0))
+        await asyncio.sleep(5.0)
+        before = day.store.calls
+        await asyncio.sleep(8.0)
+        calls = day.store.calls - before
+        await running
+        return calls / len(day.members)
+
+    @pytest.mark.parametrize(
+        ("promised_s", "refuses", "most"),
+        [(2.0, True, 27), (2.0, False, 15), (3.0, True, 17), (3.0, False, 12)],
+    )
+    def test_an_outage_of_all_costs_few(self, promised_s, refuses, most):
+        random.seed(0)
+        assert run_instantly(self.calls_per_node(promised_s, refuses)) <= most
