A node that starts as an outage begins learns of the servers, too

Found by an existing test that failed once in the whole file (test_a_node_that_starts_in_an_outage_learns_from_others, 503 for 200): the relay still answered for the operator's table and had lost the servers' one. The new node then had a configuration and no servers, was ready, refused every request, and asked no other node, since it asked only until it had a configuration. Ruled out: a fault of the new pauses (a test with one table down fails in the same way without them, for as long as the outage lasts). Now it asks until both tables are known, and is ready only then. Tests: two in TestPeers, both seen failing before.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -114,7 +114,10 @@
         self.peer_session = new_session(PEER_IDLE_S / 2)
         self.peer_calls = PeerCalls(self.peer_session)
         self.catch_up = PeerCatchUp(
-            self._take_state_of, lambda: self.deployments.number, self._peer_addresses
+            self._take_state_of,
+            lambda: self.deployments.number,
+            lambda: self.tables.known,
+            self._peer_addresses,
         )
         self.membership = Membership(
             self._own_member(), settings.seed_gossip(), GOSSIP_INTERVAL_S
@@ -172,6 +175,11 @@
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.ServerRunner | web.AppRunner] = []
 
+    @property
+    def ready(self) -> bool:
+        """Whether this node can serve: it does not stop, and knows both tables."""
+        return self.tables.known and not self.stopping.stopping
+
     async def start(self) -> None:
         """Listen, join the others, and begin to follow the store."""
         if self.settings.metrics is not None:
@@ -329,8 +337,7 @@
         return web.Response(body=self.metrics.text(), content_type="text/plain")
 
     async def _answer_ready(self, request: web.Request) -> web.Response:
-        ready = self.deployments.current is not None and not self.stopping.stopping
-        return web.Response(status=200 if ready else 503)
+        return web.Response(status=200 if self.ready else 503)
 
     async def _serve(self, runner, address: str) -> None:
         host, _, port = address.rpartition(":")
--- a/packages/node/src/eelgrass_node/process/peer_catch_up.py
+++ b/packages/node/src/eelgrass_node/process/peer_catch_up.py
@@ -26,18 +26,21 @@
     """Asks other nodes where the store does not answer.
 
     ``ask`` takes in the state of the node at an address; ``number`` is that of
-    the configuration in force here, -1 before the first. ``addresses`` are those
-    to ask at the start.
+    the configuration in force here, -1 before the first. ``knows_tables`` says
+    whether all that is needed to serve is known, from wherever. ``addresses`` are
+    those to ask at the start.
     """
 
     def __init__(
         self,
         ask: Callable[[str], Awaitable[None]],
         number: Callable[[], int],
+        knows_tables: Callable[[], bool],
         addresses: Callable[[], list[str]],
     ) -> None:
         self._ask = ask
         self._number = number
+        self._knows_tables = knows_tables
         self._addresses = addresses
         self._tasks: set[asyncio.Task] = set()
 
@@ -50,9 +53,13 @@
         task.add_done_callback(self._tasks.discard)
 
     async def start(self) -> None:
-        """Ask nodes in turn until there is a configuration, from wherever."""
+        """Ask nodes in turn until all tables are known, from wherever.
+
+        One of them alone is not enough: a relay may have lost the other just before,
+        and a node with a configuration and no servers refuses every request.
+        """
         await asyncio.sleep(PATIENCE_S)
-        while self._number() < 0:
+        while not self._knows_tables():
             addresses = self._addresses()
             if addresses:
                 await self._try(random.choice(addresses))
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -78,7 +78,13 @@
             SERVERS_WAIT_S,
             drain_s,
         )
+        self._deployments = deployments
         self.relay = TableRelay(
             {names.operator: self.operator, names.servers: self.servers},
             reader.reads_itself,
         )
+
+    @property
+    def known(self) -> bool:
+        """Whether there is a configuration, and the servers are known, too."""
+        return self._deployments.current is not None and self.servers.known
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -102,6 +102,11 @@
                 self._note_lost(error, again_s)
                 await asyncio.sleep(again_s)
 
+    @property
+    def known(self) -> bool:
+        """Whether the table was ever read, or another node told of rows of it."""
+        return self._version >= 0 or bool(self._row_by_key)
+
     def rows(self) -> tuple[StoredRow, ...]:
         """Return all rows that are known, for a node that reaches no store."""
         return tuple(self._row_by_key.values())
--- a/packages/standins/src/eelgrass_standins/row_store.py
+++ b/packages/standins/src/eelgrass_standins/row_store.py
@@ -16,11 +16,13 @@
 class RowStoreStandIn:
     """Keeps rows by table and key; ``down`` refuses every call.
 
+    ``down_tables`` are refused alone, and their waiting calls are not ended.
     ``drop_history`` makes feeds answer that their history is gone.
     """
 
     def __init__(self) -> None:
         self.down = False
+        self.down_tables: set[str] = set()
         self.calls = 0
         self._rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
         self._version = 0
@@ -61,7 +63,7 @@
 
     async def _handle_get(self, request: web.Request) -> web.Response:
         self.calls += 1
-        if self.down:
+        if self._is_down(request):
             return web.Response(status=HTTP_UNAVAILABLE)
         first = request.query.get("FromKey", "")
         rows = [
@@ -83,12 +85,15 @@
                     await self._changed.wait()
         except TimeoutError:
             pass
-        if self.down:
+        if self._is_down(request):
             return web.Response(status=HTTP_UNAVAILABLE)
         if after < self._oldest:
             return web.Response(status=HTTP_GONE)
         return self._answer(self._changed_rows(request, after))
 
+    def _is_down(self, request: web.Request) -> bool:
+        return self.down or request.query["Table"] in self.down_tables
+
     def _changed_rows(self, request: web.Request, after: int) -> list[dict[str, Any]]:
         changed = sorted(
             (version, key, value)
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -182,6 +182,12 @@
 
     async def add_node(self) -> EntryNode:
         """Start one more node, without waiting until it is ready."""
+        node = self.new_node()
+        await node.start()
+        return node
+
+    def new_node(self) -> EntryNode:
+        """Return one more node, which does nothing yet."""
         callers, readiness, internal, gossip = free_addresses(4)
         first = self.nodes[0].settings if self.nodes else None
         seeds = (first.internal if first else internal,)
@@ -203,7 +209,6 @@
             )
         )
         self.nodes.append(node)
-        await node.start()
         return node
 
     async def _start_nodes(self) -> None:
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -416,6 +416,30 @@
         status, _, _ = await entry.ask("/safe/x", node=len(entry.nodes) - 1)
         assert status == 200
 
+    async def test_it_learns_of_the_servers_where_it_has_the_configuration(self, entry):
+        """Its relay had lost one table and not yet the other, as an outage began.
+
+        It was ready with a configuration and without servers, refused all, and
+        asked no other node, for as long as the outage lasted.
+        """
+        entry.store.down_tables.add("servers")
+        await until(lambda: not any(n.tables.servers.reachable for n in entry.nodes))
+        late = await entry.add_node()
+        await until(lambda: late.deployments.number == 1, 3.0)
+        await until(lambda: late.backends.by_id, 3.0)
+        status, _, _ = await entry.ask("/safe/x", node=len(entry.nodes) - 1)
+        assert status == 200
+
+    async def test_a_node_without_servers_is_not_ready(self, entry):
+        """Callers go to another node meanwhile."""
+        late = entry.new_node()
+        known = entry.nodes[0].tables
+        late.tables.operator.take_from_peer(known.operator.rows(), "n0:1")
+        assert late.deployments.number == 1
+        assert not late.ready
+        late.tables.servers.take_from_peer(known.servers.rows(), "n0:1")
+        assert late.ready
+
     async def test_a_node_without_the_store_gets_a_newer_version(self, entry):
         first = entry.nodes[0]
         first.tables.operator._reader = DeadReader()
