A node that does not answer no longer keeps the others from being asked

The same class as the incident's cause, elsewhere: a node that the store does not answer waits 0.5 s for the store, then 1 s for the one node that it asks; what others told meanwhile was dropped, so it waited until somebody told of the version once more and began again: over 2 s in all. Now those that told are kept and asked one after the other, the last first. Ruled out: asking all at once, which with 82 nodes would load the one that was first to have a version.

--- a/packages/node/src/eelgrass_node/process/peer_catch_up.py
+++ b/packages/node/src/eelgrass_node/process/peer_catch_up.py
@@ -42,15 +42,18 @@
         self._number = number
         self._knows_tables = knows_tables
         self._addresses = addresses
-        self._tasks: set[asyncio.Task] = set()
+        # The version that each node told of, by its address; the last to tell last.
+        self._told_by_address: dict[str, int] = {}
+        self._task: asyncio.Task | None = None
 
     def heard(self, number: int, member: Member, age_s: float) -> None:
         """Note that another node has the configuration of that number."""
-        if number <= self._number() or self._tasks:
+        if number <= self._number():
             return
-        task = asyncio.create_task(self._catch_up(number, member))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._told_by_address.pop(member.internal, None)
+        self._told_by_address[member.internal] = number
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._catch_up())
 
     async def start(self) -> None:
         """Ask nodes in turn until all tables are known, from wherever.
@@ -65,10 +68,24 @@
                 await self._try(random.choice(addresses))
             await asyncio.sleep(START_RETRY_S)
 
-    async def _catch_up(self, number: int, member: Member) -> None:
+    async def _catch_up(self) -> None:
+        """Ask those that told of a newer version, until one has given it.
+
+        One that is frozen is waited for, 1 s; the next is asked right after it, since
+        the patience with the store and that wait have used up most of the 2 s within
+        which a version must be in force.
+        """
         await asyncio.sleep(PATIENCE_S)
-        if self._number() < number:
-            await self._try(member.internal)
+        while address := self._last_teller():
+            del self._told_by_address[address]
+            await self._try(address)
+        self._told_by_address.clear()
+
+    def _last_teller(self) -> str | None:
+        """Return who told last of a newer version: the least likely to be gone."""
+        known = self._number()
+        told = reversed(self._told_by_address.items())
+        return next((address for address, number in told if number > known), None)
 
     async def _try(self, address: str) -> None:
         try:
