What another node tells of a table cannot bring back a removed row

Another node that had not seen the removal could bring such a row back, a server that leaves for instance, and nothing would remove it again. Rows up to the version that this node knows completely are no longer taken from others. Test: TestRowsFromOthers, seen failing.

--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -153,8 +153,13 @@
             return
 
     def take_from_peer(self, rows: tuple[StoredRow, ...], node: str) -> None:
-        """Take in what another node, named by its address, knows of the table."""
-        news = tuple(row for row in rows if self._is_news(row))
+        """Take in what another node, named by its address, knows of the table.
+
+        All changes up to the version of this table are known here. An older row that
+        is not known was removed, and nobody would tell of its removal again.
+        """
+        newer = (row for row in rows if row.version > self._version)
+        news = tuple(row for row in newer if self._is_news(row))
         if not news:
             return
         log(
--- a/packages/node/tests/test_store_following.py
+++ b/packages/node/tests/test_store_following.py
@@ -141,6 +141,34 @@
         assert taken == [("a", 1), ("a", 2)]
 
 
+class TestRowsFromOthers:
+    """Another node may know less of a table than this one."""
+
+    async def test_a_removed_row_does_not_come_back(self):
+        """Its removal is not told again: a server would stay in use for good.
+
+        After lost history the table is read whole, and nothing of a row that was
+        removed is kept; the other node had not seen the removal yet.
+        """
+        taken = []
+        table = FollowedTable(
+            Script(changes(5, row("a", 3)), HistoryGone("t"), changes(9)),
+            "t",
+            lambda rows, source: taken.extend((r.key, r.value) for r in rows),
+            lambda keys: None,
+            lambda: None,
+            0.01,
+            2.0,
+        )
+        task = asyncio.create_task(table.run())
+        await asyncio.sleep(0.05)
+        assert table.rows() == ()
+        table.take_from_peer((row("a", 3), row("b", 12)), "n1:1")
+        task.cancel()
+        assert taken == [("a", b"x"), ("b", b"x")]
+        assert [r.key for r in table.rows()] == ["b"]
+
+
 def decode(key, value):
     if value == b"bad":
         raise ServerEntryMalformed(key, "bad")
