A whole read over several pages is complete as of its first page

The version of the last page was returned, and changes after it asked for: what changed on an earlier page meanwhile, a server that leaves for instance, was never heard of.

--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -47,15 +47,21 @@
         self.calls = 0
 
     async def read_table(self, table: str) -> TableChanges:
-        """Return all rows of a table's unnamed part as of one moment or later."""
+        """Return all rows of a table's unnamed part.
+
+        They are complete as of the version that is returned, that of the first page:
+        a row of it may change before the last one is read.
+        """
         rows: list[StoredRow] = []
+        version: int | None = None
         first = ""
         while True:
             params = {"Table": table, "part": "", "FromKey": first}
             page = await self._get("/-/rows-get", params, READ_S)
             rows += [_stored(row) for row in page.rows]
+            version = page.ver if version is None else version
             if not page.has_more or not page.rows:
-                return TableChanges(tuple(rows), page.ver)
+                return TableChanges(tuple(rows), version)
             # The range begins with its first key; this is the next one after it.
             first = page.rows[-1].key + "\0"
 
