--- a/packages/coordination/src/eelgrass_coordination/platform_call.py
+++ b/packages/coordination/src/eelgrass_coordination/platform_call.py
@@ -1,14 +1,12 @@
 """One call to the platform's services, with every failure sorted out.
 
-The client library repeats a dropped call by itself only for idempotent methods,
-and follows a 307 by sending the body again: calls that may have an effect are
-POSTs, and none is redirected.
+The client library repeats a dropped call by itself only for idempotent methods:
+calls that may have an effect are POSTs.
 """
 
-import asyncio
-
 import aiohttp
 
+from .bounded_call import bounded_call
 from .exceptions import OutcomeUnknown, PlatformUnavailable, Throttled
 
 __all__ = ["call_platform"]
@@ -31,18 +29,10 @@
     :class:`OutcomeUnknown` where it may have had one.
     """
     try:
-        # The library's own timeout loses a cancellation that comes together with it.
-        async with (
-            asyncio.timeout(within_s),
-            session.request(
-                method,
-                url,
-                data=body,
-                headers={"Content-Type": "application/json"} if body else None,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=within_s),
-                allow_redirects=False,
-            ) as response,
-        ):
+        headers = {"Content-Type": "application/json"} if body else None
+        async with bounded_call(
+            session, method, url, within_s, data=body, headers=headers
+        ) as response:
             answer = await response.read()
             status = response.status
     except aiohttp.ClientConnectorError as error:
--- a/packages/node/src/eelgrass_node/connection/peer_calls.py
+++ b/packages/node/src/eelgrass_node/connection/peer_calls.py
@@ -1,11 +1,12 @@
 """Calls from this node to others, over HTTP with JSON."""
 
-import asyncio
 from typing import Any, TypeVar
 
 import aiohttp
 import msgspec
 
+from eelgrass_coordination import bounded_call
+
 from ..exceptions import PeerUnreachable
 
 __all__ = ["PeerCalls"]
@@ -28,17 +29,13 @@
         answer comes in time.
         """
         try:
-            # Not the library's own timeout, which loses a cancellation that comes
-            # together with it.
-            async with (
-                asyncio.timeout(within),
-                self._session.post(
-                    f"http://{address}/peer/v1/{path}",
-                    data=msgspec.json.encode(message),
-                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=within),
-                    allow_redirects=False,
-                ) as response,
-            ):
+            async with bounded_call(
+                self._session,
+                "POST",
+                f"http://{address}/peer/v1/{path}",
+                within,
+                data=msgspec.json.encode(message),
+            ) as response:
                 return msgspec.json.decode(await response.read(), type=answer)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             raise PeerUnreachable(address, repr(e)) from e
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -282,15 +282,19 @@
             routed.service, prompt.shared_part(), prompt.shared_tokens(), frozenset()
         )
         near = "" if expected is None else expected.entry.data_centre
-        final_s = self.final_times.expected_s(routed.route.name)
-        return plan_stages(routed, self.deployments.current, near, final_s)
+        return plan_stages(
+            routed, self.deployments.current, near, self._final_s(routed)
+        )
 
     def _refuse_hopeless(self, routed: Routed) -> float | None:
-        final_s = self.final_times.expected_s(routed.route.name)
         return refuse_hopeless(
-            routed, self.deployments.current, self.queue_loads, final_s
+            routed, self.deployments.current, self.queue_loads, self._final_s(routed)
         )
 
+    def _final_s(self, routed: Routed) -> float:
+        """Return how long a request takes once its stages are done."""
+        return self.final_times.expected_s(routed.route.name)
+
     async def _run_handed_over(
         self, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -1,11 +1,12 @@
 """The client of the platform's store: rows, and the feed of their changes."""
 
-import asyncio
 import base64
 
 import aiohttp
 import msgspec
 
+from eelgrass_coordination import bounded_call
+
 from ..connection.sockets import new_session
 from ..exceptions import HistoryGone, StoreUnavailable
 from ..process.follow_pace import READ_S, TRY_S
@@ -86,17 +87,11 @@
 
     async def _get(self, path: str, params: dict[str, str], within_s: float) -> _Rows:
         self.calls += 1
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         url = self._url + path
         try:
-            # Not the library's own timeout, which loses a cancellation that comes
-            # together with it, as after a suspension: a stop would then never end.
-            async with (
-                asyncio.timeout(within_s),
-                self._session.get(
-                    url, params=params, timeout=timeout, allow_redirects=False
-                ) as response,
-            ):
+            async with bounded_call(
+                self._session, "GET", url, within_s, CONNECT_TIMEOUT_S, params=params
+            ) as response:
                 body = await response.read()
                 status = response.status
             if status == HTTP_GONE:
--- a/packages/node/src/eelgrass_node/process/host_list.py
+++ b/packages/node/src/eelgrass_node/process/host_list.py
@@ -12,6 +12,8 @@
 import aiohttp
 import msgspec
 
+from eelgrass_coordination import bounded_call
+
 from ..log import Part, log
 from .backends import Backends, HostEntry
 
@@ -61,14 +63,9 @@
     async def poll(self) -> None:
         """Read the list once."""
         try:
-            # The library's own timeout loses a cancellation that comes with it.
-            timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-            async with (
-                asyncio.timeout(self._timeout_s),
-                self._session.post(
-                    self._url, timeout=timeout, allow_redirects=False
-                ) as response,
-            ):
+            async with bounded_call(
+                self._session, "POST", self._url, self._timeout_s
+            ) as response:
                 response.raise_for_status()
                 body = await response.read()
             entries = msgspec.json.decode(body, type=list[HostEntry])
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -192,6 +192,7 @@
         routed = self._routed
         inputs = self._handles(stage.after)
         makers = {result.maker for result in self._results(stage.after)}
+        known_makers = tuple(makers - {None})
         near = self._near(stage)
         return [
             Piece(
@@ -205,7 +206,7 @@
                 priority=routed.priority,
                 result_bytes=stage.result_bytes,
                 near=near,
-                makers=tuple(maker for maker in makers if maker is not None),
+                makers=known_makers,
             )
             for piece in numbers
         ]
