--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,15 @@
 """Passes over the tests that KNOWN-RED.txt lists, and prints them.
 
 Each line of that file holds a test, the cause and the issue, with ``|`` between.
+Besides, the deployment that tests before stand-ins of the users' platform share.
 """
 
 from pathlib import Path
 
 import pytest
+import pytest_asyncio
+
+from support.entry import EntryDeployment
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
@@ -31,3 +35,10 @@
     """Print what is listed."""
     for test, cause in known_red().items():
         terminalreporter.write_line(f"known red: {test}: {cause}")
+
+
+@pytest_asyncio.fixture
+async def entry():
+    """Give two nodes, two servers of each service and a store."""
+    async with EntryDeployment() as deployment:
+        yield deployment
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -20,7 +20,7 @@
 )
 from eelgrass_standins.ports import free_addresses
 from eelgrass_standins.row_store import RowStoreStandIn
-from eelgrass_standins.users_engines import EngineStandIn
+from eelgrass_standins.users_engines import EVENTS, EngineStandIn
 
 BOUNDS = ServingBounds(
     stop_s=8.0,
@@ -34,6 +34,8 @@
 )
 HOST = "desk.example"
 KEY = "key-1"
+# All that a stream of the stand-ins gives.
+WHOLE = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 
 
 def route(name, kind, service, **fields):
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -3,12 +3,12 @@
 import signal
 from collections import Counter
 
-from eelgrass_standins.users_engines import EVENTS, EngineStandIn
+from eelgrass_standins.users_engines import EngineStandIn
+from support.entry import WHOLE
 from support.platform_soak import DEADLINE_S, Call, Soak, SoakDeployment
 
 __all__ = ["violations"]
 
-WHOLE = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 # An answer may be late by the way back and a busy machine's pauses.
 LATE_S = 1.0
 # A server that leaves gets no new work after 2 s, with what a busy machine takes.
