--- a/packages/node/tests/test_store_logs.py
+++ b/packages/node/tests/test_store_logs.py
@@ -9,6 +9,7 @@
 from eelgrass_node.exceptions import StoreUnavailable
 from eelgrass_node.process.store_tables import FollowedTable, StoredRow, TableChanges
 from eelgrass_node.process.table_relay import RelayedReader
+from support.clock import Clock
 from support.log_lines import log_lines
 from support.members import member
 
@@ -25,14 +26,6 @@
         raise StoreUnavailable(table, "TimeoutError")
 
 
-class Clock:
-    def __init__(self):
-        self.now = 10.0
-
-    def __call__(self):
-        return self.now
-
-
 def of(lines, sentence):
     return [line for line in lines if line.get("message") == f"store: {sentence}"]
 
@@ -86,7 +79,9 @@
             async def feed(self, table, after, wait_s):
                 return TableChanges((), 5)
 
-        reader = RelayedReader(Store(), lambda table: relays.pop(0), ask, {}, Clock())
+        reader = RelayedReader(
+            Store(), lambda table: relays.pop(0), ask, {}, Clock(10.0)
+        )
         with log_lines() as lines:
             for _ in range(4):
                 await reader.feed(TABLE, 4, 1.0)
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -14,6 +14,7 @@
     TableRelay,
     relay_of,
 )
+from support.clock import Clock
 from support.members import member
 
 TABLE = "servers"
@@ -27,14 +28,6 @@
     return TableChanges(tuple(rows), version)
 
 
-class Clock:
-    def __init__(self):
-        self.now = 0.0
-
-    def __call__(self):
-        return self.now
-
-
 class Source:
     """Answers feeds with what is set; counts how often it was asked."""
 
--- /dev/null
+++ b/tests/support/clock.py
@@ -0,0 +1,14 @@
+"""A clock that stands still until a test moves it."""
+
+__all__ = ["Clock"]
+
+
+class Clock:
+    """Returns ``now``, in seconds, when called."""
+
+    def __init__(self, now: float = 0.0) -> None:
+        self.now = now
+
+    def __call__(self) -> float:
+        """Return the time that was set."""
+        return self.now
