The soak looks at which version is in force while it harms the way to the store

Why it missed the incident: it asked for the newest version only after all harm had ended and 3 s had passed. Now calm nodes are asked, all the time, for the route of a version that was put 3 s ago; a node is calm if nothing has harmed it or its way to the store for 3 s. Nodes as processes moved to support/soak_deployment.py.

--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -5,7 +5,8 @@
 
 from eelgrass_standins.users_engines import EngineStandIn
 from support.entry import WHOLE
-from support.platform_soak import DEADLINE_S, Call, Soak, SoakDeployment
+from support.platform_soak import Soak
+from support.soak_deployment import DEADLINE_S, Call, SoakDeployment
 
 __all__ = ["violations"]
 
@@ -16,6 +17,7 @@
 # A process that was asked to stop (also before it served anybody), or killed; 1
 # where something was cut off.
 EXPECTED_EXITS = (0, 1, -signal.SIGKILL, -signal.SIGTERM)
+HTTP_NOT_FOUND = 404
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -31,6 +33,11 @@
         if soak.planned and ran and call.status == 0:
             found.append(f"{call.request_id} ({call.kind}) was cut off")
     found += _wrong_inputs(engines)
+    found += [
+        f"{probe.node} did not know version {probe.version} in time"
+        for probe in soak.probes
+        if probe.status == HTTP_NOT_FOUND
+    ]
     for node in deployment.soak_nodes:
         if not node.process.running():
             found.append(f"{node.name} ended by itself")
