--- a/tests/support/store_day.py
+++ b/tests/support/store_day.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from eelgrass_coordination import Member
+from eelgrass_node.connection.table_feed import SLACK_S
 from eelgrass_node.exceptions import (
     HistoryGone,
     PeerUnreachable,
@@ -28,9 +29,8 @@
 ANSWER_S = 0.004
 # For configurations and for servers that leave, on the users' sheets.
 PROMISED_S = 2.0
-# Between two nodes of a data centre, and what a call waits over the asked time.
+# Between two nodes of a data centre.
 HOP_S = 0.001
-PEER_SLACK_S = 0.3
 
 
 class Outage(msgspec.Struct, frozen=True):
@@ -251,7 +251,7 @@
         node = address.partition(":")[0]
         await asyncio.sleep(HOP_S)
         try:
-            async with asyncio.timeout(wait_s + PEER_SLACK_S):
+            async with asyncio.timeout(wait_s + SLACK_S):
                 relay = self._tables_by_node[node].relay
                 return await relay.changes(table, after, wait_s)
         except TimeoutError as error:
