--- a/packages/node/tests/test_store_following.py
+++ b/packages/node/tests/test_store_following.py
@@ -20,12 +20,8 @@
 from eelgrass_node.process.deployments import DeploymentInForce
 from eelgrass_node.process.follow_pace import TRY_S
 from eelgrass_node.process.server_list import ServerList
-from eelgrass_node.process.store_tables import (
-    FollowedTable,
-    StoredRow,
-    TableChanges,
-)
 from eelgrass_node.version.deployment import CallerLimits, Deployment
+from support.store_rows import changes, followed_table, row
 
 
 class Script:
@@ -53,25 +49,15 @@
         return answer
 
 
-def row(key, version, value=b"x"):
-    return StoredRow(key, version, value)
-
-
-def changes(version, *rows):
-    return TableChanges(tuple(rows), version)
-
-
 async def follow(*answers):
     script = Script(*answers)
     taken, whole = [], []
-    table = FollowedTable(
+    table = followed_table(
         script,
         "t",
-        lambda rows, source: taken.extend((r.key, r.version) for r in rows),
-        whole.append,
-        lambda: whole.append("returned"),
-        wait_s=0.01,
-        promised_s=2.0,
+        on_rows=lambda rows, source: taken.extend((r.key, r.version) for r in rows),
+        on_whole=whole.append,
+        on_return=lambda: whole.append("returned"),
     )
     task = asyncio.create_task(table.run())
     async with asyncio.timeout(5):
@@ -99,15 +85,7 @@
         """Found by the soak: 483 whole reads in a second, each of them paid for."""
         answers = [changes(5), HistoryGone("t")] * 50
         script = Script(*answers)
-        table = FollowedTable(
-            script,
-            "t",
-            lambda rows, source: None,
-            lambda keys: None,
-            lambda: None,
-            0.01,
-            2.0,
-        )
+        table = followed_table(script, "t")
         task = asyncio.create_task(table.run())
         await asyncio.sleep(0.5)
         task.cancel()
@@ -151,14 +129,10 @@
         removed is kept; the other node had not seen the removal yet.
         """
         taken = []
-        table = FollowedTable(
+        table = followed_table(
             Script(changes(5, row("a", 3)), HistoryGone("t"), changes(9)),
             "t",
-            lambda rows, source: taken.extend((r.key, r.value) for r in rows),
-            lambda keys: None,
-            lambda: None,
-            0.01,
-            2.0,
+            on_rows=lambda rows, source: taken.extend((r.key, r.value) for r in rows),
         )
         task = asyncio.create_task(table.run())
         await asyncio.sleep(0.05)
--- a/packages/node/tests/test_store_logs.py
+++ b/packages/node/tests/test_store_logs.py
@@ -7,11 +7,11 @@
 import asyncio
 
 from eelgrass_node.exceptions import StoreUnavailable
-from eelgrass_node.process.store_tables import FollowedTable, StoredRow, TableChanges
 from eelgrass_node.process.table_relay import RelayedReader
 from support.clock import Clock
 from support.log_lines import log_lines
 from support.members import member
+from support.store_rows import changes, followed_table, row
 
 TABLE = "op"
 
@@ -32,9 +32,7 @@
 
 class TestFailures:
     async def test_each_failure_is_told_with_its_reason_and_the_next_try(self):
-        table = FollowedTable(
-            Down(), TABLE, lambda rows, source: None, set, lambda: None, 0.01, 2.0
-        )
+        table = followed_table(Down(), TABLE)
         with log_lines() as lines:
             task = asyncio.create_task(table.run())
             await asyncio.sleep(0.6)
@@ -48,17 +46,11 @@
 
     async def test_rows_from_another_node_are_told_as_such(self):
         sources = []
-        table = FollowedTable(
-            Down(),
-            TABLE,
-            lambda rows, source: sources.append(source),
-            set,
-            lambda: None,
-            0.01,
-            2.0,
+        table = followed_table(
+            Down(), TABLE, on_rows=lambda rows, source: sources.append(source)
         )
         with log_lines() as lines:
-            table.take_from_peer((StoredRow("config", 7, b"x"),), "10.0.0.2:1")
+            table.take_from_peer((row("config", 7),), "10.0.0.2:1")
         [line] = of(lines, "Rows came from another node.")
         assert (line["node"], line["newest"], line["complete_to"]) == (
             "10.0.0.2:1",
@@ -71,13 +63,13 @@
 class TestSources:
     async def test_a_change_of_the_source_is_told_once(self):
         async def ask(address, table, after, wait_s):
-            return TableChanges((), 5)
+            return changes(5)
 
         relays = [member("relay"), member("relay"), None, None]
 
         class Store(Down):
             async def feed(self, table, after, wait_s):
-                return TableChanges((), 5)
+                return changes(5)
 
         reader = RelayedReader(
             Store(), lambda table: relays.pop(0), ask, {}, Clock(10.0)
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -7,7 +7,6 @@
 
 from eelgrass_coordination import MemberState
 from eelgrass_node.exceptions import HistoryGone, PeerUnreachable, StoreUnavailable
-from eelgrass_node.process.store_tables import FollowedTable, StoredRow, TableChanges
 from eelgrass_node.process.table_relay import (
     DISTRUST_S,
     RelayedReader,
@@ -16,18 +15,11 @@
 )
 from support.clock import Clock
 from support.members import member
+from support.store_rows import changes, followed_table, row
 
 TABLE = "servers"
 
 
-def row(key, version, value=b"x"):
-    return StoredRow(key, version, value)
-
-
-def changes(version, *rows):
-    return TableChanges(tuple(rows), version)
-
-
 class Source:
     """Answers feeds with what is set; counts how often it was asked."""
 
@@ -175,15 +167,7 @@
 
 class TestRelay:
     def setup_method(self):
-        self.table = FollowedTable(
-            Source(changes(0)),
-            TABLE,
-            lambda rows, source: None,
-            set,
-            lambda: None,
-            0.01,
-            2.0,
-        )
+        self.table = followed_table(Source(changes(0)), TABLE)
         self.reads_itself = True
         self.relay = TableRelay({TABLE: self.table}, lambda table: self.reads_itself)
         self.table._take_whole(changes(5, row("a", 3)))
--- a/tests/support/store_day.py
+++ b/tests/support/store_day.py
@@ -21,14 +21,13 @@
 from eelgrass_node.version.deployment import CallerLimits, Deployment
 
 from .members import member
+from .store_rows import PROMISED_S
 
 __all__ = ["Outage", "StoreDay"]
 
 OPERATOR = "op"
 SERVERS = "servers"
 ANSWER_S = 0.004
-# For configurations and for servers that leave, on the users' sheets.
-PROMISED_S = 2.0
 # Between two nodes of a data centre.
 HOP_S = 0.001
 
--- /dev/null
+++ b/tests/support/store_rows.py
@@ -0,0 +1,43 @@
+"""Rows of the store's tables, and tables that follow them, as tests need them."""
+
+from collections.abc import Callable
+from typing import Any
+
+from eelgrass_node.process.store_tables import (
+    FollowedTable,
+    StoredRow,
+    TableChanges,
+    TableReader,
+)
+
+__all__ = ["PROMISED_S", "changes", "followed_table", "row"]
+
+# For configurations and for servers that leave, on the users' sheets.
+PROMISED_S = 2.0
+# Short, so that a test need not wait for a call that brings no changes.
+WAIT_S = 0.01
+
+
+def row(key: str, version: int, value: bytes | None = b"x") -> StoredRow:
+    """Return a row; a value of None says that it was removed."""
+    return StoredRow(key, version, value)
+
+
+def changes(version: int, *rows: StoredRow) -> TableChanges:
+    """Return rows that are complete up to a version."""
+    return TableChanges(tuple(rows), version)
+
+
+def followed_table(
+    reader: TableReader, table: str, **told: Callable[..., Any]
+) -> FollowedTable:
+    """Return a table that tells of nothing but what ``told`` takes."""
+    return FollowedTable(
+        reader,
+        table,
+        told.get("on_rows", lambda rows, source: None),
+        told.get("on_whole", lambda keys: None),
+        told.get("on_return", lambda: None),
+        WAIT_S,
+        PROMISED_S,
+    )
