Tests of large answers over narrow links, failing: configurations are late, or never come

Four tests of single answers fail in any run: each is given up while it is still coming. Two that show that an answer which stops midway is given up soon pass, and must go on to.

--- /dev/null
+++ b/packages/node/tests/test_large_answers.py
@@ -0,0 +1,140 @@
+"""An answer that takes long because it is large is not taken for silence.
+
+A table of the store, or what another node knows of it, grows with the deployment, and
+links of 5 Mbit/s carry 0.6 MB in a second. An answer that was still coming at the end
+of a fixed wait was thrown away and asked for again, there or elsewhere, for ever.
+"""
+
+import asyncio
+import json
+import time
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from eelgrass_node.connection.peer_calls import PeerCalls
+from eelgrass_node.connection.peer_state import STATE_CALL, PeerState
+from eelgrass_node.connection.table_feed import TableFeedClient
+from eelgrass_node.exceptions import PeerUnreachable, StoreUnavailable
+from eelgrass_node.platform.store import RowStore
+from eelgrass_standins.ports import free_addresses
+from eelgrass_standins.row_store import RowStoreStandIn
+from support.fault_proxy import FaultProxy, Link
+
+# A link of 5 Mbit/s, and rows that take it two seconds.
+BYTES_PER_S = 0.6e6
+ROWS = 200
+ROW_BYTES = 4500
+# After this, nobody waits for an answer that has stopped.
+GIVEN_UP_S = 2.0
+
+
+def large_store():
+    store = RowStoreStandIn()
+    for number in range(ROWS):
+        store.put("servers", f"i{number}", "x" * ROW_BYTES)
+    return store
+
+
+@asynccontextmanager
+async def served(add_routes, **options):
+    """Serve what ``add_routes`` adds over a narrow link; give the link's proxy."""
+    [address] = free_addresses(1)
+    app = web.Application()
+    add_routes(app)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    proxy = FaultProxy(address, Link(BYTES_PER_S))
+    try:
+        yield proxy
+    finally:
+        await proxy.stop()
+        await runner.cleanup()
+
+
+@asynccontextmanager
+async def row_store(store):
+    async with served(store.add_routes) as proxy:
+        client = RowStore(await proxy.start())
+        yield client, proxy
+        await client.close()
+
+
+class OtherNode:
+    """Answers every call with rows that do not compress, or with half of them."""
+
+    def __init__(self, part=1.0):
+        rows = [
+            {"key": f"i{number}", "version": number + 1, "value": "AAAA" * 1100}
+            for number in range(ROWS)
+        ]
+        changes = {"rows": rows, "version": ROWS}
+        self._answers = {
+            "table-feed": {"knowledge": "known", "changes": changes},
+            STATE_CALL: {"operator": rows[:1], "servers": rows},
+        }
+        self._part = part
+
+    async def handle(self, request):
+        body = json.dumps(self._answers[request.match_info["call"]]).encode()
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        await response.write(body[: int(len(body) * self._part)])
+        await asyncio.sleep(0 if self._part == 1.0 else 10.0)
+        return response
+
+    def add_routes(self, app):
+        app.router.add_post("/peer/v1/{call}", self.handle)
+
+
+@asynccontextmanager
+async def peer_calls(other):
+    async with served(other.add_routes) as proxy, aiohttp.ClientSession() as session:
+        yield PeerCalls(session), await proxy.start()
+
+
+class TestStore:
+    async def test_a_whole_read_that_comes_slowly_is_taken(self):
+        async with row_store(large_store()) as (client, _):
+            changes = await client.read_table("servers")
+        assert len(changes.rows) == ROWS
+
+    async def test_changes_that_come_slowly_are_taken(self):
+        async with row_store(large_store()) as (client, _):
+            changes = await client.feed("servers", 0, 0.0)
+        assert len(changes.rows) == ROWS
+
+    async def test_one_that_stops_midway_is_given_up(self):
+        async with row_store(large_store()) as (client, proxy):
+            call = asyncio.create_task(client.feed("servers", 0, 0.0))
+            await asyncio.sleep(0.3)
+            proxy.silence()
+            silent_at = time.monotonic()
+            with pytest.raises(StoreUnavailable, match="bytes"):
+                await call
+        assert time.monotonic() - silent_at < GIVEN_UP_S
+
+
+class TestOtherNodes:
+    async def test_a_relay_whose_answer_comes_slowly_is_listened_to(self):
+        async with peer_calls(OtherNode()) as (calls, address):
+            changes = await TableFeedClient(calls).ask(address, "servers", 0, 0.1)
+        assert len(changes.rows) == ROWS
+
+    async def test_a_state_that_comes_slowly_is_taken(self):
+        async with peer_calls(OtherNode()) as (calls, address):
+            state = await calls.ask(address, STATE_CALL, None, PeerState, 0.5)
+        assert len(state.servers) == ROWS
+
+    async def test_a_relay_that_stops_midway_is_given_up(self):
+        async with peer_calls(OtherNode(part=0.5)) as (calls, address):
+            began = time.monotonic()
+            with pytest.raises(PeerUnreachable, match="bytes"):
+                await TableFeedClient(calls).ask(address, "servers", 0, 0.1)
+        # Half of the answer takes a second of it.
+        assert time.monotonic() - began < 1.0 + GIVEN_UP_S
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -93,6 +93,7 @@
         self.store = RowStoreStandIn()
         self.engines_by_service: dict[str, list[EngineStandIn]] = {}
         self.nodes: list[EntryNode] = []
+        self.bounds = BOUNDS
         self._node_count = nodes
         self._event_s = event_s
         self._runners: list[web.AppRunner] = []
@@ -207,7 +208,7 @@
                 store=StoreSettings(self.store_address),
                 memory_bytes=300_000_000,
                 max_descriptors=4100,
-                bounds=BOUNDS,
+                bounds=self.bounds,
             )
         )
         self.nodes.append(node)
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -3,9 +3,11 @@
 import asyncio
 from enum import Enum
 
-__all__ = ["Direction", "FaultProxy"]
+__all__ = ["Direction", "FaultProxy", "Link"]
 
 BLOCK_BYTES = 1 << 16
+# What goes through a narrow link at a time; connections take turns.
+PACKET_BYTES = 4096
 
 
 class Direction(Enum):
@@ -15,6 +17,22 @@
     TO_CLIENT = "to_client"
 
 
+class Link:
+    """A network link of ``bytes_per_s``, which all its connections share."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.sent = 0
+        self._free_at = 0.0
+
+    async def carry(self, count: int) -> None:
+        """Wait until so many bytes are through, behind those that came before."""
+        now = asyncio.get_running_loop().time()
+        self.sent += count
+        self._free_at = max(now, self._free_at) + count / self.bytes_per_s
+        await asyncio.sleep(self._free_at - now)
+
+
 class _Connection:
     """The two ends of one forwarded connection."""
 
@@ -31,11 +49,13 @@
     """Forwards to ``target``; faults are set from outside, at any time.
 
     ``delay_s`` holds each block of bytes for so long. Bytes in a direction of
-    ``blocked`` wait until it is taken out again.
+    ``blocked`` wait until it is taken out again. What goes back to clients passes
+    through ``link``, if there is one.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, link: Link | None = None) -> None:
         self._target = target
+        self._link = link
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
@@ -93,9 +113,12 @@
         self._connections.discard(connection)
 
     async def _pump(self, connection, reader, writer, direction: Direction) -> None:
+        link = self._link if direction is Direction.TO_CLIENT else None
         try:
-            while data := await reader.read(BLOCK_BYTES):
+            while data := await reader.read(PACKET_BYTES if link else BLOCK_BYTES):
                 await asyncio.sleep(self.delay_s)
+                if link is not None:
+                    await link.carry(len(data))
                 while direction in self.blocked:  # noqa: ASYNC110
                     await asyncio.sleep(0.02)
                 if not connection.silent:
--- /dev/null
+++ b/tests/support/narrow_links.py
@@ -0,0 +1,63 @@
+"""Entry nodes whose links are narrow, and configurations that are large."""
+
+import msgspec
+
+from eelgrass_node.entry_node import EntryNode
+
+from .entry import BOUNDS, EntryDeployment, configuration, route
+from .fault_proxy import FaultProxy, Link
+
+__all__ = ["IN_FORCE_S", "NarrowLinks", "large_configuration"]
+
+# What is promised of a configuration on the users' grown sheets.
+IN_FORCE_S = 3.0
+
+
+def large_configuration(version: int, routes: int, *more: dict) -> dict:
+    """Return a configuration with so many routes besides the usual ones."""
+    stages = [
+        {"Service": "portal", "After": [], "Bytes": 8_000},
+        {"Service": "clerks", "After": [0], "Bytes": 60_000},
+    ]
+    added = [
+        route(f"added-{number * 7919:08x}", "streaming", "readers", Stages=stages)
+        for number in range(routes)
+    ]
+    return configuration(version, routes=[*added, *more])
+
+
+class NarrowLinks(EntryDeployment):
+    """Each node sends to others, and hears from the store, at ``bytes_per_s``."""
+
+    def __init__(self, nodes: int, bytes_per_s: float) -> None:
+        super().__init__(nodes)
+        self.bounds = msgspec.structs.replace(BOUNDS, apply_s=IN_FORCE_S)
+        self._bytes_per_s = bytes_per_s
+        self._proxies: list[FaultProxy] = []
+        self.links: list[Link] = []
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Close everything at once."""
+        await super().__aexit__(*exc)
+        for proxy in self._proxies:
+            await proxy.stop()
+
+    async def add_node(self) -> EntryNode:
+        """Start one more node behind links of its own."""
+        true_address = self.store_address
+        self.store_address = await self._narrowed(true_address)
+        node = self.new_node()
+        self.store_address = true_address
+        shown = await self._narrowed(node.settings.internal)
+        node.membership.own = msgspec.structs.replace(
+            node.membership.own, internal=shown
+        )
+        await node.start()
+        return node
+
+    async def _narrowed(self, address: str) -> str:
+        link = Link(self._bytes_per_s)
+        proxy = FaultProxy(address, link)
+        self.links.append(link)
+        self._proxies.append(proxy)
+        return await proxy.start()
