An answer that is still coming is not given up

What callers saw: after a change of a large configuration, 404 and 401 at nodes that did not have it; refusals and late answers everywhere, since the links between nodes were full.

Cause: every call between nodes and to the store had one figure for all of it, chosen for small answers (0.6 and 1.0 s at the store, 1.1 s at a relay, 1.0 s for a state). An answer of 0.85 MB takes 1.4 s on a link of 5 Mbit/s. It was thrown away half read and asked for again, there and elsewhere, by all nodes: what was sent grew, and none of it counted.

Now an answer must begin in that time, and may then go on for as long as it comes: 0.4 s of silence end it, or less than 30 kB a second after its first second. The longest call without a whole answer stays at 1.0 s, so the pauses at the store are as before.

Ruled out on the way: 0.6 s of silence; the pauses that leaves make 30.7 calls of a node in an outage of 8 s where 27 are allowed.

--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -4,7 +4,7 @@
 or kept goes through a transactional table service (:class:`Table`).
 """
 
-from .bounded_call import bounded_call
+from .bounded_call import SILENCE_S, bounded_call
 from .change_log import ChangeLog, ChangeOutcome, ChangeResult
 from .claims import Claim, Claims, ClaimState, Held
 from .configuration import Action, Change, ChangeItem, Entry, Problem, Snapshot
@@ -56,6 +56,7 @@
     "RetryBudget",
     "Row",
     "RowKey",
+    "SILENCE_S",
     "Snapshot",
     "SnapshotStore",
     "Table",
--- a/packages/coordination/src/eelgrass_coordination/bounded_call.py
+++ b/packages/coordination/src/eelgrass_coordination/bounded_call.py
@@ -1,4 +1,4 @@
-"""An HTTP call that is given up after a time, with the client library's gaps closed."""
+"""An HTTP call that is given up in silence, with the client library's gaps closed."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -7,15 +7,34 @@
 
 import aiohttp
 
-__all__ = ["BoundedAnswer", "bounded_call"]
+__all__ = ["SILENCE_S", "BoundedAnswer", "bounded_call"]
+
+# An answer that has begun may pause for so long: a lost packet comes again in half of
+# it. One that stops, with its sender frozen or cut off, is given up then.
+SILENCE_S = 0.4
+# An answer that comes more slowly is given up, too: others may have it sooner. The
+# narrowest links that are planned for carry twenty times as much.
+SLOWEST_BYTES_PER_S = 30_000
+# How long an answer has come before its speed is judged.
+JUDGED_AFTER_S = 1.0
 
 
 class BoundedAnswer:
-    """The answer to a call; ``received`` is how many bytes of its body have come."""
+    """The answer to a call; ``received`` is how many bytes of its body have come.
+
+    Every part that comes puts ``bound`` off. What an answer carries grows with the
+    deployment, so that a fixed time for all of it would be too short one day: each
+    answer would be thrown away half read, and asked for again for ever.
+    """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(
+        self, response: aiohttp.ClientResponse, bound: asyncio.Timeout
+    ) -> None:
         self._response = response
+        self._bound = bound
+        self._began_at = asyncio.get_running_loop().time()
         self.received = 0
+        self._put_off()
 
     @property
     def status(self) -> int:
@@ -32,8 +51,15 @@
         async for part in self._response.content.iter_any():
             parts.append(part)
             self.received += len(part)
+            self._put_off()
         return b"".join(parts)
 
+    def _put_off(self) -> None:
+        silent_at = asyncio.get_running_loop().time() + SILENCE_S
+        needed_s = self.received / SLOWEST_BYTES_PER_S
+        slow_at = self._began_at + JUDGED_AFTER_S + needed_s
+        self._bound.reschedule(min(silent_at, slow_at))
+
 
 @asynccontextmanager
 async def bounded_call(
@@ -46,11 +72,11 @@
 ) -> AsyncIterator[BoundedAnswer]:
     """Make a call and give its answer, for use with ``async with``.
 
-    All of it, the reading of the answer too, may take ``within_s`` and the
-    connection ``connect_s`` (as long, if not given), in seconds; after that
-    :class:`TimeoutError` is raised, which tells how much of the answer had come. No
-    redirect is followed: a 307 would send the body again. ``options`` go to the
-    session.
+    The answer must begin ``within_s`` and the connection come about ``connect_s`` (as
+    long, if not given), in seconds; an answer that has begun may take as long as it
+    goes on coming. Otherwise :class:`TimeoutError` is raised, which tells how much of
+    the answer had come. No redirect is followed: a 307 would send the body again.
+    ``options`` go to the session.
 
     The library's own timeout is not used: it loses a cancellation that comes together
     with it, as after a suspension, and a stop would then never end.
@@ -64,12 +90,12 @@
     answer: BoundedAnswer | None = None
     try:
         async with (
-            asyncio.timeout(within_s),
+            asyncio.timeout(within_s) as bound,
             session.request(
                 method, url, timeout=timeout, allow_redirects=False, **options
             ) as response,
         ):
-            answer = BoundedAnswer(response)
+            answer = BoundedAnswer(response, bound)
             yield answer
     except TimeoutError as error:
         raise TimeoutError(_story(answer, within_s)) from error
@@ -79,4 +105,4 @@
     """Return what an on-call engineer wants to know of a call that was given up."""
     if answer is None:
         return f"no answer within {within_s:g} s"
-    return f"{answer.received} bytes of an answer within {within_s:g} s"
+    return f"an answer that stopped after {answer.received} bytes"
--- a/packages/node/src/eelgrass_node/connection/peer_calls.py
+++ b/packages/node/src/eelgrass_node/connection/peer_calls.py
@@ -25,8 +25,8 @@
     ) -> T:
         """Post ``message`` to ``/peer/v1/{path}`` and decode the answer.
 
-        ``within`` is in seconds. Raises :class:`PeerUnreachable` where no valid
-        answer comes in time.
+        The answer must begin ``within`` seconds, and may take as long as it goes on
+        coming. Raises :class:`PeerUnreachable` where no valid answer comes.
         """
         try:
             async with bounded_call(
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -64,7 +64,7 @@
 MAX_BODY_BYTES = 64 << 20
 # For the header of a first request, before there is a configuration.
 DEFAULT_HEADER_S = 10.0
-# A state is some 100 kB and comes from a node that is idle or near.
+# Another node has its answer at hand; one that is frozen is passed over after this.
 PEER_STATE_S = 1.0
 # Kept connections between nodes; longer than the callers' side keeps them.
 PEER_IDLE_S = 90.0
--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -9,7 +9,7 @@
 
 from ..connection.sockets import new_session
 from ..exceptions import HistoryGone, StoreUnavailable
-from ..process.follow_pace import READ_S, TRY_S
+from ..process.follow_pace import TRY_S
 from ..process.store_tables import StoredRow, TableChanges
 
 __all__ = ["RowStore"]
@@ -63,7 +63,7 @@
         first = ""
         while True:
             params = {"Table": table, "part": "", "FromKey": first}
-            page = await self._get("/-/rows-get", params, READ_S)
+            page = await self._get("/-/rows-get", params, TRY_S)
             rows += [_stored(row) for row in page.rows]
             version = page.ver if version is None else version
             if not page.has_more or not page.rows:
@@ -81,8 +81,8 @@
             "After": str(after),
             "WaitMs": str(int(wait_s * 1000)),
         }
-        # What comes later than its wait by so much is taken for a connection that
-        # has gone silent.
+        # Where no answer has begun so long after the wait, the connection is taken for
+        # one that has gone silent.
         page = await self._get("/-/rows-feed", params, wait_s + TRY_S)
         return TableChanges(tuple(_stored(row) for row in page.rows), page.ver)
 
--- a/packages/node/src/eelgrass_node/process/follow_pace.py
+++ b/packages/node/src/eelgrass_node/process/follow_pace.py
@@ -17,13 +17,16 @@
 
 import random
 
-__all__ = ["FIRST_PAUSE_S", "FollowPace", "READ_S", "TRY_S"]
+from eelgrass_coordination import SILENCE_S
 
-# A call that asks for nothing but what there is gets this long; the store answers in
-# 4 ms, and in 200 ms where it is slow.
+__all__ = ["FIRST_PAUSE_S", "LONGEST_CALL_S", "FollowPace", "TRY_S"]
+
+# An answer of the store must begin this long after what was asked for is there; the
+# store answers in 4 ms, and in 200 ms where it is slow. How long the answer goes on is
+# not bounded: a whole table grows with the deployment.
 TRY_S = 0.6
-# One part of a whole read: up to 500 rows, some 100 kB on a narrow link.
-READ_S = 1.0
+# A call whose answer begins at the last moment, and then stops.
+LONGEST_CALL_S = TRY_S + SILENCE_S
 # After the first failure; short, since a call that waited for changes has already
 # taken 1.6 s to be given up.
 FIRST_PAUSE_S = 0.3
@@ -40,7 +43,7 @@
     """
 
     def __init__(self, promised_s: float) -> None:
-        left_s = promised_s * (1 - RESERVE) - READ_S
+        left_s = promised_s * (1 - RESERVE) - LONGEST_CALL_S
         self.longest_s = max(FIRST_PAUSE_S, left_s)
         self._next_s = FIRST_PAUSE_S
 
