A node that knows of a newer configuration does not refuse for good by an older one

What callers saw: 404 on routes, and 401 for keys, that were there. They take both as final and don't come back.

Cause: a node refused by the configuration in force although others had told it, on every message between nodes, that there is a newer one.

Now such a node answers 503, not run, with the time to come back, for routes and keys that it does not know, and serves what it knows. It believes so only while it is told at least every 3 s; a single node that tells a wrong number is heard more seldom.

Ruled out: to hold such a request until the newer configuration has come; the caller's time is better spent at another node.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -123,7 +123,7 @@
             self._own_member(), settings.seed_gossip(), GOSSIP_INTERVAL_S
         )
         self.membership.on_change = self._members_changed
-        self.membership.on_revision = self.catch_up.heard
+        self.membership.on_revision = self._revision_heard
         self.checks = ReachChecks(
             settings.data_centre,
             self.reach,
@@ -368,6 +368,10 @@
             capacity=round(settings.capacity(), 2),
         )
 
+    def _revision_heard(self, revision: Revision, member: Member, age_s: float) -> None:
+        self.deployments.hear(revision)
+        self.catch_up.heard(revision, member, age_s)
+
     def _advanced(self, number: int) -> None:
         self.membership.announce_revision(Revision(number))
 
--- a/packages/node/src/eelgrass_node/process/deployments.py
+++ b/packages/node/src/eelgrass_node/process/deployments.py
@@ -10,6 +10,10 @@
 
 __all__ = ["DeploymentInForce"]
 
+# A node hears from two others in a second, and more when there is news. One node alone
+# that tells a wrong number is heard more seldom than this.
+HEARD_FOR_S = 3.0
+
 
 class DeploymentInForce:
     """Holds the newest configuration that was read, from wherever it came.
@@ -30,12 +34,30 @@
         self.current: Deployment | None = None
         self.raw = b""
         self.since = 0.0
+        self._heard_number = -1
+        self._heard_at = float("-inf")
 
     @property
     def number(self) -> int:
         """The number of the configuration in force; -1 before the first."""
         return -1 if self.current is None else self.current.number
 
+    @property
+    def superseded(self) -> bool:
+        """Whether another node has told lately of a newer configuration.
+
+        What the one in force does not know may be there then.
+        """
+        if self._heard_number <= self.number:
+            return False
+        return asyncio.get_running_loop().time() - self._heard_at <= HEARD_FOR_S
+
+    def hear(self, number: int) -> None:
+        """Note the number of the configuration that another node has."""
+        if number > self.number:
+            self._heard_number = number
+            self._heard_at = asyncio.get_running_loop().time()
+
     def take_rows(self, rows: tuple[StoredRow, ...], source: str) -> None:
         """Take in rows of the operator's table; ``source`` says from where."""
         for row in rows:
--- a/packages/node/src/eelgrass_node/request/accept.py
+++ b/packages/node/src/eelgrass_node/request/accept.py
@@ -10,7 +10,7 @@
 from ..log import Part, log
 from ..process.deployments import DeploymentInForce
 from ..process.stopping import Stopping
-from ..version.deployment import AccountGrant, Deployment, Route
+from ..version.deployment import AccountGrant, Route
 from .answering import CallerAnswer
 from .arrival import Arrival, Routed, WireCodec
 from .routed import ANSWER_MARGIN_S, RoutedRequest
@@ -23,6 +23,8 @@
 # second of its start, and another node can take a request at once.
 START_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.1
+# A newer configuration comes within half a second of the news of it.
+NEWER_RETRY_S = 0.5
 # The deadline of a caller that names none; its route's timeout is shorter.
 DEFAULT_DEADLINE_S = 30.0
 HTTP_BAD_REQUEST = 400
@@ -113,14 +115,14 @@
         deployment = self._deployments.current
         route = deployment.match(arrival.host, arrival.target.partition("?")[0])
         if route is None:
-            self._log_refused(arrival, deployment, "no route")
-            return answer.refusal(HTTP_NOT_FOUND, "no such route")
+            return self._refuse_unknown(arrival, answer, "no route", HTTP_NOT_FOUND)
         account = None
         if deployment.has_accounts and not route.public:
             account = deployment.account_by_key.get(arrival.api_key or "")
             if account is None:
-                self._log_refused(arrival, deployment, "unknown key")
-                return answer.refusal(HTTP_UNAUTHORIZED, "unknown key")
+                return self._refuse_unknown(
+                    arrival, answer, "unknown key", HTTP_UNAUTHORIZED
+                )
         routed = self._routed(arrival, route, account)
         return await RoutedRequest(self._parts, routed, answer).serve()
 
@@ -141,17 +143,28 @@
             due=arrival.arrived_at + route.target_s - waited_s,
         )
 
-    def _log_refused(
-        self, arrival: Arrival, deployment: Deployment, reason: str
-    ) -> None:
-        self._count(f"refusal.{reason.replace(' ', '-')}")
+    def _refuse_unknown(
+        self, arrival: Arrival, answer: CallerAnswer, reason: str, status: int
+    ) -> web.StreamResponse:
+        """Refuse what the configuration does not know.
+
+        Callers take ``status`` as final. A node that knows of a newer configuration
+        and does not have it yet must not say so: the route or key may be there.
+        """
+        behind = self._deployments.superseded
+        if behind:
+            reason += ", a newer version is on its way"
+        self._count(f"refusal.{reason.replace(',', '').replace(' ', '-')}")
         log(
             Part.REQUESTS,
             "Refused.",
             id=arrival.request_id,
             reason=reason,
-            version=deployment.number,
+            version=self._deployments.number,
         )
+        if behind:
+            return answer.refusal(HTTP_UNAVAILABLE, reason, NEWER_RETRY_S)
+        return answer.refusal(status, reason)
 
 
 def _header_bytes(request: web.BaseRequest) -> int:
--- a/tests/support/narrow_links.py
+++ b/tests/support/narrow_links.py
@@ -27,37 +27,39 @@
 
 
 class NarrowLinks(EntryDeployment):
-    """Each node sends to others, and hears from the store, at ``bytes_per_s``."""
+    """Each node sends to others, and hears from the store, at ``bytes_per_s``.
+
+    ``store_proxies`` stand between each node and the store, and ``node_proxies``
+    before what each node tells others but for news of members.
+    """
 
     def __init__(self, nodes: int, bytes_per_s: float) -> None:
         super().__init__(nodes)
         self.bounds = msgspec.structs.replace(BOUNDS, apply_s=IN_FORCE_S)
         self._bytes_per_s = bytes_per_s
-        self._proxies: list[FaultProxy] = []
-        self.links: list[Link] = []
+        self.store_proxies: list[FaultProxy] = []
+        self.node_proxies: list[FaultProxy] = []
 
     async def __aexit__(self, *exc: object) -> None:
         """Close everything at once."""
         await super().__aexit__(*exc)
-        for proxy in self._proxies:
+        for proxy in (*self.store_proxies, *self.node_proxies):
             await proxy.stop()
 
     async def add_node(self) -> EntryNode:
         """Start one more node behind links of its own."""
         true_address = self.store_address
-        self.store_address = await self._narrowed(true_address)
+        self.store_address = await self._narrowed(true_address, self.store_proxies)
         node = self.new_node()
         self.store_address = true_address
-        shown = await self._narrowed(node.settings.internal)
+        shown = await self._narrowed(node.settings.internal, self.node_proxies)
         node.membership.own = msgspec.structs.replace(
             node.membership.own, internal=shown
         )
         await node.start()
         return node
 
-    async def _narrowed(self, address: str) -> str:
-        link = Link(self._bytes_per_s)
-        proxy = FaultProxy(address, link)
-        self.links.append(link)
-        self._proxies.append(proxy)
+    async def _narrowed(self, address: str, proxies: list[FaultProxy]) -> str:
+        proxy = FaultProxy(address, Link(self._bytes_per_s))
+        proxies.append(proxy)
         return await proxy.start()
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from support.entry import route, until
+from support.entry import configuration, route, until
+from support.fault_proxy import Direction
 from support.narrow_links import IN_FORCE_S, NarrowLinks, large_configuration
 
 ROUTES = 1564
@@ -61,3 +62,47 @@
         late = await narrow.add_node()
         await until(lambda: late.ready, IN_FORCE_S)
         assert late.deployments.number == 5
+
+
+class TestNodeThatIsBehind:
+    """A node has heard that there is a newer configuration, and cannot read it yet.
+
+    It refused requests for good, with 404 or 401, by what it knew to be out of date;
+    callers take that as final. It may still be so where links fail.
+    """
+
+    @pytest.fixture
+    async def behind(self):
+        async with NarrowLinks(3, LINK_BYTES_PER_S) as deployment:
+            deployment.store_proxies[0].blocked.add(Direction.TO_CLIENT)
+            for proxy in deployment.node_proxies[1:]:
+                proxy.blocked.add(Direction.TO_CLIENT)
+            newer = [route("newest", "idempotent", "desk")]
+            changed = configuration(5, keys=("key-1", "key-2"), routes=newer)
+            deployment.store.put("op", "config", changed)
+            others = deployment.nodes[1:]
+            await until(lambda: all(n.deployments.number == 5 for n in others))
+            await until(lambda: deployment.nodes[0].deployments.superseded)
+            yield deployment
+
+    async def test_a_route_that_it_does_not_know_may_be_there_soon(self, behind):
+        status, headers, _ = await behind.ask("/newest/x")
+        assert status == 503
+        assert 0 < float(headers["Retry-After"]) < 1
+
+    async def test_and_so_may_a_key(self, behind):
+        status, headers, _ = await behind.ask("/safe/x", Authorization="Bearer key-2")
+        assert status == 503
+        assert 0 < float(headers["Retry-After"]) < 1
+
+    async def test_what_it_knows_is_served(self, behind):
+        status, _, _ = await behind.ask("/safe/x")
+        assert status == 200
+
+    async def test_once_it_has_caught_up_it_refuses_for_good(self, behind):
+        for proxy in (*behind.store_proxies, *behind.node_proxies):
+            proxy.heal()
+        await until(lambda: behind.nodes[0].deployments.number == 5)
+        assert (await behind.ask("/newest/x"))[0] == 200
+        assert (await behind.ask("/unknown/x"))[0] == 404
+        assert (await behind.ask("/safe/x", Authorization="Bearer key-9"))[0] == 401
