A small change of a large row is sent as what has changed in it

What callers saw: after a change that made the configuration large, each small change after it (a key, a timeout) was late as well, and filled the links on which requests go.

Cause: the configuration is one row, and a relay sent it whole with every change.

A follower checks the version of the row before and the digest of the result, and asks for the row whole where either does not fit. It says that it takes differences, so a node of an older release on either side goes on with whole rows.

--- a/packages/node/src/eelgrass_node/connection/table_feed.py
+++ b/packages/node/src/eelgrass_node/connection/table_feed.py
@@ -1,12 +1,15 @@
 """How a node asks the relay of its data centre for changes of a table."""
 
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
 from aiohttp import web
 
-from ..exceptions import HistoryGone, StoreUnavailable
-from ..process.store_tables import TableChanges
+from ..exceptions import DifferenceMismatch, HistoryGone, StoreUnavailable
+from ..log import Part, log
+from ..process.row_difference import RowDifference, difference_of, with_difference
+from ..process.store_tables import StoredRow, TableChanges
 from ..process.table_relay import TableRelay
 from .peer_answers import peer_answer
 from .peer_calls import PeerCalls
@@ -21,11 +24,16 @@
 
 
 class _Feed(msgspec.Struct):
-    """Asks for what changed after a version, or for the whole table."""
+    """Asks for what changed after a version, or for the whole table.
+
+    ``takes_differences`` says that a row which is known as of that version may be
+    answered with what has changed in it.
+    """
 
     table: str
     after: int | None
     wait_s: float
+    takes_differences: bool = False
 
 
 class _Knowledge(Enum):
@@ -37,17 +45,24 @@
 
 
 class _FeedReply(msgspec.Struct, frozen=True):
-    """The changes, where the relay knows them."""
+    """The changes, where the relay knows them; some rows as their differences."""
 
     knowledge: _Knowledge
     changes: TableChanges | None = None
+    differences: tuple[RowDifference, ...] = ()
 
 
 class TableFeedClient:
-    """Asks relays at their internal addresses."""
+    """Asks relays at their internal addresses.
+
+    ``known_row`` returns the row of a table and key as it is known here.
+    """
 
-    def __init__(self, calls: PeerCalls) -> None:
+    def __init__(
+        self, calls: PeerCalls, known_row: Callable[[str, str], StoredRow | None]
+    ) -> None:
         self._calls = calls
+        self._known_row = known_row
 
     async def ask(
         self, address: str, table: str, after: int | None, wait_s: float
@@ -59,18 +74,44 @@
         Raises :class:`PeerUnreachable`, :class:`HistoryGone`, and
         :class:`StoreUnavailable` where the relay does not read the store.
         """
+        changes, differences = await self._ask(
+            address, _Feed(table, after, wait_s, takes_differences=True)
+        )
+        if not differences:
+            return changes
+        try:
+            made = self._rows_made(table, differences)
+        except DifferenceMismatch as error:
+            # This node has the row from elsewhere, of another version.
+            log(Part.STORE, "A row is asked for whole.", table=table, error=str(error))
+            changes, _ = await self._ask(address, _Feed(table, after, 0.0))
+            return changes
+        rows = sorted((*changes.rows, *made), key=lambda row: row.version)
+        return TableChanges(tuple(rows), changes.version)
+
+    async def _ask(
+        self, address: str, feed: _Feed
+    ) -> tuple[TableChanges, tuple[RowDifference, ...]]:
         reply = await self._calls.ask(
-            address,
-            FEED_CALL,
-            _Feed(table, after, wait_s),
-            _FeedReply,
-            wait_s + SLACK_S,
+            address, FEED_CALL, feed, _FeedReply, feed.wait_s + SLACK_S
         )
         if reply.knowledge is _Knowledge.HISTORY_GONE:
-            raise HistoryGone(table)
+            raise HistoryGone(feed.table)
         if reply.changes is None:
-            raise StoreUnavailable(table, f"the relay at {address} does not read it")
-        return reply.changes
+            reason = f"the relay at {address} does not read it"
+            raise StoreUnavailable(feed.table, reason)
+        return reply.changes, reply.differences
+
+    def _rows_made(
+        self, table: str, differences: tuple[RowDifference, ...]
+    ) -> list[StoredRow]:
+        """Return the rows that follow from those that are known here."""
+        rows: list[StoredRow] = []
+        for difference in differences:
+            known = self._known_row(table, difference.key)
+            if known is None or known.version < difference.version:
+                rows.append(with_difference(known, difference))
+        return rows
 
 
 class TableFeedInterface:
@@ -87,13 +128,28 @@
             changes = await self._relay.changes(
                 feed.table, feed.after, min(feed.wait_s, MAX_WAIT_S)
             )
-            reply = _FeedReply(_Knowledge.KNOWN, changes)
+            reply = self._reply(feed, changes)
         except HistoryGone:
             reply = _FeedReply(_Knowledge.HISTORY_GONE)
         except StoreUnavailable:
             reply = _FeedReply(_Knowledge.NO_STORE)
         return peer_answer(request, reply)
 
+    def _reply(self, feed: _Feed, changes: TableChanges) -> _FeedReply:
+        """Return the reply with changes, with differences in place of large rows."""
+        if not feed.takes_differences or feed.after is None:
+            return _FeedReply(_Knowledge.KNOWN, changes)
+        rows: list[StoredRow] = []
+        differences: list[RowDifference] = []
+        for row in changes.rows:
+            before = self._relay.large_row_before(feed.table, row.key, feed.after)
+            if before is None or row.value is None:
+                rows.append(row)
+            else:
+                differences.append(difference_of(before, row))
+        rest = TableChanges(tuple(rows), changes.version)
+        return _FeedReply(_Knowledge.KNOWN, rest, tuple(differences))
+
     def add_routes(self, app: web.Application) -> None:
         """Add the route for other nodes."""
         app.router.add_post(f"/peer/v1/{FEED_CALL}", self.handle_feed)
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -139,7 +139,9 @@
         self.tables = PlatformTables(
             TableNames(configuration.OPERATOR_TABLE, servers.SERVERS_TABLE),
             self.store,
-            TableFeedClient(self.peer_calls).ask,
+            TableFeedClient(
+                self.peer_calls, lambda table, key: self.tables.row(table, key)
+            ).ask,
             lambda: self.membership.own,
             self.membership.members.reachable,
             self.deployments,
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -7,6 +7,7 @@
     "CallFailed",
     "CallerGone",
     "ConfigurationMalformed",
+    "DifferenceMismatch",
     "HistoryGone",
     "NodeError",
     "PeerUnreachable",
@@ -107,6 +108,16 @@
         )
 
 
+class DifferenceMismatch(NodeError):
+    """A row cannot be made of the one before it and a difference."""
+
+    def __init__(self, key: str, reason: str) -> None:
+        super().__init__(
+            f"The row {key} cannot be made of the one before it ({reason}). Ask for it "
+            "whole."
+        )
+
+
 class StoreUnavailable(NodeError):
     """The platform's store gave no good answer."""
 
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -8,7 +8,7 @@
 
 from .deployments import DeploymentInForce
 from .server_list import ServerList
-from .store_tables import FollowedTable, TableReader
+from .store_tables import FollowedTable, StoredRow, TableReader
 from .table_relay import AskRelay, RelayedReader, TableRelay, relays_of
 
 __all__ = ["PlatformTables", "TableNames"]
@@ -79,10 +79,15 @@
             drain_s,
         )
         self._deployments = deployments
-        self.relay = TableRelay(
-            {names.operator: self.operator, names.servers: self.servers},
-            reader.reads_itself,
-        )
+        self._table_by_name = {
+            names.operator: self.operator,
+            names.servers: self.servers,
+        }
+        self.relay = TableRelay(self._table_by_name, reader.reads_itself)
+
+    def row(self, table: str, key: str) -> StoredRow | None:
+        """Return a row as it is known here."""
+        return self._table_by_name[table].row(key)
 
     @property
     def known(self) -> bool:
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -17,6 +17,9 @@
 
 __all__ = ["FollowedTable", "StoredRow", "TableChanges", "TableReader"]
 
+# Smaller rows fit into a few packets.
+LARGE_ROW_BYTES = 4096
+
 
 class StoredRow(msgspec.Struct, frozen=True):
     """A row of a table; ``value`` is None where the row is gone."""
@@ -25,6 +28,11 @@
     version: int
     value: bytes | None
 
+    @property
+    def is_large(self) -> bool:
+        """Whether it is worth to send what has changed in it alone."""
+        return self.value is not None and len(self.value) >= LARGE_ROW_BYTES
+
 
 class TableChanges(msgspec.Struct, frozen=True):
     """Rows, and the version of the store up to which they are complete."""
@@ -71,6 +79,8 @@
         self._lost_pace = FollowPace(promised_s)
         self._gone_pace = FollowPace(promised_s)
         self._row_by_key: dict[str, StoredRow] = {}
+        # Large rows that the one of their key has replaced.
+        self._before_by_key: dict[str, StoredRow] = {}
         self._version = -1
         self._whole = False
         # Removals before this version are not known one by one.
@@ -111,6 +121,20 @@
         """Return all rows that are known, for a node that reaches no store."""
         return tuple(self._row_by_key.values())
 
+    def row(self, key: str) -> StoredRow | None:
+        """Return the row of a key as it is known, also where it is gone."""
+        return self._row_by_key.get(key)
+
+    def large_row_before(self, key: str, version: int) -> StoredRow | None:
+        """Return the large row that the one of a key has replaced.
+
+        None where there is none, or it was not there yet at a version.
+        """
+        before = self._before_by_key.get(key)
+        if before is None or before.version > version:
+            return None
+        return before
+
     def whole(self) -> TableChanges:
         """Return all rows that there are, as of the version that is known.
 
@@ -193,6 +217,7 @@
         keys = {row.key for row in changes.rows}
         for key in self._row_by_key.keys() - keys:
             del self._row_by_key[key]
+            self._before_by_key.pop(key, None)
         self._take(changes)
         self._on_whole(keys)
 
@@ -211,6 +236,10 @@
         known = self._row_by_key.get(row.key)
         if known is not None and row.version <= known.version:
             return False
+        if known is not None and known.is_large:
+            self._before_by_key[row.key] = known
+        else:
+            self._before_by_key.pop(row.key, None)
         self._row_by_key[row.key] = row
         return True
 
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -22,7 +22,7 @@
 
 from ..exceptions import PeerUnreachable, StoreUnavailable
 from ..log import Part, log
-from .store_tables import FollowedTable, TableChanges, TableReader
+from .store_tables import FollowedTable, StoredRow, TableChanges, TableReader
 from .strong_nodes import strong_nodes
 
 __all__ = ["RelayedReader", "TableRelay", "relay_of", "relays_of"]
@@ -221,6 +221,10 @@
         self._table_by_name = table_by_name
         self._reads_itself = reads_itself
 
+    def large_row_before(self, name: str, key: str, version: int) -> StoredRow | None:
+        """Return the large row that the one of a key replaced after a version."""
+        return self._table_by_name[name].large_row_before(key, version)
+
     async def changes(
         self, name: str, after: int | None, wait_s: float
     ) -> TableChanges:
--- a/packages/node/tests/test_large_answers.py
+++ b/packages/node/tests/test_large_answers.py
@@ -92,6 +92,11 @@
         app.router.add_post("/peer/v1/{call}", self.handle)
 
 
+def unknown(table, key):
+    """Return no row: this node knows nothing of the table."""
+    return
+
+
 @asynccontextmanager
 async def peer_calls(other):
     async with served(other.add_routes) as proxy, aiohttp.ClientSession() as session:
@@ -123,7 +128,9 @@
 class TestOtherNodes:
     async def test_a_relay_whose_answer_comes_slowly_is_listened_to(self):
         async with peer_calls(OtherNode()) as (calls, address):
-            changes = await TableFeedClient(calls).ask(address, "servers", 0, 0.1)
+            changes = await TableFeedClient(calls, unknown).ask(
+                address, "servers", 0, 0.1
+            )
         assert len(changes.rows) == ROWS
 
     async def test_a_state_that_comes_slowly_is_taken(self):
@@ -135,6 +142,6 @@
         async with peer_calls(OtherNode(part=0.5)) as (calls, address):
             began = time.monotonic()
             with pytest.raises(PeerUnreachable, match="bytes"):
-                await TableFeedClient(calls).ask(address, "servers", 0, 0.1)
+                await TableFeedClient(calls, unknown).ask(address, "servers", 0, 0.1)
         # Half of the answer takes a second of it.
         assert time.monotonic() - began < 1.0 + GIVEN_UP_S
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -62,6 +62,11 @@
         self.delay_s = 0.0
         self.blocked: set[Direction] = set()
 
+    @property
+    def sent(self) -> int:
+        """How many bytes have gone to clients over the link."""
+        return self._link.sent if self._link else 0
+
     async def start(self) -> str:
         """Listen; return the address."""
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -22,6 +22,8 @@
 # A link of 5 Mbit/s.
 LINK_BYTES_PER_S = 0.6e6
 NODES = 8
+# A few packets to each node, beside what the nodes tell each other anyway.
+SMALL_CHANGE_BYTES = 8_000
 
 
 @pytest.fixture
@@ -56,6 +58,17 @@
             status, _, _ = await narrow.ask("/newest-8/x", node=node)
             assert status == 200
 
+    async def test_a_small_change_after_it_costs_little(self, narrow):
+        """It was sent whole to each node, and filled links as the large one did."""
+        narrow.store.put("op", "config", large_configuration(5, ROUTES))
+        await until(in_force(narrow, 5), 20.0)
+        before = sum(proxy.sent for proxy in narrow.node_proxies)
+        newest = route("newest", "idempotent", "desk")
+        narrow.store.put("op", "config", large_configuration(6, ROUTES, newest))
+        await until(in_force(narrow, 6), IN_FORCE_S)
+        sent = sum(proxy.sent for proxy in narrow.node_proxies) - before
+        assert sent < SMALL_CHANGE_BYTES * NODES
+
     async def test_a_node_that_starts_has_it_in_time(self, narrow):
         narrow.store.put("op", "config", large_configuration(5, ROUTES))
         await until(in_force(narrow, 5), 20.0)
