A node to which a large answer of the store still comes is a relay all the while

Now a table that is arriving counts as read.

Whole reads must begin to be answered after 1.0 s again: a node that starts reads two tables over one link.

--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -9,7 +9,7 @@
 
 from ..connection.sockets import new_session
 from ..exceptions import HistoryGone, StoreUnavailable
-from ..process.follow_pace import TRY_S
+from ..process.follow_pace import READ_S, TRY_S
 from ..process.store_tables import StoredRow, TableChanges
 
 __all__ = ["RowStore"]
@@ -50,6 +50,7 @@
         # A spare one would go silent together with it and cost a second call, 0.6 s
         # and the pause after it.
         self._session_by_table: dict[str, aiohttp.ClientSession] = {}
+        self._arriving: set[str] = set()
         self.calls = 0
 
     async def read_table(self, table: str) -> TableChanges:
@@ -63,7 +64,7 @@
         first = ""
         while True:
             params = {"Table": table, "part": "", "FromKey": first}
-            page = await self._get("/-/rows-get", params, TRY_S)
+            page = await self._get("/-/rows-get", params, READ_S)
             rows += [_stored(row) for row in page.rows]
             version = page.ver if version is None else version
             if not page.has_more or not page.rows:
@@ -86,6 +87,10 @@
         page = await self._get("/-/rows-feed", params, wait_s + TRY_S)
         return TableChanges(tuple(_stored(row) for row in page.rows), page.ver)
 
+    def is_arriving(self, table: str) -> bool:
+        """Return whether an answer about a table has begun and is not whole yet."""
+        return table in self._arriving
+
     async def close(self) -> None:
         """Close all connections."""
         for session in self._session_by_table.values():
@@ -99,12 +104,14 @@
 
     async def _get(self, path: str, params: dict[str, str], within_s: float) -> _Rows:
         self.calls += 1
-        session = self._session(params["Table"])
+        table = params["Table"]
+        session = self._session(table)
         url = self._url + path
         try:
             async with bounded_call(
                 session, "GET", url, within_s, CONNECT_TIMEOUT_S, params=params
             ) as response:
+                self._arriving.add(table)
                 body = await response.read()
                 status = response.status
             if status == HTTP_GONE:
@@ -114,6 +121,8 @@
             return _decoder.decode(body)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
             raise StoreUnavailable(path, repr(e)) from e
+        finally:
+            self._arriving.discard(table)
 
 
 def _stored(row: _Row) -> StoredRow:
--- a/packages/node/src/eelgrass_node/process/follow_pace.py
+++ b/packages/node/src/eelgrass_node/process/follow_pace.py
@@ -17,16 +17,14 @@
 
 import random
 
-from eelgrass_coordination import SILENCE_S
+__all__ = ["FIRST_PAUSE_S", "FollowPace", "READ_S", "TRY_S"]
 
-__all__ = ["FIRST_PAUSE_S", "LONGEST_CALL_S", "FollowPace", "TRY_S"]
-
-# An answer of the store must begin this long after what was asked for is there; the
-# store answers in 4 ms, and in 200 ms where it is slow. How long the answer goes on is
-# not bounded: a whole table grows with the deployment.
+# A call that asks for nothing but what there is must begin to be answered in this time;
+# the store answers in 4 ms, and in 200 ms where it is slow. With the 0.4 s after which
+# an answer that has stopped is given up, no call is longer in vain than a whole read.
 TRY_S = 0.6
-# A call whose answer begins at the last moment, and then stops.
-LONGEST_CALL_S = TRY_S + SILENCE_S
+# The first part of a whole read: a node that starts reads two tables over one link.
+READ_S = 1.0
 # After the first failure; short, since a call that waited for changes has already
 # taken 1.6 s to be given up.
 FIRST_PAUSE_S = 0.3
@@ -43,7 +41,7 @@
     """
 
     def __init__(self, promised_s: float) -> None:
-        left_s = promised_s * (1 - RESERVE) - LONGEST_CALL_S
+        left_s = promised_s * (1 - RESERVE) - READ_S
         self.longest_s = max(FIRST_PAUSE_S, left_s)
         self._next_s = FIRST_PAUSE_S
 
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -8,8 +8,8 @@
 
 from .deployments import DeploymentInForce
 from .server_list import ServerList
-from .store_tables import FollowedTable, StoredRow, TableReader
-from .table_relay import AskRelay, RelayedReader, TableRelay, relays_of
+from .store_tables import FollowedTable, StoredRow
+from .table_relay import AskRelay, RelayedReader, StoreReader, TableRelay, relays_of
 
 __all__ = ["PlatformTables", "TableNames"]
 
@@ -43,7 +43,7 @@
     def __init__(
         self,
         names: TableNames,
-        store: TableReader,
+        store: StoreReader,
         ask_relay: AskRelay,
         own: Callable[[], Member],
         members: Callable[[], list[Member]],
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -17,6 +17,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from itertools import islice, takewhile
+from typing import Protocol
 
 from eelgrass_coordination import Member, MemberState, ranked
 
@@ -25,7 +26,7 @@
 from .store_tables import FollowedTable, StoredRow, TableChanges, TableReader
 from .strong_nodes import strong_nodes
 
-__all__ = ["RelayedReader", "TableRelay", "relay_of", "relays_of"]
+__all__ = ["RelayedReader", "StoreReader", "TableRelay", "relay_of", "relays_of"]
 
 # A follower's wait at its relay. With the slack that the client adds it notices a
 # frozen relay after 1.1 s, which leaves most of a second of the 2 s within which a
@@ -37,8 +38,8 @@
 # A relay that failed is passed over for this long; a frozen host wakes, and a dead
 # one is found dead, within a few seconds.
 DISTRUST_S = 3.0
-# What a node read from the store itself this long ago still makes it a relay: over
-# the pause, the wait and the slack of one turn (1.6 s).
+# What a node read from the store itself this long ago still makes it a relay: the
+# pause, the wait and the slack until its next answer begins (1.6 s).
 FRESH_S = 2.0
 
 # A node that has just started and read a table from the store asks for changes after
@@ -74,6 +75,13 @@
     return list(islice(before_own, RELAYS))
 
 
+class StoreReader(TableReader, Protocol):
+    """What is needed of the store itself."""
+
+    def is_arriving(self, table: str) -> bool:
+        """Return whether an answer about a table has begun and is not whole yet."""
+
+
 class RelayedReader:
     """Reads the store's tables, feeds of changes rather from a relay.
 
@@ -86,7 +94,7 @@
 
     def __init__(
         self,
-        store: TableReader,
+        store: StoreReader,
         relays: Callable[[str], Sequence[Member]],
         ask: AskRelay,
         pause_s_by_table: Mapping[str, float],
@@ -105,7 +113,10 @@
         self._source_by_table: dict[str, str] = {}
 
     def reads_itself(self, table: str) -> bool:
-        """Return whether this node has just read a table from the store."""
+        """Return whether this node has just read a table from the store, or does."""
+        if self._store.is_arriving(table):
+            # Followers would read the same from the store, each over its own link.
+            return True
         read_at = self._read_at_by_table.get(table, float("-inf"))
         return self._clock() - read_at <= FRESH_S
 
--- a/packages/node/tests/test_store_logs.py
+++ b/packages/node/tests/test_store_logs.py
@@ -25,6 +25,9 @@
     async def feed(self, table, after, wait_s):
         raise StoreUnavailable(table, "TimeoutError")
 
+    def is_arriving(self, table):
+        return False
+
 
 def of(lines, sentence):
     return [line for line in lines if line.get("message") == f"store: {sentence}"]
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -29,6 +29,7 @@
         self.answer = answer
         self.asked = 0
         self.wait_s = None
+        self.arriving = False
 
     async def read_table(self, table):
         return await self.feed(table, 0, 0.0)
@@ -43,6 +44,9 @@
     async def ask(self, address, table, after, wait_s):
         return await self.feed(table, after, wait_s)
 
+    def is_arriving(self, table):
+        return self.arriving
+
 
 class TestChoice:
     def relays(self, members):
@@ -123,6 +127,15 @@
         assert (await reader.feed(TABLE, 4, 1.0)).version == 5
         assert self.relay.asked == 1
 
+    async def test_one_to_which_a_large_answer_still_comes_is_a_relay(self):
+        """Its followers all read the store themselves, over narrow links."""
+        self.relay.answer = StoreUnavailable(TABLE, "the relay does not read it")
+        await self.reader.feed(TABLE, 4, 1.0)
+        self.clock.now += 10.0
+        assert not self.reader.reads_itself(TABLE)
+        self.store.arriving = True
+        assert self.reader.reads_itself(TABLE)
+
     async def test_a_relay_that_does_not_know_the_version_says_so(self):
         self.relay.answer = HistoryGone(TABLE)
         with pytest.raises(HistoryGone):
--- a/tests/support/store_day.py
+++ b/tests/support/store_day.py
@@ -136,6 +136,10 @@
         """Return changed rows."""
         return await self._store.feed(self._node, table, after, wait_s)
 
+    def is_arriving(self, table: str) -> bool:
+        """Return that no answer takes long to come: none is large here."""
+        return False
+
 
 class Removals:
     """Stands where the list of servers does, and tells which are taken off."""
