Tests of large bodies over narrow links, failing: calls are given up while they go out

A wait for an answer counts the time in which the body of the call goes out, too, and the product's stages bound the whole of an answer. Bodies grow with the deployment and with callers' requests; on a link of 5 Mbit/s (0.6 MB/s) the waits are over before they are sent. Each call is then made again, with the same end.

The fault proxy can have a narrow link towards the server, too.

--- /dev/null
+++ b/packages/node/tests/test_large_bodies.py
@@ -0,0 +1,193 @@
+"""A body that takes long to go out because it is large is not taken for silence.
+
+What a node stores, and what it sends to backend servers, grows with the deployment and
+with callers' requests, and links of 5 Mbit/s carry 0.6 MB in a second. A call whose
+wait ended while its body was still going out was made again, with the same end.
+"""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+
+from eelgrass_coordination import HttpObjects, HttpTable, Transaction, Write
+from eelgrass_coordination.exceptions import PlatformUnavailable
+from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.exceptions import CallFailed
+from eelgrass_node.platform import requests
+from eelgrass_node.process.backends import Backend, HostEntry
+from eelgrass_node.request.attempt import Attempt, AttemptOutcome, run_call
+from eelgrass_node.request.exchange import EngineCall
+from eelgrass_node.request.model import CallerRequest
+from eelgrass_node.request.routed import PLAIN_SILENCE_S
+from eelgrass_node.version import Pipeline, Stage, StageKind
+from eelgrass_standins.ports import free_addresses
+from support.fault_proxy import Direction, FaultProxy, Link
+from support.pieces import routed
+
+# A link of 5 Mbit/s.
+BYTES_PER_S = 0.6e6
+MAX_BODY = 1 << 26
+SILENCE_S = 0.3
+
+
+class Server:
+    """Answers each call once its whole body is there; use it as a context.
+
+    ``output`` is the answer to a stage. ``bodies`` holds what came whole.
+    """
+
+    def __init__(self, output="done"):
+        self._output = output
+        self.bodies = []
+
+    async def __aenter__(self):
+        [address] = free_addresses(1)
+        app = web.Application(client_max_size=MAX_BODY)
+        app.router.add_post("/v1/run", self._run)
+        app.router.add_post("/v1/transactions", self._commit)
+        app.router.add_post("/{path:.*}", self._take)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self.proxy = FaultProxy(address, Link(BYTES_PER_S), Link(BYTES_PER_S))
+        self.address = await self.proxy.start()
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.proxy.stop()
+        await self._runner.cleanup()
+
+    def backend(self):
+        return Backend(
+            HostEntry(BackendId("s1"), "desk", self.address, DataCentre("a"))
+        )
+
+    async def _run(self, request):
+        call = msgspec.json.decode(await request.read())
+        answer = {"attempt_id": call["attempt_id"], "output": self._output}
+        return web.Response(body=msgspec.json.encode(answer))
+
+    async def _commit(self, request):
+        self.bodies.append(await request.read())
+        return web.json_response({"committed": True, "rows": []})
+
+    async def _take(self, request):
+        self.bodies.append(await request.read())
+        headers = {
+            "Eelgrassward-Attempt-Id": request.headers.get(
+                "Eelgrassward-Attempt-Id", ""
+            ),
+            "Eelgrassward-Engine-Signature": "s",
+        }
+        return web.Response(headers=headers)
+
+
+@asynccontextmanager
+async def client_of(kind, server, *timeout):
+    async with aiohttp.ClientSession() as session:
+        yield kind(session, f"http://{server.address}", *timeout)
+
+
+def change_of(size):
+    return Transaction((), (Write("changes", "1", {"change": "x" * size}),))
+
+
+class TestPlatform:
+    async def test_an_object_that_goes_out_slowly_is_written(self):
+        """A configuration of 48,000 accounts has 18 MB."""
+        body = b"x" * 1_200_000
+        async with Server() as server, client_of(HttpObjects, server, 1.0) as objects:
+            await objects.put("configuration/1.json", body)
+        assert server.bodies == [body]
+
+    async def test_a_change_that_goes_out_slowly_is_committed(self):
+        async with Server() as server, client_of(HttpTable, server) as table:
+            result = await table.commit(change_of(600_000))
+        assert result.committed
+
+    async def test_one_that_takes_no_more_of_a_body_is_given_up(self):
+        async with Server() as server, client_of(HttpObjects, server, 0.5) as objects:
+            server.proxy.blocked.add(Direction.TO_SERVER)
+            began = time.monotonic()
+            with pytest.raises(PlatformUnavailable):
+                await objects.put("configuration/1.json", b"x" * 300_000)
+        # The body takes the link half a second, and may take as long again.
+        assert time.monotonic() - began < 2.0
+
+
+def new_attempt(server):
+    stage = Stage("call", StageKind.CALL, "desk", True, operation="lodge")
+    pipeline = Pipeline("p", "account", "", (stage,), 4000, 0, False)
+    deadline = asyncio.get_running_loop().time() + 4.0
+    request = CallerRequest("r1", pipeline, "in", deadline, 4000, False, None, "")
+    return Attempt(
+        "a1",
+        request,
+        stage,
+        server.backend(),
+        SILENCE_S,
+        lambda backend: None,
+        lambda reason: None,
+    )
+
+
+class TestAttempts:
+    async def outcome(self, server, stage_input):
+        attempt = new_attempt(server)
+        result = await run_call(attempt, stage_input)
+        await attempt.backend.connections.close()
+        return result.outcome
+
+    async def test_an_input_that_goes_out_slowly_is_run(self):
+        async with Server() as server:
+            outcome = await self.outcome(server, "x" * 400_000)
+        assert outcome is AttemptOutcome.COMPLETED
+
+    async def test_an_output_that_comes_slowly_is_taken(self):
+        async with Server(output="x" * 400_000) as server:
+            outcome = await self.outcome(server, "in")
+        assert outcome is AttemptOutcome.COMPLETED
+
+    async def test_one_that_stops_midway_is_given_up(self):
+        async with Server(output="x" * 400_000) as server:
+            call = asyncio.create_task(self.outcome(server, "in"))
+            await asyncio.sleep(0.2)
+            server.proxy.silence()
+            silent_at = time.monotonic()
+            assert await call is AttemptOutcome.UNKNOWN
+        assert time.monotonic() - silent_at < 2 * SILENCE_S
+
+
+class TestEngineCalls:
+    @asynccontextmanager
+    async def call(self, server, body):
+        deadline = asyncio.get_running_loop().time() + 6.0
+        request = routed(deadline_s=deadline)
+        arrival = msgspec.structs.replace(request.arrival, method="POST", body=body)
+        request = msgspec.structs.replace(request, arrival=arrival)
+        backend = server.backend()
+        call = EngineCall(requests, request, backend, (), PLAIN_SILENCE_S, lambda: None)
+        yield call
+        call.close()
+        await backend.connections.close()
+
+    async def test_a_body_that_goes_out_slowly_is_answered(self):
+        body = b"x" * 1_000_000
+        async with Server() as server, self.call(server, body) as call:
+            head = await call.open()
+        assert head.status == 200
+        assert server.bodies == [body]
+
+    async def test_a_server_that_takes_no_more_of_it_is_given_up(self):
+        async with Server() as server, self.call(server, b"x" * 300_000) as call:
+            server.proxy.blocked.add(Direction.TO_SERVER)
+            began = time.monotonic()
+            with pytest.raises(CallFailed):
+                await call.open()
+        assert time.monotonic() - began < PLAIN_SILENCE_S + 1.5
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -50,12 +50,21 @@
 
     ``delay_s`` holds each block of bytes for so long. Bytes in a direction of
     ``blocked`` wait until it is taken out again. What goes back to clients passes
-    through ``link``, if there is one.
+    through ``link``, and what goes to the server through ``link_to_server``, if there
+    are such.
     """
 
-    def __init__(self, target: str, link: Link | None = None) -> None:
+    def __init__(
+        self,
+        target: str,
+        link: Link | None = None,
+        link_to_server: Link | None = None,
+    ) -> None:
         self._target = target
-        self._link = link
+        self._link_by_direction = {
+            Direction.TO_CLIENT: link,
+            Direction.TO_SERVER: link_to_server,
+        }
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
@@ -113,7 +122,7 @@
         self._connections.discard(connection)
 
     async def _pump(self, connection, reader, writer, direction: Direction) -> None:
-        link = self._link if direction is Direction.TO_CLIENT else None
+        link = self._link_by_direction[direction]
         try:
             while data := await reader.read(PACKET_BYTES if link else BLOCK_BYTES):
                 await asyncio.sleep(self.delay_s)
