A call to the platform has time for its body to go out

What callers would see (worked out, from 0.65 MB/s on a link of 5 Mbit/s): in the product's own deployment an operator's change of 0.33 MB or more, sent to a node with such a link, ends as unknown after 5 s, since each try is given up after 0.5 s with its body half sent, and made again.

Cause: the wait for an answer began with the call, so that the body went out in it.

Why the mend holds: the wait is longer by what the body may take, at half of what the narrowest planned link carries. A call with a body of some 100 bytes waits less than a millisecond longer; reads of the users' store have no body, so the pace at which it is asked is as before. A platform that takes nothing of 0.6 MB is given up 2 s later than before.

Ruled out: to put the wait off with each part that is written.

--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -4,7 +4,7 @@
 or kept goes through a transactional table service (:class:`Table`).
 """
 
-from .bounded_call import SILENCE_S, bounded_call
+from .bounded_call import SILENCE_S, bounded_call, sending_s
 from .change_log import ChangeLog, ChangeOutcome, ChangeResult
 from .claims import Claim, Claims, ClaimState, Held
 from .configuration import Action, Change, ChangeItem, Entry, Problem, Snapshot
@@ -65,5 +65,6 @@
     "Write",
     "bounded_call",
     "ranked",
+    "sending_s",
     "share_of_limit",
 ]
--- a/packages/coordination/src/eelgrass_coordination/bounded_call.py
+++ b/packages/coordination/src/eelgrass_coordination/bounded_call.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-__all__ = ["SILENCE_S", "BoundedAnswer", "bounded_call"]
+__all__ = ["SILENCE_S", "BoundedAnswer", "bounded_call", "sending_s"]
 
 # An answer that has begun may pause for so long: a lost packet comes again in half of
 # it. One that stops, with its sender frozen or cut off, is given up then.
@@ -17,6 +17,21 @@
 SLOWEST_BYTES_PER_S = 30_000
 # How long an answer has come before its speed is judged.
 JUDGED_AFTER_S = 1.0
+# A body goes out at least this fast while its receiver is well: the narrowest links
+# that are planned for carry twice as much, and share it with other calls.
+SENT_BYTES_PER_S = 300_000
+
+
+def sending_s(size: int) -> float:
+    """Return how long a body of ``size`` bytes may take to go out, in seconds.
+
+    A wait for an answer is longer by this. Otherwise a body that grows with the
+    deployment would never arrive one day: the call would be made again for ever.
+
+    Sizes are gone by, and not how much has been written, since the operating system
+    takes megabytes of a body before it sends the first of them.
+    """
+    return size / SENT_BYTES_PER_S
 
 
 class BoundedAnswer:
@@ -68,15 +83,17 @@
     url: str,
     within_s: float,
     connect_s: float | None = None,
+    data: bytes | None = None,
     **options: Any,
 ) -> AsyncIterator[BoundedAnswer]:
-    """Make a call and give its answer, for use with ``async with``.
+    """Make a call with the body ``data`` and give its answer, for ``async with``.
 
-    The answer must begin ``within_s`` and the connection come about ``connect_s`` (as
-    long, if not given), in seconds; an answer that has begun may take as long as it
-    goes on coming. Otherwise :class:`TimeoutError` is raised, which tells how much of
-    the answer had come. No redirect is followed: a 307 would send the body again.
-    ``options`` go to the session.
+    The answer must begin ``within_s`` after the body has had time to go out, and the
+    connection come about ``connect_s`` (as long, if not given), in seconds; an answer
+    that has begun may take as long as it goes on coming. Otherwise
+    :class:`TimeoutError` is raised, which tells how much of the answer had come. No
+    redirect is followed: a 307 would send the body again. ``options`` go to the
+    session.
 
     The library's own timeout is not used: it loses a cancellation that comes together
     with it, as after a suspension, and a stop would then never end.
@@ -87,22 +104,28 @@
             body = await answer.read()
     """
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s or within_s)
+    begins_s = within_s + sending_s(len(data or b""))
     answer: BoundedAnswer | None = None
     try:
         async with (
-            asyncio.timeout(within_s) as bound,
+            asyncio.timeout(begins_s) as bound,
             session.request(
-                method, url, timeout=timeout, allow_redirects=False, **options
+                method,
+                url,
+                data=data,
+                timeout=timeout,
+                allow_redirects=False,
+                **options,
             ) as response,
         ):
             answer = BoundedAnswer(response, bound)
             yield answer
     except TimeoutError as error:
-        raise TimeoutError(_story(answer, within_s)) from error
+        raise TimeoutError(_story(answer, begins_s)) from error
 
 
-def _story(answer: BoundedAnswer | None, within_s: float) -> str:
+def _story(answer: BoundedAnswer | None, begins_s: float) -> str:
     """Return what an on-call engineer wants to know of a call that was given up."""
     if answer is None:
-        return f"no answer within {within_s:g} s"
+        return f"no answer within {begins_s:.3g} s"
     return f"an answer that stopped after {answer.received} bytes"
