An input or output of a stage that is large is not taken for silence

What callers would see (worked out, from 0.65 MB/s on a link of 5 Mbit/s): in the product's own deployment, at a node with such a link, requests whose idempotent stage has an input or output of over 160 kB are refused after all attempts, although each server was well and ran them; requests may have 1 MB. Each attempt sends or reads again what the last one threw away.

Cause: the silence that an attempt bears, 0.25 s at least, covered the sending of all its input, and then the reading of the whole output. It is learned from attempts that took longer, but each attempt is cut off at it.

Why the mend holds: the silence begins once the input has had time to go out, and each part of an output puts it off; both end with the deadline. A server that stops midway is still given up after one silence.

--- a/packages/node/src/eelgrass_node/request/attempt.py
+++ b/packages/node/src/eelgrass_node/request/attempt.py
@@ -13,6 +13,7 @@
 import aiohttp
 import msgspec
 
+from eelgrass_coordination import sending_s
 from eelgrass_coordination.ids import AttemptId, new_id
 
 from ..process.backends import Backend
@@ -52,8 +53,8 @@
 class Attempt(msgspec.Struct, frozen=True):
     """What an attempt needs to know.
 
-    ``silence_s`` is how long the connection may say nothing before the first
-    byte, in seconds. ``on_leaving`` is told where the server says it leaves.
+    ``silence_s`` is how long the connection may say nothing once the call has had
+    time to go out, in seconds. ``on_leaving`` is told where the server says it leaves.
     """
 
     attempt_id: AttemptId
@@ -124,7 +125,7 @@
             connect_s=max(0.001, attempt.request.remaining()),
             reuse=attempt.stage.idempotent,
         )
-        response = await _first_byte(attempt, context)
+        response = await _first_byte(attempt, context, len(body))
         try:
             return await _read_response(attempt, response, read)
         finally:
@@ -138,9 +139,14 @@
         connections.leave()
 
 
-async def _first_byte(attempt: Attempt, context: Any) -> aiohttp.ClientResponse:
+async def _first_byte(
+    attempt: Attempt, context: Any, sent_bytes: int
+) -> aiohttp.ClientResponse:
+    bound_s = attempt.silence_s + sending_s(sent_bytes)
+    # What is added ends with the deadline, after which nobody waits for an answer.
+    latest_s = max(attempt.silence_s, attempt.request.remaining())
     try:
-        async with asyncio.timeout(attempt.silence_s):
+        async with asyncio.timeout(min(bound_s, latest_s)):
             return await context
     except TimeoutError as error:
         if isinstance(error, aiohttp.ConnectionTimeoutError):
@@ -185,10 +191,20 @@
 
 
 async def bounded_read(attempt: Attempt, response: aiohttp.ClientResponse) -> bytes:
-    """Read a whole body, which follows its head closely."""
+    """Read a whole body, which follows its head closely.
+
+    It may take as long as it goes on coming, until the deadline: a large one on a
+    narrow link is no silence.
+    """
+    now = asyncio.get_running_loop().time
+    latest = now() + max(attempt.silence_s, attempt.request.remaining())
+    parts: list[bytes] = []
     try:
-        async with asyncio.timeout(attempt.silence_s):
-            return await response.read()
+        async with asyncio.timeout(attempt.silence_s) as bound:
+            async for part in response.content.iter_any():
+                parts.append(part)
+                bound.reschedule(min(now() + attempt.silence_s, latest))
+        return b"".join(parts)
     except TimeoutError as error:
         attempt.backend.connections.replace()
         raise SilentConnection from error
