The test of a large body to an engine sends the id that the engine echoes

The call in the test carried no id, so that its answer would have been refused as one to another request, whatever the wait.

--- a/packages/node/tests/test_large_bodies.py
+++ b/packages/node/tests/test_large_bodies.py
@@ -18,7 +18,7 @@
 from eelgrass_coordination.exceptions import PlatformUnavailable
 from eelgrass_coordination.ids import BackendId, DataCentre
 from eelgrass_node.exceptions import CallFailed
-from eelgrass_node.platform import requests
+from eelgrass_node.platform import names, requests
 from eelgrass_node.process.backends import Backend, HostEntry
 from eelgrass_node.request.attempt import Attempt, AttemptOutcome, run_call
 from eelgrass_node.request.exchange import EngineCall
@@ -80,10 +80,8 @@
     async def _take(self, request):
         self.bodies.append(await request.read())
         headers = {
-            "Eelgrassward-Attempt-Id": request.headers.get(
-                "Eelgrassward-Attempt-Id", ""
-            ),
-            "Eelgrassward-Engine-Signature": "s",
+            names.ATTEMPT_ID: request.headers.get(names.ATTEMPT_ID, ""),
+            names.ENGINE_SIGNATURE: "s",
         }
         return web.Response(headers=headers)
 
@@ -169,7 +167,9 @@
     async def call(self, server, body):
         deadline = asyncio.get_running_loop().time() + 6.0
         request = routed(deadline_s=deadline)
-        arrival = msgspec.structs.replace(request.arrival, method="POST", body=body)
+        arrival = msgspec.structs.replace(
+            request.arrival, headers=((names.ATTEMPT_ID, "id"),), body=body
+        )
         request = msgspec.structs.replace(request, arrival=arrival)
         backend = server.backend()
         call = EngineCall(requests, request, backend, (), PLAIN_SILENCE_S, lambda: None)
