A request whose body is large is not sent to the next server while it goes out

What callers would see (worked out, from 0.65 MB/s on a link of 5 Mbit/s): at a node with such a link, an idempotent request with a body of over 0.78 MB, or of over 1.6 MB where it is streamed, is late by 1.2 or 2.5 s for each try but the last, or refused when the retry budget is spent. Each server that was given up is passed over for a second and more by all requests of the node, and two of them put their data centre in doubt.

Cause: the silence that a server is allowed covered the sending of the body.

Why the mend holds: the silence begins once the body has had time to go out, at half of what the narrowest planned link carries. A body of 3 kB adds 10 ms. A server that takes nothing of 0.3 MB is given up after 2.2 s in place of 1.2 s; the deadline bounds it as before.

--- a/packages/node/src/eelgrass_node/request/exchange.py
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -11,6 +11,8 @@
 import aiohttp
 import msgspec
 
+from eelgrass_coordination import sending_s
+
 from ..exceptions import CallFailed
 from ..process.backends import Backend
 from .arrival import EngineHead, Routed, WireCodec
@@ -35,10 +37,11 @@
 class EngineCall:
     """A call under way; leave it with :meth:`close` whatever happened.
 
-    ``silence_s`` bounds the wait for the head of the answer, in seconds. The
-    deadline of the request is left to its caller: that it passes says nothing
-    about the server. ``on_sent`` is told when the request goes out. ``copy_from``
-    is the address of an engine that holds shared parts of the prompt.
+    ``silence_s`` bounds the wait for the head of the answer, in seconds, once the
+    body has had time to go out. The deadline of the request is left to its caller:
+    that it passes says nothing about the server. ``on_sent`` is told when the
+    request goes out. ``copy_from`` is the address of an engine that holds shared
+    parts of the prompt.
     """
 
     def __init__(
@@ -142,8 +145,9 @@
             reuse=routed.route.repeatable,
             on_sent=self._on_sent,
         )
+        bound_s = self._silence_s + sending_s(len(arrival.body))
         try:
-            async with asyncio.timeout(self._before_deadline(self._silence_s)):
+            async with asyncio.timeout(self._before_deadline(bound_s)):
                 return await context
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise failure_of(error) from error
