--- a/packages/coordination/src/eelgrass_coordination/bounded_call.py
+++ b/packages/coordination/src/eelgrass_coordination/bounded_call.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-__all__ = ["SILENCE_S", "BoundedAnswer", "bounded_call"]
+__all__ = ["BoundedAnswer", "bounded_call", "sending_s"]
 
 # An answer that has begun may pause for so long: a lost packet comes again in half of
 # it. One that stops, with its sender frozen or cut off, is given up then.
@@ -15,6 +15,21 @@
 # An answer that comes more slowly is given up, too: others may have it sooner. It is
 # what each of a hundred answers gets that share a link of 5 Mbit/s.
 SLOWEST_BYTES_PER_S = 6_000
+# A body goes out at least this fast while its receiver is well: the narrowest links
+# that are planned for carry twice as much, and share it with other calls.
+SENT_BYTES_PER_S = 300_000
+
+
+def sending_s(size: int) -> float:
+    """Return how long a body of ``size`` bytes may take to go out, in seconds.
+
+    A wait for an answer is longer by this. Otherwise a body that grows with the
+    deployment would never arrive one day: the call would be made again for ever.
+
+    Sizes are gone by, and not how much has been written, since the operating system
+    takes megabytes of a body before it sends the first of them.
+    """
+    return size / SENT_BYTES_PER_S
 
 
 class BoundedAnswer:
@@ -69,15 +84,17 @@
     url: str,
     within_s: float,
     connect_s: float | None = None,
+    data: bytes | None = None,
     **options: Any,
 ) -> AsyncIterator[BoundedAnswer]:
-    """Make a call and give its answer, for use with ``async with``.
+    """Make a call with the body ``data`` and give its answer, for ``async with``.
 
-    The answer must begin ``within_s`` and the connection come about ``connect_s`` (as
-    long, if not given), in seconds; an answer that has begun may take as long as it
-    goes on coming. Otherwise :class:`TimeoutError` is raised, which tells how much of
-    the answer had come. No redirect is followed: a 307 would send the body again.
-    ``options`` go to the session.
+    The answer must begin ``within_s`` after the body has had time to go out, and the
+    connection come about ``connect_s`` (as long, if not given), in seconds; an answer
+    that has begun may take as long as it goes on coming. Otherwise
+    :class:`TimeoutError` is raised, which tells how much of the answer had come. No
+    redirect is followed: a 307 would send the body again. ``options`` go to the
+    session.
 
     The library's own timeout is not used: it loses a cancellation that comes together
     with it, as after a suspension, and a stop would then never end.
@@ -88,12 +105,18 @@
             body = await answer.read()
     """
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s or within_s)
+    begins_s = within_s + sending_s(len(data or b""))
     answer: BoundedAnswer | None = None
     try:
         async with (
-            asyncio.timeout(within_s) as bound,
+            asyncio.timeout(begins_s) as bound,
             session.request(
-                method, url, timeout=timeout, allow_redirects=False, **options
+                method,
+                url,
+                data=data,
+                timeout=timeout,
+                allow_redirects=False,
+                **options,
             ) as response,
         ):
             answer = BoundedAnswer(response, bound)
@@ -102,11 +125,11 @@
         if error.args:
             # The library tells of a connection that did not come about.
             raise
-        raise TimeoutError(_reason(answer, within_s)) from error
+        raise TimeoutError(_reason(answer, begins_s)) from error
 
 
-def _reason(answer: BoundedAnswer | None, within_s: float) -> str:
+def _reason(answer: BoundedAnswer | None, begins_s: float) -> str:
     """Return why a call was given up: a silent node differs from a slow link."""
     if answer is None:
-        return f"no answer within {within_s:g} s"
+        return f"no answer within {begins_s:.3g} s"
     return f"an answer that stopped after {answer.received} bytes"
