--- a/packages/node/tests/test_large_answers.py
+++ b/packages/node/tests/test_large_answers.py
@@ -19,9 +19,9 @@
 from eelgrass_node.connection.table_feed import TableFeedClient
 from eelgrass_node.exceptions import PeerUnreachable, StoreUnavailable
 from eelgrass_node.platform.store import RowStore
-from eelgrass_standins.ports import free_addresses
 from eelgrass_standins.row_store import RowStoreStandIn
 from support.fault_proxy import FaultProxy, Link
+from support.serving import served
 
 # A link of 5 Mbit/s, and rows that take it two seconds.
 BYTES_PER_S = 0.6e6
@@ -39,26 +39,19 @@
 
 
 @asynccontextmanager
-async def served(add_routes, **options):
+async def served_narrowly(add_routes):
     """Serve what ``add_routes`` adds over a narrow link; give the link's proxy."""
-    [address] = free_addresses(1)
-    app = web.Application()
-    add_routes(app)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
-    proxy = FaultProxy(address, Link(BYTES_PER_S))
-    try:
-        yield proxy
-    finally:
-        await proxy.stop()
-        await runner.cleanup()
+    async with served(add_routes) as address:
+        proxy = FaultProxy(address, Link(BYTES_PER_S))
+        try:
+            yield proxy
+        finally:
+            await proxy.stop()
 
 
 @asynccontextmanager
 async def row_store(store):
-    async with served(store.add_routes) as proxy:
+    async with served_narrowly(store.add_routes) as proxy:
         client = RowStore(await proxy.start())
         yield client, proxy
         await client.close()
@@ -94,7 +87,10 @@
 
 @asynccontextmanager
 async def peer_calls(other):
-    async with served(other.add_routes) as proxy, aiohttp.ClientSession() as session:
+    async with (
+        served_narrowly(other.add_routes) as proxy,
+        aiohttp.ClientSession() as session,
+    ):
         yield PeerCalls(session), await proxy.start()
 
 
--- a/packages/node/tests/test_piece_handoff.py
+++ b/packages/node/tests/test_piece_handoff.py
@@ -17,6 +17,7 @@
 from eelgrass_node.process.queue_load import QueueLoad
 from eelgrass_node.version.deployment import ServiceName
 from eelgrass_standins.ports import free_addresses
+from support.serving import served
 
 SERVICE = ServiceName("portal")
 SLACK_S = 0.25
@@ -40,30 +41,26 @@
         self._knows = knows
 
     async def __aenter__(self):
-        [self.address] = free_addresses(1)
-        app = web.Application()
-        if self._handle is not None:
-            app.router.add_post("/peer/v1/pieces", self._handle)
-        else:
-            interface = HandoffInterface(
-                self._run,
-                lambda service: self._knows,
-                lambda service: QueueLoad(((0, 0.5),), 0.25),
-                lambda service, handles: None,
-            )
-            interface.add_routes(app)
-        self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
-        )
-        await self._runner.setup()
-        host, _, port = self.address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        self._served = served(self._add_routes, handler_cancellation=True)
+        self.address = await self._served.__aenter__()
         self.client = HandoffClient(lambda *load: self.heard.append(load))
         return self
 
     async def __aexit__(self, *exc):
         await self.client.close()
-        await self._runner.cleanup()
+        await self._served.__aexit__(None, None, None)
+
+    def _add_routes(self, app):
+        if self._handle is not None:
+            app.router.add_post("/peer/v1/pieces", self._handle)
+            return
+        interface = HandoffInterface(
+            self._run,
+            lambda service: self._knows,
+            lambda service: QueueLoad(((0, 0.5),), 0.25),
+            lambda service, handles: None,
+        )
+        interface.add_routes(app)
 
     async def hand_over(self):
         return await self.client.run(self.address, SERVICE, [piece()])
--- a/packages/node/tests/test_row_store.py
+++ b/packages/node/tests/test_row_store.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import base64
-from contextlib import asynccontextmanager
 
 import pytest
 from aiohttp import web
 
 from eelgrass_node.exceptions import StoreUnavailable
 from eelgrass_node.platform.store import RowStore
-from eelgrass_standins.ports import free_addresses
 from eelgrass_standins.row_store import RowStoreStandIn
 from support.fault_proxy import FaultProxy
+from support.serving import served
 
 
 def row(key, version):
@@ -42,22 +41,6 @@
         return web.json_response(page)
 
 
-@asynccontextmanager
-async def served(add_routes):
-    """Serve what ``add_routes`` adds, and give the address."""
-    [address] = free_addresses(1)
-    app = web.Application()
-    add_routes(app)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
-    try:
-        yield address
-    finally:
-        await runner.cleanup()
-
-
 class TestWholeReads:
     async def test_a_change_between_two_pages_is_not_skipped(self):
         """Changes are asked for from the version on that is returned here.
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -22,6 +22,8 @@
 from eelgrass_standins.row_store import RowStoreStandIn
 from eelgrass_standins.users_engines import EVENTS, EngineStandIn
 
+from .serving import start_serving
+
 BOUNDS = ServingBounds(
     stop_s=8.0,
     retry_ratio=0.2,
@@ -229,13 +231,8 @@
         )
 
     async def _serve(self, app: web.Application, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=0.1, handler_cancellation=True
-        )
-        await runner.setup()
+        runner = await start_serving(app, address, handler_cancellation=True)
         self._runners.append(runner)
-        await web.TCPSite(runner, host, int(port)).start()
 
 
 @contextmanager
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,12 +9,12 @@
 
 import aiohttp
 import pytest
-from aiohttp import web
 
 from eelgrass_node.platform.__main__ import main
 from eelgrass_standins.ports import free_addresses
 from eelgrass_standins.row_store import RowStoreStandIn
 from support.entry import configuration
+from support.serving import served
 
 SETTINGS = """
 NodeName: "edge-1"
@@ -50,44 +50,38 @@
     async def test_from_start_to_planned_stop(self, tmp_path):
         callers, ready, control, gossip, store_address = free_addresses(5)
         store = RowStoreStandIn()
-        app = web.Application()
-        store.add_routes(app)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await runner.setup()
-        host, _, port = store_address.rpartition(":")
-        await web.TCPSite(runner, host, int(port)).start()
-        file = tmp_path / "local.yaml"
-        file.write_text(
-            SETTINGS.format(
-                callers=callers,
-                ready=ready,
-                control=control,
-                gossip=gossip.rpartition(":")[2],
-                store=store_address,
+        async with served(store.add_routes, store_address):
+            file = tmp_path / "local.yaml"
+            file.write_text(
+                SETTINGS.format(
+                    callers=callers,
+                    ready=ready,
+                    control=control,
+                    gossip=gossip.rpartition(":")[2],
+                    store=store_address,
+                )
             )
-        )
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "eelgrass_node.platform",
-            env={**os.environ, "EELGRASSWARD_CONFIG": str(file)},
-            stdout=asyncio.subprocess.PIPE,
-        )
-        try:
-            await until_status(ready, 503)
-            store.put("op", "config", configuration())
-            await until_status(ready, 200)
-            process.send_signal(signal.SIGHUP)
-            _, metrics = await status_of("127.0.0.1:9464", "/metrics")
-            assert "eelgrassward_configuration_version 1.0" in metrics
-            assert (await status_of(ready, "/-/readyz"))[0] == 200
-            process.terminate()
-            await until_status(ready, 503, 1.0)
-            output, _ = await asyncio.wait_for(process.communicate(), 6.0)
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await runner.cleanup()
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "eelgrass_node.platform",
+                env={**os.environ, "EELGRASSWARD_CONFIG": str(file)},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            try:
+                await until_status(ready, 503)
+                store.put("op", "config", configuration())
+                await until_status(ready, 200)
+                process.send_signal(signal.SIGHUP)
+                _, metrics = await status_of("127.0.0.1:9464", "/metrics")
+                assert "eelgrassward_configuration_version 1.0" in metrics
+                assert (await status_of(ready, "/-/readyz"))[0] == 200
+                process.terminate()
+                await until_status(ready, 503, 1.0)
+                output, _ = await asyncio.wait_for(process.communicate(), 6.0)
+            finally:
+                if process.returncode is None:
+                    process.kill()
         assert process.returncode == 0
         sentences = [json.loads(line)["message"] for line in output.splitlines()]
         assert sentences[0] == "node: Started."
