--- a/packages/node/tests/test_attempts.py
+++ b/packages/node/tests/test_attempts.py
@@ -25,6 +25,7 @@
 from eelgrass_node.request.reasons import Outcome
 from eelgrass_node.request.stages import StageEnvironment, StageRun
 from eelgrass_node.version import Pipeline, Stage, StageKind
+from support.connections import listen
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
 
@@ -37,9 +38,7 @@
         self.calls = 0
 
     async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self._server, self.address = await listen(self._serve)
         return self
 
     async def __aexit__(self, *exc):
--- a/packages/node/tests/test_server_lives.py
+++ b/packages/node/tests/test_server_lives.py
@@ -16,6 +16,7 @@
 from eelgrass_node.request.exchange import EngineCall
 from eelgrass_node.request.graph import StageGraph, StagePlan
 from eelgrass_node.version.deployment import PieceStage, ServiceName
+from support.connections import listen
 from support.pieces import Service, pieces, routed, server
 
 FIRST, SECOND = (ServerLife(BackendId("s1"), started) for started in (5, 9))
@@ -144,9 +145,7 @@
             writer.write(answer)
             await asyncio.sleep(30)
 
-        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
-        host, port = listener.sockets[0].getsockname()
-        return listener, f"{host}:{port}"
+        return await listen(serve)
 
     @pytest.mark.parametrize(
         "answer",
--- a/packages/node/tests/test_store_following.py
+++ b/packages/node/tests/test_store_following.py
@@ -21,6 +21,7 @@
 from eelgrass_node.process.follow_pace import TRY_S
 from eelgrass_node.process.server_list import ServerList
 from eelgrass_node.version.deployment import CallerLimits, Deployment
+from support.connections import listen
 from support.store_rows import changes, followed_table, row
 
 
@@ -324,9 +325,7 @@
         async def hang(reader, writer):
             await asyncio.sleep(60)
 
-        server = await asyncio.start_server(hang, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        return server, f"{host}:{port}"
+        return await listen(hang)
 
     async def test_a_call_to_the_store_keeps_its_cancellation(self):
         server, address = await self.silent_server()
--- /dev/null
+++ b/tests/support/connections.py
@@ -0,0 +1,21 @@
+"""TCP servers and connections on loopback, by address."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+__all__ = ["connect", "listen"]
+
+Handle = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def listen(handle: Handle) -> tuple[asyncio.Server, str]:
+    """Listen on a free port; return the server and its address."""
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return server, f"{host}:{port}"
+
+
+async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to an address."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import Enum
 
+from .connections import connect, listen
+
 __all__ = ["Direction", "FaultProxy", "Link"]
 
 BLOCK_BYTES = 1 << 16
@@ -64,9 +66,8 @@
 
     async def start(self) -> str:
         """Listen; return the address."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
+        self._server, address = await listen(self._accept)
+        return address
 
     async def stop(self) -> None:
         """Close everything."""
@@ -92,9 +93,8 @@
         self.blocked.clear()
 
     async def _accept(self, reader, writer) -> None:
-        host, _, port = self._target.rpartition(":")
         try:
-            there_reader, there_writer = await asyncio.open_connection(host, int(port))
+            there_reader, there_writer = await connect(self._target)
         except OSError:
             writer.transport.abort()
             return
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -16,6 +16,8 @@
 from eelgrass_standins.deployment import DeploymentSpec
 from eelgrass_standins.samples import node_settings, sample_configuration
 
+from .connections import connect
+
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 20.0
 
@@ -153,11 +155,10 @@
         return [self.spec.platform.address, *(b.address for b in self.spec.backends)]
 
     async def _until_listening(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
         async with asyncio.timeout(START_LIMIT_S):
             while True:
                 try:
-                    _, writer = await asyncio.open_connection(host, int(port))
+                    _, writer = await connect(address)
                 except OSError:
                     await asyncio.sleep(0.05)
                     continue
--- a/tests/test_platform_bad_input.py
+++ b/tests/test_platform_bad_input.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_asyncio
 
+from support.connections import connect
 from support.entry import HOST, KEY, EntryDeployment, configuration, until
 
 HEAD = (
@@ -86,14 +87,9 @@
         yield deployment
 
 
-async def connect(entry):
-    host, _, port = entry.nodes[0].settings.callers.rpartition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
 async def send(entry, text, within_s=2.0):
     """Send bytes and return the status of what comes back, 0 for nothing."""
-    reader, writer = await connect(entry)
+    reader, writer = await connect(entry.nodes[0].settings.callers)
     writer.write(text.encode())
     try:
         line = await asyncio.wait_for(reader.readline(), within_s)
@@ -142,7 +138,7 @@
 
     async def test_an_idle_connection_stays_open(self, entry):
         await self.bound_headers(entry, 100)
-        reader, writer = await connect(entry)
+        reader, writer = await connect(entry.nodes[0].settings.callers)
         for _ in range(2):
             await asyncio.sleep(1.0)
             writer.write(f"GET /safe/x HTTP/1.1\r\n{HEAD}\r\n".encode())
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -6,6 +6,7 @@
 
 from eelgrass_node.process import platform_tables, table_relay
 from eelgrass_standins.users_engines import EngineFault
+from support.connections import connect
 from support.entry import (
     HOST,
     KEY,
@@ -84,8 +85,7 @@
             if b"HTTP" in head
             else b""
         )
-        host, _, port = entry.nodes[0].settings.callers.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(entry.nodes[0].settings.callers)
         writer.write(head + b"\r\n" + extra + rest)
         async with asyncio.timeout(5):
             answer = await reader.read(65536)
