Measurements read their processor time through one function

benchmarks/control_cost.py and benchmarks/propagation.py each had the same cpu_s(). benchmarks/processor_time.py has it now, beside them, so that they run as before. That of hop_cost.py reads another process's time and stays.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -6,7 +6,6 @@
 import asyncio
 import gc
 import random
-import resource
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -33,6 +32,7 @@
 from eelgrass_standins.platform import RateLimit, TableStandIn
 from eelgrass_standins.ports import free_addresses
 from eelgrass_standins.samples import DATA_CENTRES
+from processor_time import cpu_s
 
 MEMBER_COUNTS = (2, 4, 8, 16, 32, 64)
 ACCOUNT_COUNTS = (1_000, 4_000, 16_000, 48_000)
@@ -46,12 +46,6 @@
 CLAIM_WITHIN_S = 0.8
 
 
-def cpu_s() -> float:
-    """Return the processor time of this process, in seconds."""
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return usage.ru_utime + usage.ru_stime
-
-
 def heap_of(build: Callable[[], Any]) -> tuple[Any, int]:
     """Return what ``build`` makes and the bytes that it holds."""
     gc.collect()
--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-import resource
 import time
 
 from eelgrass_standins.samples import DATA_CENTRES, association
+from processor_time import cpu_s
 from support.local import LocalDeployment
 
 NODE_COUNTS = (3, 9, 30)
@@ -17,12 +17,6 @@
 TIMING = {"head_poll_ms": 1000, "hosts_poll_ms": 1000, "heartbeat_ms": 1000}
 
 
-def cpu_s() -> float:
-    """Return the processor time of this process, in seconds."""
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return usage.ru_utime + usage.ru_stime
-
-
 async def amend(deployment: LocalDeployment, number: int) -> None:
     """Submit a change at one node and wait until the node has answered."""
     internal = deployment.internal(number % len(deployment.nodes))
