--- a/packages/node/tests/test_store_return.py
+++ b/packages/node/tests/test_store_return.py
@@ -138,12 +138,7 @@
         day = StoreDay([Outage(5.0, 13.0, None, refuses)], promised_s=promised_s)
         day.change()
         day.list_server("i1")
-        running = asyncio.create_task(day.run(until=14.0))
-        await asyncio.sleep(5.0)
-        before = day.store.calls
-        await asyncio.sleep(8.0)
-        calls = day.store.calls - before
-        await running
+        calls = await day.calls_between(5.0, 13.0, until=14.0)
         return calls / len(day.members)
 
     @pytest.mark.parametrize(
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -232,13 +232,7 @@
             outage = Outage(5.0, 14.0, frozenset({StoreDay.relay(39)}), refuses=True)
             day = StoreDay([outage], nodes=39)
             day.change()
-            running = asyncio.create_task(day.run(15.0))
-            await asyncio.sleep(5.0)
-            before = day.store.calls
-            await asyncio.sleep(9.0)
-            calls = day.store.calls - before
-            await running
-            return calls
+            return await day.calls_between(5.0, 14.0, until=15.0)
 
         # Once each as the relay is lost and the next has yet to read; the relays of
         # two tables at three calls a second; and the one turned away in its pace.
--- a/tests/support/store_day.py
+++ b/tests/support/store_day.py
@@ -221,6 +221,16 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def calls_between(self, begin: float, end: float, until: float) -> int:
+        """Run a new day until a time; return the calls between two times of it."""
+        running = asyncio.create_task(self.run(until))
+        await asyncio.sleep(begin)
+        before = self.store.calls
+        await asyncio.sleep(end - begin)
+        calls = self.store.calls - before
+        await running
+        return calls
+
     def _tables(self, own: Member) -> PlatformTables:
         deployments = DeploymentInForce(
             "config",
