Tests of a store out of reach have one stand-in

test_store_logs.py and test_platform_news.py each had a store that answers nothing; only the reason differed. LostStore in tests/support/store_rows.py takes the reason.

--- a/packages/node/tests/test_store_logs.py
+++ b/packages/node/tests/test_store_logs.py
@@ -6,33 +6,22 @@
 
 import asyncio
 
-from eelgrass_node.exceptions import StoreUnavailable
 from eelgrass_node.process.table_relay import RelayedReader
 from support.clock import Clock
 from support.log_lines import log_lines
 from support.members import member
-from support.store_rows import changes, followed_table, row
+from support.store_rows import LostStore, changes, followed_table, row
 
 TABLE = "op"
 
 
-class Down:
-    """A store that never answers."""
-
-    async def read_table(self, table):
-        raise StoreUnavailable(table, "TimeoutError")
-
-    async def feed(self, table, after, wait_s):
-        raise StoreUnavailable(table, "TimeoutError")
-
-
 def of(lines, sentence):
     return [line for line in lines if line.get("message") == f"store: {sentence}"]
 
 
 class TestFailures:
     async def test_each_failure_is_told_with_its_reason_and_the_next_try(self):
-        table = followed_table(Down(), TABLE)
+        table = followed_table(LostStore("TimeoutError"), TABLE)
         with log_lines() as lines:
             task = asyncio.create_task(table.run())
             await asyncio.sleep(0.6)
@@ -47,7 +36,9 @@
     async def test_rows_from_another_node_are_told_as_such(self):
         sources = []
         table = followed_table(
-            Down(), TABLE, on_rows=lambda rows, source: sources.append(source)
+            LostStore("TimeoutError"),
+            TABLE,
+            on_rows=lambda rows, source: sources.append(source),
         )
         with log_lines() as lines:
             table.take_from_peer((row("config", 7),), "10.0.0.2:1")
@@ -67,12 +58,16 @@
 
         relays = [member("relay"), member("relay"), None, None]
 
-        class Store(Down):
+        class Store(LostStore):
             async def feed(self, table, after, wait_s):
                 return changes(5)
 
         reader = RelayedReader(
-            Store(), lambda table: _listed(relays.pop(0)), ask, {}, Clock(10.0)
+            Store("TimeoutError"),
+            lambda table: _listed(relays.pop(0)),
+            ask,
+            {},
+            Clock(10.0),
         )
         with log_lines() as lines:
             for _ in range(4):
--- a/tests/support/store_rows.py
+++ b/tests/support/store_rows.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from eelgrass_node.exceptions import StoreUnavailable
 from eelgrass_node.process.store_tables import (
     FollowedTable,
     StoredRow,
@@ -10,7 +11,7 @@
     TableReader,
 )
 
-__all__ = ["PROMISED_S", "changes", "followed_table", "row"]
+__all__ = ["PROMISED_S", "LostStore", "changes", "followed_table", "row"]
 
 # For configurations and for servers that leave, on the users' sheets.
 PROMISED_S = 2.0
@@ -28,6 +29,21 @@
     return TableChanges(tuple(rows), version)
 
 
+class LostStore:
+    """A store that never answers, for the reason that is given."""
+
+    def __init__(self, reason: str) -> None:
+        self._reason = reason
+
+    async def read_table(self, table: str) -> TableChanges:
+        """Say that the table cannot be read."""
+        raise StoreUnavailable(table, self._reason)
+
+    async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
+        """Say that the table cannot be read."""
+        raise StoreUnavailable(table, self._reason)
+
+
 def followed_table(
     reader: TableReader, table: str, **told: Callable[..., Any]
 ) -> FollowedTable:
--- a/tests/test_platform_news.py
+++ b/tests/test_platform_news.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from eelgrass_node.exceptions import StoreUnavailable
 from eelgrass_node.process.table_relay import relay_of
 from support.entry import (
     WHOLE,
@@ -11,6 +10,7 @@
     route,
     until,
 )
+from support.store_rows import LostStore
 
 
 class TestConfiguration:
@@ -117,7 +117,8 @@
 
     async def test_a_node_without_the_store_gets_a_newer_version(self, entry):
         first = entry.nodes[0]
-        first.tables.operator._reader = DeadReader()
+        # This node alone does not reach it.
+        first.tables.operator._reader = LostStore("out of reach")
         entry.store.put("op", "config", configuration(6))
         await until(lambda: first.deployments.number == 6, 4.0)
 
@@ -147,13 +148,3 @@
             entry.store.put("op", "config", configuration(9))
             rest = [node for node in entry.nodes if node is not killed]
             await until(lambda: all(n.deployments.number == 9 for n in rest), 2.0)
-
-
-class DeadReader:
-    """A store that this node alone does not reach."""
-
-    async def read_table(self, table):
-        raise StoreUnavailable(table, "out of reach")
-
-    async def feed(self, table, after, wait_s):
-        raise StoreUnavailable(table, "out of reach")
