Deployments of tests look up their nodes' addresses in one place

LocalDeployment and ProcessDeployment had the same callers() and internal(). Both have them from NodeAddresses in tests/support/node_addresses.py now.

--- a/tests/support/local.py
+++ b/tests/support/local.py
@@ -16,10 +16,12 @@
     sample_configuration,
 )
 
+from .node_addresses import NodeAddresses
+
 FAST = {"drain_notice_ms": 50, "head_poll_ms": 100, "hosts_poll_ms": 100}
 
 
-class LocalDeployment:
+class LocalDeployment(NodeAddresses):
     """Stand-ins and nodes on loopback; use it as an asynchronous context."""
 
     def __init__(
@@ -65,14 +67,6 @@
         self.nodes.append(node)
         return node
 
-    def callers(self, number: int) -> str:
-        """Return a node's address for callers."""
-        return self.settings[number]["listen"]["callers"]
-
-    def internal(self, number: int) -> str:
-        """Return a node's address for peers and operators."""
-        return self.settings[number]["listen"]["internal"]
-
     def fault(self, service: str, *faults: Fault) -> None:
         """Set faults of a service, or of the ``platform``.
 
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -17,6 +17,7 @@
 from eelgrass_standins.samples import node_settings, sample_configuration
 
 from .connections import connect
+from .node_addresses import NodeAddresses
 
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 20.0
@@ -71,7 +72,7 @@
         return self._log.read_text()
 
 
-class ProcessDeployment:
+class ProcessDeployment(NodeAddresses):
     """The platform, each backend server and each node as its own process.
 
     ``grouped`` puts all backend servers into one process, which starts faster.
@@ -126,14 +127,6 @@
             await process.kill()
         await self.client.__aexit__()
 
-    def callers(self, number: int) -> str:
-        """Return a node's address for callers."""
-        return self.settings[number]["listen"]["callers"]
-
-    def internal(self, number: int) -> str:
-        """Return a node's address for peers and operators."""
-        return self.settings[number]["listen"]["internal"]
-
     def address(self, backend_id: str) -> str:
         """Return the address of a backend server."""
         return next(b.address for b in self.spec.backends if b.id == backend_id)
