What has come of an answer when its time is over is read first

Found by the review: on a host that is suspended in the middle of an answer, the end of the wait came before the bytes that lay ready, and all that had been read was thrown away. The same with a turn of the event loop of over 0.4 s. Now the end of the time is judged after what came together with it. Test: an answer over a second of standstill; it fails without that turn (392 kB thrown away).

--- a/packages/coordination/src/eelgrass_coordination/bounded_call.py
+++ b/packages/coordination/src/eelgrass_coordination/bounded_call.py
@@ -45,7 +45,11 @@
     ) -> None:
         self._response = response
         self._bound = bound
-        self._began_at = asyncio.get_running_loop().time()
+        self._loop = asyncio.get_running_loop()
+        self._began_at = self._loop.time()
+        self._given_up_at = 0.0
+        self._timer: asyncio.Handle | None = None
+        bound.reschedule(None)
         self._put_off()
 
     @property
@@ -70,11 +74,33 @@
             self._put_off()
         return b"".join(parts)
 
+    def stop_waiting(self) -> None:
+        """Give nothing up any more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _put_off(self) -> None:
         """Let the call go on until it has been silent, or slow, for too long."""
-        silent_at = asyncio.get_running_loop().time() + SILENCE_S
+        silent_at = self._loop.time() + SILENCE_S
         slow_at = self._began_at + SILENCE_S + self.received / SLOWEST_BYTES_PER_S
-        self._bound.reschedule(min(silent_at, slow_at))
+        self._given_up_at = min(silent_at, slow_at)
+        if self._timer is None:
+            self._timer = self._loop.call_at(self._given_up_at, self._time_is_over)
+
+    def _time_is_over(self) -> None:
+        """Let what has come together with the end of the time be read before.
+
+        So it is after a suspension of the host, or a long turn of the event loop.
+        """
+        self._timer = self._loop.call_soon(self._judge)
+
+    def _judge(self) -> None:
+        self._timer = None
+        if self._given_up_at <= self._loop.time():
+            self._bound.reschedule(self._loop.time())
+        else:
+            self._timer = self._loop.call_at(self._given_up_at, self._time_is_over)
 
 
 @asynccontextmanager
@@ -120,7 +146,10 @@
             ) as response,
         ):
             answer = BoundedAnswer(response, bound)
-            yield answer
+            try:
+                yield answer
+            finally:
+                answer.stop_waiting()
     except TimeoutError as error:
         if error.args:
             # The library tells of a connection that did not come about.
--- a/packages/node/tests/test_large_answers.py
+++ b/packages/node/tests/test_large_answers.py
@@ -138,6 +138,39 @@
         assert time.monotonic() - silent_at < GIVEN_UP_S
 
 
+def suspend_host():
+    """Stop all that runs here for longer than any silence that is borne."""
+    time.sleep(1.0)
+
+
+class SuspendedNode(OtherNode):
+    """Its host is suspended, with that of the caller, in the middle of an answer."""
+
+    async def handle(self, request):
+        body = json.dumps(self._answers[request.match_info["call"]]).encode()
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        await response.write(body[:1000])
+        await asyncio.sleep(0.1)
+        await response.write(body[1000:2000])
+        suspend_host()
+        await response.write(body[2000:])
+        return response
+
+
+class TestSuspension:
+    async def test_what_has_come_when_it_ends_is_read(self):
+        """The end of the wait came together with it, and all was thrown away."""
+        async with (
+            served(SuspendedNode().add_routes) as address,
+            aiohttp.ClientSession() as session,
+        ):
+            calls = PeerCalls(session)
+            state = await calls.ask(address, STATE_CALL, None, PeerState, 0.5)
+        assert len(state.servers) == ROWS
+
+
 class TestOtherNodes:
     async def test_a_relay_whose_answer_comes_slowly_is_listened_to(self):
         async with peer_calls(OtherNode()) as (calls, address):
