Test of small changes after a large one: the nodes have run for a while

The incident's nodes had run for 35 s, so the test lets them run for 1 s first. Bound, links, sizes and gaps are as they were; a change just after a start is asked for in time by TestStartOfManyNodes, and the large one alone by the test before this.

--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -24,6 +24,8 @@
 NODES = 8
 # A few packets to each node, beside what the nodes tell each other anyway.
 SMALL_CHANGE_BYTES = 8_000
+# After this a node that has started follows the store's tables at the usual pace.
+SETTLED_S = 1.0
 
 
 @pytest.fixture
@@ -43,6 +45,8 @@
         await until(in_force(narrow, 5), IN_FORCE_S)
 
     async def test_small_changes_soon_after_it_are_in_force_in_time(self, narrow):
+        """The nodes have run for a while: half a second goes by after their start."""
+        await asyncio.sleep(SETTLED_S)
         narrow.store.put("op", "config", large_configuration(5, ROUTES))
         waits = []
         for number in (6, 7, 8):
