A checker of the path of versions, searched by hypothesis in simulated time

The real decisions (store_tables, follow_pace, table_relay, platform_tables, peer_catch_up, deployments) run before a modelled store and network: silent and refusing outages for some nodes or all, late answers, old states, forgotten history, frozen and restarted nodes, cut ways, lost and repeated news. Judged: no version goes back, no removed row comes back, changes are in force 2 s after the later of their confirmation and the return of a path, calls stay bounded.

--- /dev/null
+++ b/tests/support/version_plans.py
@@ -0,0 +1,102 @@
+"""Days for the property-based search: which plans there are, within a stated bound."""
+
+from hypothesis import strategies as st
+
+from .store_day import Outage, StoreDay
+from .version_plan import (
+    Change,
+    Cut,
+    Deaf,
+    Freeze,
+    Harm,
+    Plan,
+    Restart,
+    Slow,
+    Stale,
+)
+
+__all__ = ["plans"]
+
+# The bound of the search; harms and changes may fall together in any way within it.
+MOST_NODES = 5
+MOST_CHANGES = 8
+MOST_HARMS = 6
+MOST_FORGETS = 2
+FIRST_S = 2.0
+LAST_S = 7.0
+LONGEST_HARM_S = 5.0
+# The store is slow, but not out of order, up to this.
+SLOWEST_S = 0.2
+# Harm is rather looked for around a change than anywhere: so long before and after.
+BEFORE_S = 1.5
+AFTER_S = 0.7
+# Times are multiples of this part of a second.
+STEPS_PER_S = 100
+
+SERVERS = ("i1", "i2")
+KINDS = (Outage, Outage, Outage, Freeze, Freeze, Restart, Cut, Deaf, Stale, Slow)
+
+
+def seconds(first: float, last: float) -> st.SearchStrategy[float]:
+    """Return times or lengths of time."""
+    steps = st.integers(int(first * STEPS_PER_S), int(last * STEPS_PER_S))
+    return steps.map(lambda number: number / STEPS_PER_S)
+
+
+@st.composite
+def plans(draw: st.DrawFn) -> Plan:
+    """Draw a plan of a day."""
+    data_centres = draw(
+        st.sampled_from(["aaa", "aab", "aa", "a", "aabb", "aaaa", "abc", "aaabb"])
+    )
+    nodes = [f"n{number}" for number in range(len(data_centres))]
+    change = st.builds(
+        Change,
+        seconds(FIRST_S, LAST_S),
+        st.none() | st.sampled_from(SERVERS),
+        st.booleans(),
+    )
+    changes = draw(st.lists(change, min_size=1, max_size=MOST_CHANGES))
+    offset = seconds(-BEFORE_S, AFTER_S)
+    near = st.builds(
+        lambda change, off: round(change.at + off, 2), st.sampled_from(changes), offset
+    )
+    times = seconds(FIRST_S, LAST_S) | near
+    harms = draw(st.lists(_harms(nodes, times), min_size=1, max_size=MOST_HARMS))
+    forgets = draw(st.lists(times, max_size=MOST_FORGETS))
+    listed = [Change(0.0, server) for server in SERVERS]
+    return Plan(
+        data_centres,
+        (*listed, *changes),
+        tuple(harms),
+        tuple(forgets),
+        draw(st.integers(0, 999)),
+    )
+
+
+@st.composite
+def _harms(draw: st.DrawFn, nodes: list[str], times: st.SearchStrategy[float]) -> Harm:
+    kind = draw(st.sampled_from(KINDS))
+    begin = draw(times)
+    end = round(begin + draw(seconds(0.05, LONGEST_HARM_S)), 2)
+    # The first of its data centre in the order of the relays is hit oftener.
+    relay = StoreDay.relay(len(nodes))
+    node = st.sampled_from(nodes) | st.just(relay)
+    match kind:
+        case _ if kind is Outage:
+            some = st.frozensets(node, min_size=1)
+            rest = st.just(frozenset(nodes) - {relay} or frozenset(nodes))
+            nodes_hit = draw(st.none() | some | rest)
+            return Outage(begin, end, nodes_hit, draw(st.booleans()))
+        case _ if kind is Cut and len(nodes) > 1:
+            pair = st.frozensets(st.sampled_from(nodes), min_size=2, max_size=2)
+            return Cut(begin, end, draw(pair))
+        case _ if kind is Restart:
+            return Restart(begin, end, draw(node), draw(st.booleans()))
+        case _ if kind is Freeze:
+            return Freeze(begin, end, draw(node))
+        case _ if kind is Stale:
+            return Stale(begin, end, draw(seconds(0.0, LONGEST_HARM_S)))
+        case _ if kind is Slow:
+            return Slow(begin, end, draw(seconds(0.01, SLOWEST_S)))
+    return Deaf(begin, end)
--- /dev/null
+++ b/tests/support/version_promises.py
@@ -0,0 +1,243 @@
+"""What is promised of the path of versions, and what of it a day has broken.
+
+Each function returns a sentence for each break. A change is due at a node
+``PROMISED_S`` after the later of its confirmation and the return of a path:
+
+- to the store: the node runs, is not frozen, and the store answers it with the present
+  state. What happens to relays and to other nodes is no excuse.
+- to another node that has a configuration: both run and are not frozen, the way between
+  them is whole and no news is lost until it is due. At most one further node is silent
+  to this one: two that are waited for in turn use up what is promised, a known limit.
+
+A harm that begins before a change is due holds it up to the harm's end, and the promise
+runs anew from there.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from eelgrass_node.process.table_relay import relay_of
+
+from .store_day import SERVERS, Outage
+from .store_rows import PROMISED_S
+from .version_day import NodeLife, VersionDay
+from .version_plan import Change, Cut, Deaf, Freeze, Harm, Plan, Restart, Stale
+
+__all__ = ["broken_promises", "late_through_relays"]
+
+# A node follows two tables, each with a call a second, or one in 0.9 s.
+QUIET_CALLS = 3
+# The same in any second in which nothing changes, whatever the harm.
+HARMED_CALLS = 8
+# For each history that was forgotten, which may show only at the end of an outage: a
+# whole read and the next call for changes, of both tables, and the same again where
+# the store first shows the state of before.
+FORGET_CALLS = 8
+# Harm and changes are over for so long before calls are those of a quiet store.
+SETTLED_S = 3.0
+
+
+def broken_promises(day: VersionDay) -> list[str]:
+    """Return all that a day has broken."""
+    return [
+        *versions_back(day),
+        *rows_back(day),
+        *late_changes(day),
+        *needless_calls(day),
+    ]
+
+
+def versions_back(day: VersionDay) -> Iterable[str]:
+    """A version in force never goes back within one life."""
+    for life in day.lives:
+        numbers = [number for _, number in life.versions]
+        for earlier, later in zip(numbers, numbers[1:], strict=False):
+            if later < earlier:
+                yield f"back: {life.own.id} has {later} after {earlier}"
+
+
+def rows_back(day: VersionDay) -> Iterable[str]:
+    """A removed row never comes back within one life, but by a later listing."""
+    for life in day.lives:
+        removal_by_server: dict[str, int] = {}
+        listed_by_server: dict[str, int] = {}
+        for at, server, version in life.servers:
+            if version is None:
+                listed = listed_by_server.pop(server)
+                removal_by_server[server] = _removal_after(day, server, listed)
+            else:
+                if version <= removal_by_server.get(server, -1):
+                    yield f"row back: {life.own.id} has {server} again at {at:.2f}"
+                listed_by_server[server] = version
+
+
+def _removal_after(day: VersionDay, server: str, listed: int) -> int:
+    return min(
+        (
+            version
+            for change, version in day.confirmed
+            if change.server == server and change.gone and version > listed
+        ),
+        default=listed,
+    )
+
+
+def late_changes(day: VersionDay) -> Iterable[str]:
+    """Every confirmed change is in force within the promised time."""
+    for change, number in day.confirmed:
+        for own in day.members:
+            due = _due(day, change, number, own.id)
+            life = _life_at(day, own.id, due)
+            if life is not None and not _has(day, life, change, number, due):
+                what = change.server or "configuration"
+                yield (
+                    f"late: {own.id} lacks {what} {number}, confirmed at "
+                    f"{change.at:.2f}, when it was due at {due:.2f}"
+                )
+
+
+def late_through_relays(day: VersionDay) -> Iterable[str]:
+    """A change of servers that a node's relay has is in force at the node, too.
+
+    The relay is the first of its data centre, and the store has answered it well all
+    the while; the store may turn the node away. The path returns when the way between
+    the two is whole, both run, and the relay has the change.
+    """
+    for change, number in day.confirmed:
+        for own in day.members:
+            others = [other for other in day.members if other.id != own.id]
+            relay = relay_of(own, others, SERVERS)
+            if change.server is None or relay is None:
+                continue
+            due = _due_by_relay(day, change, number, own.id, relay.id)
+            life = due and _life_at(day, own.id, due)
+            if life and not _has(day, life, change, number, due):
+                yield (
+                    f"late through its relay: {own.id} lacks {change.server} {number}, "
+                    f"confirmed at {change.at:.2f}, when it was due at {due:.2f}"
+                )
+
+
+def _due_by_relay(
+    day: VersionDay, change: Change, number: int, node: str, relay: str
+) -> float | None:
+    """Return when a change is due that the relay has; None where it has no path."""
+    taken = (
+        at
+        for life in day.lives
+        if life.own.id == relay
+        for at, server, version in life.servers
+        if at >= change.at and server == change.server
+        if _has(day, life, change, number, at)
+    )
+    if (at := next(taken, None)) is None:
+        return None
+    due = _held_up(day.plan, at, lambda harm: _parts(harm, node, relay))
+    for harm in day.plan.harms:
+        harms_relay = _hits_way_to_store(harm, relay) and not isinstance(harm, Freeze)
+        if harms_relay and harm.begin < due and harm.end > at - SETTLED_S:
+            return None
+    return due
+
+
+def _parts(harm: Harm, node: str, relay: str) -> bool:
+    if isinstance(harm, Freeze | Restart):
+        return harm.node in (node, relay)
+    return isinstance(harm, Cut) and harm.nodes == {node, relay}
+
+
+def _life_at(day: VersionDay, node: str, at: float) -> NodeLife | None:
+    return next(
+        (
+            life
+            for life in day.lives
+            if life.own.id == node and life.began <= at < life.ended
+        ),
+        None,
+    )
+
+
+def _has(
+    day: VersionDay, life: NodeLife, change: Change, number: int, at: float
+) -> bool:
+    """Return whether a change, or a later one in its place, was taken by then."""
+    if change.server is None:
+        return any(taken <= at and n >= number for taken, n in life.versions)
+    seen = [
+        version
+        for taken, server, version in life.servers
+        if taken <= at and server == change.server
+    ]
+    shown = seen[-1] if seen else None
+    if shown is not None:
+        return shown >= number
+    return any(
+        later.server == change.server and later.gone and version >= number
+        for later, version in day.confirmed
+        if later.at <= at
+    )
+
+
+def _due(day: VersionDay, change: Change, number: int, node: str) -> float:
+    plan = day.plan
+    dues = [_due_by_store(plan, change.at, node)]
+    if change.server is None:
+        for life in day.lives:
+            taken = (at for at, n in life.versions if n >= number)
+            if life.own.id != node and (at := next(taken, None)) is not None:
+                dues += _due_by_other(plan, max(at, change.at), node, life.own.id)
+    return min(dues)
+
+
+def _due_by_store(plan: Plan, at: float, node: str) -> float:
+    return _held_up(plan, at, lambda harm: _hits_way_to_store(harm, node))
+
+
+def _due_by_other(plan: Plan, at: float, node: str, other: str) -> list[float]:
+    """Return when a change is due that another node has, if it is due by that way."""
+    due = _held_up(
+        plan, at, lambda harm: isinstance(harm, Freeze) and harm.node == node
+    )
+    silent: set[str] = set()
+    for harm in plan.harms:
+        # A node that was silent shortly before may still be waited for.
+        if harm.begin >= due or harm.end <= at - PROMISED_S:
+            continue
+        if isinstance(harm, Deaf) or isinstance(harm, Restart) and harm.node == node:
+            return []
+        if isinstance(harm, Freeze | Restart) and harm.node != node:
+            silent.add(harm.node)
+        if isinstance(harm, Cut) and node in harm.nodes:
+            silent |= harm.nodes - {node}
+    return [] if other in silent or len(silent) > 1 else [due]
+
+
+def _hits_way_to_store(harm: Harm, node: str) -> bool:
+    if isinstance(harm, Outage):
+        return harm.nodes is None or node in harm.nodes
+    if isinstance(harm, Freeze | Restart):
+        return harm.node == node
+    # A relay that was shown an old state cannot know it, nor can those who ask it.
+    return isinstance(harm, Stale)
+
+
+def _held_up(plan: Plan, at: float, hits: Callable[[Harm], bool]) -> float:
+    last = at
+    for harm in sorted(plan.harms, key=lambda harm: harm.begin):
+        if hits(harm) and harm.begin < last + PROMISED_S and harm.end >= at:
+            last = max(last, harm.end)
+    return last + PROMISED_S
+
+
+def needless_calls(day: VersionDay) -> Iterable[str]:
+    """Calls to the store stay bounded while nothing changes."""
+    calls = Counter((node, int(at)) for node, at in day.store.called_at)
+    busy = {
+        int(change.at) + after for change, _ in day.confirmed for after in (-1, 0, 1)
+    }
+    quiet_from = day.plan.ends + SETTLED_S
+    for (node, second), count in calls.items():
+        harmed = HARMED_CALLS + FORGET_CALLS * len(day.plan.forgets)
+        most = QUIET_CALLS if second >= quiet_from else harmed
+        if second not in busy and count > most:
+            yield f"calls: {node} made {count} in second {second}"
