A number that never comes does not hide those of newer configurations

Found by the read of the diff: after a number that was awaited in vain, as a faulty node tells it, lower ones that were real were not noted, and a node that was behind refused for good again (shown by a run: in force 42, 10^9 told, 11 s later 43).

--- a/packages/node/src/eelgrass_node/process/deployments.py
+++ b/packages/node/src/eelgrass_node/process/deployments.py
@@ -36,6 +36,8 @@
         self.since = 0.0
         self._awaited_number = -1
         self._awaited_since = float("-inf")
+        # The last number that was awaited in vain.
+        self._lapsed_number = -1
 
     @property
     def number(self) -> int:
@@ -48,16 +50,24 @@
 
         What the one in force does not know may be there then.
         """
-        if self._awaited_number <= self.number:
-            return False
-        return asyncio.get_running_loop().time() - self._awaited_since <= AWAITED_S
+        return self._awaited_number > self.number and not self._has_lapsed()
 
     def hear(self, number: int) -> None:
         """Note the number of the configuration that another node has."""
+        if self._has_lapsed():
+            # It must not hide the numbers of those that do come.
+            self._lapsed_number = self._awaited_number
+            self._awaited_number = -1
+        if number == self._lapsed_number:
+            return
         if number > max(self.number, self._awaited_number):
             self._awaited_number = number
             self._awaited_since = asyncio.get_running_loop().time()
 
+    def _has_lapsed(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now - self._awaited_since > AWAITED_S
+
     def take_rows(self, rows: tuple[StoredRow, ...], source: str) -> None:
         """Take in rows of the operator's table; ``source`` says from where."""
         for row in rows:
--- a/packages/node/tests/test_deployments.py
+++ b/packages/node/tests/test_deployments.py
@@ -58,3 +58,19 @@
             return gone, found.superseded
 
         assert run_instantly(main()) == (False, True)
+
+    def test_a_number_that_never_comes_does_not_hide_the_next_ones(self):
+        """A faulty node told of it; the numbers of others are lower."""
+
+        async def main():
+            found = deployments()
+            found.take(b"42", "store")
+            found.hear(10**9)
+            await asyncio.sleep(AWAITED_S + 1.0)
+            found.hear(43)
+            states = [found.superseded]
+            found.hear(10**9)
+            found.take(b"43", "store")
+            return [*states, found.superseded]
+
+        assert run_instantly(main()) == [True, False]
