--- a/packages/coordination/src/eelgrass_coordination/bounded_call.py
+++ b/packages/coordination/src/eelgrass_coordination/bounded_call.py
@@ -35,9 +35,10 @@
 class BoundedAnswer:
     """The answer to a call.
 
-    Every part that comes puts ``bound`` off. What an answer carries grows with the
-    deployment, so that a fixed time for all of it would be too short one day: each
-    answer would be thrown away half read, and asked for again for ever.
+    Once it has begun, a time of its own takes the place of ``bound``, which every part
+    that comes puts off. What an answer carries grows with the deployment, so that a
+    fixed time for all of it would be too short one day: each answer would be thrown
+    away half read, and asked for again for ever.
     """
 
     def __init__(
@@ -67,7 +68,7 @@
         self._response.raise_for_status()
 
     async def read(self) -> bytes:
-        """Return the whole body."""
+        """Return the whole body; the call ends with :class:`TimeoutError` otherwise."""
         parts: list[bytes] = []
         async for part in self._response.content.iter_any():
             parts.append(part)
@@ -89,9 +90,9 @@
             self._timer = self._loop.call_at(self._given_up_at, self._time_is_over)
 
     def _time_is_over(self) -> None:
-        """Let what has come together with the end of the time be read before.
+        """Judge one turn of the loop later, when what came meanwhile has been read.
 
-        So it is after a suspension of the host, or a long turn of the event loop.
+        Both come together after a suspension of the host, or a long turn of the loop.
         """
         self._timer = self._loop.call_soon(self._judge)
 
@@ -133,9 +134,10 @@
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s or within_s)
     begins_s = within_s + sending_s(len(data or b""))
     answer: BoundedAnswer | None = None
+    bound = asyncio.timeout(begins_s)
     try:
         async with (
-            asyncio.timeout(begins_s) as bound,
+            bound,
             session.request(
                 method,
                 url,
@@ -151,8 +153,9 @@
             finally:
                 answer.stop_waiting()
     except TimeoutError as error:
-        if error.args:
-            # The library tells of a connection that did not come about.
+        if not bound.expired():
+            # It is the library's, of a connection that did not come about, or the
+            # caller's own.
             raise
         raise TimeoutError(_reason(answer, begins_s)) from error
 
@@ -161,4 +164,4 @@
     """Return why a call was given up: a silent node differs from a slow link."""
     if answer is None:
         return f"no answer within {begins_s:.3g} s"
-    return f"an answer that stopped after {answer.received} bytes"
+    return f"an answer that stopped, or came too slowly, after {answer.received} bytes"
