Test: a configuration that never comes is awaited anew each time it is told; fails, listed as red

Callers of unknown routes or with unknown keys get 503 for as long as others tell the number, in place of for 10 s. DeploymentInForce.hear notes a lapsed number, and overwrites it with -1 at the next telling.

--- a/packages/node/tests/test_deployments.py
+++ b/packages/node/tests/test_deployments.py
@@ -74,3 +74,18 @@
             return [*states, found.superseded]
 
         assert run_instantly(main()) == [True, False]
+
+    def test_one_that_never_comes_is_not_awaited_again_each_time_it_is_told(self):
+        """Others tell its number each second for as long as they have it."""
+
+        async def main():
+            found = deployments()
+            found.take(b"42", "store")
+            states = []
+            for _ in range(4 * int(AWAITED_S)):
+                found.hear(51)
+                states.append(found.superseded)
+                await asyncio.sleep(1.0)
+            return states[int(AWAITED_S) + 1 :]
+
+        assert not any(run_instantly(main()))
