Logs tell which request a server ended under, and whether it ended at all

The logs of the incident could not tell its hypotheses apart: two attempts at one request look like two requests, a server that ended like a connection that was reset, and nothing says how far an answer had come.

A request now has a fingerprint (host, target, account, body; blake2b, 8 bytes), worked out only when its connection is lost. A server whose connection is lost is asked once whether anything still listens there; a refusal from one that is listed and does not leave is an end, logged with the fingerprints of what ran there here and counted as server.ended. 'A call failed' tells the step and the events so far. No decision depends on any of it.

--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/listening.py
@@ -0,0 +1,28 @@
+"""Asks whether anything listens at an address, by a connection without a request."""
+
+import asyncio
+import contextlib
+
+from ..process.ended_servers import Listening
+
+__all__ = ["listening_at"]
+
+# The first packet of a connection is sent again after a second where it was lost;
+# asking anew is sooner.
+CONNECT_S = 0.3
+
+
+async def listening_at(address: str) -> Listening:
+    """Return whether connections to an IP address and port are accepted."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+    except ConnectionRefusedError:
+        return Listening.NO
+    except (OSError, TimeoutError):
+        return Listening.UNKNOWN
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    return Listening.YES
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -12,6 +12,8 @@
 from eelgrass_coordination.ids import BackendId, Revision
 
 from .connection.caller_server import CallerServer
+from .connection.listeners import Listeners
+from .connection.listening import listening_at
 from .connection.peer_calls import PeerCalls
 from .connection.peer_state import STATE_CALL, PeerState, PeerStateInterface
 from .connection.piece_calls import PieceCalls
@@ -26,6 +28,7 @@
 from .process.backends import Backend, Backends
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
+from .process.ended_servers import EndedServers
 from .process.failing_servers import FailingServers
 from .process.host_settings import HostSettings
 from .process.metrics import Metrics
@@ -57,9 +60,6 @@
 STOP_NOTICE_S = 2.6
 # Kept back from the time until the process is killed.
 STOP_RESERVE_S = 0.7
-# How long a listener that is closed waits for its handlers; whoever had to be
-# waited for has been served by then.
-CLOSE_S = 0.1
 MAX_BODY_BYTES = 64 << 20
 # For the header of a first request, before there is a configuration.
 DEFAULT_HEADER_S = 10.0
@@ -134,6 +134,11 @@
             self.backends, self.membership.announce_mark, _unix_ms
         )
         self.membership.on_mark = self.failing.hear
+        self.ended = EndedServers(
+            self.backends,
+            listening_at,
+            lambda life, requests: self.counters.count("server.ended"),
+        )
         self.membership.on_ack = self.checks.note_ack
         self.reach.on_silent = self.checks.check
         self.table_feed = TableFeedClient(
@@ -176,7 +181,7 @@
             lambda: self.deployments.current,
         )
         self._tasks: list[asyncio.Task] = []
-        self._runners: list[web.ServerRunner | web.AppRunner] = []
+        self._listeners = Listeners()
 
     @property
     def ready(self) -> bool:
@@ -223,9 +228,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.checks.stop()
+        self.ended.stop()
         await self.membership.stop()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._listeners.close()
         await self.backends.close()
         await self.handoff.close()
         await self.peer_session.close()
@@ -270,6 +275,7 @@
             note_load=_note_load,
             server_gone=self._server_replaced,
             server_fails=self.failing.note_failure,
+            call_lost=self.ended.note_lost,
             count=self.counters.count,
             metrics=self.metrics,
         )
@@ -277,8 +283,7 @@
             requests, self.deployments, parts, self.stopping, self.counters.count
         )
         server = CallerServer(accept.handle, self._header_s, MAX_BODY_BYTES)
-        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
-        await self._serve(runner, self.settings.callers)
+        await self._listeners.serve(server, self.settings.callers)
 
     def _header_s(self) -> float:
         deployment = self.deployments.current
@@ -320,27 +325,23 @@
         interface.add_routes(app)
         PeerStateInterface(self._state).add_routes(app)
         TableFeedInterface(self.tables.relay).add_routes(app)
-        runner = web.AppRunner(
+        await self._listeners.serve_app(
             app,
-            access_log=None,
-            shutdown_timeout=CLOSE_S,
+            self.settings.internal,
             handler_cancellation=True,
             keepalive_timeout=PEER_IDLE_S,
         )
-        await self._serve(runner, self.settings.internal)
 
     async def _listen_readiness(self) -> None:
         app = web.Application()
         app.router.add_get(READY_PATH, self._answer_ready)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
-        await self._serve(runner, self.settings.readiness)
+        await self._listeners.serve_app(app, self.settings.readiness)
 
     async def _listen_metrics(self, address: str) -> None:
         app = web.Application()
         app.router.add_get("/metrics", self._answer_metrics)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
         try:
-            await self._serve(runner, address)
+            await self._listeners.serve_app(app, address)
         except OSError as error:
             # Serving goes on: metrics are no reason to refuse callers.
             log(Part.NODE, "No metrics.", address=address, error=repr(error))
@@ -351,12 +352,6 @@
     async def _answer_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
-    async def _serve(self, runner, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        await runner.setup()
-        self._runners.append(runner)
-        await web.TCPSite(runner, host, int(port), backlog=512).start()
-
     def _members_changed(self) -> None:
         for member in self.membership.members.by_id.values():
             if member.state is MemberState.SUSPECT:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/ended_servers.py
@@ -0,0 +1,122 @@
+"""Tells servers that have ended from connections that broke, with what ran there.
+
+A request that loses its connection cannot tell why: the server ended, reset one
+connection, or left as planned. A server that has ended without notice is still listed,
+does not leave, and nothing listens at its address.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import NewType
+
+from ..log import Part, log
+from .backends import Backend, Backends, ServerLife
+
+__all__ = ["EndedServers", "Fingerprint", "Listening"]
+
+# The same for all attempts at one request.
+Fingerprint = NewType("Fingerprint", str)
+
+# A connection may be lost on a bad link; after these tries the server counts as living.
+TRIES = 4
+AGAIN_S = 0.3
+# Servers that have ended are remembered for calls that notice it late.
+MAX_REMEMBERED = 1024
+
+
+class Listening(Enum):
+    """Whether anything listens at an address."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class EndedServers:
+    """Collects the requests that servers were running when they ended.
+
+    ``listening_at`` asks for an address, and ``on_ended`` is told which requests a life
+    of a server ended under, more than once where some notice late.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        listening_at: Callable[[str], Awaitable[Listening]],
+        on_ended: Callable[[ServerLife, list[Fingerprint]], None],
+    ) -> None:
+        self._backends = backends
+        self._listening_at = listening_at
+        self._on_ended = on_ended
+        self._lost_by_life: dict[ServerLife, list[Fingerprint]] = {}
+        self._ended: dict[ServerLife, None] = {}
+        self._checks: set[asyncio.Task] = set()
+
+    def note_lost(self, backend: Backend, request: Fingerprint) -> None:
+        """Note that a request lost its connection to a server that may have run it."""
+        life = backend.entry.life
+        if life in self._ended:
+            self._tell(backend, [request])
+            return
+        if self._is_planned(backend):
+            return
+        lost = self._lost_by_life.get(life)
+        if lost is not None:
+            lost.append(request)
+            return
+        self._lost_by_life[life] = [request]
+        check = asyncio.create_task(self._check(backend))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    def stop(self) -> None:
+        """End all checks."""
+        for check in self._checks:
+            check.cancel()
+
+    async def _check(self, backend: Backend) -> None:
+        life = backend.entry.life
+        try:
+            listening = await self._ask(backend)
+        finally:
+            lost = self._lost_by_life.pop(life)
+        if listening is Listening.NO:
+            self._remember(life)
+            self._tell(backend, lost)
+            return
+        log(
+            Part.HOSTS,
+            "Connections to a server were lost; it has not ended.",
+            backend=life.id,
+            listening=listening.value,
+            requests=lost,
+        )
+
+    async def _ask(self, backend: Backend) -> Listening:
+        for _ in range(TRIES):
+            listening = await self._listening_at(backend.entry.address)
+            if listening is not Listening.UNKNOWN:
+                return listening
+            await asyncio.sleep(AGAIN_S)
+        return Listening.UNKNOWN
+
+    def _is_planned(self, backend: Backend) -> bool:
+        """Return whether a server was known to leave, or to be gone, before."""
+        listed = self._backends.by_id.get(backend.entry.id)
+        return listed is not backend or self._backends.is_leaving(backend)
+
+    def _remember(self, life: ServerLife) -> None:
+        self._ended[life] = None
+        if len(self._ended) > MAX_REMEMBERED:
+            del self._ended[next(iter(self._ended))]
+
+    def _tell(self, backend: Backend, requests: list[Fingerprint]) -> None:
+        log(
+            Part.HOSTS,
+            "A server has ended while it ran requests.",
+            backend=backend.entry.id,
+            address=backend.entry.address,
+            requests=requests,
+        )
+        self._on_ended(backend.entry.life, requests)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/fingerprint.py
@@ -0,0 +1,31 @@
+"""What a request is recognised by when its caller sends it again.
+
+A repeat has an attempt id of its own and may reach any node. Its host, target, client
+account and body are those of the first attempt.
+"""
+
+from hashlib import blake2b
+
+from ..process.ended_servers import Fingerprint
+from .arrival import Routed
+
+__all__ = ["fingerprint_of"]
+
+DIGEST_BYTES = 8
+# Before each part goes its length, so that no two requests join to the same bytes.
+LENGTH_BYTES = 8
+
+
+def fingerprint_of(routed: Routed) -> Fingerprint:
+    """Return the same text for all attempts at one request of an account."""
+    arrival = routed.arrival
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in (
+        arrival.host.encode(),
+        arrival.target.encode(),
+        (routed.account_name or "").encode(),
+        arrival.body,
+    ):
+        digest.update(len(part).to_bytes(LENGTH_BYTES))
+        digest.update(part)
+    return Fingerprint(digest.hexdigest())
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -18,6 +18,7 @@
 from .arrival import EngineHead, Routed
 from .events import EventSplitter
 from .exchange import EngineCall, Reply
+from .fingerprint import fingerprint_of
 from .graph import StageGraph
 from .reasons import RetryReason
 from .serving_parts import ServingParts
@@ -264,7 +265,11 @@
             backend=backend.entry.id,
             reason=failed.reason.value,
             not_run=failed.not_run,
+            at=self._step.value,
+            events=self._events.events,
         )
+        if failed.reason in _LOST:
+            self._parts.call_lost(backend, fingerprint_of(self._routed))
 
     def _check_again(self, failed: CallFailed) -> None:
         """Raise :class:`RequestRefused` where the request may not be repeated."""
@@ -358,6 +363,14 @@
 
 # These say that the server fails, and not the way to it: other nodes are told.
 _FAILING = frozenset((RetryReason.CONNECTION_LOST, RetryReason.BAD_ANSWER))
+# After these the server may have ended.
+_LOST = frozenset(
+    (
+        RetryReason.CONNECTION_LOST,
+        RetryReason.CONNECTION_SILENT,
+        RetryReason.STREAM_CUT,
+    )
+)
 _UNCONNECTED = frozenset((RetryReason.CONNECT_FAILED, RetryReason.CONNECT_SILENT))
 _SILENCES = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
 
--- a/packages/node/src/eelgrass_node/request/serving_parts.py
+++ b/packages/node/src/eelgrass_node/request/serving_parts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..process.backends import Backend, ServerLife
+from ..process.ended_servers import Fingerprint
 from ..process.metrics import Metrics
 from ..process.reach import DataCentreReach
 from ..process.retry_window import RetryWindows
@@ -23,9 +24,10 @@
     its tokens, rather not one of those tried and near its large inputs, and
     ``warm_engine`` another that holds the part already. ``data_centre_of`` tells
     where the result of a handle lies, and ``is_over`` whether a life of a server
-    has ended. ``plan`` says when the stages of a request should be done;
-    ``refuse_hopeless`` returns when to come back where they cannot be done in
-    time.
+    has ended. ``call_lost`` is told of a request that has lost the connection to a
+    server which may have run it. ``plan`` says when the stages of a request should
+    be done; ``refuse_hopeless`` returns when to come back where they cannot be done
+    in time.
     """
 
     codec: WireCodec
@@ -45,5 +47,6 @@
     note_load: Callable[[Backend, EngineHead], None]
     server_gone: Callable[[Backend], None]
     server_fails: Callable[[Backend], None]
+    call_lost: Callable[[Backend, Fingerprint], None]
     count: Callable[[str], None]
     metrics: Metrics
