Test of a request that ends each server it runs on; fails, listed as red

Nothing but its attempt id names the request, and that is another one each time.

Stand-ins of engines can end under a request and come back under another id.

--- a/packages/standins/src/eelgrass_standins/users_engines.py
+++ b/packages/standins/src/eelgrass_standins/users_engines.py
@@ -1,6 +1,7 @@
 """Stand-ins of the users' backend servers: plain, streaming, and for stages."""
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -44,7 +45,9 @@
     """One backend server with the id ``server_id``; ``started`` tells its life.
 
     ``runs`` and ``pieces`` are what it has run, ``results`` what it holds, and
-    ``made_by_handle`` tells the piece of which each result was made.
+    ``made_by_handle`` tells the piece of which each result was made. A request with
+    ``fatal`` in its body, or a piece with it in its key, ends the server once it runs:
+    ``end`` is called then.
     """
 
     def __init__(self, server_id: str, address: str, event_s: float = 0.0) -> None:
@@ -59,6 +62,8 @@
         self.made_by_handle: dict[str, dict] = {}
         self.cancelled = 0
         self.started = 1_700_000_000_000
+        self.fatal: bytes | None = None
+        self.end: Callable[[], None] = lambda: None
         self._number = 0
 
     def application(self) -> web.Application:
@@ -115,6 +120,8 @@
             )
         )
         headers = self._headers(request)
+        if self.fatal is not None and self.fatal in body:
+            await self._end_in_answer(request, headers)
         if self._take(EngineFault.HANG):
             await asyncio.sleep(60)
         if self._take(EngineFault.CUT_BEFORE_HEAD):
@@ -150,6 +157,15 @@
             raise
         return response
 
+    async def _end_in_answer(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> None:
+        """Begin to answer, and end the server."""
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        self.end()
+        await asyncio.Event().wait()
+
     async def _handle_pieces(self, request: web.Request) -> web.Response:
         if self._expects_other(request):
             return web.Response(status=HTTP_MISDIRECTED)
@@ -159,6 +175,11 @@
         items = msgspec.json.decode(await request.read())["Items"]
         self.calls += 1
         self.pieces += items
+        if self.fatal is not None:
+            keys = [item.get("Key", "").encode() for item in items]
+            if any(self.fatal in key for key in keys):
+                self.end()
+                await asyncio.Event().wait()
         return web.json_response({"Items": [self._make(item) for item in items]})
 
     def _make(self, item: dict) -> dict[str, str]:
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -22,7 +22,7 @@
 from eelgrass_standins.row_store import RowStoreStandIn
 from eelgrass_standins.users_engines import EVENTS, EngineStandIn
 
-from .serving import start_serving
+from .serving import end_at_once, start_serving
 
 BOUNDS = ServingBounds(
     stop_s=8.0,
@@ -89,14 +89,15 @@
 
 
 class EntryDeployment:
-    """A store, two servers of each service and some nodes; use it as a context."""
+    """A store, some servers of each service and some nodes; use it as a context."""
 
-    def __init__(self, nodes: int = 2, event_s: float = 0.0) -> None:
+    def __init__(self, nodes: int = 2, event_s: float = 0.0, servers: int = 2) -> None:
         self.store = RowStoreStandIn()
         self.engines_by_service: dict[str, list[EngineStandIn]] = {}
         self.nodes: list[EntryNode] = []
         self.bounds = BOUNDS
         self._node_count = nodes
+        self._server_count = servers
         self._event_s = event_s
         self._runners: list[web.AppRunner] = []
         self._numbers = itertools.count()
@@ -109,8 +110,8 @@
         await self._serve(app, self.store_address)
         self.store.put("op", "config", configuration())
         for service in ("desk", "readers", "portal", "clerks"):
-            for number in range(2):
-                await self._start_engine(service, f"{service}-{number}")
+            for number in range(self._server_count):
+                await self.start_engine(service, f"{service}-{number}")
         self.session = aiohttp.ClientSession(auto_decompress=False)
         await self._start_nodes()
         return self
@@ -173,13 +174,16 @@
         """Return all that the servers of a service have run."""
         return [run for e in self.engines_by_service[service] for run in e.runs]
 
-    async def _start_engine(self, service: str, server_id: str) -> None:
+    async def start_engine(self, service: str, server_id: str) -> EngineStandIn:
+        """Start a server and list it."""
         [address] = free_addresses(1)
         shown = await self._shown_address(address)
         engine = EngineStandIn(server_id, shown, self._event_s)
         self.engines_by_service.setdefault(service, []).append(engine)
-        await self._serve(engine.application(), address)
+        runner = await self._serve(engine.application(), address)
+        engine.end = lambda: end_at_once(runner)
         self.list_engine(service, engine)
+        return engine
 
     async def _shown_address(self, address: str) -> str:
         """Return the address under which others know a server."""
@@ -230,9 +234,10 @@
             for node in self.nodes
         )
 
-    async def _serve(self, app: web.Application, address: str) -> None:
+    async def _serve(self, app: web.Application, address: str) -> web.AppRunner:
         runner = await start_serving(app, address, handler_cancellation=True)
         self._runners.append(runner)
+        return runner
 
 
 @contextmanager
--- a/tests/support/serving.py
+++ b/tests/support/serving.py
@@ -7,7 +7,7 @@
 
 from eelgrass_standins.ports import free_addresses
 
-__all__ = ["served", "start_serving"]
+__all__ = ["end_at_once", "served", "start_serving"]
 
 # What still runs at the end of a test is not waited for.
 SHUTDOWN_S = 0.1
@@ -31,6 +31,14 @@
     return runner
 
 
+def end_at_once(runner: web.AppRunner) -> None:
+    """Refuse new connections and reset all others, as a process that crashes."""
+    for site in runner.sites:
+        site._server.close()
+    for connection in runner.server.connections:
+        connection.transport.abort()
+
+
 @asynccontextmanager
 async def served(
     add_routes: Callable[[web.Application], object],
--- a/tests/support/soak_deployment.py
+++ b/tests/support/soak_deployment.py
@@ -130,7 +130,7 @@
 
     async def start_server(self, service: str, server_id: str) -> EngineStandIn:
         """Add a server of a service, while the nodes run."""
-        await self._start_engine(service, server_id)
+        await self.start_engine(service, server_id)
         return self.engines_by_service[service][-1]
 
     async def _start_nodes(self) -> None:
--- /dev/null
+++ b/tests/test_poison_requests.py
@@ -0,0 +1,114 @@
+"""A request that ends each server which runs it is not sent to ever more servers.
+
+What was seen: a caller came again and again with one request, each time under a new
+attempt id and at any node. Nine model engines ended under it within 6.4 s, all there
+were, and every other caller was refused until they were back.
+
+The cause: all limits on repeats counted within one attempt, one node or one piece, so a
+request that came again was taken for a new one.
+"""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from support.entry import WHOLE, EntryDeployment, until
+
+POISON = b"a prompt that ends its engine"
+# A request under which so many servers have ended is sent to no other one.
+MOST_ENDED = 3
+# What nodes learn of a crash they know within this time.
+KNOWN_S = 0.5
+# An entry lapses after three heartbeats, and the server is back by then.
+BACK_S = 1.0
+
+
+class PoisonedDeployment(EntryDeployment):
+    """Engines that end under ``POISON`` and come back after some time."""
+
+    def __init__(self, nodes=3, servers=4, **options):
+        super().__init__(nodes, servers=servers, **options)
+        self.ended = []
+        self._returns = set()
+
+    async def __aexit__(self, *exc):
+        for task in self._returns:
+            task.cancel()
+        await super().__aexit__(*exc)
+
+    async def start_engine(self, service, server_id):
+        engine = await super().start_engine(service, server_id)
+        engine.fatal = POISON
+        end = engine.end
+
+        def end_and_return():
+            end()
+            self.ended.append(engine)
+            task = asyncio.create_task(self._return(service, engine))
+            self._returns.add(task)
+
+        engine.end = end_and_return
+        return engine
+
+    async def attempt(self, node, target="/stream/single/x"):
+        """Send the request once more; return status and headers, 0 if it broke off."""
+        try:
+            status, headers, _ = await self.ask(target, node, body=POISON)
+        except aiohttp.ClientError:
+            return 0, {}
+        return status, headers
+
+    async def attempts(self, count, target="/stream/single/x"):
+        """Send it again and again, to each node in turn."""
+        for number in range(count):
+            await self.attempt(number % len(self.nodes), target)
+            await asyncio.sleep(KNOWN_S)
+
+    async def _return(self, service, engine):
+        await asyncio.sleep(BACK_S)
+        self.store.remove("servers", engine.server_id)
+        await self.start_engine(service, f"{service}-back-{len(self.ended)}")
+
+
+@pytest.fixture
+async def poisoned():
+    async with PoisonedDeployment() as deployment:
+        yield deployment
+
+
+class TestRequestThatComesAgain:
+    @pytest.mark.parametrize("target", ["/stream/single/x", "/stream/resumed/x"])
+    async def test_it_ends_three_servers_at_most_over_all_nodes(self, poisoned, target):
+        await poisoned.attempts(12, target)
+        assert len(poisoned.ended) <= MOST_ENDED
+
+    async def test_what_is_refused_is_refused_at_once_and_has_not_run(self, poisoned):
+        """It is told when to come back, whichever node it reaches."""
+        await poisoned.attempts(6)
+        runs = len(poisoned.runs("readers"))
+        for node in range(3):
+            began = asyncio.get_running_loop().time()
+            status, headers = await poisoned.attempt(node)
+            took_s = asyncio.get_running_loop().time() - began
+            assert (status, took_s < 0.2) == (503, True)
+            assert float(headers["Retry-After"]) > 0
+        assert len(poisoned.runs("readers")) == runs
+
+    async def test_other_requests_of_its_account_and_route_are_served(self, poisoned):
+        await poisoned.attempts(8)
+        for node in range(3):
+            status, _, body = await poisoned.ask("/stream/single/x", node)
+            assert (status, body) == (200, WHOLE)
+        for node in range(3):
+            status, _, body = await poisoned.ask("/stream/single/y", node)
+            assert (status, body) == (200, WHOLE)
+
+    async def test_a_node_that_starts_later_knows_it(self, poisoned):
+        await poisoned.attempts(6)
+        ended = len(poisoned.ended)
+        node = await poisoned.add_node()
+        await until(lambda: node.ready)
+        await asyncio.sleep(KNOWN_S)
+        await poisoned.attempt(3)
+        assert len(poisoned.ended) == ended
