A request that has ended three servers is sent to no other one, at any node

What callers saw: one caller sent one request again and again, each time under a new attempt id. Nine engines ended under it within 6.4 s, which were all there were, and everybody was refused for a second.

Cause: every limit on repeats counts within one attempt, one node or one piece. A request that comes again is taken for a new one. Class: a limit is kept for as long as the thing that counts lives, and what it should limit outlives it.

After three servers the request is refused with 503 before it runs, at once, with the time until it is forgotten. A request that runs to its end is cleared everywhere.

--- a/packages/coordination/src/eelgrass_coordination/heard_marks.py
+++ b/packages/coordination/src/eelgrass_coordination/heard_marks.py
@@ -1,26 +1,39 @@
 """The marks that a member has heard of, each by its kind and name."""
 
-from .messages import Mark
+from .messages import Mark, Outbox
 from .suspicion import FORGET_PERIODS
 
 __all__ = ["HeardMarks"]
 
+# Marks that are remembered. One that was dropped is news once more where it is heard
+# again, and is passed on a limited number of times.
+MAX_HEARD = 8192
+
 
 class HeardMarks:
-    """The newest number of each mark, and the period in which it was heard."""
+    """The newest number of each mark, when it was heard, and what is still news."""
 
     def __init__(self) -> None:
         self._heard_by_key: dict[tuple[str, str], tuple[int, int]] = {}
+        self._news = Outbox()
 
-    def take(self, mark: Mark, period: int) -> bool:
-        """Take in a mark; return whether it is news."""
+    def take(self, mark: Mark, period: int, times: int) -> bool:
+        """Take in a mark, to be sent that many times; return whether it is news."""
         key = (mark.kind, mark.name)
-        known = self._heard_by_key.get(key)
+        known = self._heard_by_key.pop(key, None)
         if known is not None and known[0] >= mark.number:
+            self._heard_by_key[key] = known
             return False
         self._heard_by_key[key] = (mark.number, period)
+        if len(self._heard_by_key) > MAX_HEARD:
+            del self._heard_by_key[next(iter(self._heard_by_key))]
+        self._news.put(key, mark, times)
         return True
 
+    def to_send(self, most: int) -> tuple[Mark, ...]:
+        """Return the news that was sent least, ``most`` marks of it."""
+        return self._news.take(most)
+
     def all(self) -> tuple[Mark, ...]:
         """Return all marks that are remembered."""
         return tuple(Mark(*key, heard[0]) for key, heard in self._heard_by_key.items())
--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -88,7 +88,6 @@
         self._random = randomness or random.Random()
         self._datagrams = Datagrams(self._receive)
         self._updates = Outbox()
-        self._marks_out = Outbox()
         self._marks = HeardMarks()
         self._ring: list[NodeId] = []
         self._numbers = itertools.count(1)
@@ -147,11 +146,15 @@
 
     def announce_mark(self, mark: Mark) -> bool:
         """Tell of a mark at once; returns whether it was news here."""
-        if not self._marks.take(mark, self._period):
-            return False
-        self._marks_out.put((mark.kind, mark.name), mark, self._retransmissions())
-        self._push()
-        return True
+        return bool(self.announce_marks([mark]))
+
+    def announce_marks(self, marks: Iterable[Mark]) -> list[Mark]:
+        """Tell of marks at once; returns those that were news here."""
+        times = self._retransmissions()
+        news = [mark for mark in marks if self._marks.take(mark, self._period, times)]
+        for _ in range(0, len(news), MAX_MARKS):
+            self._push()
+        return news
 
     def exchange(self) -> Exchange:
         """Return all that is known here, for another node."""
@@ -163,9 +166,8 @@
 
     def _take(self, members: Iterable[Member], marks: Iterable[Mark]) -> None:
         self._merge_all(members)
-        for mark in marks:
-            if self.announce_mark(mark):
-                self.on_mark(mark)
+        for mark in self.announce_marks(marks):
+            self.on_mark(mark)
 
     def _receive(self, message: Message) -> None:
         if message.sender.id == self.own.id:
@@ -279,7 +281,8 @@
     def _suspect(self, member: Member) -> None:
         known = self.members.by_id.get(member.id)
         if known is not None and known.state is MemberState.ALIVE:
-            self._merge(msgspec.structs.replace(known, state=MemberState.SUSPECT))
+            suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
+            self._merge_all([suspect])
 
     def _judge_suspects(self) -> None:
         due = (
@@ -312,9 +315,6 @@
                 self._push_soon()
             self.on_change()
 
-    def _merge(self, member: Member) -> None:
-        self._merge_all([member])
-
     def _take_record(self, member: Member, pass_on: bool) -> bool:
         """Take in a record; return whether its member has come, gone or changed."""
         if member.id == self.own.id:
@@ -389,7 +389,7 @@
             revision=self.revision,
             confirmed_ms=int(self.confirmed_s() * 1000),
             updates=updates,
-            marks=self._marks_out.take(MAX_MARKS),
+            marks=self._marks.to_send(MAX_MARKS),
             digest=self._comparison.digest(),
             fingerprints=fingerprints,
         )
--- a/packages/coordination/tests/test_membership.py
+++ b/packages/coordination/tests/test_membership.py
@@ -83,7 +83,7 @@
             victim = group.members[3].own
             for n in range(3):
                 record = msgspec.structs.replace(victim, state=MemberState.DEAD)
-                group.members[n]._merge(record)
+                group.members[n]._merge_all([record])
             await group.until(
                 lambda: all(group.state(n, 3) is MemberState.ALIVE for n in range(3))
             )
@@ -112,6 +112,16 @@
             assert heard == [mark] * 5
             assert not group.members[0].announce_mark(Mark("leaving", "engine-1", 2))
 
+    async def test_more_marks_than_one_message_holds_reach_all(self):
+        """A server ends under many requests, and all nodes must know them at once."""
+        async with Group(6) as group:
+            heard = [set() for _ in group.members]
+            for member, names in zip(group.members, heard, strict=True):
+                member.on_mark = lambda mark, names=names: names.add(mark.name)
+            marks = [Mark("ended", f"request-{n}", 1) for n in range(30)]
+            assert group.members[0].announce_marks(marks) == marks
+            await group.until(lambda: all(len(names) == 30 for names in heard[1:]))
+
     async def test_a_group_that_starts_as_a_whole_agrees_within_an_interval(self):
         """All hosts lose power and start again, the seeds after the others.
 
--- a/packages/node/src/eelgrass_node/entry_gauges.py
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -27,6 +27,13 @@
     yield Gauge(
         "members", "Other nodes in reach.", len(node.membership.members.reachable())
     )
+    quarantine = node.poison.quarantine
+    yield Gauge(
+        "suspect_requests", "Requests under which a server ended.", len(quarantine)
+    )
+    yield Gauge(
+        "quarantined_requests", "Requests sent to no server.", quarantine.held()
+    )
     yield Gauge("store_calls", "Calls made to the store.", float(node.store.calls))
     for name, table in (
         ("operator", node.tables.operator),
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -8,8 +8,8 @@
 
 from aiohttp import web
 
-from eelgrass_coordination import Member, Membership, MemberState
-from eelgrass_coordination.ids import BackendId, Revision
+from eelgrass_coordination import Mark, Member, Membership, MemberState
+from eelgrass_coordination.ids import Revision
 
 from .connection.caller_server import CallerServer
 from .connection.listeners import Listeners
@@ -28,7 +28,6 @@
 from .process.backends import Backend, Backends
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
-from .process.ended_servers import EndedServers
 from .process.failing_servers import FailingServers
 from .process.host_settings import HostSettings
 from .process.metrics import Metrics
@@ -37,6 +36,7 @@
 from .process.piece_service import LocalPieces
 from .process.pieces import Piece, PieceOutcome
 from .process.platform_tables import PlatformTables, TableNames
+from .process.poison_requests import PoisonRequests
 from .process.queue_load import QueueLoads
 from .process.reach import DataCentreReach
 from .process.reach_checks import ReachChecks
@@ -92,7 +92,7 @@
             self._advanced,
         )
         self.server_list = ServerList(
-            self.backends, servers.decode_server, self._server_leaves
+            self.backends, servers.decode_server, lambda server_id: None
         )
         self.retries = RetryWindows(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, loop.time
@@ -133,12 +133,15 @@
         self.failing = FailingServers(
             self.backends, self.membership.announce_mark, _unix_ms
         )
-        self.membership.on_mark = self.failing.hear
-        self.ended = EndedServers(
+        self.poison = PoisonRequests(
             self.backends,
             listening_at,
-            lambda life, requests: self.counters.count("server.ended"),
+            self.membership.announce_marks,
+            loop.time,
+            _unix_ms,
+            self.counters.count,
         )
+        self.membership.on_mark = self._mark_heard
         self.membership.on_ack = self.checks.note_ack
         self.reach.on_silent = self.checks.check
         self.table_feed = TableFeedClient(
@@ -228,7 +231,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.checks.stop()
-        self.ended.stop()
+        self.poison.ended.stop()
         await self.membership.stop()
         await self._listeners.close()
         await self.backends.close()
@@ -275,7 +278,7 @@
             note_load=_note_load,
             server_gone=self._server_replaced,
             server_fails=self.failing.note_failure,
-            call_lost=self.ended.note_lost,
+            poison=self.poison,
             count=self.counters.count,
             metrics=self.metrics,
         )
@@ -375,12 +378,13 @@
         self.deployments.hear(revision)
         self.catch_up.heard(revision, member, age_s)
 
+    def _mark_heard(self, mark: Mark) -> None:
+        self.failing.hear(mark)
+        self.poison.news.hear(mark)
+
     def _advanced(self, number: int) -> None:
         self.membership.announce_revision(Revision(number))
 
-    def _server_leaves(self, server_id: BackendId) -> None:
-        """Note that a server leaves or is gone."""
-
     def _server_replaced(self, backend: Backend) -> None:
         self.server_list.forget(backend.entry.life)
 
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -14,6 +14,7 @@
     "PieceAnswerMalformed",
     "Refused",
     "RequestMalformed",
+    "RequestQuarantined",
     "RequestRefused",
     "ServerEntryMalformed",
     "SettingsError",
@@ -194,3 +195,13 @@
         super().__init__(f"The request is refused ({reason}). Repeat it later.")
         self.reason = reason
         self.retry_after_s = retry_after_s
+
+
+class RequestQuarantined(RequestRefused):
+    """Servers have ended under a request again and again."""
+
+    def __init__(self, request: str, retry_after_s: float) -> None:
+        super().__init__(
+            f"servers have ended under this request ({request}); change it",
+            retry_after_s,
+        )
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/crash_news.py
@@ -0,0 +1,74 @@
+"""Tells other nodes under which requests servers have ended, and hears of it.
+
+A request that ends servers comes again at any node. What each node sees of it is told
+as marks of the membership, which reach all nodes within milliseconds, also where the
+store does not answer.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from eelgrass_coordination import Mark
+from eelgrass_coordination.ids import BackendId
+
+from ..log import Part, log
+from .backends import ServerLife
+from .ended_servers import Fingerprint
+from .quarantine import Quarantine
+
+__all__ = ["CrashNews"]
+
+ENDED_KIND = "ended-under"
+SOUND_KIND = "sound-request"
+
+
+class CrashNews:
+    """The news that one node tells and hears; what it hears goes to ``quarantine``.
+
+    ``announce`` tells of marks, and ``clock`` returns the time of day in milliseconds,
+    by which later news of a request supersedes earlier news of the same kind.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        announce: Callable[[Sequence[Mark]], object],
+        clock: Callable[[], int],
+    ) -> None:
+        self._quarantine = quarantine
+        self._announce = announce
+        self._clock = clock
+
+    def tell_ended(self, life: ServerLife, requests: Iterable[Fingerprint]) -> None:
+        """Tell others that a server has ended under requests."""
+        now = self._clock()
+        self._announce([Mark(ENDED_KIND, _name(r, life), now) for r in requests])
+
+    def tell_success(self, request: Fingerprint) -> None:
+        """Tell others that a server has run a request to its end."""
+        self._announce([Mark(SOUND_KIND, request, self._clock())])
+
+    def hear(self, mark: Mark) -> None:
+        """Take in what another node tells; marks of other kinds are nothing here."""
+        if mark.kind == SOUND_KIND:
+            self._quarantine.clear(Fingerprint(mark.name))
+        elif mark.kind == ENDED_KIND:
+            self._hear_ended(mark.name)
+
+    def _hear_ended(self, name: str) -> None:
+        try:
+            request, started, server_id = name.split(" ", 2)
+            life = ServerLife(BackendId(server_id), int(started))
+        except ValueError as error:
+            log(Part.HOSTS, "A mark is not taken.", name=name, error=str(error))
+            return
+        if self._quarantine.take(Fingerprint(request), life):
+            log(
+                Part.HOSTS,
+                "Another node says that a server ended under a request.",
+                backend=life.id,
+                request=request,
+            )
+
+
+def _name(request: Fingerprint, life: ServerLife) -> str:
+    return f"{request} {life.started} {life.id}"
--- a/packages/node/src/eelgrass_node/process/ended_servers.py
+++ b/packages/node/src/eelgrass_node/process/ended_servers.py
@@ -21,6 +21,9 @@
 # A connection may be lost on a bad link; after these tries the server counts as living.
 TRIES = 4
 AGAIN_S = 0.3
+# A caller that goes on elsewhere waits so long for the answer: a host that has lost a
+# process refuses a connection within two ways between data centres.
+CHECKED_S = 0.05
 # Servers that have ended are remembered for calls that notice it late.
 MAX_REMEMBERED = 1024
 
@@ -51,7 +54,7 @@
         self._on_ended = on_ended
         self._lost_by_life: dict[ServerLife, list[Fingerprint]] = {}
         self._ended: dict[ServerLife, None] = {}
-        self._checks: set[asyncio.Task] = set()
+        self._check_by_life: dict[ServerLife, asyncio.Task] = {}
 
     def note_lost(self, backend: Backend, request: Fingerprint) -> None:
         """Note that a request lost its connection to a server that may have run it."""
@@ -67,12 +70,18 @@
             return
         self._lost_by_life[life] = [request]
         check = asyncio.create_task(self._check(backend))
-        self._checks.add(check)
-        check.add_done_callback(self._checks.discard)
+        self._check_by_life[life] = check
+        check.add_done_callback(lambda _: self._check_by_life.pop(life))
+
+    async def wait_checked(self, backend: Backend) -> None:
+        """Wait a short while until it is known whether a server has ended."""
+        check = self._check_by_life.get(backend.entry.life)
+        if check is not None:
+            await asyncio.wait({check}, timeout=CHECKED_S)
 
     def stop(self) -> None:
         """End all checks."""
-        for check in self._checks:
+        for check in self._check_by_life.values():
             check.cancel()
 
     async def _check(self, backend: Backend) -> None:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/quarantine.py
@@ -0,0 +1,156 @@
+"""Requests under which servers have ended, and those that are sent to none any more.
+
+The pattern it answers: one request ends each server that begins to run it, and its
+caller sends it again and again, under new attempt ids and to any node. Without a memory
+of the request all servers of a service end under it.
+
+A server runs many requests at a time, and all of them lose it. What tells the one from
+its neighbours: they succeed elsewhere, which clears them, and they seldom share three
+servers with it. Those that share all three are tied, and may be tried again for a short
+time; the one that ends a fourth server is known then.
+
+No network here; times are those of ``clock``, in seconds.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..log import Part, log
+from .backends import ServerLife
+from .ended_servers import Fingerprint
+
+__all__ = ["MAX_ENDED", "Quarantine"]
+
+# A request under which so many servers have ended is sent to no other one.
+MAX_ENDED = 3
+# Tied requests may be tried for so long after the last server ended: a caller that has
+# lost its answer comes again within this time.
+TIE_S = 2.0
+# A request is remembered for so long after the last server has ended under it.
+REMEMBERED_S = 3600.0
+# Requests that are remembered; those under which fewest servers have ended go first.
+MAX_REMEMBERED = 4096
+
+
+class _Suspect(msgspec.Struct):
+    """The servers that have ended under a request, with the time of each end."""
+
+    ended_at_by_life: dict[ServerLife, float]
+
+    @property
+    def last_at(self) -> float:
+        return max(self.ended_at_by_life.values())
+
+
+class Quarantine:
+    """What one node knows of requests under which servers have ended."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._suspect_by_request: dict[Fingerprint, _Suspect] = {}
+        self._requests_by_life: dict[ServerLife, set[Fingerprint]] = {}
+
+    def __len__(self) -> int:
+        """Return how many requests are remembered."""
+        return len(self._suspect_by_request)
+
+    def held(self) -> int:
+        """Return how many requests are sent to no server."""
+        return sum(self.holds(request) for request in list(self._suspect_by_request))
+
+    def take(self, request: Fingerprint, life: ServerLife, age_s: float = 0.0) -> bool:
+        """Note that a server ended under a request, ``age_s`` ago; False if known."""
+        if age_s >= REMEMBERED_S:
+            return False
+        suspect = self._known(request)
+        if suspect is None:
+            self._make_room()
+            suspect = self._suspect_by_request[request] = _Suspect({})
+        elif life in suspect.ended_at_by_life:
+            return False
+        suspect.ended_at_by_life[life] = self._clock() - age_s
+        self._requests_by_life.setdefault(life, set()).add(request)
+        if len(suspect.ended_at_by_life) >= MAX_ENDED:
+            log(
+                Part.REQUESTS,
+                "Servers have ended under a request again and again.",
+                request=request,
+                backends=[known.id for known in suspect.ended_at_by_life],
+                held=self.holds(request),
+            )
+        return True
+
+    def drop(self, request: Fingerprint, life: ServerLife) -> None:
+        """Forget that a server has ended under a request."""
+        suspect = self._suspect_by_request.get(request)
+        if suspect is None or suspect.ended_at_by_life.pop(life, None) is None:
+            return
+        self._drop_from_life(request, life)
+        if not suspect.ended_at_by_life:
+            del self._suspect_by_request[request]
+
+    def clear(self, request: Fingerprint) -> tuple[ServerLife, ...]:
+        """Forget a request that a server has run to its end; return what was known."""
+        suspect = self._suspect_by_request.pop(request, None)
+        if suspect is None:
+            return ()
+        for life in suspect.ended_at_by_life:
+            self._drop_from_life(request, life)
+        return tuple(suspect.ended_at_by_life)
+
+    def suspects(self, request: Fingerprint) -> bool:
+        """Return whether a server has ended under a request."""
+        return self._known(request) is not None
+
+    def holds(self, request: Fingerprint) -> bool:
+        """Return whether a request is sent to no server."""
+        suspect = self._known(request)
+        if suspect is None or len(suspect.ended_at_by_life) < MAX_ENDED:
+            return False
+        if len(suspect.ended_at_by_life) > MAX_ENDED:
+            return True
+        rivals = self._rivals(request, suspect)
+        if any(len(rival.ended_at_by_life) > MAX_ENDED for rival in rivals):
+            # That one explains them all.
+            return False
+        return not rivals or self._clock() - suspect.last_at >= TIE_S
+
+    def held_s(self, request: Fingerprint) -> float:
+        """Return how long a request will still be held, in seconds."""
+        suspect = self._known(request)
+        if suspect is None:
+            return 0.0
+        return max(0.0, suspect.last_at + REMEMBERED_S - self._clock())
+
+    def _rivals(self, request: Fingerprint, suspect: _Suspect) -> list[_Suspect]:
+        """Return the other requests under which all of the same servers ended."""
+        sharing = (self._requests_by_life[life] for life in suspect.ended_at_by_life)
+        rivals = set.intersection(*sharing) - {request}
+        return [self._suspect_by_request[rival] for rival in rivals]
+
+    def _known(self, request: Fingerprint) -> _Suspect | None:
+        """Return what is remembered of a request, unless its time is over."""
+        suspect = self._suspect_by_request.get(request)
+        if suspect is None:
+            return None
+        if self._clock() - suspect.last_at >= REMEMBERED_S:
+            self.clear(request)
+            return None
+        return suspect
+
+    def _make_room(self) -> None:
+        if len(self._suspect_by_request) < MAX_REMEMBERED:
+            return
+        suspects = self._suspect_by_request
+
+        def worth(request: Fingerprint) -> tuple[int, float]:
+            return (len(suspects[request].ended_at_by_life), suspects[request].last_at)
+
+        self.clear(min(suspects, key=worth))
+
+    def _drop_from_life(self, request: Fingerprint, life: ServerLife) -> None:
+        requests = self._requests_by_life[life]
+        requests.discard(request)
+        if not requests:
+            del self._requests_by_life[life]
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -5,6 +5,11 @@
 import msgspec
 
 __all__ = [
+    "FAILING",
+    "LOST",
+    "SILENCES",
+    "SUSPICIOUS",
+    "UNCONNECTED",
     "DiscardReason",
     "Outcome",
     "RefusalKind",
@@ -74,6 +79,30 @@
     BACKEND_ERROR = "backend_error"
 
 
+# After these a server is left alone for a while; one that is only full is not.
+SUSPICIOUS = frozenset(
+    (
+        RetryReason.CONNECT_FAILED,
+        RetryReason.CONNECT_SILENT,
+        RetryReason.CONNECTION_LOST,
+        RetryReason.CONNECTION_SILENT,
+        RetryReason.BAD_ANSWER,
+    )
+)
+# These say that the server fails, and not the way to it: other nodes are told.
+FAILING = frozenset((RetryReason.CONNECTION_LOST, RetryReason.BAD_ANSWER))
+# After these the server may have ended.
+LOST = frozenset(
+    (
+        RetryReason.CONNECTION_LOST,
+        RetryReason.CONNECTION_SILENT,
+        RetryReason.STREAM_CUT,
+    )
+)
+UNCONNECTED = frozenset((RetryReason.CONNECT_FAILED, RetryReason.CONNECT_SILENT))
+SILENCES = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
+
+
 class DiscardReason(Enum):
     """Why something that a back end sent is not taken."""
 
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -7,12 +7,20 @@
 
 import asyncio
 from enum import Enum
+from functools import cached_property
 
 from aiohttp import web
 
-from ..exceptions import CallerGone, CallFailed, RequestRefused, StagesFailed
+from ..exceptions import (
+    CallerGone,
+    CallFailed,
+    RequestQuarantined,
+    RequestRefused,
+    StagesFailed,
+)
 from ..log import Part, log
 from ..process.backends import Backend, ServerLife
+from ..process.ended_servers import Fingerprint
 from ..version.deployment import RouteKind
 from .answering import CallerAnswer
 from .arrival import EngineHead, Routed
@@ -20,7 +28,7 @@
 from .exchange import EngineCall, Reply
 from .fingerprint import fingerprint_of
 from .graph import StageGraph
-from .reasons import RetryReason
+from .reasons import FAILING, LOST, SILENCES, SUSPICIOUS, UNCONNECTED, RetryReason
 from .serving_parts import ServingParts
 
 __all__ = ["ANSWER_MARGIN_S", "RoutedRequest"]
@@ -109,6 +117,7 @@
             self._graph.release()
 
     async def _serve(self) -> web.StreamResponse:
+        self._check_quarantine()
         hopeless_s = self._parts.refuse_hopeless(self._routed)
         if hopeless_s is not None:
             raise RequestRefused("the stages have no room in time", hopeless_s)
@@ -123,6 +132,7 @@
                 self._graph.release()
             if self._graph.released:
                 inputs = await self._run_stages()
+            self._check_quarantine()
             backend = self._choose()
             backend.in_flight += 1
             self._calling = True
@@ -132,6 +142,7 @@
                 self._calling = False
                 self._note_failure(backend, failed)
                 self._check_again(failed)
+                await self._parts.poison.ended.wait_checked(backend)
                 if failed.reason is RetryReason.INPUT_GONE:
                     self._graph.release()
             finally:
@@ -149,16 +160,34 @@
                 max(failed.retry_after_s, RETRY_FULL_S),
             ) from failed
 
+    @cached_property
+    def _fingerprint(self) -> Fingerprint:
+        return fingerprint_of(self._routed)
+
+    def _check_quarantine(self) -> None:
+        """Raise :class:`RequestQuarantined` where no server should get the request."""
+        quarantine = self._parts.poison.quarantine
+        if quarantine and quarantine.holds(self._fingerprint):
+            raise RequestQuarantined(
+                self._fingerprint, quarantine.held_s(self._fingerprint)
+            )
+
     def _inputs_at(self) -> str:
         return self._graph.inputs_at(self._routed.route.final_stages())
 
     def _choose(self) -> Backend:
         routed = self._routed
-        prompt = routed.arrival.prompt
+        subject = routed.arrival.prompt.shared_part()
+        shared_tokens = routed.arrival.prompt.shared_tokens()
+        if self._parts.poison.quarantine and self._parts.poison.quarantine.suspects(
+            self._fingerprint
+        ):
+            # Apart from those that lost the same server, so as to tell them apart.
+            subject, shared_tokens = self._fingerprint, 0
         backend = self._parts.choose(
             routed.service,
-            prompt.shared_part(),
-            prompt.shared_tokens(),
+            subject,
+            shared_tokens,
             self._tried,
             self._inputs_at(),
         )
@@ -249,13 +278,13 @@
             self._may_have_run = True
         if failed.reason is RetryReason.BACKEND_REPLACED:
             self._parts.server_gone(backend)
-        elif failed.reason in _SUSPICIOUS:
+        elif failed.reason in SUSPICIOUS:
             backend.suspect()
-            if failed.reason in _FAILING:
+            if failed.reason in FAILING:
                 self._parts.server_fails(backend)
         if failed.reason is RetryReason.CONNECTION_SILENT:
             backend.connections.replace()
-        if failed.reason in _SILENCES:
+        if failed.reason in SILENCES:
             self._parts.reach.note_silent(backend.entry.data_centre, backend.entry.id)
         log(
             Part.REQUESTS,
@@ -268,8 +297,8 @@
             at=self._step.value,
             events=self._events.events,
         )
-        if failed.reason in _LOST:
-            self._parts.call_lost(backend, fingerprint_of(self._routed))
+        if failed.reason in LOST:
+            self._parts.poison.ended.note_lost(backend, self._fingerprint)
 
     def _check_again(self, failed: CallFailed) -> None:
         """Raise :class:`RequestRefused` where the request may not be repeated."""
@@ -283,7 +312,7 @@
         elif self._refused_calls >= MAX_REFUSED_CALLS:
             raise RequestRefused(f"refused by servers: {reason}", RETRY_FULL_S)
         # A call that reached no server is no load on any.
-        reached = failed.reason not in _UNCONNECTED
+        reached = failed.reason not in UNCONNECTED
         if reached and not self._parts.retries.try_spend(routed.service):
             raise RequestRefused(f"retry budget spent: {reason}", RETRY_FULL_S)
         self._parts.count(f"retry.{reason}")
@@ -312,6 +341,11 @@
         if self._may_have_run:
             self._parts.count("refusal.may-have-run")
             return self._answer.refusal(HTTP_BAD_GATEWAY, refused.reason)
+        if isinstance(refused, RequestQuarantined):
+            self._parts.count("refusal.quarantined")
+            return self._answer.refusal(
+                HTTP_UNAVAILABLE, refused.reason, refused.retry_after_s
+            )
         self._parts.count("refusal.not-run")
         # A caller that is told to come back later than this cannot be served.
         latest_s = RETRY_FRACTION * (self._routed.deadline - _now())
@@ -319,6 +353,8 @@
         return self._answer.refusal(HTTP_UNAVAILABLE, refused.reason, retry_after_s)
 
     def _log_answered(self, backend: Backend, head: EngineHead) -> None:
+        if self._parts.poison.quarantine and head.status < SERVER_ERROR:
+            self._parts.poison.note_success(self._fingerprint)
         arrived_at = self._routed.arrival.arrived_at
         self._log_end(
             "Answered.",
@@ -350,30 +386,5 @@
         self._parts.metrics.note_request(outcome, self._age_s())
 
 
-# After these a server is left alone for a while; one that is only full is not.
-_SUSPICIOUS = frozenset(
-    (
-        RetryReason.CONNECT_FAILED,
-        RetryReason.CONNECT_SILENT,
-        RetryReason.CONNECTION_LOST,
-        RetryReason.CONNECTION_SILENT,
-        RetryReason.BAD_ANSWER,
-    )
-)
-
-# These say that the server fails, and not the way to it: other nodes are told.
-_FAILING = frozenset((RetryReason.CONNECTION_LOST, RetryReason.BAD_ANSWER))
-# After these the server may have ended.
-_LOST = frozenset(
-    (
-        RetryReason.CONNECTION_LOST,
-        RetryReason.CONNECTION_SILENT,
-        RetryReason.STREAM_CUT,
-    )
-)
-_UNCONNECTED = frozenset((RetryReason.CONNECT_FAILED, RetryReason.CONNECT_SILENT))
-_SILENCES = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/node/src/eelgrass_node/request/serving_parts.py
+++ b/packages/node/src/eelgrass_node/request/serving_parts.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from ..process.backends import Backend, ServerLife
-from ..process.ended_servers import Fingerprint
 from ..process.metrics import Metrics
+from ..process.poison_requests import PoisonRequests
 from ..process.reach import DataCentreReach
 from ..process.retry_window import RetryWindows
 from ..version.deployment import ServiceName
@@ -24,10 +24,9 @@
     its tokens, rather not one of those tried and near its large inputs, and
     ``warm_engine`` another that holds the part already. ``data_centre_of`` tells
     where the result of a handle lies, and ``is_over`` whether a life of a server
-    has ended. ``call_lost`` is told of a request that has lost the connection to a
-    server which may have run it. ``plan`` says when the stages of a request should
-    be done; ``refuse_hopeless`` returns when to come back where they cannot be done
-    in time.
+    has ended. ``plan`` says when the stages of a request should be done;
+    ``refuse_hopeless`` returns when to come back where they cannot be done in
+    time.
     """
 
     codec: WireCodec
@@ -47,6 +46,6 @@
     note_load: Callable[[Backend, EngineHead], None]
     server_gone: Callable[[Backend], None]
     server_fails: Callable[[Backend], None]
-    call_lost: Callable[[Backend, Fingerprint], None]
+    poison: PoisonRequests
     count: Callable[[str], None]
     metrics: Metrics
--- /dev/null
+++ b/packages/node/tests/test_quarantine.py
@@ -0,0 +1,189 @@
+"""Requests that end their servers: told from neighbours, kept, and forgotten."""
+
+import random
+
+import pytest
+
+from eelgrass_coordination import Mark
+from eelgrass_coordination.ids import BackendId
+from eelgrass_node.process import quarantine as quarantine_module
+from eelgrass_node.process.backends import ServerLife
+from eelgrass_node.process.crash_news import ENDED_KIND, SOUND_KIND, CrashNews
+from eelgrass_node.process.ended_servers import Fingerprint
+from eelgrass_node.process.quarantine import (
+    MAX_ENDED,
+    REMEMBERED_S,
+    TIE_S,
+    Quarantine,
+)
+from support.clock import Clock
+
+POISON = Fingerprint("poison")
+NEIGHBOUR = Fingerprint("neighbour")
+
+
+def life(number, started=0):
+    return ServerLife(BackendId(f"e{number}"), started)
+
+
+def quarantine_with(ends_by_request):
+    """Return a quarantine and its clock, after servers ended under some requests."""
+    clock = Clock()
+    quarantine = Quarantine(clock)
+    for request, servers in ends_by_request.items():
+        for server in servers:
+            quarantine.take(request, life(server))
+    return quarantine, clock
+
+
+class TestHolds:
+    def test_a_request_is_held_after_three_servers(self):
+        quarantine, _ = quarantine_with({POISON: range(MAX_ENDED - 1)})
+        assert quarantine.suspects(POISON) and not quarantine.holds(POISON)
+        quarantine.take(POISON, life(MAX_ENDED))
+        assert quarantine.holds(POISON)
+        assert quarantine.held_s(POISON) == REMEMBERED_S
+
+    def test_one_server_that_is_told_of_twice_counts_once(self):
+        quarantine, _ = quarantine_with({POISON: [1] * 5})
+        assert not quarantine.holds(POISON)
+
+    def test_a_server_that_starts_again_under_its_id_is_another_one(self):
+        quarantine, _ = quarantine_with({})
+        for started in range(MAX_ENDED):
+            quarantine.take(POISON, life(1, started))
+        assert quarantine.holds(POISON)
+
+    def test_a_request_that_ran_to_its_end_is_cleared(self):
+        """Three servers ended while it happened to run there; it is a proper one."""
+        quarantine, _ = quarantine_with({NEIGHBOUR: [1, 2]})
+        assert quarantine.clear(NEIGHBOUR) == (life(1), life(2))
+        quarantine.take(NEIGHBOUR, life(3))
+        assert not quarantine.holds(NEIGHBOUR)
+
+    def test_what_was_noted_is_forgotten_in_time(self):
+        quarantine, clock = quarantine_with({POISON: [1, 2, 3]})
+        clock.now = REMEMBERED_S - 1
+        assert quarantine.holds(POISON)
+        clock.now = REMEMBERED_S
+        assert not quarantine.suspects(POISON)
+        assert len(quarantine) == 0
+
+    def test_old_news_counts_from_when_it_happened(self):
+        quarantine, clock = quarantine_with({})
+        quarantine.take(POISON, life(1), age_s=REMEMBERED_S)
+        assert not quarantine.suspects(POISON)
+        quarantine.take(POISON, life(1), age_s=REMEMBERED_S - 1)
+        clock.now = 1.0
+        assert not quarantine.suspects(POISON)
+
+
+class TestTies:
+    def test_tied_requests_may_be_tried_again_for_a_short_time(self):
+        quarantine, clock = quarantine_with({POISON: [1, 2, 3], NEIGHBOUR: [1, 2, 3]})
+        assert not quarantine.holds(POISON) and not quarantine.holds(NEIGHBOUR)
+        clock.now = TIE_S
+        assert quarantine.holds(POISON) and quarantine.holds(NEIGHBOUR)
+
+    def test_the_one_that_ends_a_fourth_server_explains_the_others(self):
+        quarantine, clock = quarantine_with(
+            {POISON: [1, 2, 3, 4], NEIGHBOUR: [1, 2, 3]}
+        )
+        clock.now = TIE_S
+        assert quarantine.holds(POISON) and not quarantine.holds(NEIGHBOUR)
+
+    def test_one_that_shares_two_servers_is_no_rival(self):
+        quarantine, _ = quarantine_with({POISON: [1, 2, 3], NEIGHBOUR: [1, 2, 4]})
+        assert quarantine.holds(POISON)
+
+
+class TestBounds:
+    def test_new_requests_without_end_do_not_push_out_what_does_harm(self, monkeypatch):
+        """A caller changes its request each time, so as to be taken for a new one."""
+        monkeypatch.setattr(quarantine_module, "MAX_REMEMBERED", 8)
+        quarantine, clock = quarantine_with({POISON: [1, 2, 3]})
+        for number in range(100):
+            clock.now += 1.0
+            quarantine.take(Fingerprint(f"new-{number}"), life(10 + number))
+        assert len(quarantine) == 8
+        assert quarantine.holds(POISON)
+        assert quarantine.suspects(Fingerprint("new-99"))
+
+    def test_dropped_ends_leave_nothing(self):
+        quarantine, _ = quarantine_with({POISON: [1, 2]})
+        for number in (1, 2, 2, 3):
+            quarantine.drop(POISON, life(number))
+        assert len(quarantine) == 0
+        quarantine.take(NEIGHBOUR, life(1))
+        quarantine.clear(NEIGHBOUR)
+        assert len(quarantine) == 0
+
+
+class Fleet:
+    """Nodes that hear each other's marks at once."""
+
+    def __init__(self, count):
+        self.quarantines = [Quarantine(Clock()) for _ in range(count)]
+        self.news = [CrashNews(q, self.announce, lambda: 1) for q in self.quarantines]
+
+    def announce(self, marks):
+        for news in self.news:
+            for mark in marks:
+                news.hear(mark)
+
+
+class TestNews:
+    def test_all_nodes_know_what_each_has_seen(self):
+        fleet = Fleet(4)
+        for number, news in enumerate(fleet.news[:MAX_ENDED]):
+            news.tell_ended(ServerLife(BackendId("an id: x/1"), number), [POISON])
+        assert all(quarantine.holds(POISON) for quarantine in fleet.quarantines)
+        fleet.news[0].tell_success(POISON)
+        assert not any(quarantine.suspects(POISON) for quarantine in fleet.quarantines)
+
+    @pytest.mark.parametrize("name", ["", "x", "x y z", "x 1"])
+    def test_marks_that_cannot_be_read_are_nothing(self, name):
+        fleet = Fleet(1)
+        for kind in (ENDED_KIND, SOUND_KIND, "failing"):
+            fleet.announce([Mark(kind, name, 1)])
+        assert len(fleet.quarantines[0]) == 0
+
+
+class TestNeighbours:
+    """Engines that run many requests, and lose them all when one of these ends them."""
+
+    ENGINES = 5
+    BESIDE = 12
+
+    def day(self, seed):
+        """Return the engines ended, and the proper requests that were held."""
+        draw = random.Random(seed)
+        clock = Clock()
+        quarantine = Quarantine(clock)
+        waiting = [Fingerprint(f"proper-{number}") for number in range(self.BESIDE)]
+        ended = 0
+        refused = set()
+        while ended < 3 * MAX_ENDED and not quarantine.holds(POISON):
+            clock.now += draw.uniform(0.1, 3.0)
+            place_of = {r: draw.randrange(self.ENGINES) for r in [POISON, *waiting]}
+            broken = place_of[POISON]
+            for request, place in place_of.items():
+                if place == broken:
+                    quarantine.take(request, life(ended))
+                else:
+                    quarantine.clear(request)
+            ended += 1
+            refused |= {r for r in waiting if quarantine.holds(r)}
+            # Those that were served leave, and others come.
+            waiting = [
+                r
+                if place_of[r] == broken
+                else Fingerprint(f"proper-{seed}-{ended}-{n}")
+                for n, r in enumerate(waiting)
+            ]
+        return ended, len(refused)
+
+    def test_few_engines_end_and_hardly_a_proper_request_is_held(self):
+        days = [self.day(seed) for seed in range(500)]
+        assert max(ended for ended, _ in days) <= MAX_ENDED + 1
+        assert sum(refused for _, refused in days) <= len(days) / 20
