Ends of servers under requests are kept in the store, too, for nodes that hear no mark

A node that starts later knew nothing of requests that end servers, and a host that is cut off from all other hosts but reaches the store is bound by the promise, too: marks of the membership reach neither.

Each end is a row of a table of our own (crashes: request, life of the server, time of day), written whole and without conditions, so writers need not agree; relays read it for their data centre as they do the other tables. What the store does not take waits, bounded.

The reverse, the store down and marks alone, is tested as well.

--- a/packages/node/src/eelgrass_node/connection/peer_state.py
+++ b/packages/node/src/eelgrass_node/connection/peer_state.py
@@ -20,10 +20,14 @@
 
 
 class PeerState(msgspec.Struct, frozen=True):
-    """All rows that a node knows, of the operator's table and of the servers'."""
+    """All rows that a node knows, of each of the tables that it follows.
+
+    Older releases do not tell of ``crashes``, the ends of servers under requests.
+    """
 
     operator: tuple[StoredRow, ...]
     servers: tuple[StoredRow, ...]
+    crashes: tuple[StoredRow, ...] = ()
 
 
 class PeerStateInterface:
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import time
+from functools import partial
 
 from aiohttp import web
 
@@ -23,7 +24,7 @@
 from .entry_gauges import entry_gauges
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
-from .platform.names import READY_PATH
+from .platform.names import CRASHES_TABLE, READY_PATH
 from .platform.store import RowStore
 from .process.backends import Backend, Backends
 from .process.counters import Counters
@@ -120,7 +121,7 @@
             self._configuration_arrives,
         )
         self.membership = Membership(
-            self._own_member(), settings.seed_gossip(), GOSSIP_INTERVAL_S
+            settings.as_member(), settings.seed_gossip(), GOSSIP_INTERVAL_S
         )
         self.membership.on_change = self._members_changed
         self.membership.on_revision = self._revision_heard
@@ -139,6 +140,7 @@
             self.membership.announce_marks,
             loop.time,
             _unix_ms,
+            partial(self.store.write, CRASHES_TABLE),
             self.counters.count,
         )
         self.membership.on_mark = self._mark_heard
@@ -148,16 +150,19 @@
             self.peer_calls, lambda table, key: self.tables.row(table, key)
         )
         self.tables = PlatformTables(
-            TableNames(configuration.OPERATOR_TABLE, servers.SERVERS_TABLE),
+            TableNames(
+                configuration.OPERATOR_TABLE, servers.SERVERS_TABLE, CRASHES_TABLE
+            ),
             self.store,
             self.table_feed.ask,
             lambda: self.membership.own,
             self.membership.members.reachable,
-            self.deployments,
-            self.server_list,
-            bounds.apply_s,
-            bounds.drain_s,
-            loop.time,
+            deployments=self.deployments,
+            server_list=self.server_list,
+            crashes=self.poison.table,
+            apply_s=bounds.apply_s,
+            drain_s=bounds.drain_s,
+            clock=loop.time,
         )
         self.queue_loads = QueueLoads(loop.time)
         self.final_times = FinalTimes()
@@ -202,6 +207,8 @@
         for work in (
             self.tables.operator.run,
             self.tables.servers.run,
+            self.tables.crashes.run,
+            self.poison.table.run,
             self.catch_up.start,
         ):
             self._tasks.append(asyncio.create_task(keep_running(work)))
@@ -240,7 +247,10 @@
         await self.store.close()
 
     def _state(self) -> PeerState:
-        return PeerState(self.tables.operator.rows(), self.tables.servers.rows())
+        tables = self.tables
+        return PeerState(
+            tables.operator.rows(), tables.servers.rows(), tables.crashes.rows()
+        )
 
     async def _take_state_of(self, address: str) -> None:
         state = await self.peer_calls.ask(
@@ -248,6 +258,7 @@
         )
         self.tables.operator.take_from_peer(state.operator, address)
         self.tables.servers.take_from_peer(state.servers, address)
+        self.tables.crashes.take_from_peer(state.crashes, address)
 
     def _configuration_arrives(self) -> bool:
         table = configuration.OPERATOR_TABLE
@@ -363,17 +374,6 @@
         self.retries.live_nodes = live
         self.backends.set_live_nodes(live)
 
-    def _own_member(self) -> Member:
-        settings = self.settings
-        return Member(
-            id=settings.node,
-            data_centre=settings.data_centre,
-            internal=settings.internal,
-            gossip=settings.gossip,
-            epoch=time.time_ns() // 1000,
-            capacity=round(settings.capacity(), 2),
-        )
-
     def _revision_heard(self, revision: Revision, member: Member, age_s: float) -> None:
         self.deployments.hear(revision)
         self.catch_up.heard(revision, member, age_s)
--- a/packages/node/src/eelgrass_node/platform/names.py
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -3,6 +3,7 @@
 __all__ = [
     "ATTEMPT_ID",
     "AUTHORIZATION",
+    "CRASHES_TABLE",
     "DEADLINE_MS",
     "ENGINE_ID",
     "ENGINE_LOAD",
@@ -71,6 +72,9 @@
     )
 )
 
+# A table of our own, beside those of the operator and the servers.
+CRASHES_TABLE = "crashes"
+
 READY_PATH = "/-/readyz"
 REPORT_PATH = "/-/report"
 STAGE_RUN_PATH = "/-/stage-run"
--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -1,7 +1,8 @@
-"""The client of the platform's store: rows, and the feed of their changes."""
+"""The client of the platform's store: rows, their changes, and writes."""
 
 import asyncio
 import base64
+from collections.abc import Mapping, Sequence
 
 import aiohttp
 import msgspec
@@ -36,11 +37,29 @@
     ver: int = 0
 
 
+class _Place(msgspec.Struct, frozen=True, rename="pascal"):
+    """Where a row is; it lies in the table's unnamed part."""
+
+    table: str
+    key: str
+    part: str = msgspec.field(default="", name="part")
+
+
+class _Write(_Place, frozen=True, rename="pascal"):
+    value: str = ""
+
+
+class _Transaction(msgspec.Struct, frozen=True, rename="pascal"):
+    writes: tuple[_Write, ...]
+    remove: tuple[_Place, ...]
+    expect_rev: tuple[()] = ()
+
+
 _decoder = msgspec.json.Decoder(_Rows)
 
 
 class RowStore:
-    """Reads tables of the store at ``address``, an IP address and port.
+    """Reads and writes tables of the store at ``address``, an IP address and port.
 
     Every method raises :class:`StoreUnavailable` where no good answer came.
     """
@@ -88,6 +107,35 @@
         page = await self._get("/-/rows-feed", params, wait_s + TRY_S)
         return TableChanges(tuple(_stored(row) for row in page.rows), page.ver)
 
+    async def write(
+        self, table: str, puts: Mapping[str, bytes], removes: Sequence[str]
+    ) -> None:
+        """Write rows by their key and remove others, all or none."""
+        encoded = (
+            _Write(table, key, value=base64.b64encode(value).decode())
+            for key, value in puts.items()
+        )
+        removed = tuple(_Place(table, key) for key in removes)
+        body = msgspec.json.encode(_Transaction(tuple(encoded), removed))
+        self.calls += 1
+        session = self._session(f"{table}: writes")
+        path = "/-/rows-tx"
+        try:
+            async with bounded_call(
+                session,
+                "POST",
+                self._url + path,
+                TRY_S,
+                CONNECT_TIMEOUT_S,
+                data=body,
+                headers={"Content-Type": "application/json"},
+            ) as response:
+                status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise StoreUnavailable(path, repr(error)) from error
+        if status != HTTP_OK:
+            raise StoreUnavailable(path, f"status {status}")
+
     def arriving_since(self, table: str) -> float | None:
         """Return when an answer that is not whole yet has begun; None without one.
 
--- a/packages/node/src/eelgrass_node/process/host_settings.py
+++ b/packages/node/src/eelgrass_node/process/host_settings.py
@@ -1,7 +1,10 @@
 """The settings of a node on the users' platform, as the product sees them."""
 
+import time
+
 import msgspec
 
+from eelgrass_coordination import Member
 from eelgrass_coordination.ids import DataCentre, NodeId
 
 __all__ = ["HostSettings", "ServingBounds", "StoreSettings"]
@@ -68,6 +71,17 @@
         """Return how much work for all nodes this one can take on, in cores."""
         return min(self.cores, self.link_bits_per_s / LINK_BITS_PER_CORE)
 
+    def as_member(self) -> Member:
+        """Return the record of the node for a start now, newer than those before."""
+        return Member(
+            id=self.node,
+            data_centre=self.data_centre,
+            internal=self.internal,
+            gossip=self.gossip,
+            epoch=time.time_ns() // 1000,
+            capacity=round(self.capacity(), 2),
+        )
+
     def seed_gossip(self) -> list[str]:
         """Return the gossip addresses of the seeds."""
         hosts = (seed.rpartition(":")[0] for seed in self.seeds)
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -6,6 +6,7 @@
 
 from eelgrass_coordination import Member
 
+from .crash_table import CrashTable
 from .deployments import DeploymentInForce
 from .server_list import ServerList
 from .store_tables import FollowedTable, StoredRow
@@ -24,18 +25,25 @@
 SERVERS_PAUSE_S = 0.4
 
 
+# Ends of servers are told by marks first; those that only the table tells come at once,
+# too, and a wait bounds how long a feed that has fallen silent goes unnoticed.
+CRASHES_WAIT_S = 2.0
+
+
 class TableNames(msgspec.Struct, frozen=True):
-    """What the store calls the operator's table and that of the servers."""
+    """What the store calls the tables of the operator, of servers and of their ends."""
 
     operator: str
     servers: str
+    crashes: str
 
 
 class PlatformTables:
-    """Follows both tables, and relays them to other nodes of the data centre.
+    """Follows the tables, and relays them to other nodes of the data centre.
 
     ``own`` and ``members`` return this node and the others that may be reached;
-    ``ask_relay`` asks one of them. A configuration must be in force ``apply_s`` after
+    ``ask_relay`` asks one of them. ``deployments``, ``server_list`` and ``crashes``
+    take in what is read. A configuration must be in force ``apply_s`` after
     it was confirmed, and a server that leaves must get no new work after ``drain_s``.
     ``clock`` returns seconds.
     """
@@ -47,8 +55,10 @@
         ask_relay: AskRelay,
         own: Callable[[], Member],
         members: Callable[[], list[Member]],
+        *,
         deployments: DeploymentInForce,
         server_list: ServerList,
+        crashes: CrashTable,
         apply_s: float,
         drain_s: float,
         clock: Callable[[], float],
@@ -78,10 +88,20 @@
             SERVERS_WAIT_S,
             drain_s,
         )
+        self.crashes = FollowedTable(
+            reader,
+            names.crashes,
+            lambda rows, source: crashes.take_rows(rows),
+            crashes.take_whole,
+            lambda: None,
+            CRASHES_WAIT_S,
+            apply_s,
+        )
         self._deployments = deployments
         self._table_by_name = {
             names.operator: self.operator,
             names.servers: self.servers,
+            names.crashes: self.crashes,
         }
         self.relay = TableRelay(self._table_by_name, reader.reads_itself)
 
--- a/packages/node/src/eelgrass_node/process/poison_requests.py
+++ b/packages/node/src/eelgrass_node/process/poison_requests.py
@@ -10,6 +10,7 @@
 
 from .backends import Backends, ServerLife
 from .crash_news import CrashNews
+from .crash_table import CrashTable, WriteRows
 from .ended_servers import EndedServers, Fingerprint, Listening
 from .quarantine import Quarantine
 
@@ -21,7 +22,8 @@
 
     ``listening_at`` asks whether anything listens at an address, ``announce`` tells
     other nodes of marks, ``clock`` returns seconds and ``unix_ms`` the time of day in
-    milliseconds. ``count`` counts events.
+    milliseconds. ``write`` changes rows of the table of ends in the store, and
+    ``count`` counts events.
     """
 
     def __init__(
@@ -31,19 +33,24 @@
         announce: Callable[[Sequence[Mark]], object],
         clock: Callable[[], float],
         unix_ms: Callable[[], int],
+        write: WriteRows,
         count: Callable[[str], None],
     ) -> None:
         self._count = count
         self.quarantine = Quarantine(clock)
         self.ended = EndedServers(backends, listening_at, self._note_ended)
         self.news = CrashNews(self.quarantine, announce, unix_ms)
+        self.table = CrashTable(self.quarantine, write, unix_ms)
 
     def note_success(self, request: Fingerprint) -> None:
         """Clear a request that a server has run to its end, here and elsewhere."""
-        if self.quarantine.clear(request):
+        lives = self.quarantine.clear(request)
+        if lives:
             self.news.tell_success(request)
+            self.table.tell_success(request, lives)
 
     def _note_ended(self, life: ServerLife, requests: list[Fingerprint]) -> None:
         self._count("server.ended")
         unknown = [r for r in requests if self.quarantine.take(r, life)]
         self.news.tell_ended(life, unknown)
+        self.table.tell_ended(life, unknown)
--- /dev/null
+++ b/packages/node/tests/test_crash_table.py
@@ -0,0 +1,210 @@
+"""The table of ends in the store: what is written, read, and removed."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from eelgrass_coordination.ids import BackendId
+from eelgrass_node.exceptions import StoreUnavailable
+from eelgrass_node.platform.store import RowStore
+from eelgrass_node.process import crash_table as crash_table_module
+from eelgrass_node.process.backends import ServerLife
+from eelgrass_node.process.crash_table import CrashTable
+from eelgrass_node.process.ended_servers import Fingerprint
+from eelgrass_node.process.quarantine import MAX_ENDED, REMEMBERED_S, Quarantine
+from eelgrass_node.process.store_tables import StoredRow
+from eelgrass_standins.row_store import RowStoreStandIn
+from support.clock import Clock
+from support.entry import until
+from support.serving import served
+
+POISON = Fingerprint("poison")
+OTHER = Fingerprint("other")
+
+
+def life(number):
+    return ServerLife(BackendId(f"e{number}"), number)
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(crash_table_module, "COLLECT_S", 0.005)
+    monkeypatch.setattr(crash_table_module, "REMOVE_S", 0.02)
+    monkeypatch.setattr(crash_table_module, "AGAIN_S", 0.01)
+
+
+class Rows:
+    """The rows of the table; it is ``down`` for a while, and tells its readers."""
+
+    def __init__(self):
+        self.value_by_key = {}
+        self.writes = 0
+        self.down = False
+        self.readers = []
+
+    async def write(self, puts, removes):
+        self.writes += 1
+        if self.down:
+            raise StoreUnavailable("crashes", "down")
+        self.value_by_key.update(puts)
+        changes = dict(puts)
+        for key in removes:
+            if self.value_by_key.pop(key, None) is not None:
+                changes[key] = None
+        rows = tuple(StoredRow(key, 1, value) for key, value in changes.items())
+        for reader in self.readers:
+            reader.take_rows(rows)
+
+
+class Nodes:
+    """Some nodes that write to and read from one table; use it as a context."""
+
+    def __init__(self, count=2):
+        self.rows = Rows()
+        self.unix_ms = 1_700_000_000_000
+        self.quarantines = [Quarantine(Clock()) for _ in range(count)]
+        self.tables = [
+            CrashTable(quarantine, self.rows.write, lambda: self.unix_ms)
+            for quarantine in self.quarantines
+        ]
+        self.rows.readers = self.tables
+
+    async def __aenter__(self):
+        self._tasks = [asyncio.create_task(table.run()) for table in self.tables]
+        return self
+
+    async def __aexit__(self, *exc):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class TestWriting:
+    async def test_ends_that_nodes_see_add_up_at_each(self):
+        async with Nodes() as nodes:
+            for number in range(MAX_ENDED):
+                nodes.tables[number % 2].tell_ended(life(number), [POISON])
+            await until(lambda: all(q.holds(POISON) for q in nodes.quarantines))
+
+    async def test_ends_that_are_noticed_together_are_one_call(self):
+        async with Nodes() as nodes:
+            requests = [Fingerprint(f"request-{number}") for number in range(50)]
+            nodes.tables[0].tell_ended(life(1), requests)
+            await until(lambda: len(nodes.quarantines[1]) == 50)
+            assert nodes.rows.writes == 1
+
+    async def test_what_the_store_does_not_take_is_written_when_it_is_back(self):
+        async with Nodes() as nodes:
+            nodes.rows.down = True
+            nodes.tables[0].tell_ended(life(1), [POISON])
+            await until(lambda: nodes.rows.writes > 2)
+            nodes.rows.down = False
+            await until(lambda: nodes.quarantines[1].suspects(POISON))
+
+    async def test_rows_of_a_request_that_was_served_are_removed(self):
+        async with Nodes() as nodes:
+            nodes.tables[0].tell_ended(life(1), [POISON, OTHER])
+            await until(lambda: nodes.quarantines[1].suspects(POISON))
+            nodes.tables[1].tell_success(POISON, [life(1)])
+            await until(lambda: not nodes.quarantines[0].suspects(POISON))
+            assert all(quarantine.suspects(OTHER) for quarantine in nodes.quarantines)
+            assert len(nodes.rows.value_by_key) == 1
+
+    async def test_nothing_is_written_without_need(self):
+        async with Nodes() as nodes:
+            nodes.tables[0].tell_ended(life(1), [POISON])
+            await until(lambda: nodes.rows.writes == 1)
+            await asyncio.sleep(0.1)
+            assert nodes.rows.writes == 1
+
+
+class TestBounds:
+    async def test_rows_whose_time_is_over_are_removed_with_the_next_write(self):
+        async with Nodes() as nodes:
+            nodes.tables[0].tell_ended(life(1), [POISON])
+            await until(lambda: nodes.rows.value_by_key)
+            nodes.unix_ms += int(REMEMBERED_S * 1000) + 1
+            nodes.tables[1].tell_ended(life(2), [OTHER])
+            await until(lambda: len(nodes.rows.value_by_key) == 1)
+            await until(lambda: nodes.quarantines[0].suspects(OTHER))
+            assert not nodes.quarantines[0].suspects(POISON)
+
+    async def test_too_many_rows_do_not_push_out_what_does_harm(self, monkeypatch):
+        """A caller changes its request each time, so as to be taken for a new one."""
+        monkeypatch.setattr(crash_table_module, "MAX_ROWS", 10)
+        async with Nodes() as nodes:
+            for number in range(MAX_ENDED):
+                nodes.tables[0].tell_ended(life(number), [POISON])
+            for number in range(30):
+                nodes.unix_ms += 1
+                nodes.tables[1].tell_ended(life(number), [Fingerprint(f"new-{number}")])
+                await asyncio.sleep(0.01)
+            await until(lambda: len(nodes.rows.value_by_key) <= 11)
+            assert all(quarantine.holds(POISON) for quarantine in nodes.quarantines)
+
+    async def test_what_waits_for_the_store_is_bounded(self, monkeypatch):
+        monkeypatch.setattr(crash_table_module, "MAX_PENDING", 10)
+        async with Nodes() as nodes:
+            nodes.rows.down = True
+            for number in range(100):
+                nodes.tables[0].tell_ended(life(number), [POISON])
+            nodes.rows.down = False
+            await until(lambda: len(nodes.rows.value_by_key) == 10)
+
+
+class TestReading:
+    def table(self):
+        quarantine = Quarantine(Clock())
+
+        async def write(puts, removes):
+            raise AssertionError("nothing to write")
+
+        return quarantine, CrashTable(quarantine, write, lambda: 10_000_000)
+
+    def row(self, key, **fields):
+        end = {"request": POISON, "server": ["e1", 0], "at_ms": 9_999_000, **fields}
+        return StoredRow(key, 1, msgspec.json.encode(end))
+
+    def test_rows_that_cannot_be_read_are_nothing(self):
+        quarantine, table = self.table()
+        odd = (b"", b"\xff", b"{}", b"[1]", b'{"request":1,"server":["e",0],"at_ms":0}')
+        table.take_rows(tuple(StoredRow(f"x{n}", 1, v) for n, v in enumerate(odd)))
+        assert len(quarantine) == 0
+
+    def test_a_row_from_a_host_whose_clock_is_ahead_counts(self):
+        quarantine, table = self.table()
+        table.take_rows((self.row("a", at_ms=20_000_000),))
+        assert quarantine.suspects(POISON)
+
+    def test_a_whole_read_drops_rows_that_are_gone(self):
+        quarantine, table = self.table()
+        table.take_rows((self.row("a"), self.row("b", server=["e2", 0])))
+        assert quarantine.ended_under(POISON) == 2
+        table.take_whole({"b"})
+        assert quarantine.ended_under(POISON) == 1
+        table.take_rows((StoredRow("b", 2, None), StoredRow("unknown", 3, None)))
+        assert len(quarantine) == 0
+
+
+class TestStore:
+    async def test_rows_are_written_and_removed_in_one_call(self):
+        stand_in = RowStoreStandIn()
+        async with served(stand_in.add_routes) as address:
+            store = RowStore(address)
+            await store.write("crashes", {"a": b"1", "b": b"2"}, [])
+            calls = stand_in.calls
+            await store.write("crashes", {"c": b"\xff"}, ["a"])
+            assert stand_in.calls == calls + 1
+            whole = await store.read_table("crashes")
+            await store.close()
+        assert {row.key: row.value for row in whole.rows} == {"b": b"2", "c": b"\xff"}
+
+    async def test_a_store_that_refuses_is_an_error(self):
+        stand_in = RowStoreStandIn()
+        stand_in.down = True
+        async with served(stand_in.add_routes) as address:
+            store = RowStore(address)
+            with pytest.raises(StoreUnavailable):
+                await store.write("crashes", {"a": b"1"}, [])
+            await store.close()
--- a/packages/standins/src/eelgrass_standins/row_store.py
+++ b/packages/standins/src/eelgrass_standins/row_store.py
@@ -9,8 +9,11 @@
 
 __all__ = ["RowStoreStandIn"]
 
+HTTP_FORBIDDEN = 403
 HTTP_GONE = 410
 HTTP_UNAVAILABLE = 503
+# The operator and the servers write to these, and the system may not.
+OTHERS_TABLES = frozenset(("op", "servers"))
 
 
 class RowStoreStandIn:
@@ -51,6 +54,12 @@
         """Add the calls of the store."""
         app.router.add_get("/-/rows-get", self._handle_get)
         app.router.add_get("/-/rows-feed", self._handle_feed)
+        app.router.add_post("/-/rows-tx", self._handle_transaction)
+
+    def keys(self, table: str) -> set[str]:
+        """Return the keys of the rows that a table has."""
+        rows = self._rows.items()
+        return {key for (name, key), (_, value) in rows if name == table and value}
 
     def _write(self, table: str, key: str, value: bytes | None) -> None:
         self._version += 1
@@ -91,6 +100,22 @@
             return web.Response(status=HTTP_GONE)
         return self._answer(self._changed_rows(request, after))
 
+    async def _handle_transaction(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        transaction = msgspec.json.decode(await request.read())
+        entries = [*transaction["Writes"], *transaction["Remove"]]
+        tables = {entry["Table"] for entry in entries}
+        if self.down or tables & self.down_tables:
+            return web.Response(status=HTTP_UNAVAILABLE)
+        if tables & OTHERS_TABLES:
+            return web.Response(status=HTTP_FORBIDDEN)
+        for row in transaction["Writes"]:
+            self._write(row["Table"], row["Key"], base64.b64decode(row["Value"]))
+        for row in transaction["Remove"]:
+            if row["Key"] in self.keys(row["Table"]):
+                self._write(row["Table"], row["Key"], None)
+        return web.json_response({"Ver": self._version, "NowMs": 0})
+
     def _is_down(self, request: web.Request) -> bool:
         return self.down or request.query["Table"] in self.down_tables
 
--- a/tests/support/store_day.py
+++ b/tests/support/store_day.py
@@ -20,6 +20,7 @@
 from eelgrass_node.process.table_relay import relay_of
 from eelgrass_node.version.deployment import CallerLimits, Deployment
 
+from .crashes import idle_crash_table
 from .members import member
 from .store_rows import PROMISED_S
 
@@ -241,16 +242,17 @@
             lambda number: self._note_taken(own.id, number),
         )
         return PlatformTables(
-            TableNames(OPERATOR, SERVERS),
+            TableNames(OPERATOR, SERVERS, "crashes"),
             Reader(self.store, own.id),
             self._ask,
             lambda: own,
             lambda: self._others(own),
-            deployments,
-            Removals(lambda server: self._note_removed(own.id, server)),
-            self._promised_s,
-            self._promised_s,
-            _now,
+            deployments=deployments,
+            server_list=Removals(lambda server: self._note_removed(own.id, server)),
+            crashes=idle_crash_table(),
+            apply_s=self._promised_s,
+            drain_s=self._promised_s,
+            clock=_now,
         )
 
     def _others(self, own: Member) -> list[Member]:
--- a/tests/support/version_day.py
+++ b/tests/support/version_day.py
@@ -20,6 +20,7 @@
 from eelgrass_node.process.store_tables import StoredRow, TableChanges
 from eelgrass_node.version.deployment import CallerLimits, Deployment
 
+from .crashes import idle_crash_table
 from .members import member
 from .path_store import PathStore
 from .store_day import HOP_S, OPERATOR, SERVERS
@@ -112,16 +113,17 @@
 
     def _new_tables(self) -> PlatformTables:
         return PlatformTables(
-            TableNames(OPERATOR, SERVERS),
+            TableNames(OPERATOR, SERVERS, "crashes"),
             self,
             self._ask_relay,
             lambda: self.own,
             self._others,
-            self.deployments,
-            ServersSeen(self._note_server),
-            PROMISED_S,
-            PROMISED_S,
-            _now,
+            deployments=self.deployments,
+            server_list=ServersSeen(self._note_server),
+            crashes=idle_crash_table(),
+            apply_s=PROMISED_S,
+            drain_s=PROMISED_S,
+            clock=_now,
         )
 
     async def end(self) -> None:
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -104,6 +104,22 @@
             status, _, body = await poisoned.ask("/stream/single/y", node)
             assert (status, body) == (200, WHOLE)
 
+    async def test_the_store_is_enough_for_nodes_that_reach_no_other_node(
+        self, poisoned
+    ):
+        for node in poisoned.nodes:
+            node.poison.news._announce = lambda marks: None
+            node.membership.members.reachable = lambda: []
+        await poisoned.attempts(8)
+        assert len(poisoned.ended) <= MOST_ENDED
+
+    async def test_nodes_are_enough_for_one_another_while_the_store_is_down(
+        self, poisoned
+    ):
+        poisoned.store.down = True
+        await poisoned.attempts(8)
+        assert len(poisoned.ended) <= MOST_ENDED
+
     async def test_a_node_that_starts_later_knows_it(self, poisoned):
         await poisoned.attempts(6)
         ended = len(poisoned.ended)
