A piece that ends the servers of a stage is given up for good, too

The same cause elsewhere: a piece of a stage was run three times in each attempt, in calls with pieces of other requests, and nothing remembered it over attempts. In a test eight of eight attempts ended a server of the stage; now three do.

Pieces carry the fingerprint of their request to the owner of the queue. A call that loses its server counts for all requests in it, as on the way of the request itself, and a piece is not repeated once its request is held. From the second server on its pieces go alone, so that those of others are not lost with it. A stage that is done well clears nothing: only a whole answer does.

--- a/benchmarks/piece_queue.py
+++ b/benchmarks/piece_queue.py
@@ -13,9 +13,11 @@
 import time
 
 from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.connection.listening import listening_at
 from eelgrass_node.process.backends import Backends, HostEntry
 from eelgrass_node.process.piece_service import LocalPieces
 from eelgrass_node.process.pieces import Piece, PieceOutcome
+from eelgrass_node.process.poison_requests import PoisonRequests
 from eelgrass_node.process.reach import DataCentreReach
 from eelgrass_node.process.retry_window import RetryWindows
 from eelgrass_node.version.deployment import (
@@ -114,6 +116,15 @@
         free_call,
         lambda handle: handle.partition("/")[0],
         lambda name, waited_s: None,
+        PoisonRequests(
+            backends,
+            listening_at,
+            lambda marks: None,
+            loop.time,
+            lambda: 0,
+            None,
+            print,
+        ),
     )
     done = 0
     began = time.process_time()
--- a/packages/node/src/eelgrass_node/connection/piece_calls.py
+++ b/packages/node/src/eelgrass_node/connection/piece_calls.py
@@ -63,8 +63,10 @@
             # Other connections there may be as dead as this one.
             backend.connections.replace()
             return _all(pieces, PieceTrouble.SILENT)
-        except (aiohttp.ClientError, OSError, ValueError, PieceAnswerMalformed):
+        except (aiohttp.ClientConnectorError, ValueError, PieceAnswerMalformed):
             return _all(pieces, PieceTrouble.UNREACHED)
+        except (aiohttp.ClientError, OSError):
+            return _all(pieces, PieceTrouble.LOST)
         if status == HTTP_MISDIRECTED:
             self._on_replaced(backend)
             return _all(pieces, PieceTrouble.UNREACHED)
--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -14,6 +14,7 @@
 
 from ..exceptions import PeerUnreachable
 from ..process.backends import ServerLife
+from ..process.ended_servers import Fingerprint
 from ..process.pieces import Piece, PieceOutcome
 from ..process.queue_load import QueueLoad
 from ..version.deployment import ServiceName
@@ -56,6 +57,7 @@
     near: str = ""
     makers: tuple[ServerLife, ...] = ()
     account: str | None = None
+    request: Fingerprint = Fingerprint("")
 
 
 class _Handoff(msgspec.Struct):
@@ -199,6 +201,7 @@
         near=first.near,
         makers=first.makers,
         account=first.account,
+        request=first.request,
     )
 
 
@@ -217,6 +220,7 @@
             near=sent.near,
             makers=sent.makers,
             account=sent.account,
+            request=sent.request,
         )
         for number in sent.numbers
     ]
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -100,17 +100,6 @@
         )
         self.reach = DataCentreReach(settings.data_centre, loop.time)
         self.piece_calls = PieceCalls(stage_calls, self._server_replaced)
-        self.pieces = LocalPieces(
-            self.backends,
-            lambda: self.deployments.current,
-            self.retries,
-            self.reach,
-            self.piece_calls.run,
-            self.piece_calls.free,
-            stage_calls.maker_of,
-            self.metrics.note_wait,
-        )
-        self.backends.on_change = self.pieces.servers_changed
         self.peer_session = new_session(PEER_IDLE_S / 2)
         self.peer_calls = PeerCalls(self.peer_session)
         self.catch_up = PeerCatchUp(
@@ -143,6 +132,18 @@
             partial(self.store.write, CRASHES_TABLE),
             self.counters.count,
         )
+        self.pieces = LocalPieces(
+            self.backends,
+            lambda: self.deployments.current,
+            self.retries,
+            self.reach,
+            self.piece_calls.run,
+            self.piece_calls.free,
+            stage_calls.maker_of,
+            self.metrics.note_wait,
+            self.poison,
+        )
+        self.backends.on_change = self.pieces.servers_changed
         self.membership.on_mark = self._mark_heard
         self.membership.on_ack = self.checks.note_ack
         self.reach.on_silent = self.checks.check
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -57,7 +57,7 @@
 
     ``servers`` returns those that may get work, ``data_centre_of`` tells where a
     result lies, and ``is_over`` whether a life of a server has ended.
-    ``may_repeat`` asks the budget for one more call of a piece, ``note_wait`` is
+    ``may_repeat`` asks for one more call of a piece, ``note_wait`` is
     told how long pieces waited, and ``free_results`` frees results that nobody
     waits for any more.
     """
@@ -71,7 +71,7 @@
         data_centre_of: Callable[[str], str],
         is_over: Callable[[ServerLife], bool],
         run_call: RunCall,
-        may_repeat: Callable[[], bool],
+        may_repeat: Callable[[Piece], bool],
         note_wait: Callable[[str, float], None],
         free_results: Callable[[list[str]], None],
     ) -> None:
@@ -377,7 +377,7 @@
             # It was not run; the next call is made when there is more room.
             piece.tries -= 1
         if again and piece.tries < MAX_TRIES and not future.done():
-            if self._may_repeat():
+            if self._may_repeat(piece):
                 self._waiting.add(piece, future)
                 return
         self._settle(piece, future, outcome)
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -7,6 +7,7 @@
 from .backends import Backend, Backends
 from .piece_queue import PieceQueue, RunCall
 from .pieces import Piece, PieceOutcome, PieceTrouble
+from .poison_requests import PoisonRequests
 from .queue_load import QueueLoad
 from .reach import DataCentreReach
 from .retry_window import RetryWindows
@@ -32,6 +33,7 @@
 
     ``maker_of`` gives the address of the server that holds a result, and
     ``note_wait`` is told how long the pieces of a service waited, in seconds.
+    ``poison`` knows the requests that are not sent to servers any more.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         free_call: FreeCall,
         maker_of: Callable[[str], str],
         note_wait: Callable[[str, float], None],
+        poison: PoisonRequests,
     ) -> None:
         self._backends = backends
         self._deployment = deployment
@@ -53,6 +56,7 @@
         self._free_call = free_call
         self._maker_of = maker_of
         self._note_wait = note_wait
+        self._poison = poison
         self._tasks: set[asyncio.Task] = set()
         self.by_service: dict[ServiceName, PieceQueue] = {}
 
@@ -104,8 +108,8 @@
                 self._reach,
                 self.data_centre_of,
                 self._backends.is_over,
-                self._run_call,
-                lambda: self._retries.try_spend(service, owner=True),
+                self._call,
+                lambda piece: self._may_repeat(service, piece),
                 self._note_wait,
                 lambda handles: self.free(service, handles),
             )
@@ -117,6 +121,28 @@
         if queue is not None:
             queue.fill()
 
+    async def _call(
+        self, backend: Backend, pieces: list[Piece], within_s: float
+    ) -> list[PieceOutcome]:
+        """Run pieces in one call; note the requests of one that lost its server."""
+        outcomes = await self._run_call(backend, pieces, within_s)
+        troubles = {outcome.trouble for outcome in outcomes}
+        if not troubles <= {PieceTrouble.LOST, PieceTrouble.SILENT}:
+            return outcomes
+        requests = {piece.request for piece in pieces if piece.request}
+        await self._poison.note_lost(backend, requests)
+        for piece in pieces:
+            # What ends servers alone spares the pieces of other requests.
+            piece.alone |= self._poison.quarantine.ended_under(piece.request) > 1
+        if PieceTrouble.LOST not in troubles:
+            return outcomes
+        return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
+
+    def _may_repeat(self, service: ServiceName, piece: Piece) -> bool:
+        if self._poison.quarantine.holds(piece.request):
+            return False
+        return self._retries.try_spend(service, owner=True)
+
     async def _free(
         self, service: ServiceName, backend: Backend, handles: list[str]
     ) -> None:
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from .backends import ServerLife
+from .ended_servers import Fingerprint
 
 __all__ = ["Piece", "PieceOutcome", "PieceTrouble"]
 
@@ -17,6 +18,7 @@
     NO_ROOM = "no_room"
     FAILED = "failed"
     UNREACHED = "unreached"
+    LOST = "lost"
     SILENT = "silent"
     OVERLOADED = "overloaded"
 
@@ -36,7 +38,8 @@
     a call with it went silent, and ``set_size`` counts
     the pieces of its stage of its request, ``begun``
     says that others of its set have been run, whose results wait for it, and
-    ``tries`` counts the calls it was in.
+    ``tries`` counts the calls it was in, and ``request`` is the fingerprint of the
+    request, by which its other attempts are known.
     """
 
     request_id: str
@@ -57,6 +60,7 @@
     alone: bool = False
     set_size: int = 1
     tries: int = 0
+    request: Fingerprint = Fingerprint("")
 
 
 class PieceOutcome(msgspec.Struct, frozen=True):
--- a/packages/node/src/eelgrass_node/process/poison_requests.py
+++ b/packages/node/src/eelgrass_node/process/poison_requests.py
@@ -4,11 +4,11 @@
 counts as the same one wherever it comes again.
 """
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from eelgrass_coordination import Mark
 
-from .backends import Backends, ServerLife
+from .backends import Backend, Backends, ServerLife
 from .crash_news import CrashNews
 from .crash_table import CrashTable, WriteRows
 from .ended_servers import EndedServers, Fingerprint, Listening
@@ -42,6 +42,14 @@
         self.news = CrashNews(self.quarantine, announce, unix_ms)
         self.table = CrashTable(self.quarantine, write, unix_ms)
 
+    async def note_lost(
+        self, backend: Backend, requests: Iterable[Fingerprint]
+    ) -> None:
+        """Note requests that lost a server, and wait for a check whether it ended."""
+        for request in requests:
+            self.ended.note_lost(backend, request)
+        await self.ended.wait_checked(backend)
+
     def note_success(self, request: Fingerprint) -> None:
         """Clear a request that a server has run to its end, here and elsewhere."""
         lives = self.quarantine.clear(request)
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -12,6 +12,7 @@
 
 from ..exceptions import StagesFailed
 from ..process.backends import ServerLife
+from ..process.ended_servers import Fingerprint
 from ..process.pieces import Piece, PieceOutcome, PieceTrouble
 from ..version.deployment import PieceStage, ServiceName
 from .arrival import Routed
@@ -54,7 +55,7 @@
     """The stages of one request; results are kept by stage and piece.
 
     ``is_over`` tells of a life of a server whether it has ended, and with it
-    the results that it held.
+    the results that it held. ``fingerprint`` is that of the request.
     """
 
     def __init__(
@@ -65,7 +66,9 @@
         free: Callable[[ServiceName, list[str]], None],
         data_centre_of: Callable[[str], str],
         is_over: Callable[[ServerLife], bool],
+        fingerprint: Fingerprint,
     ) -> None:
+        self._fingerprint = fingerprint
         self._routed = routed
         self._plan = plan
         self._run_pieces = run_pieces
@@ -208,6 +211,7 @@
                 near=near,
                 makers=known_makers,
                 account=routed.account_name,
+                request=self._fingerprint,
             )
             for piece in numbers
         ]
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -98,6 +98,7 @@
             parts.free_results,
             parts.data_centre_of,
             parts.is_over,
+            self._fingerprint if routed.route.stages else Fingerprint(""),
         )
 
     async def serve(self) -> web.StreamResponse:
--- a/packages/node/tests/test_server_lives.py
+++ b/packages/node/tests/test_server_lives.py
@@ -12,6 +12,7 @@
 from eelgrass_node.exceptions import CallFailed
 from eelgrass_node.platform import requests
 from eelgrass_node.process.backends import Backends, HostEntry, ServerLife
+from eelgrass_node.process.ended_servers import Fingerprint
 from eelgrass_node.process.pieces import Piece, PieceOutcome, PieceTrouble
 from eelgrass_node.request.exchange import EngineCall
 from eelgrass_node.request.graph import StageGraph, StagePlan
@@ -51,6 +52,7 @@
             lambda service, handles: self.freed.extend(handles),
             lambda handle: "a",
             self.is_over,
+            Fingerprint("a request"),
         )
 
 
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -5,6 +5,7 @@
 from eelgrass_coordination import ranked
 from eelgrass_coordination.ids import BackendId, DataCentre, NodeId
 from eelgrass_node.process.backends import Backend, HostEntry
+from eelgrass_node.process.ended_servers import Fingerprint
 from eelgrass_node.process.piece_owners import DISTRUST_S, PieceOwners
 from eelgrass_node.process.pieces import PieceOutcome, PieceTrouble
 from eelgrass_node.process.reach import FIRST_DOUBT_S, DataCentreReach
@@ -38,6 +39,7 @@
             lambda service, handles: freed.extend(handles),
             lambda handle: "a",
             lambda life: False,
+            Fingerprint("a request"),
         )
         return graph, await graph.run(), calls, freed
 
--- a/tests/support/pieces.py
+++ b/tests/support/pieces.py
@@ -78,7 +78,7 @@
             lambda handle: handle.partition("@")[2],
             self.ended.__contains__,
             self._run,
-            lambda: may_repeat,
+            lambda piece: may_repeat,
             lambda service, waited_s: None,
             self.freed.extend,
         )
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -128,3 +128,21 @@
         await asyncio.sleep(KNOWN_S)
         await poisoned.attempt(3)
         assert len(poisoned.ended) == ended
+
+
+class TestStages:
+    """A piece of a stage ends the servers that run it, in calls with other pieces."""
+
+    SEGMENTS = {
+        "Eelgrassward_Segments": "2,1,5",
+        "Eelgrassward_Segment_Key": POISON.decode(),
+    }
+
+    async def test_it_ends_three_servers_of_a_stage_at_most(self, poisoned):
+        for number in range(8):
+            status, _, _ = await poisoned.ask(
+                "/stream/staged/x", number % 3, **self.SEGMENTS
+            )
+            assert status == 503
+            await asyncio.sleep(KNOWN_S)
+        assert 0 < len(poisoned.ended) <= MOST_ENDED
