The feed of ends waits no longer than a relay stays one

With a wait of 2 s a relay had last read the store 2 s ago and more when its followers asked again, which is when it stops being one (FRESH_S): on a calm start they changed their source eight times in 3 s, and each read the store for itself. Waits of the three tables are now compared with it in a test, which fails with 2 s.

--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -27,7 +27,7 @@
 
 # Ends of servers are told by marks first; those that only the table tells come at once,
 # too, and a wait bounds how long a feed that has fallen silent goes unnoticed.
-CRASHES_WAIT_S = 2.0
+CRASHES_WAIT_S = 1.0
 
 
 class TableNames(msgspec.Struct, frozen=True):
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -7,6 +7,8 @@
 
 from eelgrass_coordination import MemberState
 from eelgrass_node.exceptions import HistoryGone, PeerUnreachable, StoreUnavailable
+from eelgrass_node.process import platform_tables, table_relay
+from eelgrass_node.process.follow_pace import TRY_S
 from eelgrass_node.process.table_relay import (
     ARRIVING_S,
     DISTRUST_S,
@@ -227,6 +229,20 @@
             await self.reader.feed(TABLE, 4, 1.0)
 
 
+class TestWaits:
+    @pytest.mark.parametrize(
+        ("pause_s", "wait_s"),
+        [
+            (0.0, platform_tables.CONFIGURATION_WAIT_S),
+            (platform_tables.SERVERS_PAUSE_S, platform_tables.SERVERS_WAIT_S),
+            (0.0, platform_tables.CRASHES_WAIT_S),
+        ],
+    )
+    def test_a_relay_stays_one_until_its_next_answer(self, pause_s, wait_s):
+        """Longer waits made its followers go to the store after each of them."""
+        assert pause_s + wait_s + TRY_S < table_relay.FRESH_S
+
+
 class TestWholeReads:
     """A store that forgets its history made 82 nodes read both tables whole."""
 
