A configuration that never comes is not awaited anew each time it is told

What callers saw: at a node that had been told a number it cannot get (a newer release's configuration, or a faulty node's), requests on unknown routes or with unknown keys were answered 503 for good in place of 404 and 401.

Cause: DeploymentInForce.hear took note of a lapsed number each time it was told one, also where nothing was awaited any more, and so forgot the number at the second telling. A number is noted as lapsed once now. Two numbers told in turn had the same effect: 16 are remembered.

--- a/packages/node/src/eelgrass_node/process/deployments.py
+++ b/packages/node/src/eelgrass_node/process/deployments.py
@@ -1,6 +1,7 @@
 """The configuration in force, which only ever goes forward."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from ..exceptions import ConfigurationMalformed
@@ -13,6 +14,8 @@
 # A newer configuration that has not come in this time may never come: one that only a
 # newer release can read, or a number that a faulty node tells.
 AWAITED_S = 10.0
+# Numbers that were awaited in vain and are remembered.
+MAX_LAPSED = 16
 
 
 class DeploymentInForce:
@@ -36,8 +39,7 @@
         self.since = 0.0
         self._awaited_number = -1
         self._awaited_since = float("-inf")
-        # The last number that was awaited in vain.
-        self._lapsed_number = -1
+        self._lapsed_numbers: deque[int] = deque(maxlen=MAX_LAPSED)
 
     @property
     def number(self) -> int:
@@ -54,11 +56,11 @@
 
     def hear(self, number: int) -> None:
         """Note the number of the configuration that another node has."""
-        if self._has_lapsed():
+        if self._awaited_number >= 0 and self._has_lapsed():
             # It must not hide the numbers of those that do come.
-            self._lapsed_number = self._awaited_number
+            self._lapsed_numbers.append(self._awaited_number)
             self._awaited_number = -1
-        if number == self._lapsed_number:
+        if number in self._lapsed_numbers:
             return
         if number > max(self.number, self._awaited_number):
             self._awaited_number = number
--- a/packages/node/tests/test_deployments.py
+++ b/packages/node/tests/test_deployments.py
@@ -89,3 +89,18 @@
             return states[int(AWAITED_S) + 1 :]
 
         assert not any(run_instantly(main()))
+
+    def test_two_that_never_come_are_not_awaited_in_turn(self):
+        """Two nodes of a newer release have different ones, and both tell theirs."""
+
+        async def main():
+            found = deployments()
+            found.take(b"42", "store")
+            states = []
+            for second in range(6 * int(AWAITED_S)):
+                found.hear(51 + second % 2)
+                states.append(found.superseded)
+                await asyncio.sleep(1.0)
+            return states[2 * int(AWAITED_S) + 4 :]
+
+        assert not any(run_instantly(main()))
