--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -146,3 +146,50 @@
             assert status == 503
             await asyncio.sleep(KNOWN_S)
         assert 0 < len(poisoned.ended) <= MOST_ENDED
+
+
+class TestBesideOthers:
+    """Copies of the request come together, among proper requests that are resumed."""
+
+    COPIES = 3
+    NEIGHBOURS = 24
+
+    async def serve(self, deployment, number):
+        """Send a proper request until it is served; return whether it was held."""
+        held = False
+        for _ in range(20):
+            try:
+                status, headers, body = await deployment.ask(
+                    "/stream/resumed/x", number % 3, body=b"proper %d" % number
+                )
+            except aiohttp.ClientError:
+                # Its attempts were used up within a stream.
+                continue
+            if status == 200:
+                assert body == WHOLE
+                return held
+            held |= b"servers have ended" in body
+            await asyncio.sleep(min(0.5, float(headers.get("Retry-After", 0.1))))
+        raise AssertionError(f"request {number} was never served")
+
+    async def poison_for_good(self, deployment, until_s):
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            copies = (deployment.attempt(node) for node in range(self.COPIES))
+            await asyncio.gather(*copies)
+            await asyncio.sleep(0.2)
+
+    async def test_those_beside_it_are_served_and_few_servers_end(self):
+        async with PoisonedDeployment(servers=5, event_s=0.05) as deployment:
+            end = asyncio.get_running_loop().time() + 5.0
+            harm = asyncio.create_task(self.poison_for_good(deployment, end))
+            held = []
+            for _ in range(8):
+                sent = (self.serve(deployment, n) for n in range(self.NEIGHBOURS))
+                held += await asyncio.gather(*sent)
+            await harm
+            # Copies that were under way with the one that ended the third server.
+            assert len(deployment.ended) <= MOST_ENDED + self.COPIES - 1
+            assert not any(held)
+            for node in deployment.nodes:
+                assert node.poison.quarantine.held() == 1
