A node does not keep every row that was ever removed from a table it follows

Rows that are gone stay known, for followers of a relay that are behind. With the table of ends each crash adds keys that are never used again, as each start of a server does in the servers' table: some 200 bytes each for as long as a node runs. 1,000 are kept now; a follower that is further behind is told that the history is gone, and reads the table whole.

--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -19,6 +20,9 @@
 
 # In bytes of the value; smaller rows fit into a few packets.
 LARGE_ROW_BYTES = 4096
+# Rows that are gone and still known one by one, for followers that are behind; servers
+# come and go with new ids for as long as a node runs.
+MAX_GONE = 1000
 
 
 class StoredRow(msgspec.Struct, frozen=True):
@@ -81,6 +85,8 @@
         self._row_by_key: dict[str, StoredRow] = {}
         # Large rows that the one of their key has replaced.
         self._before_by_key: dict[str, StoredRow] = {}
+        # The keys of rows that are gone, in the order in which they went.
+        self._gone_keys: deque[str] = deque()
         self._version = -1
         self._whole = False
         # Removals before this version are not known one by one.
@@ -241,8 +247,20 @@
         else:
             self._before_by_key.pop(row.key, None)
         self._row_by_key[row.key] = row
+        if row.value is None:
+            self._note_gone(row.key)
         return True
 
+    def _note_gone(self, key: str) -> None:
+        """Remember that a row is gone, in place of the one that went first."""
+        self._gone_keys.append(key)
+        if len(self._gone_keys) <= MAX_GONE:
+            return
+        first = self._row_by_key.get(self._gone_keys.popleft())
+        if first is not None and first.value is None:
+            del self._row_by_key[first.key]
+            self._complete_from = max(self._complete_from, first.version)
+
     def _note_reached(self) -> None:
         self.confirmed_at = asyncio.get_running_loop().time()
         if not self.reachable:
--- /dev/null
+++ b/packages/node/tests/test_gone_rows.py
@@ -0,0 +1,56 @@
+"""Rows that are gone: known for followers that are behind, and not for ever."""
+
+import asyncio
+
+import pytest
+
+from eelgrass_node.exceptions import HistoryGone
+from eelgrass_node.process import store_tables as store_tables_module
+from support.entry import until
+from support.store_rows import changes, followed_table, row
+
+MOST_GONE = 3
+
+
+class EndlessStore:
+    """Adds a row and removes it again with each call, up to a version."""
+
+    def __init__(self, until_version):
+        self.version = 0
+        self._until_version = until_version
+
+    async def read_table(self, table):
+        return changes(0)
+
+    async def feed(self, table, after, wait_s):
+        if self.version >= self._until_version:
+            await asyncio.Event().wait()
+        self.version += 2
+        key = f"k{self.version}"
+        added = row(key, self.version - 1)
+        return changes(self.version, added, row(key, self.version, None))
+
+
+@pytest.fixture
+async def table(monkeypatch):
+    monkeypatch.setattr(store_tables_module, "MAX_GONE", MOST_GONE)
+    store = EndlessStore(40)
+    followed = followed_table(store, "t")
+    task = asyncio.create_task(followed.run())
+    await until(lambda: len(followed.rows()) and followed.whole().version == 40)
+    yield followed
+    task.cancel()
+
+
+class TestGoneRows:
+    async def test_they_do_not_fill_the_memory(self, table):
+        """Keys are never used again: a node that runs for weeks would keep them all."""
+        assert len(table.rows()) == MOST_GONE
+
+    async def test_a_follower_that_is_far_behind_reads_the_table_anew(self, table):
+        with pytest.raises(HistoryGone):
+            table.changes_after(20)
+
+    async def test_one_that_is_a_little_behind_is_told(self, table):
+        gone = table.changes_after(36).rows
+        assert [(r.version, r.value) for r in gone] == [(38, None), (40, None)]
