No stage of a request is begun once it is held

A request that was let in when its copies had ended two servers went on through its stages after they had ended the third: its pieces still reached servers.

--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -21,7 +21,8 @@
 from ..log import Part, log
 from ..process.backends import Backend, ServerLife
 from ..process.ended_servers import Fingerprint
-from ..version.deployment import RouteKind
+from ..process.pieces import Piece, PieceOutcome
+from ..version.deployment import RouteKind, ServiceName
 from .answering import CallerAnswer
 from .arrival import EngineHead, Routed
 from .events import EventSplitter
@@ -94,7 +95,7 @@
         self._graph = StageGraph(
             routed,
             parts.plan(routed),
-            parts.run_pieces,
+            self._run_pieces,
             parts.free_results,
             parts.data_centre_of,
             parts.is_over,
@@ -161,6 +162,12 @@
                 max(failed.retry_after_s, RETRY_FULL_S),
             ) from failed
 
+    async def _run_pieces(
+        self, service: ServiceName, pieces: list[Piece]
+    ) -> list[PieceOutcome]:
+        self._check_quarantine()
+        return await self._parts.run_pieces(service, pieces)
+
     @cached_property
     def _fingerprint(self) -> Fingerprint:
         return fingerprint_of(self._routed)
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -13,6 +13,9 @@
 import aiohttp
 import pytest
 
+from eelgrass_coordination.ids import BackendId
+from eelgrass_node.process.backends import ServerLife
+from eelgrass_node.process.ended_servers import Fingerprint
 from support.entry import WHOLE, EntryDeployment, until
 
 POISON = b"a prompt that ends its engine"
@@ -147,6 +150,19 @@
             await asyncio.sleep(KNOWN_S)
         assert 0 < len(poisoned.ended) <= MOST_ENDED
 
+    async def test_stages_of_a_request_that_is_held_meanwhile_are_not_begun(
+        self, poisoned
+    ):
+        """Other copies of it end the third server while it is on its way."""
+        quarantine = poisoned.nodes[0].poison.quarantine
+        quarantine.take(Fingerprint("another"), ServerLife(BackendId("ended")))
+        answers = iter([False])
+        quarantine.holds = lambda request: next(answers, True)
+        status, _, _ = await poisoned.ask("/stream/staged/x", **self.SEGMENTS)
+        assert status == 503
+        pieces = [e.pieces for e in poisoned.engines_by_service["portal"]]
+        assert not any(pieces)
+
 
 class TestBesideOthers:
     """Copies of the request come together, among proper requests that are resumed."""
