--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -187,9 +187,8 @@
         routed = self._routed
         subject = routed.arrival.prompt.shared_part()
         shared_tokens = routed.arrival.prompt.shared_tokens()
-        if self._parts.poison.quarantine and self._parts.poison.quarantine.suspects(
-            self._fingerprint
-        ):
+        quarantine = self._parts.poison.quarantine
+        if quarantine and quarantine.suspects(self._fingerprint):
             # Apart from those that lost the same server, so as to tell them apart.
             subject, shared_tokens = self._fingerprint, 0
         backend = self._parts.choose(
