--- a/packages/coordination/src/eelgrass_coordination/comparison.py
+++ b/packages/coordination/src/eelgrass_coordination/comparison.py
@@ -2,10 +2,8 @@
 
 The pattern it answers: nearly two hundred nodes start at once. News that is passed on
 a limited number of times misses some of them, and what a node has missed nobody tells
-it again. In a simulation of 195 nodes that start within 0.3 s, each lacked one or two
-of the others for 20 s and more, so that nodes disagreed on who holds a queue or reads
-a table for their data centre. With comparisons all agree 0.4 s after the last start,
-with half of the messages (``TestStartOfManyNodes``).
+it again. Nodes then disagree for many seconds on who holds a queue or reads a table for
+their data centre.
 
 Every message carries a digest of what its sender knows. Where the digests of two
 nodes differ, one sends the other the fingerprints of its records, four bytes each, and
--- a/packages/node/src/eelgrass_node/process/account_shares.py
+++ b/packages/node/src/eelgrass_node/process/account_shares.py
@@ -10,10 +10,6 @@
 Nobody tells quotas, so usual traffic earns no claim: in a burst of all accounts the
 largest one's surplus waits first.
 
-What it buys: of the sets of quiet accounts beside one that asks for three times what
-the servers can do, all are served on time in place of 4 in 100 (simulated,
-``TestFlood``; the bound there is 98).
-
 No network and no clock here; times are in seconds, work in seconds of a server.
 """
 
--- a/packages/node/src/eelgrass_node/process/follow_pace.py
+++ b/packages/node/src/eelgrass_node/process/follow_pace.py
@@ -4,15 +4,8 @@
 history, and changes are made meanwhile. A node notices the store's return only by
 asking. What passes until then is a sum: a call that is under way at the return and
 gets no answer, then the pause before the next one. The longest pause is therefore what
-the longest call leaves of the promise, and no figure of its own.
-
-What it buys: with a promise of 2 s, each of 46,695 changes on 1,000 simulated days of
-outages was in force at most 1.5 s after it was confirmed and the store answered the
-node again; with a fixed pause of 1.2 s, and 3 s for a node whose relay had lost the
-store, 2,335 of them came later than 2 s, the last after 9 s.
-
-What it costs: in an outage of 8 s in which all calls are refused, a node makes 25
-calls for its two tables with a promise of 2 s and 15 with one of 3 s, in place of 5.
+the longest call leaves of the promise, and no figure of its own. A shorter promise
+costs more calls in an outage.
 """
 
 import random
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -9,9 +9,8 @@
 
 A store may turn away some nodes, and a relay among them. The next ones in the order of
 the hash are asked then, up to ``RELAYS``; the first of them that the store serves reads
-for all. Without them each of 39 followers read the store for itself for as long as
-that lasted: simulated, 9 s without one relay cost 366 calls, and 69 with them
-(``TestTurnedAwayRelay``).
+for all. Without them each follower would read the store for itself for as long as that
+lasts.
 """
 
 import asyncio
@@ -47,10 +46,8 @@
 
 # A node that has just started and read a table from the store asks for changes after
 # this. The members of a fleet that starts as a whole agree meanwhile, and it finds its
-# relay; without the pause 39 nodes of a data centre made 159 calls to the store in
-# their first 3 s, with it 82 (simulated, ``TestStartOfManyNodes``). What was read is
-# that old then, which leaves more than half of the 2 s within which a change must be
-# in force.
+# relay in place of the store. What was read is that old then, which leaves more than
+# half of the 2 s within which a change must be in force.
 SETTLE_S = 0.5
 
 # Gets an address, a table, a version (None for the whole table) and a wait.
