eelgrassctl crashes: what ends servers, and let in again what they can run by now

An operator could not undo a verdict but by writing to the store by hand.

Its test found a fault: a row that was removed before a node had read it (marks had told it of the end) left the end standing there, since only rows that had been read were known by their key. The key is compared with that of each server known for the request now; test_a_row_that_is_removed_before_it_was_read_is_forgotten fails before.

--- a/packages/ctl/src/eelgrass_ctl/commands/__init__.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/__init__.py
@@ -5,6 +5,7 @@
 from .check import check
 from .claims import claims
 from .costs import costs
+from .crashes import crashes
 from .drain import drain
 from .explain import explain
 from .history import history
@@ -19,6 +20,7 @@
     "check",
     "claims",
     "costs",
+    "crashes",
     "drain",
     "explain",
     "history",
--- a/packages/node/src/eelgrass_node/process/crash_table.py
+++ b/packages/node/src/eelgrass_node/process/crash_table.py
@@ -20,7 +20,7 @@
 from .quarantine import MAX_ENDED, REMEMBERED_S, Quarantine
 from .store_tables import StoredRow
 
-__all__ = ["CrashTable"]
+__all__ = ["CrashTable", "End", "decode_end"]
 
 # Ends that are noticed together are written together.
 COLLECT_S = 0.05
@@ -35,12 +35,13 @@
 # Rows of the table; beyond that those of requests with the fewest ends are removed.
 MAX_ROWS = 2000
 DIGEST_BYTES = 4
+KEY_SEPARATOR = "-"
 
 # Writes rows by key and removes others; raises StoreUnavailable.
 WriteRows = Callable[[Mapping[str, bytes], Sequence[str]], Awaitable[None]]
 
 
-class _End(msgspec.Struct, frozen=True):
+class End(msgspec.Struct, frozen=True):
     """The end of a server under a request, at a time of day in Unix milliseconds."""
 
     request: Fingerprint
@@ -48,7 +49,12 @@
     at_ms: int
 
 
-_decoder = msgspec.json.Decoder(_End)
+_decoder = msgspec.json.Decoder(End)
+
+
+def decode_end(value: bytes) -> End:
+    """Decode the value of a row; raises :class:`msgspec.MsgspecError`."""
+    return _decoder.decode(value)
 
 
 class CrashTable:
@@ -64,7 +70,7 @@
         self._quarantine = quarantine
         self._write = write
         self._clock = clock
-        self._end_by_key: dict[str, _End] = {}
+        self._end_by_key: dict[str, End] = {}
         # None stands for a row to be removed.
         self._pending_by_key: dict[str, bytes | None] = {}
         self._wake = asyncio.Event()
@@ -73,7 +79,7 @@
     def tell_ended(self, life: ServerLife, requests: Iterable[Fingerprint]) -> None:
         """Write that a server has ended under requests."""
         for request in requests:
-            end = _End(request, life, self._clock())
+            end = End(request, life, self._clock())
             self._put(_key(request, life), msgspec.json.encode(end))
             self._urgent.set()
 
@@ -156,12 +162,12 @@
 
     def _worth(self, key: str) -> tuple[int, int]:
         end = self._end_by_key[key]
-        ends = min(MAX_ENDED, self._quarantine.ended_under(end.request))
-        return (ends, end.at_ms)
+        ends = len(self._quarantine.ended_under(end.request))
+        return (min(MAX_ENDED, ends), end.at_ms)
 
     def _written(self, key: str, value: bytes) -> None:
         try:
-            end = _decoder.decode(value)
+            end = decode_end(value)
         except msgspec.MsgspecError as error:
             log(Part.STORE, "A row is not taken.", row=key, error=str(error))
             return
@@ -170,12 +176,16 @@
         self._quarantine.take(end.request, end.server, age_s)
 
     def _removed(self, key: str) -> None:
-        end = self._end_by_key.pop(key, None)
-        if end is not None:
-            self._quarantine.drop(end.request, end.server)
+        """Forget an end, also one that only marks have told of."""
+        self._end_by_key.pop(key, None)
+        request = Fingerprint(key.partition(KEY_SEPARATOR)[0])
+        for life in self._quarantine.ended_under(request):
+            if _key(request, life) == key:
+                self._quarantine.drop(request, life)
 
 
 def _key(request: Fingerprint, life: ServerLife) -> str:
     """Return a key of bounded length; server ids may be as long as a key may be."""
     server = f"{life.started} {life.id}".encode()
-    return f"{request}-{blake2b(server, digest_size=DIGEST_BYTES).hexdigest()}"
+    digest = blake2b(server, digest_size=DIGEST_BYTES).hexdigest()
+    return f"{request}{KEY_SEPARATOR}{digest}"
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -133,7 +133,8 @@
         await self._poison.note_lost(backend, requests)
         for piece in pieces:
             # What ends servers alone spares the pieces of other requests.
-            piece.alone |= self._poison.quarantine.ended_under(piece.request) > 1
+            ended = self._poison.quarantine.ended_under(piece.request)
+            piece.alone |= len(ended) > 1
         if PieceTrouble.LOST not in troubles:
             return outcomes
         return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
--- a/packages/node/src/eelgrass_node/process/quarantine.py
+++ b/packages/node/src/eelgrass_node/process/quarantine.py
@@ -55,10 +55,10 @@
         """Return how many requests are remembered."""
         return len(self._suspect_by_request)
 
-    def ended_under(self, request: Fingerprint) -> int:
-        """Return how many servers have ended under a request."""
+    def ended_under(self, request: Fingerprint) -> tuple[ServerLife, ...]:
+        """Return the servers that have ended under a request."""
         suspect = self._known(request)
-        return 0 if suspect is None else len(suspect.ended_at_by_life)
+        return () if suspect is None else tuple(suspect.ended_at_by_life)
 
     def held(self) -> int:
         """Return how many requests are sent to no server."""
--- a/packages/node/tests/test_crash_table.py
+++ b/packages/node/tests/test_crash_table.py
@@ -162,6 +162,9 @@
 
         return quarantine, CrashTable(quarantine, write, lambda: 10_000_000)
 
+    def key(self, server):
+        return crash_table_module._key(POISON, ServerLife(BackendId(server)))
+
     def row(self, key, **fields):
         end = {"request": POISON, "server": ["e1", 0], "at_ms": 9_999_000, **fields}
         return StoredRow(key, 1, msgspec.json.encode(end))
@@ -179,11 +182,19 @@
 
     def test_a_whole_read_drops_rows_that_are_gone(self):
         quarantine, table = self.table()
-        table.take_rows((self.row("a"), self.row("b", server=["e2", 0])))
-        assert quarantine.ended_under(POISON) == 2
-        table.take_whole({"b"})
-        assert quarantine.ended_under(POISON) == 1
-        table.take_rows((StoredRow("b", 2, None), StoredRow("unknown", 3, None)))
+        keys = [self.key("e1"), self.key("e2")]
+        table.take_rows((self.row(keys[0]), self.row(keys[1], server=["e2", 0])))
+        assert len(quarantine.ended_under(POISON)) == 2
+        table.take_whole({keys[1]})
+        assert len(quarantine.ended_under(POISON)) == 1
+        table.take_rows((StoredRow(keys[1], 2, None), StoredRow("unknown", 3, None)))
+        assert len(quarantine) == 0
+
+    def test_a_row_that_is_removed_before_it_was_read_is_forgotten(self):
+        """Marks had told of the end; the operator cleared the request at once."""
+        quarantine, table = self.table()
+        quarantine.take(POISON, ServerLife(BackendId("e1")))
+        table.take_rows((StoredRow(self.key("e1"), 2, None),))
         assert len(quarantine) == 0
 
 
