Soak of a request that ends its servers, while nodes, ways and the store are harmed

Nodes as processes before servers that end under the request and come back; it is sent in up to three copies, again and again, at any node. Checked: from 3 s after the third end, nodes that nothing has harmed for 3 s send it to three servers more at the most, and no other promise breaks.

--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -92,6 +92,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def end(self) -> None:
+        """Refuse new connections and reset all others, as a process that crashes."""
+        self._server.close()
+        self.reset()
+
     def reset(self) -> None:
         """Reset all connections; new ones work."""
         for connection in list(self._connections):
--- a/tests/support/soak_deployment.py
+++ b/tests/support/soak_deployment.py
@@ -103,8 +103,10 @@
 class SoakDeployment(EntryDeployment):
     """Stand-ins in this process, nodes as processes, proxies between them."""
 
-    def __init__(self, folder: Path, seed: int, nodes: int = 3) -> None:
-        super().__init__(nodes, event_s=0.03)
+    def __init__(
+        self, folder: Path, seed: int, nodes: int = 3, servers: int = 2
+    ) -> None:
+        super().__init__(nodes, event_s=0.03, servers=servers)
         self._folder = folder
         # Hosts of their own, so that all have the same ports as on the platform.
         self._network = f"127.{os.getpid() % 200 + 1}.{seed % 250}"
@@ -128,6 +130,18 @@
         self.engine_proxies[shown] = proxy
         return shown
 
+    async def start_engine(self, service: str, server_id: str) -> EngineStandIn:
+        """Start a server behind a proxy of its own, and list it."""
+        engine = await super().start_engine(service, server_id)
+        proxy, end = self.engine_proxies[engine.address], engine.end
+
+        def end_both() -> None:
+            proxy.end()
+            end()
+
+        engine.end = end_both
+        return engine
+
     async def start_server(self, service: str, server_id: str) -> EngineStandIn:
         """Add a server of a service, while the nodes run."""
         await self.start_engine(service, server_id)
@@ -165,8 +179,13 @@
             while (await self.call(number, kind)).status != 200:  # noqa: ASYNC110
                 await asyncio.sleep(0.1)
 
-    async def call(self, number: int, kind: str, key: str = KEY) -> Call:
-        """Make one call at a node, over a connection that is kept open."""
+    async def call(
+        self, number: int, kind: str, key: str = KEY, body: bytes | None = None
+    ) -> Call:
+        """Make one call at a node, over a connection that is kept open.
+
+        Its body is its id, if none is given.
+        """
         loop = asyncio.get_running_loop()
         call = Call(f"id-{next(self._numbers)}", kind, number, loop.time())
         headers = {
@@ -181,7 +200,7 @@
             async with (
                 asyncio.timeout(2 * DEADLINE_S),
                 self.session.post(
-                    url, data=call.request_id.encode(), headers=headers
+                    url, data=body or call.request_id.encode(), headers=headers
                 ) as response,
             ):
                 call.body = await response.read()
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -16,43 +16,20 @@
 from eelgrass_coordination.ids import BackendId
 from eelgrass_node.process.backends import ServerLife
 from eelgrass_node.process.ended_servers import Fingerprint
-from support.entry import WHOLE, EntryDeployment, until
+from support.entry import WHOLE, until
+from support.poison import POISON, EndingServers
 
-POISON = b"a prompt that ends its engine"
 # A request under which so many servers have ended is sent to no other one.
 MOST_ENDED = 3
 # What nodes learn of a crash they know within this time.
 KNOWN_S = 0.5
-# An entry lapses after three heartbeats, and the server is back by then.
-BACK_S = 1.0
 
 
-class PoisonedDeployment(EntryDeployment):
-    """Engines that end under ``POISON`` and come back after some time."""
+class PoisonedDeployment(EndingServers):
+    """Three nodes before four servers of each service, which end under ``POISON``."""
 
     def __init__(self, nodes=3, servers=4, **options):
         super().__init__(nodes, servers=servers, **options)
-        self.ended = []
-        self._returns = set()
-
-    async def __aexit__(self, *exc):
-        for task in self._returns:
-            task.cancel()
-        await super().__aexit__(*exc)
-
-    async def start_engine(self, service, server_id):
-        engine = await super().start_engine(service, server_id)
-        engine.fatal = POISON
-        end = engine.end
-
-        def end_and_return():
-            end()
-            self.ended.append(engine)
-            task = asyncio.create_task(self._return(service, engine))
-            self._returns.add(task)
-
-        engine.end = end_and_return
-        return engine
 
     async def attempt(self, node, target="/stream/single/x"):
         """Send the request once more; return status and headers, 0 if it broke off."""
@@ -68,11 +45,6 @@
             await self.attempt(number % len(self.nodes), target)
             await asyncio.sleep(KNOWN_S)
 
-    async def _return(self, service, engine):
-        await asyncio.sleep(BACK_S)
-        self.store.remove("servers", engine.server_id)
-        await self.start_engine(service, f"{service}-back-{len(self.ended)}")
-
 
 @pytest.fixture
 async def poisoned():
--- /dev/null
+++ b/tests/test_poison_soak.py
@@ -0,0 +1,96 @@
+"""A request that ends its servers, while nodes, ways and the store are harmed.
+
+``EELGRASS_SOAK_SEEDS`` and ``EELGRASS_SOAK_FIRST`` choose the seeds, as in the soak.
+"""
+
+import asyncio
+import os
+import random
+
+import pytest
+
+from support.platform_soak import Harm, Soak
+from support.poison import POISON, EndingServers
+from support.soak_checks import violations
+from support.soak_deployment import SoakDeployment
+
+FIRST = int(os.environ.get("EELGRASS_SOAK_FIRST", "3"))
+COUNT = int(os.environ.get("EELGRASS_SOAK_SEEDS", "1"))
+RUN_S = 16.0
+KINDS = ("stream/single", "stream/resumed")
+MOST_COPIES = 3
+# Once so many servers have ended, nodes that nothing has harmed for this long send the
+# request to this many servers more at the most.
+ENDED = 3
+CALM_S = 3.0
+MOST_SENT = 3
+
+
+class PoisonedSoak(EndingServers, SoakDeployment):
+    """Nodes as processes before five servers of each service."""
+
+    def __init__(self, folder, seed):
+        super().__init__(folder, seed, servers=5)
+
+
+class Attempts:
+    """Sends the request in copies, again and again, as drawn from a seed."""
+
+    def __init__(self, deployment, seed):
+        self._deployment = deployment
+        self._random = random.Random(f"poison of {seed}")
+        self._tasks = []
+        # Attempts at nodes that had been calm for long enough.
+        self.calm_ids = set()
+
+    async def run(self, seconds):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            await asyncio.sleep(self._random.uniform(0.1, 0.8))
+            for _ in range(self._random.randint(1, MOST_COPIES)):
+                self._tasks.append(asyncio.create_task(self._send()))
+        await asyncio.gather(*self._tasks)
+
+    async def _send(self):
+        number = self._random.randrange(len(self._deployment.soak_nodes))
+        node = self._deployment.soak_nodes[number]
+        since = asyncio.get_running_loop().time() - CALM_S
+        calm = node.calm_since(since)
+        kind = self._random.choice(KINDS)
+        call = await self._deployment.call(number, kind, body=POISON)
+        if calm and node.calm_since(since):
+            self.calm_ids.add(call.request_id)
+
+    def sent_late(self):
+        """Return the ids of calm attempts that reached servers too late."""
+        ended_at = sorted(self._deployment.ended_at)
+        if len(ended_at) < ENDED:
+            return []
+        late = ended_at[ENDED - 1] + CALM_S
+        return [
+            run.request_id
+            for run in self._deployment.runs("readers")
+            if run.at > late and run.request_id in self.calm_ids
+        ]
+
+
+@pytest.mark.processes
+class TestPoisonSoak:
+    @pytest.mark.parametrize("seed", range(FIRST, FIRST + COUNT))
+    @pytest.mark.parametrize("harm", [Harm.NEWS, Harm.ALL])
+    async def test_it_reaches_few_servers_and_breaks_no_promise(
+        self, seed, harm, tmp_path
+    ):
+        async with PoisonedSoak(tmp_path, seed) as deployment:
+            soak = Soak(deployment, seed, harm)
+            attempts = Attempts(deployment, seed)
+            await asyncio.gather(soak.run(RUN_S, 1), attempts.run(RUN_S))
+            late = attempts.sent_late()
+            broken = violations(soak, deployment)
+        print(
+            f"seed {seed} {harm.value}: {len(deployment.ended)} servers ended, "
+            f"{len(late)} sent late of {len(attempts.calm_ids)} calm attempts"
+        )
+        assert len(late) <= MOST_SENT, "\n".join([f"seed {seed}", *late, *soak.log])
+        assert broken == [], "\n".join([f"seed {seed}", *broken, *soak.log])
