--- a/tests/support/store_day.py
+++ b/tests/support/store_day.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -22,6 +22,7 @@
 
 from .crashes import idle_crash_table
 from .members import member
+from .servers_seen import ServersSeen
 from .store_rows import PROMISED_S
 
 __all__ = ["Outage", "StoreDay"]
@@ -141,34 +142,6 @@
         """Return that no answer takes long to come: none is large here."""
 
 
-class Removals:
-    """Stands where the list of servers does, and tells which are taken off."""
-
-    def __init__(self, on_removed: Callable[[str], None]) -> None:
-        self._on_removed = on_removed
-        self._listed: set[str] = set()
-
-    def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take in rows that changed."""
-        for row in rows:
-            if row.value is not None:
-                self._listed.add(row.key)
-            elif row.key in self._listed:
-                self._remove(row.key)
-
-    def take_whole(self, keys: set[str]) -> None:
-        """Take in which rows there are."""
-        for key in self._listed - keys:
-            self._remove(key)
-
-    def note_outage_end(self) -> None:
-        """Take no notice: nothing lapses here."""
-
-    def _remove(self, key: str) -> None:
-        self._listed.discard(key)
-        self._on_removed(key)
-
-
 class StoreDay:
     """Runs the nodes of a data centre, and notes when each had which change.
 
@@ -248,7 +221,9 @@
             lambda: own,
             lambda: self._others(own),
             deployments=deployments,
-            server_list=Removals(lambda server: self._note_removed(own.id, server)),
+            server_list=ServersSeen(
+                lambda server, version: self._note_server(own.id, server, version)
+            ),
             crashes=idle_crash_table(),
             apply_s=self._promised_s,
             drain_s=self._promised_s,
@@ -264,8 +239,9 @@
         for earlier in range(1, number + 1):
             self.taken_at.setdefault((node, earlier), _now())
 
-    def _note_removed(self, node: str, server: str) -> None:
-        self.removed_at.setdefault((node, server), _now())
+    def _note_server(self, node: str, server: str, version: int | None) -> None:
+        if version is None:
+            self.removed_at.setdefault((node, server), _now())
 
     async def _ask(
         self, address: str, table: str, after: int | None, wait_s: float
--- a/tests/support/version_day.py
+++ b/tests/support/version_day.py
@@ -23,6 +23,7 @@
 from .crashes import idle_crash_table
 from .members import member
 from .path_store import PathStore
+from .servers_seen import ServersSeen
 from .store_day import HOP_S, OPERATOR, SERVERS
 from .store_rows import PROMISED_S
 from .version_plan import Change, Cut, Deaf, Freeze, Plan, Restart
@@ -47,36 +48,6 @@
 T = TypeVar("T")
 
 
-class ServersSeen:
-    """Stands where the list of servers does; tells each row that is taken or gone."""
-
-    def __init__(self, note: Callable[[str, int | None], None]) -> None:
-        self._note = note
-        self._listed: set[str] = set()
-
-    def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take in rows that changed."""
-        for row in rows:
-            if row.value is not None:
-                self._listed.add(row.key)
-                self._note(row.key, row.version)
-            else:
-                self._remove(row.key)
-
-    def take_whole(self, keys: set[str]) -> None:
-        """Take in which rows there are."""
-        for key in self._listed - keys:
-            self._remove(key)
-
-    def note_outage_end(self) -> None:
-        """Take no notice: nothing lapses here."""
-
-    def _remove(self, key: str) -> None:
-        if key in self._listed:
-            self._listed.remove(key)
-            self._note(key, None)
-
-
 class NodeLife:
     """One life of the process of a node, and what it has seen.
 
