--- a/tests/support/servers_seen.py
+++ b/tests/support/servers_seen.py
@@ -8,7 +8,7 @@
 
 
 class ServersSeen:
-    """Tells each row that is taken with its version, and each that is gone with None."""
+    """Tells each row that is taken with its version, one that is gone with None."""
 
     def __init__(self, note: Callable[[str, int | None], None]) -> None:
         self._note = note
