--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -1,12 +1,4 @@
-"""A request that ends each server which runs it is not sent to ever more servers.
-
-What was seen: a caller came again and again with one request, each time under a new
-attempt id and at any node. Nine model engines ended under it within 6.4 s, all there
-were, and every other caller was refused until they were back.
-
-The cause: all limits on repeats counted within one attempt, one node or one piece, so a
-request that came again was taken for a new one.
-"""
+"""A request that ends each server which runs it is not sent to ever more servers."""
 
 import asyncio
 
@@ -56,7 +48,7 @@
     @pytest.mark.parametrize("target", ["/stream/single/x", "/stream/resumed/x"])
     async def test_it_ends_three_servers_at_most_over_all_nodes(self, poisoned, target):
         await poisoned.attempts(12, target)
-        assert len(poisoned.ended) <= MOST_ENDED
+        assert 0 < len(poisoned.ended) <= MOST_ENDED
 
     async def test_what_is_refused_is_refused_at_once_and_has_not_run(self, poisoned):
         """It is told when to come back, whichever node it reaches."""
@@ -86,14 +78,14 @@
             node.poison.news._announce = lambda marks: None
             node.membership.members.reachable = lambda: []
         await poisoned.attempts(8)
-        assert len(poisoned.ended) <= MOST_ENDED
+        assert 0 < len(poisoned.ended) <= MOST_ENDED
 
     async def test_nodes_are_enough_for_one_another_while_the_store_is_down(
         self, poisoned
     ):
         poisoned.store.down = True
         await poisoned.attempts(8)
-        assert len(poisoned.ended) <= MOST_ENDED
+        assert 0 < len(poisoned.ended) <= MOST_ENDED
 
     async def test_a_node_that_starts_later_knows_it(self, poisoned):
         await poisoned.attempts(6)
