--- a/tests/test_poison_soak.py
+++ b/tests/test_poison_soak.py
@@ -39,6 +39,7 @@
     def __init__(self, deployment, seed):
         self._deployment = deployment
         self._random = random.Random(f"poison of {seed}")
+        self._kind = self._random.choice(KINDS)
         self._tasks = []
         # Attempts at nodes that had been calm for long enough.
         self.calm_ids = set()
@@ -57,8 +58,7 @@
         node = self._deployment.soak_nodes[number]
         since = asyncio.get_running_loop().time() - CALM_S
         calm = node.calm_since(since)
-        kind = self._random.choice(KINDS)
-        call = await self._deployment.call(number, kind, body=POISON)
+        call = await self._deployment.call(number, self._kind, body=POISON)
         if calm and node.calm_since(since):
             self.calm_ids.add(call.request_id)
 
