The quarantine is compared with a plain model over any order of news

With the end of a tie taken out, or the forgetting by server, it fails; before servers ended under several requests at once in it, it did not notice the first.

--- /dev/null
+++ b/packages/node/tests/test_quarantine_model.py
@@ -0,0 +1,94 @@
+"""The quarantine against a plain model of it, over any order of news."""
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from eelgrass_coordination.ids import BackendId
+from eelgrass_node.process.backends import ServerLife
+from eelgrass_node.process.ended_servers import Fingerprint
+from eelgrass_node.process.quarantine import (
+    MAX_ENDED,
+    REMEMBERED_S,
+    TIE_S,
+    Quarantine,
+)
+from support.clock import Clock
+
+REQUESTS = [Fingerprint(name) for name in "abc"]
+LIVES = [ServerLife(BackendId(f"e{number}")) for number in range(6)]
+requests = st.sampled_from(REQUESTS)
+lives = st.sampled_from(LIVES)
+
+
+class QuarantineMachine(RuleBasedStateMachine):
+    """Keeps the time of each end by request and server, and judges from these alone."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = Clock()
+        self.quarantine = Quarantine(self.clock)
+        self.ended_at = {}
+
+    @rule(running=st.sets(requests, min_size=1), life=lives)
+    def end(self, running, life):
+        """End a server under all requests that it runs."""
+        for request in sorted(running):
+            self.quarantine.take(request, life)
+            self.ended_at.setdefault((request, life), self.clock.now)
+
+    @rule(request=requests, life=lives)
+    def drop(self, request, life):
+        self.quarantine.drop(request, life)
+        self.ended_at.pop((request, life), None)
+
+    @rule(request=requests)
+    def succeed(self, request):
+        self.quarantine.clear(request)
+        for life in LIVES:
+            self.ended_at.pop((request, life), None)
+
+    @rule(passed_s=st.sampled_from([0.5, TIE_S, 60.0, REMEMBERED_S / 2]))
+    def wait(self, passed_s):
+        self.clock.now += passed_s
+        for request in REQUESTS:
+            if self.last_at(request) <= self.clock.now - REMEMBERED_S:
+                self.succeed(request)
+
+    @invariant()
+    def agrees(self):
+        for request in REQUESTS:
+            ended = self.lives_of(request)
+            assert set(self.quarantine.ended_under(request)) == ended
+            assert self.quarantine.suspects(request) == bool(ended)
+            assert self.quarantine.holds(request) == self.is_held(request)
+        known = {request for request, _ in self.ended_at}
+        assert len(self.quarantine) == len(known)
+
+    @invariant()
+    def keeps_nothing_of_what_is_forgotten(self):
+        kept = self.quarantine._requests_by_life
+        pairs = {(request, life) for life, group in kept.items() for request in group}
+        assert pairs == self.ended_at.keys()
+
+    def lives_of(self, request):
+        return {life for known, life in self.ended_at if known == request}
+
+    def last_at(self, request):
+        times = (at for (known, _), at in self.ended_at.items() if known == request)
+        return max(times, default=self.clock.now)
+
+    def is_held(self, request):
+        ended = self.lives_of(request)
+        if len(ended) != MAX_ENDED:
+            return len(ended) > MAX_ENDED
+        others = [self.lives_of(r) for r in REQUESTS if r != request]
+        rivals = [lives for lives in others if lives >= ended]
+        if any(len(lives) > MAX_ENDED for lives in rivals):
+            return False
+        return not rivals or self.clock.now - self.last_at(request) >= TIE_S
+
+
+TestQuarantineModel = QuarantineMachine.TestCase
+TestQuarantineModel.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None
+)
