The test of layers parses without finalizers in between

What was seen: ast.parse raised SystemError (AST constructor recursion depth mismatch) once, right after tests that had failed. Traced: Python 3.11.7 keeps the depth counter of the constructor in the interpreter; where the collector runs a finalizer that parses in the middle of a parse, the outer one fails. A traceback that is formatted parses its source (the marks under a line), so failed tests leave such garbage. The checks are unchanged.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,6 +6,8 @@
 """
 
 import ast
+import gc
+from contextlib import contextmanager
 from pathlib import Path
 
 import eelgrass_node
@@ -31,11 +33,33 @@
 }
 
 
+@contextmanager
+def without_finalizers():
+    """Keep the collector from running finalizers.
+
+    One that formats a traceback parses source itself, and Python 3.11 fails a parse
+    that another one has interrupted: its depth counter is the interpreter's.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
+def parsed(file: Path) -> ast.Module:
+    """Return the syntax tree of a module."""
+    with without_finalizers():
+        return ast.parse(file.read_text())
+
+
 def imported(file: Path) -> set[str]:
     """Return the parts of the node that a module imports."""
     parts = set()
     package = file.relative_to(ROOT).parts[:-1]
-    for node in ast.walk(ast.parse(file.read_text())):
+    for node in ast.walk(parsed(file)):
         if not isinstance(node, ast.ImportFrom) or not node.level:
             continue
         base = package[: len(package) - node.level + 1]
@@ -59,6 +83,33 @@
     return found
 
 
+class ParsesWhenCollected:
+    """Garbage whose finalizer parses, as one does that formats a traceback."""
+
+    def __init__(self):
+        self.itself = self
+
+    def __del__(self):
+        ast.parse("f(1, (2, [3]))")
+
+
+class TestParsed:
+    # Guards against verdicts that hang on what earlier tests left to collect.
+    def test_garbage_that_parses_does_not_end_a_parse(self):
+        thresholds = gc.get_threshold()
+        try:
+            for threshold in range(100, 9000, 200):
+                gc.disable()
+                for _ in range(5):
+                    ParsesWhenCollected()
+                gc.set_threshold(threshold)
+                gc.enable()
+                parsed(ROOT / "entry_node.py")
+                gc.collect()
+        finally:
+            gc.set_threshold(*thresholds)
+
+
 class TestLayers:
     def test_what_lives_long_does_not_import_what_lives_short(self):
         assert breaches().keys() <= EXCEPTIONS
