--- a/packages/node/tests/test_quarantine_model.py
+++ b/packages/node/tests/test_quarantine_model.py
@@ -1,7 +1,7 @@
 """The quarantine against a plain model of it, over any order of news.
 
-The draws are the same on each run; ``EELGRASS_FRESH_DRAWS=1`` plays others by hand. What
-those find becomes a test of its own here.
+The draws are the same on each run; ``EELGRASS_FRESH_DRAWS=1`` plays others by hand.
+What those find becomes a test of its own here.
 """
 
 import os
