Costs of attempts that were given up are asked for until they are told

Cause: an attempt given up before its first piece is cancelled, and the answer of the cancel tells the cost; it was awaited for 0.1 s only, since the next attempt waits for it. A server that is slow to answer is slow to answer the cancel, too.

The test (a stand-in that is silent before the first piece, and answers the cancel after 0.3 s) fails without the mend, as unreported stays 1.

--- a/packages/node/src/eelgrass_node/process/costs.py
+++ b/packages/node/src/eelgrass_node/process/costs.py
@@ -64,11 +64,18 @@
 
     def note(self, request: CallerRequest, cost: StageCost) -> None:
         """Add the cost of one stage of one request."""
+        self._add(request, cost, requests=1)
+
+    def correct(self, request: CallerRequest, cost: StageCost) -> None:
+        """Add what has become known of a stage whose cost was noted before."""
+        self._add(request, cost, requests=0)
+
+    def _add(self, request: CallerRequest, cost: StageCost, requests: int) -> None:
         row = CostRow(
             account=request.account,
             pipeline=request.pipeline.name,
             stage=cost.stage,
-            requests=1,
+            requests=requests,
             attempts=cost.attempts,
             useful_ms=cost.useful_ms,
             wasted_ms=cost.wasted_ms,
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -27,6 +27,7 @@
 from ..connection.peers import PeersInterface
 from ..exceptions import PeerUnreachable
 from ..log import Part, log
+from ..request.late_costs import LateCosts
 from ..request.reasons import DiscardReason, RetryReason
 from ..request.stages import StageEnvironment
 from ..settings import Settings
@@ -62,6 +63,7 @@
         self.incarnation = Incarnation(new_id("run"))
         self.counters = Counters(_statsd_client(settings))
         self.ledger = CostLedger()
+        self.late_costs = LateCosts(self.ledger.correct)
         timing = settings.timing
         self.stopping = Stopping(
             timing.drain_notice_ms / 1000, timing.drain_limit_ms / 1000
@@ -202,6 +204,7 @@
             on_retry=self._count_retry,
             on_discard=self._count_discard,
             on_leaving=self._backend_leaves,
+            on_cost_unknown=self.late_costs.settle,
         )
 
     def _connect(self) -> None:
--- a/packages/node/src/eelgrass_node/request/attempt.py
+++ b/packages/node/src/eelgrass_node/request/attempt.py
@@ -54,7 +54,8 @@
     """What an attempt needs to know.
 
     ``silence_s`` is how long the connection may say nothing once the call has had
-    time to go out, in seconds. ``on_leaving`` is told where the server says it leaves.
+    time to go out, in seconds. ``on_leaving`` is told where the server says it leaves,
+    and ``on_cost_unknown`` where it has not said what a generation has cost.
     """
 
     attempt_id: AttemptId
@@ -64,6 +65,7 @@
     silence_s: float
     on_leaving: Callable[[Backend], None]
     on_discard: Callable[[DiscardReason], None]
+    on_cost_unknown: Callable[["Attempt"], None]
 
 
 class _Refusal(msgspec.Struct):
--- a/packages/node/src/eelgrass_node/request/generation.py
+++ b/packages/node/src/eelgrass_node/request/generation.py
@@ -25,14 +25,12 @@
 from .model import CallerRequest, Emit
 from .reasons import DiscardReason, RetryReason
 
-__all__ = ["Generation"]
+__all__ = ["CancelAnswer", "Generation", "cancel"]
 
 CANCEL_S = 0.1
 HOPE_FRACTION = 0.8
 MAX_AHEAD = 256
 
-_cancelling: set[asyncio.Task] = set()
-
 
 class _Line(msgspec.Struct):
     attempt_id: str
@@ -44,7 +42,9 @@
     cancelled: bool = False
 
 
-class _CancelAnswer(msgspec.Struct):
+class CancelAnswer(msgspec.Struct):
+    """What a server says of an attempt that is to end; no cost if it knows none."""
+
     cancelled: bool = False
     cost_ms: float | None = None
 
@@ -83,11 +83,14 @@
         try:
             result = await guarded(attempt, "/v1/generate", body, self._read)
         except BaseException:
-            _cancel_soon(attempt)
+            attempt.on_cost_unknown(attempt)
             raise
         if result.outcome is AttemptOutcome.UNKNOWN and result.cost_ms is None:
-            cost_ms = await cancel(attempt)
-            result = msgspec.structs.replace(result, cost_ms=cost_ms)
+            answer = await cancel(attempt, CANCEL_S)
+            if answer is None or answer.cost_ms is None:
+                attempt.on_cost_unknown(attempt)
+                return result
+            result = msgspec.structs.replace(result, cost_ms=answer.cost_ms)
         return result
 
     async def _read(
@@ -170,31 +173,25 @@
             raise CallerGone from error
 
 
-async def cancel(attempt: Attempt) -> float | None:
-    """Stop an attempt that is of no more use; return what it cost, if known."""
+async def cancel(attempt: Attempt, within_s: float) -> CancelAnswer | None:
+    """Stop an attempt that is of no more use; None where no answer comes in time."""
     body = msgspec.json.encode({"attempt_id": attempt.attempt_id})
     connections = attempt.backend.connections
     connections.enter()
     try:
-        async with asyncio.timeout(CANCEL_S):
+        async with asyncio.timeout(within_s):
             context = connections.post(
-                "/v1/cancel", body, attempt.attempt_id, CANCEL_S, reuse=False
+                "/v1/cancel", body, attempt.attempt_id, within_s, reuse=False
             )
             async with context as response:
                 answer = await response.read()
-        return msgspec.json.decode(answer, type=_CancelAnswer).cost_ms
+        return msgspec.json.decode(answer, type=CancelAnswer)
     except (aiohttp.ClientError, OSError, msgspec.MsgspecError):
         return None
     finally:
         connections.leave()
 
 
-def _cancel_soon(attempt: Attempt) -> None:
-    task = asyncio.create_task(cancel(attempt))
-    _cancelling.add(task)
-    task.add_done_callback(_cancelling.discard)
-
-
 def _final_result(line: _Line, taken: int, text: str, pieces: int) -> AttemptResult:
     if line.cancelled:
         return unknown(RetryReason.CANCELLED_BY_BACKEND, line.cost_ms)
--- a/packages/node/src/eelgrass_node/request/stages.py
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -43,6 +43,7 @@
     on_retry: Callable[[RetryReason], None]
     on_discard: Callable[[DiscardReason], None]
     on_leaving: Callable[[Backend], None]
+    on_cost_unknown: Callable[[Attempt], None]
 
 
 class StageRun:
@@ -124,7 +125,7 @@
         try:
             result = await self._run_attempt(attempt, stage_input)
         except BaseException:
-            # Given up from outside; nobody hears what it has cost.
+            # Given up from outside; what it has cost is told later, if at all.
             self.cost.attempts += 1
             self.cost.unreported += 1
             raise
@@ -148,6 +149,7 @@
             silence_s=self._silence_bound(),
             on_leaving=environment.on_leaving,
             on_discard=environment.on_discard,
+            on_cost_unknown=environment.on_cost_unknown,
         )
 
     def _silence_bound(self) -> float:
--- a/packages/standins/src/eelgrass_standins/engine.py
+++ b/packages/standins/src/eelgrass_standins/engine.py
@@ -132,6 +132,8 @@
     async def handle_cancel(self, request: web.Request) -> web.Response:
         """Answer ``POST /v1/cancel``."""
         call = msgspec.json.decode(await request.read(), type=ResumeCall)
+        if delay := self.faults.take(request.path, FaultAction.DELAY):
+            await asyncio.sleep(delay.delay_s)
         sequence = self._by_attempt.get(call.attempt_id)
         if sequence is not None:
             self._cancel(sequence)
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -7,6 +7,7 @@
 
 from eelgrass_standins.faults import Fault, FaultAction as Action
 from eelgrass_standins.samples import association
+from support.entry import until
 from support.local import LocalDeployment
 
 GENERATE = "/v1/generate"
@@ -67,6 +68,25 @@
         assert (wasted > 0) == disturb
 
 
+class TestCostsToldLate:
+    # Guards against sums that miss what servers spent on attempts given up early.
+    async def test_an_attempt_that_was_given_up_before_its_first_piece_counts(self):
+        silent = Fault(Action.SILENT_STREAM, GENERATE, times=1, after=0)
+        slow = Fault(Action.DELAY, "/v1/cancel", delay_s=0.3, times=1)
+        spec = association(engines=2, pool_size=2, work=1.0, step_ms=2.0)
+        async with LocalDeployment(spec, nodes=1) as deployment:
+            deployment.fault("model-readers", silent, slow)
+            reply = await deployment.client.call(
+                deployment.callers(0), "revision-check", "late"
+            )
+            assert reply.status == 200
+            await until(lambda: counted(deployment)[2] == 0)
+            busy = sum(entry.busy_ms for entry in deployment.journal())
+            useful, wasted, _ = counted(deployment)
+        assert wasted > 0
+        assert useful + wasted == pytest.approx(busy, rel=PROMISED_ERROR)
+
+
 class TestStoredCosts:
     async def test_they_outlive_a_planned_stop_and_add_up(self):
         async with LocalDeployment(nodes=2, timing={"cost_store_ms": 100}) as running:
