--- a/benchmarks/piece_queue.py
+++ b/benchmarks/piece_queue.py
@@ -125,6 +125,7 @@
             None,
             print,
         ),
+        lambda server: False,
     )
     done = 0
     began = time.process_time()
--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -58,6 +58,7 @@
     makers: tuple[ServerLife, ...] = ()
     account: str | None = None
     request: Fingerprint = Fingerprint("")
+    regions: frozenset[str] | None = None
 
 
 class _Handoff(msgspec.Struct):
@@ -202,6 +203,7 @@
         makers=first.makers,
         account=first.account,
         request=first.request,
+        regions=first.regions,
     )
 
 
@@ -221,6 +223,7 @@
             makers=sent.makers,
             account=sent.account,
             request=sent.request,
+            regions=sent.regions,
         )
         for number in sent.numbers
     ]
--- /dev/null
+++ b/packages/node/src/eelgrass_node/entry_applications.py
@@ -0,0 +1,54 @@
+"""What an entry node answers besides callers: other nodes, the balancer, scrapers."""
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from .connection.peer_state import PeerStateInterface
+from .connection.piece_handoff import HandoffInterface
+from .connection.table_feed import TableFeedInterface
+from .connection.warm_up_calls import WarmUpInterface
+
+if TYPE_CHECKING:
+    from .entry_node import EntryNode
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "metrics_application",
+    "peer_application",
+    "readiness_application",
+]
+
+MAX_BODY_BYTES = 64 << 20
+
+
+def peer_application(node: "EntryNode", handoff: HandoffInterface) -> web.Application:
+    """Return what other nodes may ask."""
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    handoff.add_routes(app)
+    PeerStateInterface(node.peer_state).add_routes(app)
+    TableFeedInterface(node.tables.relay).add_routes(app)
+    WarmUpInterface(node.warm_up.permits).add_routes(app)
+    return app
+
+
+def readiness_application(node: "EntryNode", path: str) -> web.Application:
+    """Return what the balancer asks at a path."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=200 if node.ready else 503)
+
+    app = web.Application()
+    app.router.add_get(path, answer)
+    return app
+
+
+def metrics_application(node: "EntryNode") -> web.Application:
+    """Return what scrapers ask."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(body=node.metrics.text(), content_type="text/plain")
+
+    app = web.Application()
+    app.router.add_get("/metrics", answer)
+    return app
--- a/packages/node/src/eelgrass_node/entry_gauges.py
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -53,6 +53,21 @@
             "table",
             name,
         )
+    for data_centre, since in node.places.evacuations.since_by_data_centre.items():
+        yield Gauge(
+            "evacuated_seconds",
+            "Time since a data centre began to be emptied.",
+            now - since,
+            "data_centre",
+            data_centre,
+        )
+        yield Gauge(
+            "evacuated_in_flight",
+            "Requests that still run in a data centre that is emptied.",
+            node.places.in_flight(data_centre),
+            "data_centre",
+            data_centre,
+        )
     for service, servers in node.backends.by_service.items():
         usable = len(node.backends.usable(service))
         yield Gauge("servers", "Servers listed.", len(servers), "service", service)
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -7,8 +7,6 @@
 import time
 from functools import partial
 
-from aiohttp import web
-
 from eelgrass_coordination import Mark, Member, Membership, MemberState
 from eelgrass_coordination.ids import Revision
 
@@ -16,11 +14,18 @@
 from .connection.listeners import Listeners
 from .connection.listening import listening_at
 from .connection.peer_calls import PeerCalls
-from .connection.peer_state import STATE_CALL, PeerState, PeerStateInterface
+from .connection.peer_state import STATE_CALL, PeerState
 from .connection.piece_calls import PieceCalls
 from .connection.piece_handoff import HandoffClient, HandoffInterface
 from .connection.sockets import new_session
-from .connection.table_feed import TableFeedClient, TableFeedInterface
+from .connection.table_feed import TableFeedClient
+from .connection.warm_up_calls import WarmUpClient
+from .entry_applications import (
+    MAX_BODY_BYTES,
+    metrics_application,
+    peer_application,
+    readiness_application,
+)
 from .entry_gauges import entry_gauges
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
@@ -36,6 +41,7 @@
 from .process.piece_owners import PieceOwners
 from .process.piece_service import LocalPieces
 from .process.pieces import Piece, PieceOutcome
+from .process.places import Places
 from .process.platform_tables import PlatformTables, TableNames
 from .process.poison_requests import PoisonRequests
 from .process.queue_load import QueueLoads
@@ -47,12 +53,11 @@
 from .process.shared_pieces import SharedPieces
 from .process.stopping import Stopping
 from .process.supervision import keep_running
+from .process.warm_up import WarmUp
 from .request.accept import Acceptance
-from .request.arrival import Routed
 from .request.final_times import FinalTimes
-from .request.graph import StagePlan
-from .request.planning import plan_stages, refuse_hopeless
 from .request.serving_parts import ServingParts
+from .request.stage_planner import StagePlanner
 from .version.deployment import ServiceName
 
 __all__ = ["EntryNode"]
@@ -61,7 +66,6 @@
 STOP_NOTICE_S = 2.6
 # Kept back from the time until the process is killed.
 STOP_RESERVE_S = 0.7
-MAX_BODY_BYTES = 64 << 20
 # For the header of a first request, before there is a configuration.
 DEFAULT_HEADER_S = 10.0
 # Another node has its answer at hand; one that is frozen is passed over after this.
@@ -93,7 +97,9 @@
             self._advanced,
         )
         self.server_list = ServerList(
-            self.backends, servers.decode_server, lambda server_id: None
+            self.backends,
+            partial(servers.decode_server, settings.region_by_data_centre),
+            lambda server_id: None,
         )
         self.retries = RetryWindows(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, loop.time
@@ -132,6 +138,24 @@
             partial(self.store.write, CRASHES_TABLE),
             self.counters.count,
         )
+        self.places = Places(
+            self.backends,
+            configuration.EVACUATION_PREFIX,
+            lambda: self.tables.operator.complete_to,
+            lambda: self.tables.operator.reachable,
+            lambda: self.deployments.current,
+            self.membership.announce_mark,
+            loop.time,
+        )
+        self.warm_up = WarmUp(
+            self.membership,
+            settings.other_seeds(),
+            bounds.warm_up,
+            lambda: self.deployments.current,
+            WarmUpClient(self.peer_calls).ask,
+            loop.time,
+            self.counters.count,
+        )
         self.pieces = LocalPieces(
             self.backends,
             lambda: self.deployments.current,
@@ -142,6 +166,7 @@
             stage_calls.maker_of,
             self.metrics.note_wait,
             self.poison,
+            self.warm_up.admission.is_bounded,
         )
         self.backends.on_change = self.pieces.servers_changed
         self.membership.on_mark = self._mark_heard
@@ -161,7 +186,9 @@
             deployments=self.deployments,
             server_list=self.server_list,
             crashes=self.poison.table,
+            evacuations=self.places.evacuations,
             apply_s=bounds.apply_s,
+            evacuate_s=bounds.evacuate_s,
             drain_s=bounds.drain_s,
             clock=loop.time,
         )
@@ -247,7 +274,8 @@
         await self.peer_session.close()
         await self.store.close()
 
-    def _state(self) -> PeerState:
+    def peer_state(self) -> PeerState:
+        """Return what this node knows of the tables, for other nodes."""
         tables = self.tables
         return PeerState(
             tables.operator.rows(), tables.servers.rows(), tables.crashes.rows()
@@ -270,24 +298,29 @@
         """Return where other nodes may be found, as far as is known."""
         members = self.membership.members.reachable()
         known = [member.internal for member in members]
-        seeds = [s for s in self.settings.seeds if s != self.settings.internal]
-        return known or seeds
+        return known or list(self.settings.other_seeds())
 
     async def _listen_callers(self) -> None:
+        planner = StagePlanner(
+            self.choice.choose,
+            lambda: self.deployments.current,
+            self.queue_loads,
+            self.final_times,
+        )
         parts = ServingParts(
             codec=requests,
             choose=self.choice.choose,
+            admit=self.warm_up.admission.admit,
             warm_engine=self.choice.warm_engine,
             data_centre_of=self.pieces.data_centre_of,
             is_over=self.backends.is_over,
-            plan=self._plan,
-            refuse_hopeless=self._refuse_hopeless,
+            plan=planner.plan,
+            refuse_hopeless=planner.refuse_hopeless,
             run_pieces=self.shared_pieces.run,
             free_results=self.shared_pieces.free,
             final_times=self.final_times,
             retries=self.retries,
             reach=self.reach,
-            note_load=_note_load,
             server_gone=self._server_replaced,
             server_fails=self.failing.note_failure,
             poison=self.poison,
@@ -304,25 +337,6 @@
         deployment = self.deployments.current
         return DEFAULT_HEADER_S if deployment is None else deployment.limits.header_s
 
-    def _plan(self, routed: Routed) -> StagePlan:
-        prompt = routed.arrival.prompt
-        expected = self.choice.choose(
-            routed.service, prompt.shared_part(), prompt.shared_tokens(), frozenset()
-        )
-        near = "" if expected is None else expected.entry.data_centre
-        return plan_stages(
-            routed, self.deployments.current, near, self._final_s(routed)
-        )
-
-    def _refuse_hopeless(self, routed: Routed) -> float | None:
-        return refuse_hopeless(
-            routed, self.deployments.current, self.queue_loads, self._final_s(routed)
-        )
-
-    def _final_s(self, routed: Routed) -> float:
-        """Return how long a request takes once its stages are done."""
-        return self.final_times.expected_s(routed.route.name)
-
     async def _run_handed_over(
         self, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
@@ -336,37 +350,24 @@
             self.pieces.load,
             self.pieces.free,
         )
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
-        interface.add_routes(app)
-        PeerStateInterface(self._state).add_routes(app)
-        TableFeedInterface(self.tables.relay).add_routes(app)
         await self._listeners.serve_app(
-            app,
+            peer_application(self, interface),
             self.settings.internal,
             handler_cancellation=True,
             keepalive_timeout=PEER_IDLE_S,
         )
 
     async def _listen_readiness(self) -> None:
-        app = web.Application()
-        app.router.add_get(READY_PATH, self._answer_ready)
+        app = readiness_application(self, READY_PATH)
         await self._listeners.serve_app(app, self.settings.readiness)
 
     async def _listen_metrics(self, address: str) -> None:
-        app = web.Application()
-        app.router.add_get("/metrics", self._answer_metrics)
         try:
-            await self._listeners.serve_app(app, address)
+            await self._listeners.serve_app(metrics_application(self), address)
         except OSError as error:
             # Serving goes on: metrics are no reason to refuse callers.
             log(Part.NODE, "No metrics.", address=address, error=repr(error))
 
-    async def _answer_metrics(self, request: web.Request) -> web.Response:
-        return web.Response(body=self.metrics.text(), content_type="text/plain")
-
-    async def _answer_ready(self, request: web.Request) -> web.Response:
-        return web.Response(status=200 if self.ready else 503)
-
     def _members_changed(self) -> None:
         for member in self.membership.members.by_id.values():
             if member.state is MemberState.SUSPECT:
@@ -382,6 +383,7 @@
     def _mark_heard(self, mark: Mark) -> None:
         self.failing.hear(mark)
         self.poison.news.hear(mark)
+        self.places.news.hear(mark)
 
     def _advanced(self, number: int) -> None:
         self.membership.announce_revision(Revision(number))
@@ -392,9 +394,3 @@
 
 def _unix_ms() -> int:
     return time.time_ns() // 1_000_000
-
-
-def _note_load(backend: Backend, head) -> None:
-    if head.load is not None:
-        running, waiting, _ = head.load
-        backend.note_load(running, waiting)
--- a/packages/node/src/eelgrass_node/platform/configuration.py
+++ b/packages/node/src/eelgrass_node/platform/configuration.py
@@ -17,10 +17,17 @@
     WeightedService,
 )
 
-__all__ = ["CONFIGURATION_KEY", "OPERATOR_TABLE", "decode_deployment"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "OPERATOR_TABLE",
+    "decode_deployment",
+]
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Of the keys of rows that each name a data centre to be emptied.
+EVACUATION_PREFIX = "evacuate/"
 
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -65,6 +72,7 @@
     stages: tuple[_Stage, ...] | None = None
     public: bool = False
     stream_resume: bool = False
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class _Engine(_Wire):
@@ -88,6 +96,9 @@
 class _Service(_Wire):
     name: str
     max_connections: int = 100
+    warmup_s: float = 0.0
+    # New requests that a cold server bears in a second.
+    warmup_per_s: float = 0.0
     engine: _Engine | None = None
     # The wire calls the pieces of a stage segments.
     segments: _Segments | None = None
@@ -104,6 +115,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class _Configuration(_Wire):
@@ -141,9 +153,7 @@
         routes_by_host=ordered,
         service_by_name={s.name: _service(s) for s in wire.services},
         account_by_key={
-            key: AccountGrant(tenant.name, tenant.priority)
-            for tenant in tenants
-            for key in tenant.api_keys
+            key: _account(tenant) for tenant in tenants for key in tenant.api_keys
         },
         has_accounts=bool(tenants),
         limits=CallerLimits(
@@ -155,6 +165,10 @@
     )
 
 
+def _account(wire: _Tenant) -> AccountGrant:
+    return AccountGrant(wire.name, wire.priority, frozenset(wire.allowed_regions or ()))
+
+
 def _route(wire: _Route) -> Route:
     if wire.backends:
         services = tuple(
@@ -181,6 +195,7 @@
         stages=tuple(_stage(stage) for stage in wire.stages or ()),
         public=wire.public,
         resumable=wire.stream_resume,
+        regions=frozenset(wire.allowed_regions or ()),
     )
 
 
@@ -209,4 +224,11 @@
             memory_bytes=segments.headroom_mb * 1e6,
             result_life_s=segments.handle_s,
         )
-    return Service(ServiceName(wire.name), wire.max_connections, model, pieces)
+    return Service(
+        name=ServiceName(wire.name),
+        max_connections=wire.max_connections,
+        model=model,
+        pieces=pieces,
+        warm_up_s=wire.warmup_s,
+        warm_up_per_s=wire.warmup_per_s,
+    )
--- a/packages/node/src/eelgrass_node/platform/servers.py
+++ b/packages/node/src/eelgrass_node/platform/servers.py
@@ -6,6 +6,7 @@
 
 import ipaddress
 import time
+from collections.abc import Mapping
 
 import msgspec
 
@@ -48,7 +49,9 @@
 _decoder = msgspec.json.Decoder(_Server)
 
 
-def decode_server(server_id: str, value: bytes) -> HostEntry:
+def decode_server(
+    region_by_data_centre: Mapping[str, str], server_id: str, value: bytes
+) -> HostEntry:
     """Decode the entry of a server; raises :class:`ServerEntryMalformed`."""
     try:
         wire = _decoder.decode(value)
@@ -63,6 +66,8 @@
         limit=wire.slots,
         state=_STATES[wire.state],
         started=wire.born,
+        region=region_by_data_centre.get(wire.zone, ""),
+        warm_up_s=wire.warmup_left_ms / 1000,
     )
 
 
--- a/packages/node/src/eelgrass_node/platform/settings.py
+++ b/packages/node/src/eelgrass_node/platform/settings.py
@@ -9,6 +9,7 @@
 
 from ..exceptions import SettingsError
 from ..process.host_settings import HostSettings, ServingBounds, StoreSettings
+from ..process.warm_up import WarmUpBounds
 
 __all__ = ["METRICS_PORT", "load_host_settings"]
 
@@ -43,6 +44,9 @@
     drain_ms: float = 2000.0
     config_apply_ms: float = 2000.0
     reuse_window_s: float = 9.0
+    evacuate_ms: float = 5000.0
+    warmup_overage: float = 1.0
+    warmup_slack: float = 0.0
 
 
 class _Store(_Wire):
@@ -60,6 +64,8 @@
     # The wire gives a range of ports free for traffic between our processes.
     port_range: tuple[int, int]
     seeds: tuple[str, ...] = ()
+    # The region of each data centre.
+    zones: dict[str, str] = {}
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     heartbeat_ms: float = 1000.0
@@ -93,6 +99,7 @@
         metrics=f"{wire.bind_ip}:{METRICS_PORT}",
         cores=wire.limits.cpu_share * wire.limits.cores,
         link_bits_per_s=wire.limits.bandwidth_mbps * 1e6,
+        region_by_data_centre=wire.zones,
         bounds=ServingBounds(
             stop_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget,
@@ -102,6 +109,8 @@
             apply_s=bounds.config_apply_ms / 1000,
             reuse_s=bounds.reuse_window_s,
             heartbeat_s=wire.heartbeat_ms / 1000,
+            evacuate_s=bounds.evacuate_ms / 1000,
+            warm_up=WarmUpBounds(bounds.warmup_overage, bounds.warmup_slack),
         ),
     )
 
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -10,8 +10,16 @@
 from eelgrass_coordination.ids import BackendId, DataCentre
 
 from ..connection.backend import BackendConnections
+from ..log import Part, log
 
-__all__ = ["Backend", "BackendState", "Backends", "HostEntry", "ServerLife"]
+__all__ = [
+    "MAX_WARM_UP_S",
+    "Backend",
+    "BackendState",
+    "Backends",
+    "HostEntry",
+    "ServerLife",
+]
 
 # How long a call takes changes within seconds, as a server turns slow or well.
 CALL_HALF_LIFE_S = 5.0
@@ -28,6 +36,8 @@
 # A server without failures for this long begins with the first suspicion again;
 # one that fails part of its calls succeeds in between.
 FORGIVEN_S = 10.0
+# A server that says to be cold for longer than this is mistaken: it would be shut out.
+MAX_WARM_UP_S = 60.0
 # How long a load that a server told is worth more than our own counts: the
 # usual request takes about half of this.
 TOLD_LOAD_S = 1.5
@@ -57,7 +67,8 @@
     """A backend server in the platform's host list.
 
     ``started`` tells apart the lives of a server, the newer by the greater
-    number; ``limit`` is how many calls it takes at a time.
+    number; ``limit`` is how many calls it takes at a time. ``warm_up_s`` is how much
+    longer it said to be cold, and ``region`` is that of its data centre.
     """
 
     id: BackendId
@@ -68,6 +79,8 @@
     state: BackendState = BackendState.LIVE
     started: int = 0
     checks_fencing: bool = True
+    region: str = ""
+    warm_up_s: float = 0.0
 
     @property
     def life(self) -> ServerLife:
@@ -96,10 +109,38 @@
         self._failures = 0
         self.call_s = MovingAverage(0.0)
         self._called_at = 0.0
+        self._told_cold_until = self._taken_for_cold_until = float("-inf")
         self._told_load: tuple[int, int] = (0, 0)
         self._told_at = float("-inf")
         self._in_flight_then = 0
 
+    def take_entry(self, entry: HostEntry) -> None:
+        """Take in what the server says of itself now."""
+        self.entry = entry
+        if entry.warm_up_s > MAX_WARM_UP_S:
+            log(
+                Part.HOSTS,
+                "A server is taken for warm sooner than it says.",
+                backend=entry.id,
+                warm_up_s=entry.warm_up_s,
+            )
+        self._told_cold_until = float("-inf")
+        if entry.warm_up_s > 0:
+            now = asyncio.get_running_loop().time()
+            self._told_cold_until = now + min(entry.warm_up_s, MAX_WARM_UP_S)
+
+    def take_for_cold(self, for_s: float) -> None:
+        """Take the server for cold for so long, whatever it says of itself."""
+        self._taken_for_cold_until = asyncio.get_running_loop().time() + for_s
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether it bears only few new requests a second."""
+        return now < max(self._told_cold_until, self._taken_for_cold_until)
+
+    def is_in(self, regions: frozenset[str] | None) -> bool:
+        """Return whether it is in one of some regions; None stands for all."""
+        return regions is None or self.entry.region in regions
+
     def suspect(self) -> None:
         """Prefer other servers for a while, twice as long after each failure.
 
@@ -187,6 +228,8 @@
         self.by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, Backend] = {}
         self.leaving: dict[BackendId, int] = {}
+        # Whether a data centre is being emptied.
+        self.is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False
         self._live_nodes = 1
 
     def update(self, entries: list[HostEntry]) -> list[HostEntry]:
@@ -228,7 +271,17 @@
     def usable(self, service: str) -> list[Backend]:
         """Return the servers of a service that may get new work."""
         servers = self.by_service.get(service, ())
-        return [backend for backend in servers if not self.is_leaving(backend)]
+        return [backend for backend in servers if self._may_work(backend)]
+
+    def in_data_centre(self, data_centre: DataCentre) -> list[Backend]:
+        """Return all servers of a data centre."""
+        servers = self.by_id.values()
+        return [s for s in servers if s.entry.data_centre == data_centre]
+
+    def places_changed(self) -> None:
+        """Have everything look again at where servers may get work."""
+        for service in self.by_service:
+            self.on_change(service)
 
     def is_over(self, life: ServerLife) -> bool:
         """Return whether a server is known to have started again since a life."""
@@ -247,14 +300,18 @@
         for backend in self.by_id.values():
             share = share_of_limit(backend.entry.limit, count)
             backend.window = max(1.0, min(backend.window, share))
-        for service in self.by_service:
-            self.on_change(service)
+        self.places_changed()
 
     async def close(self) -> None:
         """Close all connections."""
         for backend in self.by_id.values():
             await backend.connections.close()
 
+    def _may_work(self, backend: Backend) -> bool:
+        if self.is_leaving(backend):
+            return False
+        return not self.is_evacuated(backend.entry.data_centre)
+
     def _note_leaving(self, entry: HostEntry) -> bool:
         return self.mark_leaving(entry.id, entry.started)
 
@@ -270,13 +327,15 @@
                 # What still waits for the earlier life would wait in vain.
                 backend.connections.abort()
             backend = None
+        is_new = backend is None
         if backend is None:
             backend = Backend(entry)
             backend.window = float(share_of_limit(entry.limit, self._live_nodes))
             if not is_first:
                 backend.listed_at = asyncio.get_running_loop().time()
             self.by_id[entry.id] = backend
-        backend.entry = entry
+        if is_new or backend.entry is not entry:
+            backend.take_entry(entry)
 
     def _remove(self, backend_id: BackendId) -> None:
         # Calls in flight keep the object, and its connections, until they end.
--- a/packages/node/src/eelgrass_node/process/host_settings.py
+++ b/packages/node/src/eelgrass_node/process/host_settings.py
@@ -7,6 +7,8 @@
 from eelgrass_coordination import Member
 from eelgrass_coordination.ids import DataCentre, NodeId
 
+from .warm_up.pace import WarmUpBounds
+
 __all__ = ["HostSettings", "ServingBounds", "StoreSettings"]
 
 # The traffic of a queue's owner that uses up a core: some 800 sets a second (see
@@ -29,7 +31,8 @@
     any ``retry_window_s``, and ``retry_slack`` calls more. A server that leaves
     gets no new work after ``drain_s``; a configuration is in force after
     ``apply_s``. A cached part of a prompt counts as such for ``reuse_s`` after
-    its last use.
+    its last use. The servers of a data centre that is emptied get no new work after
+    ``evacuate_s``, and cold ones no more than ``warm_up`` says.
     """
 
     stop_s: float
@@ -40,6 +43,8 @@
     apply_s: float
     reuse_s: float
     heartbeat_s: float
+    evacuate_s: float = 5.0
+    warm_up: WarmUpBounds = WarmUpBounds()
 
 
 class HostSettings(msgspec.Struct, frozen=True):
@@ -49,6 +54,7 @@
     each listens for gossip at ``seed_gossip_port``. ``metrics`` is where scrapers
     ask, None for nowhere. ``cores`` is the processor time that the node has, in
     cores of usual speed, and ``link_bits_per_s`` the speed of its network link.
+    ``region_by_data_centre`` knows all data centres.
     """
 
     node: NodeId
@@ -66,6 +72,7 @@
     metrics: str | None = None
     cores: float = 1.0
     link_bits_per_s: float = 1e9
+    region_by_data_centre: dict[str, str] = {}
 
     def capacity(self) -> float:
         """Return how much work for all nodes this one can take on, in cores."""
@@ -82,6 +89,10 @@
             capacity=round(self.capacity(), 2),
         )
 
+    def other_seeds(self) -> tuple[str, ...]:
+        """Return the internal addresses of the seeds but its own."""
+        return tuple(seed for seed in self.seeds if seed != self.internal)
+
     def seed_gossip(self) -> list[str]:
         """Return the gossip addresses of the seeds."""
         hosts = (seed.rpartition(":")[0] for seed in self.seeds)
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -249,7 +249,8 @@
         sets = [
             pieces
             for pieces in self._waiting
-            if not self._waits_for_near(pieces[0], server, now)
+            if server.is_in(pieces[0].regions)
+            and not self._waits_for_near(pieces[0], server, now)
         ]
         return take_batch(
             sorted(sets, key=lambda pieces: self._order(pieces[0], place, now)),
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -33,7 +33,8 @@
 
     ``maker_of`` gives the address of the server that holds a result, and
     ``note_wait`` is told how long the pieces of a service waited, in seconds.
-    ``poison`` knows the requests that are not sent to servers any more.
+    ``poison`` knows the requests that are not sent to servers any more, and
+    ``is_bounded`` the servers that are cold and get no pieces until they are warm.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         maker_of: Callable[[str], str],
         note_wait: Callable[[str, float], None],
         poison: PoisonRequests,
+        is_bounded: Callable[[Backend], bool],
     ) -> None:
         self._backends = backends
         self._deployment = deployment
@@ -57,6 +59,7 @@
         self._maker_of = maker_of
         self._note_wait = note_wait
         self._poison = poison
+        self._is_bounded = is_bounded
         self._tasks: set[asyncio.Task] = set()
         self.by_service: dict[ServiceName, PieceQueue] = {}
 
@@ -65,7 +68,7 @@
     ) -> list[PieceOutcome]:
         """Run pieces of one stage and return their outcomes, in order."""
         self._retries.note_request(service)
-        if not self._backends.usable(service):
+        if not self._usable(service, pieces[0].regions):
             return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
         return await self.queue(service).run(pieces)
 
@@ -74,7 +77,7 @@
 
         One that has just started is a member before it has read the list.
         """
-        return bool(self._backends.usable(service))
+        return bool(self._backends.by_service.get(service))
 
     def load(self, service: ServiceName) -> QueueLoad:
         """Return the load of the queue of a service, for other nodes."""
@@ -87,7 +90,10 @@
             by_address.setdefault(self._maker_of(handle), []).append(handle)
         for address, held in by_address.items():
             backend = self._backends.at_address(address)
-            if backend is not None:
+            if backend is None:
+                continue
+            # Nothing is sent to a data centre that is emptied; results expire there.
+            if not self._backends.is_evacuated(backend.entry.data_centre):
                 task = asyncio.create_task(self._free(service, backend, held))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
@@ -104,7 +110,7 @@
             found = self.by_service[service] = PieceQueue(
                 service,
                 lambda: self._limits(service),
-                lambda: self._backends.usable(service),
+                lambda: self._usable(service),
                 self._reach,
                 self.data_centre_of,
                 self._backends.is_over,
@@ -121,6 +127,16 @@
         if queue is not None:
             queue.fill()
 
+    def _usable(
+        self, service: ServiceName, regions: frozenset[str] | None = None
+    ) -> list[Backend]:
+        """Return the servers of a service in some regions that may get pieces."""
+        return [
+            server
+            for server in self._backends.usable(service)
+            if server.is_in(regions) and not self._is_bounded(server)
+        ]
+
     async def _call(
         self, backend: Backend, pieces: list[Piece], within_s: float
     ) -> list[PieceOutcome]:
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -39,7 +39,8 @@
     the pieces of its stage of its request, ``begun``
     says that others of its set have been run, whose results wait for it, and
     ``tries`` counts the calls it was in, and ``request`` is the fingerprint of the
-    request, by which its other attempts are known.
+    request, by which its other attempts are known. ``regions`` are those to which it
+    is bound, None for any.
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     set_size: int = 1
     tries: int = 0
     request: Fingerprint = Fingerprint("")
+    regions: frozenset[str] | None = None
 
 
 class PieceOutcome(msgspec.Struct, frozen=True):
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -8,6 +8,7 @@
 
 from .crash_table import CrashTable
 from .deployments import DeploymentInForce
+from .places import Evacuations
 from .server_list import ServerList
 from .store_tables import FollowedTable, StoredRow
 from .table_relay import AskRelay, RelayedReader, StoreReader, TableRelay, relays_of
@@ -42,9 +43,10 @@
     """Follows the tables, and relays them to other nodes of the data centre.
 
     ``own`` and ``members`` return this node and the others that may be reached;
-    ``ask_relay`` asks one of them. ``deployments``, ``server_list`` and ``crashes``
-    take in what is read. A configuration must be in force ``apply_s`` after
-    it was confirmed, and a server that leaves must get no new work after ``drain_s``.
+    ``ask_relay`` asks one of them. ``deployments``, ``server_list``, ``crashes`` and
+    ``evacuations`` take in what is read. A configuration must be in force ``apply_s``
+    after it was confirmed, an evacuation ``evacuate_s`` after, and a server that leaves
+    must get no new work after ``drain_s``.
     ``clock`` returns seconds.
     """
 
@@ -59,7 +61,9 @@
         deployments: DeploymentInForce,
         server_list: ServerList,
         crashes: CrashTable,
+        evacuations: Evacuations,
         apply_s: float,
+        evacuate_s: float,
         drain_s: float,
         clock: Callable[[], float],
     ) -> None:
@@ -73,11 +77,11 @@
         self.operator = FollowedTable(
             reader,
             names.operator,
-            deployments.take_rows,
-            lambda keys: None,
-            lambda: None,
+            self._take_operator_rows,
+            evacuations.take_whole,
+            evacuations.note_store_return,
             CONFIGURATION_WAIT_S,
-            apply_s,
+            min(apply_s, evacuate_s),
         )
         self.servers = FollowedTable(
             reader,
@@ -98,6 +102,7 @@
             apply_s,
         )
         self._deployments = deployments
+        self._evacuations = evacuations
         self._table_by_name = {
             names.operator: self.operator,
             names.servers: self.servers,
@@ -105,6 +110,10 @@
         }
         self.relay = TableRelay(self._table_by_name, reader.reads_itself)
 
+    def _take_operator_rows(self, rows: tuple[StoredRow, ...], source: str) -> None:
+        self._deployments.take_rows(rows, source)
+        self._evacuations.take_rows(rows)
+
     def row(self, table: str, key: str) -> StoredRow | None:
         """Return a row as it is known here."""
         return self._table_by_name[table].row(key)
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from eelgrass_coordination.ids import DataCentre
 
 from ..version.deployment import Deployment, ServiceName
@@ -10,7 +12,25 @@
 from .placement import place_plain, place_prompt, warm_engine
 from .reach import DataCentreReach
 
-__all__ = ["ServerChoice"]
+__all__ = ["ServerChoice", "ServerWish"]
+
+
+class ServerWish(msgspec.Struct, frozen=True):
+    """What a request asks of the server of ``service`` that it goes to.
+
+    ``subject`` names the last part of a prompt that others share, and
+    ``shared_tokens`` counts the tokens up to it. Those ``tried`` are rather not to be
+    chosen again. ``inputs_at`` is the data centre that holds large results which the
+    server has to fetch, and ``regions`` are those to which the request is bound, None
+    for any.
+    """
+
+    service: ServiceName
+    subject: str | None = None
+    shared_tokens: int = 0
+    tried: frozenset[ServerLife] = frozenset()
+    inputs_at: str = ""
+    regions: frozenset[str] | None = None
 
 
 class ServerChoice:
@@ -28,29 +48,24 @@
         self._reach = reach
         self._deployment = deployment
 
-    def choose(
-        self,
-        service: ServiceName,
-        subject: str | None,
-        shared_tokens: int,
-        tried: frozenset[ServerLife],
-        inputs_at: str = "",
-    ) -> Backend | None:
-        """Return a server, or None where the service has none in use.
-
-        ``subject`` names the last part of a prompt that others share, and
-        ``shared_tokens`` counts the tokens up to it. ``inputs_at`` is the data
-        centre that holds large results which the server has to fetch.
-        """
+    def choose(self, wish: ServerWish) -> Backend | None:
+        """Return a server, or None where the service has none in use."""
         now = asyncio.get_running_loop().time()
-        servers = self._reach.sound(self._backends.usable(service), tried)
+        usable = self._backends.usable(wish.service)
+        allowed = [server for server in usable if server.is_in(wish.regions)]
+        servers = self._reach.sound(allowed, wish.tried)
         if not servers:
             return None
         deployment = self._deployment()
-        known = deployment and deployment.service_by_name.get(service)
+        known = deployment and deployment.service_by_name.get(wish.service)
         if known and known.model is not None:
             return place_prompt(
-                servers, subject, shared_tokens, self._data_centre, inputs_at, now
+                servers,
+                wish.subject,
+                wish.shared_tokens,
+                self._data_centre,
+                wish.inputs_at,
+                now,
             )
         return place_plain(servers, self._data_centre, now)
 
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -141,6 +141,11 @@
             return None
         return before
 
+    @property
+    def complete_to(self) -> int:
+        """The version up to which all changes are known; -1 before the first read."""
+        return self._version
+
     def whole(self) -> TableChanges:
         """Return all rows that there are, as of the version that is known.
 
@@ -221,6 +226,12 @@
         self._whole = True
         self._complete_from = changes.version
         keys = {row.key for row in changes.rows}
+        # What other nodes have told of may be newer than what was read.
+        keys |= {
+            row.key
+            for row in self._row_by_key.values()
+            if row.version > changes.version and row.value is not None
+        }
         for key in self._row_by_key.keys() - keys:
             del self._row_by_key[key]
             self._before_by_key.pop(key, None)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/warm_up/admission.py
@@ -0,0 +1,78 @@
+"""Asks whether a request may go to a server, which may be cold."""
+
+from collections.abc import Awaitable, Callable
+
+from eelgrass_coordination import Member, MemberState
+
+from ...exceptions import PeerUnreachable
+from ...log import Part, log
+from ..backends import Backend, ServerLife
+from .pace import WarmUpRates
+from .permits import ASK_AGAIN_S, Permit, WarmUpPermits
+
+__all__ = ["WarmUpAdmission"]
+
+# Permits that come later than this may arrive in the same second as many after them.
+FRESH_S = 0.3
+
+AskOwner = Callable[[Member, ServerLife, str], Awaitable[Permit]]
+
+GRANTED = Permit(True)
+
+
+class WarmUpAdmission:
+    """Asks the owners of permits, which may be this node itself.
+
+    ``ask_owner`` asks another node for a permit for a server of a service; it raises
+    :class:`PeerUnreachable`. ``clock`` returns seconds.
+    """
+
+    def __init__(
+        self,
+        permits: WarmUpPermits,
+        rates: WarmUpRates,
+        ask_owner: AskOwner,
+        clock: Callable[[], float],
+        count: Callable[[str], None],
+    ) -> None:
+        self._permits = permits
+        self._rates = rates
+        self._ask_owner = ask_owner
+        self._clock = clock
+        self._count = count
+
+    def is_bounded(self, server: Backend) -> bool:
+        """Return whether a server is cold and gets only so much until it is warm."""
+        if not server.is_cold(self._clock()):
+            return False
+        return self._rates.is_bounded(server.entry.service)
+
+    async def admit(self, server: Backend) -> Permit:
+        """Return a permit for one request to a server that was chosen."""
+        if not self.is_bounded(server):
+            return GRANTED
+        permit = await self._ask(server.entry.life, server.entry.service)
+        self._count("warm-up.permit" if permit.granted else "warm-up.refused")
+        return permit
+
+    async def _ask(self, life: ServerLife, service: str) -> Permit:
+        owner = self._permits.owner(life)
+        if self._permits.is_own(owner.id):
+            return self._permits.ask(life, service)
+        if owner.state is MemberState.DEAD:
+            return Permit(False, ASK_AGAIN_S)
+        asked_at = self._clock()
+        try:
+            permit = await self._ask_owner(owner, life, service)
+        except PeerUnreachable as error:
+            log(
+                Part.HOSTS,
+                "No permit for a cold server.",
+                backend=life.id,
+                owner=owner.id,
+                error=str(error),
+            )
+            return Permit(False, ASK_AGAIN_S)
+        if self._clock() - asked_at > FRESH_S:
+            return Permit(False)
+        return permit
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/warm_up/warm_up.py
@@ -0,0 +1,39 @@
+"""What one node does about cold servers, put together."""
+
+from collections.abc import Callable
+
+from eelgrass_coordination import Membership
+
+from ...version.deployment import Deployment
+from .admission import AskOwner, WarmUpAdmission
+from .pace import WarmUpBounds, WarmUpRates
+from .permits import WarmUpPermits
+
+__all__ = ["WarmUp"]
+
+
+class WarmUp:
+    """The permits that a node hands out, and how it asks for them.
+
+    ``other_seeds`` are the nodes that its settings name besides itself.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        other_seeds: tuple[str, ...],
+        bounds: WarmUpBounds,
+        deployment: Callable[[], Deployment | None],
+        ask_owner: AskOwner,
+        clock: Callable[[], float],
+        count: Callable[[str], None],
+    ) -> None:
+        rates = WarmUpRates(bounds, deployment)
+        self.permits = WarmUpPermits(
+            lambda: membership.own,
+            lambda: list(membership.members.by_id.values()),
+            other_seeds,
+            rates,
+            clock,
+        )
+        self.admission = WarmUpAdmission(self.permits, rates, ask_owner, clock, count)
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/admitted.py
@@ -0,0 +1,42 @@
+"""Picks a server that may get a request now, though some are cold."""
+
+import msgspec
+
+from ..exceptions import RequestRefused
+from ..process.backends import Backend, ServerLife
+from ..process.server_choice import ServerWish
+from .serving_parts import ServingParts
+
+__all__ = ["admitted_server"]
+
+# Cold servers that are asked for in vain, before a request is refused: each may cost a
+# call to another node.
+MAX_DENIED = 4
+# When to come back, in seconds: a server that is started anew is listed after about its
+# heartbeat of 1.2 s, and cold ones take a few requests a second each.
+NO_SERVER_RETRY_S = 0.5
+COLD_RETRY_S = 0.4
+MIN_RETRY_S = 0.1
+
+
+async def admitted_server(parts: ServingParts, wish: ServerWish) -> Backend:
+    """Return a server that may get the request now.
+
+    Raises :class:`RequestRefused` where there is none, or where those that are left are
+    cold and get as much as they bear.
+    """
+    denied: frozenset[ServerLife] = frozenset()
+    again_s = COLD_RETRY_S
+    while len(denied) < MAX_DENIED:
+        tried = wish.tried | denied
+        server = parts.choose(msgspec.structs.replace(wish, tried=tried))
+        if server is None:
+            raise RequestRefused("no server of the service", NO_SERVER_RETRY_S)
+        if server.entry.life in denied:
+            break
+        permit = await parts.admit(server)
+        if permit.granted:
+            return server
+        denied |= {server.entry.life}
+        again_s = max(MIN_RETRY_S, min(again_s, permit.after_s))
+    raise RequestRefused("the servers are warming up", again_s)
--- a/packages/node/src/eelgrass_node/request/arrival.py
+++ b/packages/node/src/eelgrass_node/request/arrival.py
@@ -106,6 +106,16 @@
         """The name of the client account, where the request belongs to one."""
         return None if self.account is None else self.account.name
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """The regions to which both route and account bind the request.
+
+        None where neither binds it; none are left where they contradict each other.
+        """
+        account_regions = self.account.regions if self.account else frozenset()
+        bounds = [bound for bound in (self.route.regions, account_regions) if bound]
+        return frozenset.intersection(*bounds) if bounds else None
+
     @property
     def priority(self) -> int:
         """The rank of the request; 0 is the most urgent."""
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -212,6 +212,7 @@
                 makers=known_makers,
                 account=routed.account_name,
                 request=self._fingerprint,
+                regions=routed.regions,
             )
             for piece in numbers
         ]
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -22,7 +22,9 @@
 from ..process.backends import Backend, ServerLife
 from ..process.ended_servers import Fingerprint
 from ..process.pieces import Piece, PieceOutcome
+from ..process.server_choice import ServerWish
 from ..version.deployment import RouteKind, ServiceName
+from .admitted import admitted_server
 from .answering import CallerAnswer
 from .arrival import EngineHead, Routed
 from .events import EventSplitter
@@ -50,9 +52,7 @@
 # memory for them is scarcer than anything else in a burst. One that is asked
 # for later is gone, and the engine says so without having run.
 FETCHED_S = 0.06
-# When to come back, in seconds: a restarted server is listed after about its
-# heartbeat of 1.2 s, and a place comes free within a call or two.
-RETRY_NO_SERVER_S = 0.5
+# When to come back, in seconds: a place comes free within a call or two.
 RETRY_FULL_S = 0.4
 # Callers wait at most a third of the time that they have left (the users'
 # protocol); what they are told is spread upwards by up to a third.
@@ -135,7 +135,7 @@
             if self._graph.released:
                 inputs = await self._run_stages()
             self._check_quarantine()
-            backend = self._choose()
+            backend = await admitted_server(self._parts, self._wish())
             backend.in_flight += 1
             self._calling = True
             try:
@@ -183,7 +183,7 @@
     def _inputs_at(self) -> str:
         return self._graph.inputs_at(self._routed.route.final_stages())
 
-    def _choose(self) -> Backend:
+    def _wish(self) -> ServerWish:
         routed = self._routed
         subject = routed.arrival.prompt.shared_part()
         shared_tokens = routed.arrival.prompt.shared_tokens()
@@ -191,16 +191,14 @@
         if quarantine and quarantine.suspects(self._fingerprint):
             # Apart from those that lost the same server, so as to tell them apart.
             subject, shared_tokens = self._fingerprint, 0
-        backend = self._parts.choose(
+        return ServerWish(
             routed.service,
             subject,
             shared_tokens,
             self._tried,
             self._inputs_at(),
+            routed.regions,
         )
-        if backend is None:
-            raise RequestRefused("no server of the service", RETRY_NO_SERVER_S)
-        return backend
 
     async def _call(
         self, backend: Backend, inputs: tuple[str, ...]
@@ -225,7 +223,8 @@
                 took_s = self._headed_at - self._staged_at
                 self._parts.final_times.note(routed.route.name, took_s)
             self._parts.reach.note_answer(backend.entry.data_centre)
-            self._parts.note_load(backend, head)
+            if head.load is not None:
+                backend.note_load(head.load[0], head.load[1])
             if routed.route.kind is RouteKind.STREAM and head.status < 300:
                 return await self._relay(call, head, backend, began)
             reply = Reply(head, await call.read())
--- a/packages/node/src/eelgrass_node/request/serving_parts.py
+++ b/packages/node/src/eelgrass_node/request/serving_parts.py
@@ -1,6 +1,6 @@
 """What the process lends to each request that it serves."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -9,8 +9,10 @@
 from ..process.poison_requests import PoisonRequests
 from ..process.reach import DataCentreReach
 from ..process.retry_window import RetryWindows
+from ..process.server_choice import ServerWish
+from ..process.warm_up import Permit
 from ..version.deployment import ServiceName
-from .arrival import EngineHead, Routed, WireCodec
+from .arrival import Routed, WireCodec
 from .final_times import FinalTimes
 from .graph import RunPieces, StagePlan
 
@@ -20,9 +22,9 @@
 class ServingParts(msgspec.Struct, frozen=True):
     """What the process lends to a request.
 
-    ``choose`` picks a server of a service for a prompt with a shared part and
-    its tokens, rather not one of those tried and near its large inputs, and
-    ``warm_engine`` another that holds the part already. ``data_centre_of`` tells
+    ``choose`` picks a server, ``admit`` gives or denies a permit for one request to it,
+    and ``warm_engine`` names another that holds a shared part of a prompt with so many
+    tokens already. ``data_centre_of`` tells
     where the result of a handle lies, and ``is_over`` whether a life of a server
     has ended. ``plan`` says when the stages of a request should be done;
     ``refuse_hopeless`` returns when to come back where they cannot be done in
@@ -30,9 +32,8 @@
     """
 
     codec: WireCodec
-    choose: Callable[
-        [ServiceName, str | None, int, frozenset[ServerLife], str], Backend | None
-    ]
+    choose: Callable[[ServerWish], Backend | None]
+    admit: Callable[[Backend], Awaitable[Permit]]
     warm_engine: Callable[[Backend, str | None, int], Backend | None]
     data_centre_of: Callable[[str], str]
     is_over: Callable[[ServerLife], bool]
@@ -43,7 +44,6 @@
     final_times: FinalTimes
     retries: RetryWindows
     reach: DataCentreReach
-    note_load: Callable[[Backend, EngineHead], None]
     server_gone: Callable[[Backend], None]
     server_fails: Callable[[Backend], None]
     poison: PoisonRequests
--- a/packages/node/src/eelgrass_node/version/deployment.py
+++ b/packages/node/src/eelgrass_node/version/deployment.py
@@ -65,7 +65,8 @@
     """Where the requests for one host and path prefix go, and how.
 
     ``priority`` 0 is the most urgent. ``resumable`` says that a broken stream
-    may go on at another backend server.
+    may go on at another backend server. ``regions`` are those to which its requests
+    are bound; where there are none, they may run anywhere.
     """
 
     name: str
@@ -81,6 +82,7 @@
     stages: tuple[PieceStage, ...]
     public: bool
     resumable: bool
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -139,19 +141,29 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service and the limits that hold for each of its backend servers."""
+    """A service and the limits that hold for each of its backend servers.
+
+    One is cold for ``warm_up_s`` after its start, and bears ``warm_up_per_s`` new
+    requests a second meanwhile; 0 stands for no bound.
+    """
 
     name: ServiceName
     max_connections: int
     model: ModelLimits | None = None
     pieces: PieceLimits | None = None
+    warm_up_s: float = 0.0
+    warm_up_per_s: float = 0.0
 
 
 class AccountGrant(msgspec.Struct, frozen=True):
-    """The client account that an API key stands for."""
+    """The client account that an API key stands for.
+
+    ``regions`` are those to which its requests are bound, if to any.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/packages/node/tests/test_attempts.py
+++ b/packages/node/tests/test_attempts.py
@@ -87,6 +87,7 @@
         between_floor_s=0.25,
         on_retry=lambda reason: None,
         on_discard=lambda reason: None,
+        on_cost_unknown=lambda attempt: None,
         on_leaving=lambda backend: None,
     )
 
--- a/packages/node/tests/test_platform_codecs.py
+++ b/packages/node/tests/test_platform_codecs.py
@@ -20,6 +20,8 @@
 from eelgrass_node.request.arrival import Routed
 from eelgrass_node.version.deployment import AccountGrant, RouteKind, ServiceName
 
+REGIONS = {"south": "s", "a": "r"}
+
 SETTINGS = """
 NodeName: "edge-1"
 Zone: "north"
@@ -150,13 +152,13 @@
             ("ready", BackendState.LIVE),
             ("draining", BackendState.LEAVING),
         ):
-            found = decode_server("i-1", server_entry(State=state))
+            found = decode_server(REGIONS, "i-1", server_entry(State=state))
             assert found.state is expected
 
     def test_the_start_tells_the_life(self):
-        found = decode_server("i-1", server_entry())
+        found = decode_server(REGIONS, "i-1", server_entry())
         assert found.life == ServerLife(BackendId("i-1"), 1_769_686_082_000)
-        assert decode_server("i-1", server_entry(born=None)).started == 0
+        assert decode_server(REGIONS, "i-1", server_entry(born=None)).started == 0
 
     @pytest.mark.parametrize(
         "fields",
@@ -193,14 +195,14 @@
     )
     def test_what_a_server_would_not_write_names_no_server(self, fields):
         with pytest.raises(ServerEntryMalformed):
-            decode_server("i-1", server_entry(**fields))
+            decode_server(REGIONS, "i-1", server_entry(**fields))
 
     @pytest.mark.parametrize(
         "value", [b"", b"\x00\xff\xfe", b"null", b"[]", b'{"Service": 3}', b"{", b'"i"']
     )
     def test_bytes_that_cannot_be_read(self, value):
         with pytest.raises(ServerEntryMalformed):
-            decode_server("i-1", value)
+            decode_server(REGIONS, "i-1", value)
 
 
 class TestRequests:
--- /dev/null
+++ b/packages/node/tests/test_warm_up.py
@@ -0,0 +1,276 @@
+"""What cold servers get, summed over all nodes."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from eelgrass_coordination import Member, MemberState
+from eelgrass_coordination.ids import BackendId, DataCentre, NodeId
+from eelgrass_node.exceptions import PeerUnreachable
+from eelgrass_node.process.backends import Backend, HostEntry, ServerLife
+from eelgrass_node.process.warm_up import (
+    Pace,
+    WarmUpAdmission,
+    WarmUpBounds,
+    WarmUpPermits,
+    WarmUpRates,
+    permitted_per_s,
+)
+from eelgrass_node.process.warm_up.permits import SETTLE_S
+from eelgrass_node.version.deployment import CallerLimits, Deployment, Service
+from support.clock import Clock
+
+READERS = "readers"
+# The users' figures: a cold engine bears 9.1 requests a second and ends well above.
+PER_S = 9.1
+BOUNDS = WarmUpBounds(ratio=1.5, slack=5.0)
+MOST_PER_S = 9.1 * 1.5 + 5.0
+LIFE = ServerLife(BackendId("e1"), 1)
+
+
+def member(number, state=MemberState.ALIVE):
+    name = f"node-{number}"
+    return Member(NodeId(name), DataCentre("a"), name, name, epoch=1, state=state)
+
+
+def deployment(per_s=PER_S):
+    services = {READERS: Service(READERS, 10, warm_up_s=3.0, warm_up_per_s=per_s)}
+    return Deployment(1, {}, services, {}, False, CallerLimits(1, 1.0))
+
+
+RATES = WarmUpRates(BOUNDS, deployment)
+
+
+def permits_of(number, known, clock, seeds=("seed",)):
+    """Return the permits of a node that knows of some members."""
+    return WarmUpPermits(
+        lambda: member(number), lambda: known, seeds, RATES, lambda: clock.now
+    )
+
+
+def is_cut(one, other):
+    """Return whether a cut parts the first ten nodes from the others."""
+    return (one < 10) != (other < 10)
+
+
+def most_in_a_second(times):
+    """Return the most of some times that lie within any span of a second."""
+    times = sorted(times)
+    return max(
+        (sum(at <= t < at + 1.0 for t in times) for at in times),
+        default=0,
+    )
+
+
+class TestPace:
+    def test_it_lets_go_evenly(self):
+        pace = Pace(per_s=4.0, now=0.0)
+        gone = [t / 100 for t in range(300) if pace.take(t / 100) == 0.0]
+        assert most_in_a_second(gone) <= 5
+        assert len(gone) == 12
+
+    def test_it_tells_when_the_next_may_go(self):
+        pace = Pace(per_s=4.0, now=0.0)
+        assert pace.take(0.0) == 0.0
+        assert pace.take(0.1) == pytest.approx(0.15)
+
+    @given(
+        per_s=st.floats(0.0, 500.0),
+        ratio=st.floats(0.5, 4.0),
+        slack=st.floats(0.0, 50.0),
+    )
+    @settings(derandomize=True, database=None)
+    def test_two_owners_together_keep_within_the_bound(self, per_s, ratio, slack):
+        bounds = WarmUpBounds(ratio, slack)
+        permitted = permitted_per_s(per_s, bounds)
+        # Each lets one more go than its rate, and some arrive together.
+        arriving = 2 * (permitted * 1.35 + 1) if permitted else 0.0
+        assert arriving <= bounds.most_per_s(per_s) + 1e-6
+        assert permitted <= per_s
+
+
+class TestOwners:
+    def test_one_node_of_all_hands_out_permits(self):
+        clock = Clock()
+        nodes = [
+            permits_of(n, [member(m) for m in range(65) if m != n], clock)
+            for n in range(65)
+        ]
+        clock.now += SETTLE_S
+        granted = [node.ask(LIFE, READERS).granted for node in nodes]
+        assert sum(granted) == 1
+
+    # Guards against an owner on each side of a cut.
+    def test_members_out_of_reach_keep_their_place(self):
+        clock = Clock()
+        nodes = []
+        for own in range(20):
+            others = [
+                member(m, MemberState.DEAD if is_cut(m, own) else MemberState.ALIVE)
+                for m in range(20)
+                if m != own
+            ]
+            nodes.append(permits_of(own, others, clock))
+        clock.now += SETTLE_S
+        assert sum(node.ask(LIFE, READERS).granted for node in nodes) == 1
+
+    def test_one_that_has_left_owns_nothing(self):
+        clock = Clock()
+        left = [member(m, MemberState.LEFT) for m in range(1, 30)]
+        permits = permits_of(0, left, clock)
+        clock.now += SETTLE_S
+        assert permits.ask(LIFE, READERS).granted
+
+    # Guards against nodes that start alone and each take themselves for the owner.
+    def test_one_that_has_heard_of_nobody_hands_out_none(self):
+        clock = Clock()
+        permits = permits_of(0, [], clock)
+        clock.now += 100.0
+        assert not permits.ask(LIFE, READERS).granted
+
+    def test_the_only_node_of_a_deployment_does(self):
+        clock = Clock()
+        permits = permits_of(0, [], clock, seeds=())
+        clock.now += SETTLE_S
+        assert permits.ask(LIFE, READERS).granted
+
+    # Guards against a second full share after the owner is restarted.
+    def test_one_that_has_just_started_hands_out_none(self):
+        clock = Clock()
+        permits = permits_of(0, [], clock, seeds=())
+        clock.now += SETTLE_S - 0.1
+        assert not permits.ask(LIFE, READERS).granted
+
+
+class Fleet:
+    """Nodes that ask each other for permits, with news of members lost at random."""
+
+    def __init__(self, nodes, draw):
+        self.clock = Clock()
+        self.draw = draw
+        self.known = [
+            {m: member(m) for m in range(nodes) if m != n} for n in range(nodes)
+        ]
+        self.permits = [self._start(n) for n in range(nodes)]
+        self.sent_at_by_life = {}
+
+    def restart(self, number):
+        self.permits[number] = self._start(number)
+
+    def _start(self, number):
+        return WarmUpPermits(
+            lambda: member(number),
+            lambda: list(self.known[number].values()),
+            ("seed",),
+            RATES,
+            lambda: self.clock.now,
+        )
+
+    def lose_news(self, share):
+        """Have nodes believe others dead, and forget some that have just come."""
+        for known in self.known:
+            for other in known:
+                if self.draw.random() < share:
+                    known[other] = member(other, MemberState.DEAD)
+
+    async def send(self, number, life):
+        """Have a node send a request to a cold server, if it may."""
+        admission = WarmUpAdmission(
+            self.permits[number],
+            RATES,
+            self._ask,
+            lambda: self.clock.now,
+            lambda kind: None,
+        )
+        entry = HostEntry(
+            life.id, READERS, "s:1", DataCentre("a"), started=life.started
+        )
+        admission.is_bounded = lambda server: True
+        server = Backend(entry)
+        if (await admission.admit(server)).granted:
+            late_s = self.draw.random() * 0.3
+            self.sent_at_by_life.setdefault(life, []).append(self.clock.now + late_s)
+
+    async def _ask(self, owner, life, service):
+        if self.draw.random() < 0.1:
+            raise PeerUnreachable(owner.internal, "lost")
+        return self.permits[int(owner.id.removeprefix("node-"))].ask(life, service)
+
+
+class TestSumOverNodes:
+    # Guards against a rush on a cold server from nodes that do not see each other.
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_no_cold_server_gets_more_than_it_bears(self, seed):
+        draw = random.Random(seed)
+        fleet = Fleet(draw.choice([3, 9, 65]), draw)
+        lives = [ServerLife(BackendId(f"e{n}"), 1) for n in range(4)]
+        fleet.clock.now += SETTLE_S
+        for step in range(1200):
+            fleet.clock.now += 0.005
+            if step % 100 == 50:
+                fleet.lose_news(draw.random() * 0.5)
+            if step % 150 == 75:
+                fleet.restart(draw.randrange(len(fleet.permits)))
+            for _ in range(draw.randrange(4)):
+                await fleet.send(draw.randrange(len(fleet.permits)), draw.choice(lives))
+        assert fleet.sent_at_by_life
+        for times in fleet.sent_at_by_life.values():
+            assert most_in_a_second(times) <= MOST_PER_S
+
+    # Guards against a share that nobody can use: all nodes ask, one counts.
+    async def test_many_nodes_together_use_what_it_bears(self):
+        draw = random.Random(1)
+        fleet = Fleet(65, draw)
+        fleet.clock.now += SETTLE_S
+        for _ in range(600):
+            fleet.clock.now += 0.005
+            await fleet.send(draw.randrange(65), LIFE)
+        rate = len(fleet.sent_at_by_life[LIFE]) / 3.0
+        assert rate >= 0.8 * permitted_per_s(PER_S, BOUNDS)
+
+
+class TestAdmission:
+    def admission(self, ask_owner=None, per_s=PER_S):
+        loop = asyncio.get_running_loop()
+        rates = WarmUpRates(BOUNDS, lambda: deployment(per_s))
+        permits = WarmUpPermits(
+            lambda: member(0), lambda: [member(1)], ("seed",), rates, loop.time
+        )
+        return WarmUpAdmission(permits, rates, ask_owner, loop.time, lambda kind: None)
+
+    def server(self, warm_up_s):
+        entry = HostEntry(
+            BackendId("e9"), READERS, "s:1", DataCentre("a"), warm_up_s=warm_up_s
+        )
+        server = Backend(entry)
+        server.take_entry(entry)
+        return server
+
+    async def test_a_warm_server_needs_none(self):
+        assert (await self.admission().admit(self.server(0.0))).granted
+
+    async def test_nor_does_a_cold_one_without_a_bound(self):
+        assert (await self.admission(per_s=0.0).admit(self.server(3.0))).granted
+
+    # Guards against requests that are sent since the owner cannot say no.
+    async def test_no_answer_is_no_permit(self):
+        async def ask_owner(owner, life, service):
+            raise PeerUnreachable(owner.internal, "silent")
+
+        admission = self.admission(ask_owner)
+        admission._permits._own = lambda: member(5)
+        assert not (await admission.admit(self.server(3.0))).granted
+
+    # Guards against a server that is shut out by a mistaken entry.
+    async def test_an_absurd_time_is_not_believed(self):
+        server = self.server(1e9)
+        now = asyncio.get_running_loop().time()
+        assert server.is_cold(now)
+        assert not server.is_cold(now + 61.0)
+
+    async def test_a_later_entry_says_that_it_is_warm(self):
+        server = self.server(3.0)
+        server.take_entry(HostEntry(BackendId("e9"), READERS, "s:1", DataCentre("a")))
+        assert not server.is_cold(asyncio.get_running_loop().time())
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -36,6 +36,8 @@
 )
 HOST = "desk.example"
 KEY = "key-1"
+# The region of each data centre.
+REGIONS = {"a": "east", "b": "east", "c": "west"}
 # All that a stream of the stand-ins gives.
 WHOLE = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 
@@ -130,17 +132,19 @@
         engine: EngineStandIn,
         state: str = "ready",
         address: str | None = None,
+        data_centre: str = "a",
+        warm_up_ms: float = 0,
     ) -> None:
         """Write the entry of a server, at another address if one is given."""
         entry = {
             "Service": service,
             "Address": address or engine.address,
-            "Zone": "a",
+            "Zone": data_centre,
             "Version": "v1",
             "Slots": 6,
             "State": state,
             "Sequence": next(self._numbers),
-            "WarmupLeftMs": 0,
+            "WarmupLeftMs": warm_up_ms,
             "born": engine.started,
         }
         self.store.put("servers", engine.server_id, entry)
@@ -174,7 +178,9 @@
         """Return all that the servers of a service have run."""
         return [run for e in self.engines_by_service[service] for run in e.runs]
 
-    async def start_engine(self, service: str, server_id: str) -> EngineStandIn:
+    async def start_engine(
+        self, service: str, server_id: str, data_centre: str = "a"
+    ) -> EngineStandIn:
         """Start a server and list it."""
         [address] = free_addresses(1)
         shown = await self._shown_address(address)
@@ -182,7 +188,7 @@
         self.engines_by_service.setdefault(service, []).append(engine)
         runner = await self._serve(engine.application(), address)
         engine.end = lambda: end_at_once(runner)
-        self.list_engine(service, engine)
+        self.list_engine(service, engine, data_centre=data_centre)
         return engine
 
     async def _shown_address(self, address: str) -> str:
@@ -215,6 +221,7 @@
                 memory_bytes=300_000_000,
                 max_descriptors=4100,
                 bounds=self.bounds,
+                region_by_data_centre=REGIONS,
             )
         )
         self.nodes.append(node)
--- /dev/null
+++ b/tests/support/evacuated.py
@@ -0,0 +1,12 @@
+"""Evacuations outside a whole node."""
+
+from eelgrass_node.process.places import Evacuations
+
+__all__ = ["PREFIX", "idle_evacuations"]
+
+PREFIX = "evacuate/"
+
+
+def idle_evacuations() -> Evacuations:
+    """Return some that nobody looks at."""
+    return Evacuations(PREFIX, lambda: -1, lambda: True, lambda: 0.0)
--- a/tests/support/store_day.py
+++ b/tests/support/store_day.py
@@ -21,6 +21,7 @@
 from eelgrass_node.version.deployment import CallerLimits, Deployment
 
 from .crashes import idle_crash_table
+from .evacuated import idle_evacuations
 from .members import member
 from .servers_seen import ServersSeen
 from .store_rows import PROMISED_S
@@ -225,8 +226,10 @@
                 lambda server, version: self._note_server(own.id, server, version)
             ),
             crashes=idle_crash_table(),
+            evacuations=idle_evacuations(),
             apply_s=self._promised_s,
             drain_s=self._promised_s,
+            evacuate_s=self._promised_s,
             clock=_now,
         )
 
--- a/tests/support/version_day.py
+++ b/tests/support/version_day.py
@@ -21,6 +21,7 @@
 from eelgrass_node.version.deployment import CallerLimits, Deployment
 
 from .crashes import idle_crash_table
+from .evacuated import idle_evacuations
 from .members import member
 from .path_store import PathStore
 from .servers_seen import ServersSeen
@@ -92,8 +93,10 @@
             deployments=self.deployments,
             server_list=ServersSeen(self._note_server),
             crashes=idle_crash_table(),
+            evacuations=idle_evacuations(),
             apply_s=PROMISED_S,
             drain_s=PROMISED_S,
+            evacuate_s=PROMISED_S,
             clock=_now,
         )
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,7 +15,14 @@
 ROOT = Path(eelgrass_node.__file__).parent
 ORDER = ("version", "process", "connection", "request")
 BASE = {"exceptions", "log", "log_pipe", "settings"}
-TOP = {"platform", "entry_node", "entry_gauges", "cli", "__main__"}
+TOP = {
+    "platform",
+    "entry_node",
+    "entry_gauges",
+    "entry_applications",
+    "cli",
+    "__main__",
+}
 
 # Modules of the product's own front door that still import against the rule; the
 # list may only shrink.
