--- a/packages/node/tests/test_attempts.py
+++ b/packages/node/tests/test_attempts.py
@@ -71,7 +71,14 @@
     )
     backend = Backend(HostEntry("desk-1", "desk", address, "cau-giay"))
     return Attempt(
-        attempt_id, request, stage, backend, silence_s, lambda b: None, lambda r: None
+        attempt_id,
+        request,
+        stage,
+        backend,
+        silence_s,
+        on_leaving=lambda backend: None,
+        on_discard=lambda reason: None,
+        on_cost_unknown=lambda attempt: None,
     )
 
 
--- a/packages/node/tests/test_large_bodies.py
+++ b/packages/node/tests/test_large_bodies.py
@@ -130,8 +130,9 @@
         stage,
         server.backend(),
         SILENCE_S,
-        lambda backend: None,
-        lambda reason: None,
+        on_leaving=lambda backend: None,
+        on_discard=lambda reason: None,
+        on_cost_unknown=lambda attempt: None,
     )
 
 
