--- a/packages/ctl/src/eelgrass_ctl/commands/hosts.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/hosts.py
@@ -6,7 +6,15 @@
 
 from ..exceptions import AddressesUnreadable, ExitCode
 from ..host_metrics import HostMetrics, StoreState, read_hosts, read_store
-from ..host_review import HostGroup, HostReview, groups, matching, review
+from ..host_review import (
+    EvacuationView,
+    HostGroup,
+    HostReview,
+    evacuations,
+    groups,
+    matching,
+    review,
+)
 from ..output import print_json, print_table
 
 __all__ = ["hosts"]
@@ -58,10 +66,14 @@
     found = matching(asyncio.run(read_hosts([*metrics, *_listed(file)])), match)
     newest = asyncio.run(read_store(store)) if store else None
     reviews = review(found, None if newest is None else newest.version)
+    emptied = evacuations(found, () if newest is None else newest.evacuated)
     if json:
-        print_json({"hosts": found, "store": newest, "reviews": _needing(reviews)})
+        shown = {"hosts": found, "store": newest, "reviews": _needing(reviews)}
+        print_json({**shown, "evacuations": emptied})
     else:
         _print(reviews, newest, each or len(found) <= MAX_SINGLE)
+        for evacuation in emptied:
+            print(_evacuation_line(evacuation))
     return ExitCode.DONE if _agree(found, newest) else ExitCode.NOT_EVERYWHERE
 
 
@@ -80,6 +92,14 @@
         print(f"Store: version {newest.version}, {newest.servers} servers listed.")
 
 
+def _evacuation_line(evacuation: EvacuationView) -> str:
+    return (
+        f"Emptied: {evacuation.data_centre} at {evacuation.in_force_at} of"
+        f" {evacuation.nodes} nodes, for {evacuation.since_s:.0f} s;"
+        f" {evacuation.in_flight} requests still run there."
+    )
+
+
 def _needing(reviews: Sequence[HostReview]) -> list[HostReview]:
     return [reviewed for reviewed in reviews if reviewed.reasons]
 
--- a/packages/ctl/src/eelgrass_ctl/host_metrics.py
+++ b/packages/ctl/src/eelgrass_ctl/host_metrics.py
@@ -10,6 +10,7 @@
 from eelgrass_node.exceptions import ConfigurationMalformed, StoreUnavailable
 from eelgrass_node.platform.configuration import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_TABLE,
     decode_deployment,
 )
@@ -18,7 +19,7 @@
 
 from .exceptions import StoreUnreadable
 
-__all__ = ["HostMetrics", "StoreState", "read_hosts", "read_store"]
+__all__ = ["Emptied", "HostMetrics", "StoreState", "read_hosts", "read_store"]
 
 # A host that does not answer within this, in seconds, is shown as silent.
 SCRAPE_S = 2.0
@@ -26,6 +27,14 @@
 HTTP_OK = 200
 
 
+class Emptied(msgspec.Struct, frozen=True):
+    """A data centre that a node sends no new work to, and what it still has there."""
+
+    data_centre: str
+    since_s: float
+    in_flight: int
+
+
 class HostMetrics(msgspec.Struct, frozen=True):
     """One node, from its metrics; ``silent`` says why it did not answer."""
 
@@ -40,13 +49,18 @@
     pieces_waiting: int = 0
     refusals: int = 0
     retries: int = 0
+    evacuated: tuple[Emptied, ...] = ()
 
 
 class StoreState(msgspec.Struct, frozen=True):
-    """What the store says: the newest configuration, and the servers listed."""
+    """What the store says: the newest configuration, and the servers listed.
+
+    ``evacuated`` names the data centres that are to be emptied.
+    """
 
     version: int
     servers: int
+    evacuated: tuple[str, ...] = ()
 
 
 async def read_hosts(addresses: Sequence[str]) -> list[HostMetrics]:
@@ -95,6 +109,22 @@
         pieces_waiting=total("pieces_waiting"),
         refusals=total("events_total", "refusal."),
         retries=total("events_total", "retry."),
+        evacuated=_evacuated(samples),
+    )
+
+
+def _evacuated(samples: list[tuple[str, dict, float]]) -> tuple[Emptied, ...]:
+    def by_data_centre(name: str) -> dict[str, float]:
+        return {
+            labels["data_centre"]: value
+            for found, labels, value in samples
+            if found == name
+        }
+
+    in_flight = by_data_centre("evacuated_in_flight")
+    return tuple(
+        Emptied(place, since_s, int(in_flight.get(place, 0)))
+        for place, since_s in sorted(by_data_centre("evacuated_seconds").items())
     )
 
 
@@ -105,7 +135,13 @@
         operator = await store.read_table(OPERATOR_TABLE)
         servers = await store.read_table(SERVERS_TABLE)
         [value] = [row.value for row in operator.rows if row.key == CONFIGURATION_KEY]
-        return StoreState(decode_deployment(value or b"").number, len(servers.rows))
+        evacuated = (
+            row.key.removeprefix(EVACUATION_PREFIX)
+            for row in operator.rows
+            if row.key.startswith(EVACUATION_PREFIX)
+        )
+        number = decode_deployment(value or b"").number
+        return StoreState(number, len(servers.rows), tuple(sorted(evacuated)))
     except (StoreUnavailable, ConfigurationMalformed, ValueError) as error:
         raise StoreUnreadable(address, str(error)) from error
     finally:
--- a/packages/ctl/src/eelgrass_ctl/host_review.py
+++ b/packages/ctl/src/eelgrass_ctl/host_review.py
@@ -3,12 +3,23 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from fnmatch import fnmatchcase
+from typing import TypeVar
 
 import msgspec
 
-from .host_metrics import HostMetrics
+from .host_metrics import Emptied, HostMetrics
 
-__all__ = ["HostGroup", "HostReview", "groups", "matching", "review"]
+T = TypeVar("T")
+
+__all__ = [
+    "EvacuationView",
+    "HostGroup",
+    "HostReview",
+    "evacuations",
+    "groups",
+    "matching",
+    "review",
+]
 
 
 class HostReview(msgspec.Struct, frozen=True):
@@ -30,6 +41,41 @@
     retries: int
 
 
+class EvacuationView(msgspec.Struct, frozen=True):
+    """A data centre that is emptied, over all nodes that answer.
+
+    ``in_force_at`` counts the nodes that send nothing more there, and ``in_flight``
+    what they still have running there. ``since_s`` is the longest time at any of them.
+    """
+
+    data_centre: str
+    in_force_at: int
+    nodes: int
+    since_s: float
+    in_flight: int
+
+
+def evacuations(
+    hosts: Sequence[HostMetrics], wanted: Iterable[str]
+) -> list[EvacuationView]:
+    """Return the data centres that are emptied, by the store or by any node."""
+    answering = [host for host in hosts if host.silent is None]
+    told = [emptied for host in answering for emptied in host.evacuated]
+    places = {emptied.data_centre for emptied in told} | set(wanted)
+    return [_evacuation(place, told, len(answering)) for place in sorted(places)]
+
+
+def _evacuation(place: str, told: Sequence[Emptied], nodes: int) -> EvacuationView:
+    here = [emptied for emptied in told if emptied.data_centre == place]
+    return EvacuationView(
+        data_centre=place,
+        in_force_at=len(here),
+        nodes=nodes,
+        since_s=max((emptied.since_s for emptied in here), default=0.0),
+        in_flight=sum(emptied.in_flight for emptied in here),
+    )
+
+
 def matching(hosts: Iterable[HostMetrics], pattern: str) -> list[HostMetrics]:
     """Return the nodes whose address fits a pattern such as ``10.2.*``."""
     return [host for host in hosts if fnmatchcase(host.address, pattern)]
@@ -45,8 +91,9 @@
     version = _most(host.version for host in answering) if newest is None else newest
     members = _most(host.members for host in answering)
     servers = _most(host.servers for host in answering)
+    emptied = _most(map(_emptied_places, answering))
     reviews = [
-        HostReview(host, tuple(_reasons(host, version, members, servers)))
+        HostReview(host, tuple(_reasons(host, version, members, servers, emptied)))
         for host in hosts
     ]
     return sorted(reviews, key=_urgency)
@@ -73,7 +120,7 @@
 
 
 def _reasons(
-    host: HostMetrics, version: int, members: int, servers: int
+    host: HostMetrics, version: int, members: int, servers: int, emptied: str
 ) -> Iterable[str]:
     if host.silent is not None:
         yield f"no answer: {host.silent}"
@@ -86,6 +133,13 @@
         yield f"{host.members} members, most have {members}"
     if host.servers != servers:
         yield f"{host.servers} servers listed, at most nodes {servers}"
+    if _emptied_places(host) != emptied:
+        here = _emptied_places(host) or "no data centre"
+        yield f"empties {here}, most empty {emptied or 'none'}"
+
+
+def _emptied_places(host: HostMetrics) -> str:
+    return ", ".join(emptied.data_centre for emptied in host.evacuated)
 
 
 def _urgency(reviewed: HostReview) -> tuple[bool, int, str]:
@@ -94,6 +148,6 @@
     return (host.silent is None, -len(reviewed.reasons), host.address)
 
 
-def _most(values: Iterable[int]) -> int:
+def _most(values: Iterable[T]) -> T | None:
     counted = Counter(values).most_common(1)
-    return counted[0][0] if counted else 0
+    return counted[0][0] if counted else None
--- a/packages/ctl/tests/test_hosts.py
+++ b/packages/ctl/tests/test_hosts.py
@@ -6,6 +6,7 @@
 from eelgrass_ctl.commands import hosts as hosts_command
 from eelgrass_ctl.exceptions import AddressesUnreadable, ExitCode, StoreUnreadable
 from eelgrass_ctl.host_metrics import (
+    Emptied,
     HostMetrics,
     StoreState,
     read_hosts,
@@ -14,7 +15,7 @@
 from eelgrass_ctl.host_review import groups, review
 from eelgrass_node.entry_gauges import entry_gauges
 from eelgrass_standins.ports import free_addresses
-from support.entry import EntryDeployment, configuration
+from support.entry import EntryDeployment, configuration, until
 
 
 @pytest_asyncio.fixture
@@ -50,6 +51,15 @@
         entry.store.put("op", "config", configuration(4))
         assert await read_store(entry.store_address) == StoreState(4, 8)
 
+    async def test_a_data_centre_that_is_emptied(self, entry):
+        entry.store.put("op", "evacuate/b", {})
+        node = entry.nodes[0]
+        await until(lambda: node.places.evacuations.covers("b"))
+        [found] = await read_hosts([await serve_metrics(node)])
+        [emptied] = found.evacuated
+        assert (emptied.data_centre, emptied.in_flight) == ("b", 0)
+        assert (await read_store(entry.store_address)).evacuated == ("b",)
+
     async def test_a_store_that_is_gone_is_said_with_a_remedy(self):
         [address] = free_addresses(1)
         with pytest.raises(StoreUnreadable, match="leave --store out"):
@@ -107,6 +117,24 @@
         shown = capsys.readouterr().out
         assert "10.2.0.1:1: version 2 in place of 3; the store is lost." in shown
 
+    # Guards against an evacuation that some nodes have missed, unseen.
+    def test_an_evacuation_is_told_with_where_it_is_in_force(self, capsys):
+        emptied = (Emptied("north", 12.0, 3),)
+        self.hosts = [
+            HostMetrics(
+                f"10.1.0.{n}:1", version=3, store_reachable=True, evacuated=emptied
+            )
+            for n in range(3)
+        ]
+        behind = HostMetrics("10.1.0.9:1", version=3, store_reachable=True)
+        self.hosts.append(behind)
+        self.store = StoreState(3, 8, ("north", "south"))
+        hosts_command(store="s")
+        shown = capsys.readouterr().out
+        assert "north at 3 of 4 nodes, for 12 s; 9 requests still run there" in shown
+        assert "south at 0 of 4 nodes" in shown
+        assert "Look at 10.1.0.9:1: empties no data centre, most empty north" in shown
+
     def test_a_pattern_leaves_the_others_out(self, capsys):
         self.hosts = [
             HostMetrics("10.1.0.1:1", version=3),
