--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -15,6 +15,7 @@
 from ..exceptions import PeerUnreachable
 from ..process.backends import ServerLife
 from ..process.ended_servers import Fingerprint
+from ..process.fetched_inputs import OnFetched
 from ..process.pieces import Piece, PieceOutcome
 from ..process.queue_load import QueueLoad
 from ..version.deployment import ServiceName
@@ -33,9 +34,12 @@
 SILENCE_S = 0.75
 KEEP_ALIVE_S = 60.0
 BEAT = b"\n"
+FETCHED = b"{}\n"
 UNKNOWN_SERVICE = 503
 
-RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
+RunPieces = Callable[
+    [ServiceName, list[Piece], OnFetched], Awaitable[list[PieceOutcome]]
+]
 
 
 class _SentSet(msgspec.Struct, omit_defaults=True):
@@ -61,9 +65,15 @@
     regions: frozenset[str] | None = None
 
 
-class _Handoff(msgspec.Struct):
+class _Handoff(msgspec.Struct, omit_defaults=True):
+    """``tells_fetched`` asks for a line once the inputs are needed no longer.
+
+    Nodes of older releases neither ask for it nor send it.
+    """
+
     service: ServiceName
     pieces: _SentSet
+    tells_fetched: bool = False
 
 
 class _Done(msgspec.Struct):
@@ -87,14 +97,20 @@
         self._session = new_session(KEEP_ALIVE_S, CONNECT_S)
 
     async def run(
-        self, address: str, service: ServiceName, pieces: list[Piece]
+        self,
+        address: str,
+        service: ServiceName,
+        pieces: list[Piece],
+        on_fetched: OnFetched | None = None,
     ) -> list[PieceOutcome]:
         """Have pieces of one stage of a request run by another node.
 
-        Raises :class:`PeerUnreachable`.
+        ``on_fetched`` is told once their inputs are needed no longer. Raises
+        :class:`PeerUnreachable`.
         """
         now = asyncio.get_running_loop().time()
-        body = msgspec.json.encode(_Handoff(service, _sent(pieces, now)))
+        handoff = _Handoff(service, _sent(pieces, now), on_fetched is not None)
+        body = msgspec.json.encode(handoff)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(ACCEPT_S) as bound:
@@ -102,7 +118,9 @@
                     f"http://{address}{PIECES_PATH}", data=body, allow_redirects=False
                 ) as response:
                     line = BEAT
-                    while line == BEAT:
+                    while line in (BEAT, FETCHED):
+                        if line == FETCHED and on_fetched is not None:
+                            on_fetched()
                         line = await response.content.readline()
                         bound.reschedule(loop.time() + SILENCE_S)
             done = msgspec.json.decode(line, type=_Done)
@@ -163,11 +181,21 @@
             return web.Response(status=UNKNOWN_SERVICE)
         response = web.StreamResponse()
         await response.prepare(request)
-        running = asyncio.ensure_future(self._run(handoff.service, pieces))
+        loop = asyncio.get_running_loop()
+        fetched = loop.create_future()
+        running = asyncio.ensure_future(
+            self._run(handoff.service, pieces, lambda: fetched.set_result(None))
+        )
+        waits = {running, fetched} if handoff.tells_fetched else {running}
         try:
             while not running.done():
                 await response.write(BEAT)
-                await asyncio.wait({running}, timeout=BEAT_S)
+                await asyncio.wait(
+                    waits, timeout=BEAT_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if fetched in waits and fetched.done():
+                    waits = {running}
+                    await response.write(FETCHED)
         finally:
             running.cancel()
         done = _Done(running.result(), self._load(handoff.service))
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -17,8 +17,10 @@
 from ..version.deployment import PieceLimits
 from .account_shares import AccountShares
 from .backends import Backend, ServerLife
+from .fetched_inputs import FetchedInputs, OnFetched
 from .overload import Overload
 from .piece_batch import take_batch
+from .piece_order import PieceOrder, rank
 from .piece_servers import FAILURES, PieceServers
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .queue_load import QueueLoad
@@ -37,8 +39,6 @@
 GIVE_UP_SLACK_S = 0.25
 # Refused callers come back spread over this much, so as not to come together.
 MIN_RETRY_AFTER_S = 0.2
-# How much later a set goes for each second of a server that it takes.
-LARGE_SET_WEIGHT = 3.0
 # Late pieces beyond this much work of all servers are refused: after a burst
 # they are served within some three times as long, which callers still wait.
 LATE_BACKLOG_S = 1.0
@@ -47,9 +47,6 @@
 LONGEST_TOLD_S = 60.0
 # How soon waiting pieces are looked at again where nothing else calls for it.
 FILL_AGAIN_S = 0.05
-# A piece waits this long at most for a server in the data centre where its
-# result will be fetched, if it can afford that: about one call.
-NEAR_PATIENCE_S = 0.3
 
 
 class PieceQueue:
@@ -80,6 +77,8 @@
         self._servers = PieceServers(
             service, limits, servers, reach, data_centre_of, is_over
         )
+        self._order = PieceOrder(limits, self._servers)
+        self._fetched = FetchedInputs()
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._note_wait = note_wait
@@ -95,14 +94,17 @@
         """How many pieces wait."""
         return len(self._waiting)
 
-    async def run(self, pieces: list[Piece]) -> list[PieceOutcome]:
+    async def run(
+        self, pieces: list[Piece], on_fetched: OnFetched | None = None
+    ) -> list[PieceOutcome]:
         """Run pieces and return their outcomes, in order.
 
-        Where the caller of this is cancelled, pieces that still wait are
-        withdrawn; those that a server works on go on.
+        ``on_fetched`` is told once their inputs are needed no longer. Where the caller
+        of this is cancelled, pieces that still wait are withdrawn; those that a server
+        works on go on.
         """
         now = _now()
-        self._shares.note_asked(pieces, self._work_s(len(pieces)), now)
+        self._shares.note_asked(pieces, self._order.work_s(len(pieces)), now)
         self._mark_shares(now)
         refusal = self._refusal(pieces, now)
         if refusal is not None:
@@ -113,10 +115,12 @@
             piece.queued_at = now
             piece.set_size = len(pieces)
             self._waiting.add(piece, future)
+        self._fetched.expect(pieces, on_fetched)
         self.fill()
         try:
             return list(await asyncio.gather(*futures))
         finally:
+            self._fetched.forget(pieces)
             self._waiting.withdraw(pieces)
 
     def free(self, life: ServerLife, handles: list[str]) -> None:
@@ -134,7 +138,7 @@
         late = beyond = 0
         priorities: Counter[int] = Counter()
         for pieces in self._waiting:
-            if self._is_late(pieces[0], now):
+            if self._order.is_late(pieces[0], now):
                 late += len(pieces)
             elif pieces[0].beyond:
                 beyond += len(pieces)
@@ -187,7 +191,7 @@
         self.fill()
 
     def _mark_shares(self, now: float) -> None:
-        self._shares.mark(self._waiting, self._work_s, self._servers.slots(), now)
+        self._shares.mark(self._waiting, self._order.work_s, self._servers.slots(), now)
 
     def _refusal(self, pieces: list[Piece], now: float) -> PieceOutcome | None:
         """Return a refusal where the pieces cannot be run in time."""
@@ -217,12 +221,12 @@
 
     def _ahead_of(self, first: Piece, now: float) -> int:
         """Return how many pieces go before a newcomer; late ones go after it."""
-        rank = _rank(first)
+        own = rank(first)
         return sum(
             len(pieces)
             for pieces in self._waiting
             if pieces[0].begun
-            or (_rank(pieces[0]) <= rank and not self._is_late(pieces[0], now))
+            or (rank(pieces[0]) <= own and not self._order.is_late(pieces[0], now))
         )
 
     def _drop_hopeless(self, now: float) -> None:
@@ -250,10 +254,10 @@
             pieces
             for pieces in self._waiting
             if server.is_in(pieces[0].regions)
-            and not self._waits_for_near(pieces[0], server, now)
+            and not self._order.waits_for_near(pieces[0], server, now)
         ]
         return take_batch(
-            sorted(sets, key=lambda pieces: self._order(pieces[0], place, now)),
+            sorted(sets, key=lambda pieces: self._order.key(pieces[0], place, now)),
             limits.batch,
             self._servers.room(server, now),
             limits.memory_bytes,
@@ -261,47 +265,6 @@
             now,
         )
 
-    def _waits_for_near(self, piece: Piece, server: Backend, now: float) -> bool:
-        """Return whether a piece rather waits for a server nearer to its use."""
-        if not piece.near or piece.near == server.entry.data_centre:
-            return False
-        if piece.begun or now - piece.queued_at >= NEAR_PATIENCE_S:
-            return False
-        size = self._servers.size(piece) * min(piece.set_size, self._limits().batch)
-        wait_s = self._servers.wait_at(piece.near, size, now)
-        if wait_s > NEAR_PATIENCE_S:
-            return False
-        # One that is late anyway has the time; others must not become so.
-        end = now + wait_s + self._servers.call_s(self._limits().batch)
-        return wait_s == 0.0 or end <= piece.due or self._is_late(piece, now)
-
-    def _order(
-        self, piece: Piece, data_centre: str, now: float
-    ) -> tuple[bool, bool, bool, int, float]:
-        """Sort those that can be on time first, then by share, by rank and by time.
-
-        Before all go the rest of sets that have begun, whose results take up
-        memory until they are complete. A piece that is late anyway earns
-        little; it takes what the others leave.
-        One whose result is fetched in this data centre goes a little earlier,
-        and one of a large set later: for the time of one set of eight, four
-        sets of two are served, which are worth as much each.
-        """
-        late = self._is_late(piece, now)
-        time = piece.due + self._work_s(piece.set_size) * LARGE_SET_WEIGHT
-        if piece.near == data_centre:
-            time -= NEAR_PATIENCE_S
-        return (not piece.begun, late, piece.beyond, piece.priority, time)
-
-    def _is_late(self, piece: Piece, now: float) -> bool:
-        """Return whether a request cannot be on time even if it is next."""
-        return piece.due < now + self._servers.call_s(1)
-
-    def _work_s(self, pieces: int) -> float:
-        """Return the seconds of a server that pieces take in full calls."""
-        limits = self._limits()
-        return pieces * (limits.call_s / limits.batch + limits.piece_s)
-
     def _start(self, server: Backend, batch: list[Piece], now: float) -> None:
         use = self._servers.use(server)
         use.calls += 1
@@ -321,8 +284,9 @@
         )
         for piece in batch:
             self._note_wait(self.service, now - piece.queued_at)
-            self._shares.note_given(piece.account, self._work_s(1), now)
+            self._shares.note_given(piece.account, self._order.work_s(1), now)
         futures = self._waiting.take(batch)
+        self._fetched.note_started(batch)
         task = asyncio.create_task(self._call(server, futures, expected_s))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -344,7 +308,7 @@
         now = _now()
         self._servers.note_call(server, batch, outcomes, now - began)
         made = sum(outcome.handle is not None for outcome in outcomes)
-        self._shares.note_call(self._work_s(made), now - began)
+        self._shares.note_call(self._order.work_s(made), now - began)
         until = now + self._limits().result_life_s
         maker = server.entry.life
         for piece, outcome in zip(batch, outcomes, strict=True):
@@ -377,6 +341,9 @@
         if outcome.trouble is PieceTrouble.NO_ROOM:
             # It was not run; the next call is made when there is more room.
             piece.tries -= 1
+        if again and piece.inputs_freed:
+            outcome = PieceOutcome(trouble=PieceTrouble.INPUT_GONE)
+            again = False
         if again and piece.tries < MAX_TRIES and not future.done():
             if self._may_repeat(piece):
                 self._waiting.add(piece, future)
@@ -391,9 +358,5 @@
             future.set_result(outcome)
 
 
-def _rank(piece: Piece) -> tuple[bool, int, float]:
-    return (piece.beyond, piece.priority, piece.due)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/node/src/eelgrass_node/process/shared_pieces.py
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -14,6 +14,7 @@
 from ..exceptions import PeerUnreachable
 from ..log import Part, log
 from ..version.deployment import ServiceName
+from .fetched_inputs import OnFetched
 from .piece_owners import PieceOwners
 from .piece_service import LocalPieces
 from .pieces import Piece, PieceOutcome
@@ -26,9 +27,13 @@
     """How pieces get to another node; its calls raise PeerUnreachable."""
 
     async def run(
-        self, address: str, service: ServiceName, pieces: list[Piece]
+        self,
+        address: str,
+        service: ServiceName,
+        pieces: list[Piece],
+        on_fetched: OnFetched | None,
     ) -> list[PieceOutcome]:
-        """Have pieces run there."""
+        """Have pieces run there, and be told once their inputs are not needed."""
 
     async def free(
         self, address: str, service: ServiceName, handles: list[str]
@@ -59,19 +64,27 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def run(
-        self, service: ServiceName, pieces: list[Piece]
+        self,
+        service: ServiceName,
+        pieces: list[Piece],
+        on_fetched: OnFetched | None = None,
     ) -> list[PieceOutcome]:
-        """Run pieces of one stage and return their outcomes, in order."""
+        """Run pieces of one stage and return their outcomes, in order.
+
+        ``on_fetched`` is told once their inputs are needed no longer.
+        """
         for owner in self._owners.candidates(service):
             if owner is None:
                 break
             try:
-                outcomes = await self._handoff.run(owner.internal, service, pieces)
+                outcomes = await self._handoff.run(
+                    owner.internal, service, pieces, on_fetched
+                )
                 self._owners.note_answer(owner)
                 return outcomes
             except PeerUnreachable as error:
                 self._note_failure(owner, service, error)
-        outcomes = await self._local.run(service, pieces)
+        outcomes = await self._local.run(service, pieces, on_fetched)
         self._hear_load(service, self._local.load(service))
         return outcomes
 
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -21,6 +21,7 @@
 from ..log import Part, log
 from ..process.backends import Backend, ServerLife
 from ..process.ended_servers import Fingerprint
+from ..process.fetched_inputs import OnFetched
 from ..process.pieces import Piece, PieceOutcome
 from ..process.server_choice import ServerWish
 from ..version.deployment import RouteKind, ServiceName
@@ -163,10 +164,10 @@
             ) from failed
 
     async def _run_pieces(
-        self, service: ServiceName, pieces: list[Piece]
+        self, service: ServiceName, pieces: list[Piece], on_fetched: OnFetched
     ) -> list[PieceOutcome]:
         self._check_quarantine()
-        return await self._parts.run_pieces(service, pieces)
+        return await self._parts.run_pieces(service, pieces, on_fetched)
 
     @cached_property
     def _fingerprint(self) -> Fingerprint:
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -27,7 +27,7 @@
         calls = []
         freed = []
 
-        async def run_pieces(service, pieces):
+        async def run_pieces(service, pieces, on_fetched):
             calls.append((service, pieces))
             return answer(service, pieces, len(calls))
 
