--- a/packages/node/tests/test_stage_memory.py
+++ b/packages/node/tests/test_stage_memory.py
@@ -114,9 +114,14 @@
     def test_more_requests_are_in_time_than_with_inputs_kept_longer(self):
         kept, _ = play(tells_fetched=False)
         freed, _ = play(tells_fetched=True)
-        assert freed.refused < kept.refused
         assert freed.in_time > kept.in_time
 
+    # Guards against refusals in a burst that the servers can make good in time.
+    def test_none_need_be_refused(self):
+        burst, _ = play(tells_fetched=True)
+        assert burst.refused == 0
+        assert burst.in_time >= 0.98 * int(SETS_PER_S * BURST_S)
+
 
 class TestFreedInputs:
     async def run(self, trouble, after_s, count=2):
