A popular request is not held after servers fail together

What callers would see: a data centre loses power, or servers are killed at once; a request that many send in the same words ran on three of them, and is refused everywhere for an hour from then on, with nothing to clear it.

Cause: ends that have a common cause were counted as evidence against whoever was there. Now ends within 0.3 s count once where each of these servers ran several other requests, and the request is held once another end comes at another moment. Where it ran alone, or ends come one after the other, nothing has changed, and the tests of that are as they were. It is tried again, so it clears itself by its first success; a harmful one ends one server more. Ruled out: excusing ends where only one other request ran (a caller that changes its request each time would be an excuse for the harmful one; a test of today shows it).

--- a/packages/node/src/eelgrass_node/process/quarantine.py
+++ b/packages/node/src/eelgrass_node/process/quarantine.py
@@ -9,10 +9,15 @@
 servers with it. Those that share all three are tied, and may be tried again for a short
 time; the one that ends a fourth server is known then.
 
+Servers may also end together for a cause of their own, such as a data centre without
+power, and a request that many callers send runs on several of them. Ends at one moment
+count once, therefore, where each of these servers ran other requests, too.
+
 No network here; times are those of ``clock``, in seconds.
 """
 
 from collections.abc import Callable
+from itertools import islice
 
 import msgspec
 
@@ -27,6 +32,10 @@
 # Tied requests may be tried for so long after the last server ended: a caller that has
 # lost its answer comes again within this time.
 TIE_S = 2.0
+# Ends within this time have one cause: they are noted as soon as connections break.
+TOGETHER_S = 0.3
+# A server that ends for a cause of its own runs more than one or two requests, mostly.
+MIN_BESIDE = 2
 # A request is remembered for so long after the last server has ended under it.
 REMEMBERED_S = 3600.0
 # Requests that are remembered; those under which fewest servers have ended go first.
@@ -113,8 +122,11 @@
         suspect = self._known(request)
         if suspect is None or len(suspect.ended_at_by_life) < MAX_ENDED:
             return False
+        occasions = self._occasions(request, suspect)
         if len(suspect.ended_at_by_life) > MAX_ENDED:
-            return True
+            return occasions > 1
+        if occasions < MAX_ENDED:
+            return False
         rivals = self._rivals(request, suspect)
         if any(len(rival.ended_at_by_life) > MAX_ENDED for rival in rivals):
             # That one explains them all.
@@ -128,6 +140,35 @@
             return 0.0
         return max(0.0, suspect.last_at + REMEMBERED_S - self._clock())
 
+    def _occasions(self, request: Fingerprint, suspect: _Suspect) -> int:
+        """Return how many ends count: those at one moment once, if others explain them.
+
+        They do not where one of the servers ran hardly anything else.
+        """
+        ends = sorted(
+            (ended_at, self._ran_others(life, request, suspect))
+            for life, ended_at in suspect.ended_at_by_life.items()
+        )
+        occasions = 0
+        while ends:
+            moment = [end for end in ends if end[0] - ends[0][0] <= TOGETHER_S]
+            occasions += 1 if all(shared for _, shared in moment) else len(moment)
+            ends = ends[len(moment) :]
+        return occasions
+
+    def _ran_others(
+        self, life: ServerLife, request: Fingerprint, suspect: _Suspect
+    ) -> bool:
+        """Return whether a server ended under several requests that are no rivals."""
+        others = self._requests_by_life[life] - {request}
+        speaking = (other for other in others if not self._is_rival(other, suspect))
+        return sum(1 for _ in islice(speaking, MIN_BESIDE)) == MIN_BESIDE
+
+    def _is_rival(self, other: Fingerprint, suspect: _Suspect) -> bool:
+        """Return whether all servers of a suspect ended under another request, too."""
+        ended = self._suspect_by_request[other].ended_at_by_life.keys()
+        return suspect.ended_at_by_life.keys() <= ended
+
     def _rivals(self, request: Fingerprint, suspect: _Suspect) -> list[_Suspect]:
         """Return the other requests under which all of the same servers ended."""
         sharing = (self._requests_by_life[life] for life in suspect.ended_at_by_life)
--- a/packages/node/tests/test_quarantine.py
+++ b/packages/node/tests/test_quarantine.py
@@ -97,6 +97,57 @@
         assert quarantine.holds(POISON)
 
 
+class TestServersThatEndTogether:
+    """A data centre loses power: many servers end at once, popular requests on them."""
+
+    POPULAR = Fingerprint("popular")
+
+    def lose(self, quarantine, servers, beside=5):
+        """End servers under the popular request and others, each on one of them."""
+        for server in servers:
+            for request in [self.POPULAR, *self.others(server, beside)]:
+                quarantine.take(request, life(server))
+
+    def others(self, server, beside):
+        return [Fingerprint(f"proper-{server}-{number}") for number in range(beside)]
+
+    # Guards against a popular request that is refused for an hour after an outage.
+    @pytest.mark.parametrize("count", [3, 4, 10])
+    def test_a_popular_request_is_not_held(self, count):
+        quarantine, clock = quarantine_with({})
+        self.lose(quarantine, range(count))
+        assert not quarantine.holds(self.POPULAR)
+        clock.now = REMEMBERED_S - 1
+        assert not quarantine.holds(self.POPULAR)
+
+    def test_nor_is_one_that_another_server_ended_under_before(self):
+        quarantine, clock = quarantine_with({self.POPULAR: [99]})
+        clock.now = 100.0
+        self.lose(quarantine, range(2))
+        assert not quarantine.holds(self.POPULAR)
+
+    # Guards against a harmful request in copies that passes for an outage.
+    def test_one_more_end_at_another_moment_holds_it(self):
+        quarantine, clock = quarantine_with({})
+        self.lose(quarantine, range(3))
+        clock.now = 3.0
+        self.lose(quarantine, [7])
+        assert quarantine.holds(self.POPULAR)
+        assert not any(quarantine.holds(r) for r in self.others(0, 5))
+
+    def test_where_it_ran_alone_it_explains_the_ends(self):
+        quarantine, _ = quarantine_with({})
+        self.lose(quarantine, range(3), beside=0)
+        assert quarantine.holds(self.POPULAR)
+
+    def test_ends_one_after_the_other_count_each(self):
+        quarantine, clock = quarantine_with({})
+        for server in range(MAX_ENDED):
+            clock.now += 1.0
+            self.lose(quarantine, [server])
+        assert quarantine.holds(self.POPULAR)
+
+
 class TestBounds:
     def test_new_requests_without_end_do_not_push_out_what_does_harm(self, monkeypatch):
         """A caller changes its request each time, so as to be taken for a new one."""
