Reverted: inputs of stages are freed once they are fetched; the order of a queue stays apart

So more is made, and what is made more is thrown away: the next stage is as narrow, and inputs that are freed must be made again where a call fails.

PieceOrder, which was split off the queue on the way, stays; its behaviour is unchanged.

--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -15,7 +15,6 @@
 from ..exceptions import PeerUnreachable
 from ..process.backends import ServerLife
 from ..process.ended_servers import Fingerprint
-from ..process.fetched_inputs import OnFetched
 from ..process.pieces import Piece, PieceOutcome
 from ..process.queue_load import QueueLoad
 from ..version.deployment import ServiceName
@@ -34,12 +33,9 @@
 SILENCE_S = 0.75
 KEEP_ALIVE_S = 60.0
 BEAT = b"\n"
-FETCHED = b"{}\n"
 UNKNOWN_SERVICE = 503
 
-RunPieces = Callable[
-    [ServiceName, list[Piece], OnFetched], Awaitable[list[PieceOutcome]]
-]
+RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
 
 
 class _SentSet(msgspec.Struct, omit_defaults=True):
@@ -65,15 +61,9 @@
     regions: frozenset[str] | None = None
 
 
-class _Handoff(msgspec.Struct, omit_defaults=True):
-    """``tells_fetched`` asks for a line once the inputs are needed no longer.
-
-    Nodes of older releases neither ask for it nor send it.
-    """
-
+class _Handoff(msgspec.Struct):
     service: ServiceName
     pieces: _SentSet
-    tells_fetched: bool = False
 
 
 class _Done(msgspec.Struct):
@@ -97,20 +87,14 @@
         self._session = new_session(KEEP_ALIVE_S, CONNECT_S)
 
     async def run(
-        self,
-        address: str,
-        service: ServiceName,
-        pieces: list[Piece],
-        on_fetched: OnFetched | None = None,
+        self, address: str, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
         """Have pieces of one stage of a request run by another node.
 
-        ``on_fetched`` is told once their inputs are needed no longer. Raises
-        :class:`PeerUnreachable`.
+        Raises :class:`PeerUnreachable`.
         """
         now = asyncio.get_running_loop().time()
-        handoff = _Handoff(service, _sent(pieces, now), on_fetched is not None)
-        body = msgspec.json.encode(handoff)
+        body = msgspec.json.encode(_Handoff(service, _sent(pieces, now)))
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(ACCEPT_S) as bound:
@@ -118,9 +102,7 @@
                     f"http://{address}{PIECES_PATH}", data=body, allow_redirects=False
                 ) as response:
                     line = BEAT
-                    while line in (BEAT, FETCHED):
-                        if line == FETCHED and on_fetched is not None:
-                            on_fetched()
+                    while line == BEAT:
                         line = await response.content.readline()
                         bound.reschedule(loop.time() + SILENCE_S)
             done = msgspec.json.decode(line, type=_Done)
@@ -181,21 +163,11 @@
             return web.Response(status=UNKNOWN_SERVICE)
         response = web.StreamResponse()
         await response.prepare(request)
-        loop = asyncio.get_running_loop()
-        fetched = loop.create_future()
-        running = asyncio.ensure_future(
-            self._run(handoff.service, pieces, lambda: fetched.set_result(None))
-        )
-        waits = {running, fetched} if handoff.tells_fetched else {running}
+        running = asyncio.ensure_future(self._run(handoff.service, pieces))
         try:
             while not running.done():
                 await response.write(BEAT)
-                await asyncio.wait(
-                    waits, timeout=BEAT_S, return_when=asyncio.FIRST_COMPLETED
-                )
-                if fetched in waits and fetched.done():
-                    waits = {running}
-                    await response.write(FETCHED)
+                await asyncio.wait({running}, timeout=BEAT_S)
         finally:
             running.cancel()
         done = _Done(running.result(), self._load(handoff.service))
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -35,7 +35,6 @@
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
 from .process.failing_servers import FailingServers
-from .process.fetched_inputs import OnFetched
 from .process.host_settings import HostSettings
 from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
@@ -339,10 +338,10 @@
         return DEFAULT_HEADER_S if deployment is None else deployment.limits.header_s
 
     async def _run_handed_over(
-        self, service: ServiceName, pieces: list[Piece], on_fetched: OnFetched
+        self, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
         with self.stopping.in_flight():
-            return await self.pieces.run(service, pieces, on_fetched)
+            return await self.pieces.run(service, pieces)
 
     async def _listen_peers(self) -> None:
         interface = HandoffInterface(
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -17,7 +17,6 @@
 from ..version.deployment import PieceLimits
 from .account_shares import AccountShares
 from .backends import Backend, ServerLife
-from .fetched_inputs import FetchedInputs, OnFetched
 from .overload import Overload
 from .piece_batch import take_batch
 from .piece_order import PieceOrder, rank
@@ -78,7 +77,6 @@
             service, limits, servers, reach, data_centre_of, is_over
         )
         self._order = PieceOrder(limits, self._servers)
-        self._fetched = FetchedInputs()
         self._run_call = run_call
         self._may_repeat = may_repeat
         self._note_wait = note_wait
@@ -94,14 +92,11 @@
         """How many pieces wait."""
         return len(self._waiting)
 
-    async def run(
-        self, pieces: list[Piece], on_fetched: OnFetched | None = None
-    ) -> list[PieceOutcome]:
+    async def run(self, pieces: list[Piece]) -> list[PieceOutcome]:
         """Run pieces and return their outcomes, in order.
 
-        ``on_fetched`` is told once their inputs are needed no longer. Where the caller
-        of this is cancelled, pieces that still wait are withdrawn; those that a server
-        works on go on.
+        Where the caller of this is cancelled, pieces that still wait are
+        withdrawn; those that a server works on go on.
         """
         now = _now()
         self._shares.note_asked(pieces, self._order.work_s(len(pieces)), now)
@@ -115,12 +110,10 @@
             piece.queued_at = now
             piece.set_size = len(pieces)
             self._waiting.add(piece, future)
-        self._fetched.expect(pieces, on_fetched)
         self.fill()
         try:
             return list(await asyncio.gather(*futures))
         finally:
-            self._fetched.forget(pieces)
             self._waiting.withdraw(pieces)
 
     def free(self, life: ServerLife, handles: list[str]) -> None:
@@ -286,7 +279,6 @@
             self._note_wait(self.service, now - piece.queued_at)
             self._shares.note_given(piece.account, self._order.work_s(1), now)
         futures = self._waiting.take(batch)
-        self._fetched.note_started(batch)
         task = asyncio.create_task(self._call(server, futures, expected_s))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -341,9 +333,6 @@
         if outcome.trouble is PieceTrouble.NO_ROOM:
             # It was not run; the next call is made when there is more room.
             piece.tries -= 1
-        if again and piece.inputs_freed:
-            outcome = PieceOutcome(trouble=PieceTrouble.INPUT_GONE)
-            again = False
         if again and piece.tries < MAX_TRIES and not future.done():
             if self._may_repeat(piece):
                 self._waiting.add(piece, future)
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -5,7 +5,6 @@
 
 from ..version.deployment import Deployment, PieceLimits, ServiceName
 from .backends import Backend, Backends
-from .fetched_inputs import OnFetched
 from .piece_queue import PieceQueue, RunCall
 from .pieces import Piece, PieceOutcome, PieceTrouble
 from .poison_requests import PoisonRequests
@@ -65,19 +64,13 @@
         self.by_service: dict[ServiceName, PieceQueue] = {}
 
     async def run(
-        self,
-        service: ServiceName,
-        pieces: list[Piece],
-        on_fetched: OnFetched | None = None,
+        self, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
-        """Run pieces of one stage and return their outcomes, in order.
-
-        ``on_fetched`` is told once their inputs are needed no longer.
-        """
+        """Run pieces of one stage and return their outcomes, in order."""
         self._retries.note_request(service)
         if not self._usable(service, pieces[0].regions):
             return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
-        return await self.queue(service).run(pieces, on_fetched)
+        return await self.queue(service).run(pieces)
 
     def knows(self, service: ServiceName) -> bool:
         """Return whether this node knows a server of a service.
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -40,8 +40,7 @@
     says that others of its set have been run, whose results wait for it, and
     ``tries`` counts the calls it was in, and ``request`` is the fingerprint of the
     request, by which its other attempts are known. ``regions`` are those to which it
-    is bound, None for any. ``inputs_freed`` says that its inputs are not kept any
-    longer, since the servers of its set have fetched them.
+    is bound, None for any.
     """
 
     request_id: str
@@ -64,7 +63,6 @@
     tries: int = 0
     request: Fingerprint = Fingerprint("")
     regions: frozenset[str] | None = None
-    inputs_freed: bool = False
 
 
 class PieceOutcome(msgspec.Struct, frozen=True):
--- a/packages/node/src/eelgrass_node/process/shared_pieces.py
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -14,7 +14,6 @@
 from ..exceptions import PeerUnreachable
 from ..log import Part, log
 from ..version.deployment import ServiceName
-from .fetched_inputs import OnFetched
 from .piece_owners import PieceOwners
 from .piece_service import LocalPieces
 from .pieces import Piece, PieceOutcome
@@ -27,13 +26,9 @@
     """How pieces get to another node; its calls raise PeerUnreachable."""
 
     async def run(
-        self,
-        address: str,
-        service: ServiceName,
-        pieces: list[Piece],
-        on_fetched: OnFetched | None,
+        self, address: str, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
-        """Have pieces run there, and be told once their inputs are not needed."""
+        """Have pieces run there."""
 
     async def free(
         self, address: str, service: ServiceName, handles: list[str]
@@ -64,27 +59,19 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def run(
-        self,
-        service: ServiceName,
-        pieces: list[Piece],
-        on_fetched: OnFetched | None = None,
+        self, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
-        """Run pieces of one stage and return their outcomes, in order.
-
-        ``on_fetched`` is told once their inputs are needed no longer.
-        """
+        """Run pieces of one stage and return their outcomes, in order."""
         for owner in self._owners.candidates(service):
             if owner is None:
                 break
             try:
-                outcomes = await self._handoff.run(
-                    owner.internal, service, pieces, on_fetched
-                )
+                outcomes = await self._handoff.run(owner.internal, service, pieces)
                 self._owners.note_answer(owner)
                 return outcomes
             except PeerUnreachable as error:
                 self._note_failure(owner, service, error)
-        outcomes = await self._local.run(service, pieces, on_fetched)
+        outcomes = await self._local.run(service, pieces)
         self._hear_load(service, self._local.load(service))
         return outcomes
 
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -13,16 +13,13 @@
 from ..exceptions import StagesFailed
 from ..process.backends import ServerLife
 from ..process.ended_servers import Fingerprint
-from ..process.fetched_inputs import OnFetched
 from ..process.pieces import Piece, PieceOutcome, PieceTrouble
 from ..version.deployment import PieceStage, ServiceName
 from .arrival import Routed
 
 __all__ = ["RunPieces", "StageGraph", "StagePlan"]
 
-RunPieces = Callable[
-    [ServiceName, list[Piece], OnFetched], Awaitable[list[PieceOutcome]]
-]
+RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
 
 # How often lost results are made again before the request is given up.
 MAX_ROUNDS = 2
@@ -78,8 +75,6 @@
         self._free = free
         self._data_centre_of = data_centre_of
         self._done: set[int] = set()
-        # Stages whose servers have fetched what they need of those before them.
-        self._fetched: set[int] = set()
         self.released = False
         self._is_over = is_over
         self._result_by_piece: dict[tuple[int, int], _Result] = {}
@@ -122,7 +117,6 @@
     def release(self) -> None:
         """Free all results, which nobody needs any more or one of which is gone."""
         self._done.clear()
-        self._fetched.clear()
         self.released = True
         for number, stage in enumerate(self._routed.route.stages):
             self._release_stage(number, stage)
@@ -148,12 +142,7 @@
         ]
         if missing:
             pieces = self._pieces(number, stage, missing)
-
-            def note_fetched() -> None:
-                self._fetched.add(number)
-                self._release_used(stage.after)
-
-            outcomes = await self._run_pieces(stage.service, pieces, note_fetched)
+            outcomes = await self._run_pieces(stage.service, pieces)
             self._take(number, missing, outcomes)
         self._done.add(number)
         done[number].set()
@@ -170,7 +159,7 @@
                 for number, stage in enumerate(self._routed.route.stages)
                 if before in stage.after
             )
-            if (self._done | self._fetched).issuperset(followers):
+            if self._done.issuperset(followers):
                 self._release_stage(before, self._routed.route.stages[before])
 
     def _release_stage(self, number: int, stage: PieceStage) -> None:
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -21,7 +21,6 @@
 from ..log import Part, log
 from ..process.backends import Backend, ServerLife
 from ..process.ended_servers import Fingerprint
-from ..process.fetched_inputs import OnFetched
 from ..process.pieces import Piece, PieceOutcome
 from ..process.server_choice import ServerWish
 from ..version.deployment import RouteKind, ServiceName
@@ -164,10 +163,10 @@
             ) from failed
 
     async def _run_pieces(
-        self, service: ServiceName, pieces: list[Piece], on_fetched: OnFetched
+        self, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
         self._check_quarantine()
-        return await self._parts.run_pieces(service, pieces, on_fetched)
+        return await self._parts.run_pieces(service, pieces)
 
     @cached_property
     def _fingerprint(self) -> Fingerprint:
--- a/packages/node/tests/test_piece_handoff.py
+++ b/packages/node/tests/test_piece_handoff.py
@@ -66,7 +66,7 @@
         return await self.client.run(self.address, SERVICE, [piece()])
 
 
-async def made(service, pieces, on_fetched=None):
+async def made(service, pieces):
     return [PieceOutcome(handle=f"a:1/{p.number}") for p in pieces]
 
 
@@ -77,7 +77,7 @@
             assert owner.heard == [(SERVICE, QueueLoad(((0, 0.5),), 0.25))]
 
     async def test_a_long_wait_at_a_living_owner_is_no_silence(self):
-        async def slowly(service, pieces, on_fetched):
+        async def slowly(service, pieces):
             await asyncio.sleep(SILENCE_S * 1.5)
             return await made(service, pieces)
 
@@ -87,7 +87,7 @@
     async def test_a_caller_that_gives_up_withdraws_its_pieces(self):
         withdrawn = asyncio.Event()
 
-        async def wait(service, pieces, on_fetched):
+        async def wait(service, pieces):
             try:
                 await asyncio.sleep(5)
             except asyncio.CancelledError:
--- a/packages/node/tests/test_server_lives.py
+++ b/packages/node/tests/test_server_lives.py
@@ -31,7 +31,7 @@
         self.made = []
         self.freed = []
 
-    async def run(self, service, given, on_fetched):
+    async def run(self, service, given):
         life = self.current
         self.made.append((service, given[0].stage, life, given[0].inputs))
         return [PieceOutcome(handle=f"s1/{p.number}", maker=life) for p in given]
@@ -62,8 +62,8 @@
         graph = lives.graph()
         first_run = lives.run
 
-        async def restart_after_first_stage(service, given, on_fetched):
-            outcomes = await first_run(service, given, on_fetched)
+        async def restart_after_first_stage(service, given):
+            outcomes = await first_run(service, given)
             if len(lives.made) == 1:
                 lives.current = SECOND
             return outcomes
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -27,7 +27,7 @@
         calls = []
         freed = []
 
-        async def run_pieces(service, pieces, on_fetched):
+        async def run_pieces(service, pieces):
             calls.append((service, pieces))
             return answer(service, pieces, len(calls))
 
