Ends together count once only where another server ended without the request

The promise that a harmful request is held after three servers goes before.

What tells a common failure is a server that ended at that moment and did not run the request. Where exactly the servers that ran it ended, it is held as before: that part of the finding stays open.

--- a/packages/node/src/eelgrass_node/process/quarantine.py
+++ b/packages/node/src/eelgrass_node/process/quarantine.py
@@ -11,7 +11,9 @@
 
 Servers may also end together for a cause of their own, such as a data centre without
 power, and a request that many callers send runs on several of them. Ends at one moment
-count once, therefore, where each of these servers ran other requests, too.
+count once, therefore, where each of these servers ran other requests, too, and another
+server ended at that moment which did not run this one: copies of a harmful request end
+just the servers that they run on.
 
 No network here; times are those of ``clock``, in seconds.
 """
@@ -151,11 +153,24 @@
         )
         occasions = 0
         while ends:
-            moment = [end for end in ends if end[0] - ends[0][0] <= TOGETHER_S]
-            occasions += 1 if all(shared for _, shared in moment) else len(moment)
+            began_at = ends[0][0]
+            moment = [end for end in ends if end[0] - began_at <= TOGETHER_S]
+            shared = all(ran_others for _, ran_others in moment)
+            together = shared and self._others_ended(suspect, began_at)
+            occasions += 1 if together else len(moment)
             ends = ends[len(moment) :]
         return occasions
 
+    def _others_ended(self, suspect: _Suspect, at: float) -> bool:
+        """Return whether a server ended at a moment that a suspect did not run on."""
+        for life, requests in self._requests_by_life.items():
+            if life in suspect.ended_at_by_life:
+                continue
+            known = (self._suspect_by_request[other] for other in requests)
+            if any(abs(k.ended_at_by_life[life] - at) <= TOGETHER_S for k in known):
+                return True
+        return False
+
     def _ran_others(
         self, life: ServerLife, request: Fingerprint, suspect: _Suspect
     ) -> bool:
--- a/packages/node/tests/test_quarantine.py
+++ b/packages/node/tests/test_quarantine.py
@@ -102,11 +102,17 @@
 
     POPULAR = Fingerprint("popular")
 
-    def lose(self, quarantine, servers, beside=5):
-        """End servers under the popular request and others, each on one of them."""
+    def lose(self, quarantine, servers, beside=5, without=(50, 51)):
+        """End servers under the popular request and others, each on one of them.
+
+        The servers ``without`` end at the same moment and did not run it.
+        """
         for server in servers:
             for request in [self.POPULAR, *self.others(server, beside)]:
                 quarantine.take(request, life(server))
+        for server in without:
+            for request in self.others(server, beside):
+                quarantine.take(request, life(server))
 
     def others(self, server, beside):
         return [Fingerprint(f"proper-{server}-{number}") for number in range(beside)]
@@ -135,6 +141,12 @@
         assert quarantine.holds(self.POPULAR)
         assert not any(quarantine.holds(r) for r in self.others(0, 5))
 
+    # Guards against copies of a harmful request that end servers at one moment.
+    def test_where_no_other_server_ended_it_explains_the_ends(self):
+        quarantine, _ = quarantine_with({})
+        self.lose(quarantine, range(3), without=())
+        assert quarantine.holds(self.POPULAR)
+
     def test_where_it_ran_alone_it_explains_the_ends(self):
         quarantine, _ = quarantine_with({})
         self.lose(quarantine, range(3), beside=0)
--- a/packages/node/tests/test_quarantine_model.py
+++ b/packages/node/tests/test_quarantine_model.py
@@ -112,10 +112,19 @@
                 for life in left
                 if self.ended_at[request, life] - first_at <= TOGETHER_S
             ]
-            count += 1 if shared.issuperset(moment) else len(moment)
+            together = shared.issuperset(moment) and self.others_ended(ended, first_at)
+            count += 1 if together else len(moment)
             left = left[len(moment) :]
         return count
 
+    def others_ended(self, lives, at):
+        """Say whether a server ended at a moment that is not one of some."""
+        return any(
+            abs(ended_at - at) <= TOGETHER_S
+            for (_, life), ended_at in self.ended_at.items()
+            if life not in lives
+        )
+
     def is_held(self, request):
         ended = self.lives_of(request)
         if len(ended) < MAX_ENDED:
