--- a/packages/node/tests/test_platform_codecs.py
+++ b/packages/node/tests/test_platform_codecs.py
@@ -17,6 +17,7 @@
 from eelgrass_node.platform.settings import load_host_settings
 from eelgrass_node.process.backends import BackendState, ServerLife
 from eelgrass_node.process.pieces import Piece, PieceOutcome, PieceTrouble
+from eelgrass_node.process.warm_up import WarmUpBounds
 from eelgrass_node.request.arrival import Routed
 from eelgrass_node.version.deployment import AccountGrant, RouteKind, ServiceName
 
@@ -86,6 +87,23 @@
         # The link of 5 Mbit/s is the narrower part.
         assert settings.capacity() == 0.1
 
+    def test_bounds_of_evacuations_and_cold_servers(self, tmp_path):
+        file = tmp_path / "local.yaml"
+        told = "Bounds: {EvacuateMs: 4000, WarmupOverage: 1.5, WarmupSlack: 5, "
+        zones = 'Zones: {north: "hanoi", south: "hue"}'
+        file.write_text(SETTINGS.replace("Bounds: {", told) + zones)
+        settings = load_host_settings(file)
+        assert settings.bounds.evacuate_s == 4.0
+        assert settings.bounds.warm_up == WarmUpBounds(ratio=1.5, slack=5.0)
+        assert settings.region_by_data_centre == {"north": "hanoi", "south": "hue"}
+
+    # Guards against a bound that is taken for none where nothing is said of it.
+    def test_without_them_no_cold_server_gets_more_than_it_bears(self, tmp_path):
+        file = tmp_path / "local.yaml"
+        file.write_text(SETTINGS)
+        warm_up = load_host_settings(file).bounds.warm_up
+        assert warm_up.most_per_s(9.0) == 9.0
+
     @pytest.mark.parametrize(
         "text", ["a: [", "NodeName: 3", SETTINGS.replace("PortRange", "Ports")]
     )
@@ -121,6 +139,18 @@
         assert (limits.batch, limits.call_s, limits.memory_bytes) == (4, 0.15, 21e6)
         assert deployment.account_by_key["k2"] == AccountGrant("t1", 1)
 
+    def test_regions_and_warm_up(self):
+        whole = msgspec.json.decode(configuration())
+        whole["Routes"][0]["AllowedRegions"] = ["hanoi"]
+        whole["Tenants"][0]["AllowedRegions"] = ["hue", "hanoi"]
+        whole["Services"][0] |= {"WarmupS": 3.0, "WarmupPerS": 9.1}
+        deployment = decode_deployment(msgspec.json.encode(whole))
+        assert deployment.match("pule.example", "/a/c").regions == {"hanoi"}
+        assert deployment.match("pule.example", "/a/b/c").regions == frozenset()
+        assert deployment.account_by_key["k1"].regions == {"hue", "hanoi"}
+        service = deployment.service_by_name[ServiceName("s1")]
+        assert (service.warm_up_s, service.warm_up_per_s) == (3.0, 9.1)
+
     @pytest.mark.parametrize(
         "value", [b"", b"{}", b"[1]", configuration(Version="x"), b"\xff\xfe"]
     )
@@ -155,6 +185,12 @@
             found = decode_server(REGIONS, "i-1", server_entry(State=state))
             assert found.state is expected
 
+    def test_the_region_and_how_long_it_is_cold(self):
+        found = decode_server(REGIONS, "i-1", server_entry(WarmupLeftMs=1800))
+        assert (found.region, found.warm_up_s) == ("r", 1.8)
+        # A data centre that the settings do not name is in no region.
+        assert decode_server({}, "i-1", server_entry()).region == ""
+
     def test_the_start_tells_the_life(self):
         found = decode_server(REGIONS, "i-1", server_entry())
         assert found.life == ServerLife(BackendId("i-1"), 1_769_686_082_000)
