A test of a queue's idle servers runs in simulated time

Traced: it measured wall-clock time of a call of 15 ms in one process with others beside it. The bound is the same; what it checks, that a second piece does not wait for the first one's call, is now exact.

--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -8,6 +8,7 @@
 from eelgrass_node.process.backends import ServerLife
 from eelgrass_node.process.piece_queue import LATE_BACKLOG_S
 from eelgrass_node.process.pieces import PieceOutcome, PieceTrouble
+from support.instant_loop import run_instantly
 from support.pieces import LARGE, LIMITS, Service, now, pieces, server
 
 
@@ -24,13 +25,17 @@
         assert all(outcome.handle for [outcome] in results)
         assert len(service.calls) <= 8
 
-    async def test_an_idle_server_takes_a_piece_at_once(self):
-        service = Service(server("s1"), server("s2"))
-        began = now()
-        await asyncio.gather(
-            service.queue.run(pieces("a")), service.queue.run(pieces("b"))
-        )
-        assert now() - began < 1.9 * LIMITS.call_s
+    # In simulated time: a busy machine adds half a call to one of 15 ms.
+    def test_an_idle_server_takes_a_piece_at_once(self):
+        async def took_s():
+            service = Service(server("s1"), server("s2"))
+            began = now()
+            await asyncio.gather(
+                service.queue.run(pieces("a")), service.queue.run(pieces("b"))
+            )
+            return now() - began
+
+        assert run_instantly(took_s()) < 1.9 * LIMITS.call_s
 
     async def test_urgent_pieces_go_first(self):
         service = Service(server("s1"))
