Logs tell what each retry was allowed or refused by

Cause: a line told that a call had failed and, if so, that the budget was spent; not how many requests and retries the process counted, among how many nodes it shared, nor how long it had been up.

--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -158,7 +158,7 @@
     def _may_repeat(self, service: ServiceName, piece: Piece) -> bool:
         if self._poison.quarantine.holds(piece.request):
             return False
-        return self._retries.try_spend(service, owner=True)
+        return self._retries.try_spend(service, piece.request_id, owner=True)
 
     async def _free(
         self, service: ServiceName, backend: Backend, handles: list[str]
--- a/packages/node/src/eelgrass_node/process/retry_window.py
+++ b/packages/node/src/eelgrass_node/process/retry_window.py
@@ -8,6 +8,8 @@
 from collections import deque
 from collections.abc import Callable
 
+from ..log import Part, log
+
 __all__ = ["RetryWindows"]
 
 # The part of the allowance that is used. Windows slide, and a repeat counts
@@ -33,6 +35,7 @@
         self._slack = slack
         self._window_s = window_s
         self._clock = clock
+        self._started_at = clock()
         self._by_service: dict[str, _Window] = {}
         self.live_nodes = 1
 
@@ -40,21 +43,32 @@
         """Count first calls to a service."""
         self._window(service).requests.append((self._clock(), count))
 
-    def try_spend(self, service: str, owner: bool = False) -> bool:
+    def try_spend(self, service: str, request_id: str, owner: bool = False) -> bool:
         """Take a repeat from the budget; False where it is used up.
 
         ``owner`` says that this node makes nearly all calls to the service.
         """
         window = self._window(service)
-        since = self._clock() - self._window_s
-        requests = _sum_since(window.requests, since)
-        repeats = _sum_since(window.repeats, since)
+        now = self._clock()
+        requests = _sum_since(window.requests, now - self._window_s)
+        repeats = _sum_since(window.repeats, now - self._window_s)
         share = OWNER_SHARE if owner else 1.0 / self.live_nodes
-        allowed = self._ratio * requests + self._slack * share
-        if repeats + 1 > allowed * USED_FRACTION:
-            return False
-        window.repeats.append((self._clock(), 1))
-        return True
+        allowed = (self._ratio * requests + self._slack * share) * USED_FRACTION
+        granted = repeats + 1 <= allowed
+        if granted:
+            window.repeats.append((now, 1))
+        log(
+            Part.REQUESTS,
+            "A retry is allowed." if granted else "The retry budget is spent.",
+            id=request_id,
+            service=service,
+            requests=requests,
+            repeats=repeats,
+            allowed=round(allowed, 2),
+            nodes=self.live_nodes,
+            up_s=round(now - self._started_at, 2),
+        )
+        return granted
 
     def _window(self, service: str) -> "_Window":
         window = self._by_service.get(service)
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -319,7 +319,9 @@
             raise RequestRefused(f"refused by servers: {reason}", RETRY_FULL_S)
         # A call that reached no server is no load on any.
         reached = failed.reason not in UNCONNECTED
-        if reached and not self._parts.retries.try_spend(routed.service):
+        if reached and not self._parts.retries.try_spend(
+            routed.service, routed.arrival.request_id
+        ):
             raise RequestRefused(f"retry budget spent: {reason}", RETRY_FULL_S)
         self._parts.count(f"retry.{reason}")
 
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -81,7 +81,7 @@
 
     def spend_all(self, budget, **options):
         spent = 0
-        while budget.try_spend("s", **options):
+        while budget.try_spend("s", "a request", **options):
             spent += 1
         return spent
 
@@ -105,7 +105,7 @@
         budget, clock = self.budget()
         self.spend_all(budget)
         clock.now = 10.1
-        assert budget.try_spend("s")
+        assert budget.try_spend("s", "a request")
 
 
 class TestReach:
