--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,25 @@
+"""The budget of repeats holds for all nodes together, whatever becomes of them."""
+
+from support.retry_budget import FailingServers
+
+NODES = 6
+REQUESTS = 40
+
+
+class TestRepeatsOfAllNodes:
+    # Guards against shares of the budget that grow as other nodes leave.
+    async def test_they_keep_the_budget_while_nodes_leave_in_turn(self):
+        async with FailingServers(NODES) as deployment:
+            for number in range(NODES):
+                await deployment.send(number, REQUESTS)
+                await deployment.nodes[number].membership.leave()
+            assert deployment.excess() <= 0
+
+    # Guards against a process that spends anew what the one before it has spent.
+    async def test_they_keep_the_budget_while_nodes_are_restarted(self):
+        async with FailingServers(NODES) as deployment:
+            for _ in range(2):
+                for number in range(NODES):
+                    await deployment.send(number, REQUESTS // 2)
+                    await deployment.restart(number)
+            assert deployment.excess() <= 0
