The retry budget is shared with nodes that left or are out of reach

Callers and servers saw: a service got twice the repeats that are allowed while hosts were restarted in turn (223 in 10 s for 291 requests, 114 allowed).

Cause: a node took the slack divided by the members in reach. Those that stay took over the shares of those that leave, whose repeats still count, and which go on making some while they drain; a node that had heard of nobody took all of it.

Now whoever was heard of counts, in whatever state, and data centres that nobody is known in count as the mean of the others; a node that has heard of no other one takes no slack. Records are kept for two hours, so a host that is gone for good costs its share so long.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -32,6 +32,7 @@
 from .platform.names import CRASHES_TABLE, READY_PATH
 from .platform.store import RowStore
 from .process.backends import Backend, Backends
+from .process.budget_shares import count_sharing_nodes
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
 from .process.failing_servers import FailingServers
@@ -230,6 +231,7 @@
             await self._listen_metrics(self.settings.metrics)
         await self._listen_peers()
         await self.membership.start()
+        self._members_changed()
         await self._listen_callers()
         await self._listen_readiness()
         for work in (
@@ -369,12 +371,14 @@
             log(Part.NODE, "No metrics.", address=address, error=repr(error))
 
     def _members_changed(self) -> None:
-        for member in self.membership.members.by_id.values():
+        members = list(self.membership.members.by_id.values())
+        for member in members:
             if member.state is MemberState.SUSPECT:
                 self.reach.note_silent(member.data_centre, member.id)
-        live = len(self.membership.members.reachable()) + 1
-        self.retries.live_nodes = live
-        self.backends.set_live_nodes(live)
+        self.retries.sharing_nodes = count_sharing_nodes(
+            self.settings, self.membership.own, members
+        )
+        self.backends.set_live_nodes(len(self.membership.members.reachable()) + 1)
 
     def _revision_heard(self, revision: Revision, member: Member, age_s: float) -> None:
         self.deployments.hear(revision)
--- a/packages/node/src/eelgrass_node/process/retry_window.py
+++ b/packages/node/src/eelgrass_node/process/retry_window.py
@@ -2,7 +2,8 @@
 
 In any window, repeats over all nodes may make up a ratio of the requests plus a
 slack. A node takes the ratio of its own requests and its share of the slack, so
-that the sum over the nodes keeps the limit without a word between them.
+that the sum over the nodes keeps the limit without a word between them
+(:mod:`.budget_shares` says among how many).
 """
 
 from collections import deque
@@ -23,9 +24,10 @@
 class RetryWindows:
     """The budgets of one node; times are of ``clock``, in seconds.
 
-    ``live_nodes`` is set as nodes come and go. Of the slack a node takes an equal
-    share, or ``OWNER_SHARE`` of all for services whose calls nearly all come
-    from one node, the owner of their queue.
+    ``sharing_nodes`` is among how many nodes the slack is shared, None while that is
+    not known: then none of it is used. A node takes an equal share, or ``OWNER_SHARE``
+    of all for services whose calls nearly all come from one node, the owner of their
+    queue.
     """
 
     def __init__(
@@ -37,7 +39,7 @@
         self._clock = clock
         self._started_at = clock()
         self._by_service: dict[str, _Window] = {}
-        self.live_nodes = 1
+        self.sharing_nodes: int | None = None
 
     def note_request(self, service: str, count: int = 1) -> None:
         """Count first calls to a service."""
@@ -52,8 +54,8 @@
         now = self._clock()
         requests = _sum_since(window.requests, now - self._window_s)
         repeats = _sum_since(window.repeats, now - self._window_s)
-        share = OWNER_SHARE if owner else 1.0 / self.live_nodes
-        allowed = (self._ratio * requests + self._slack * share) * USED_FRACTION
+        slack = self._slack * self._share(owner)
+        allowed = (self._ratio * requests + slack) * USED_FRACTION
         granted = repeats + 1 <= allowed
         if granted:
             window.repeats.append((now, 1))
@@ -65,11 +67,17 @@
             requests=requests,
             repeats=repeats,
             allowed=round(allowed, 2),
-            nodes=self.live_nodes,
+            nodes=self.sharing_nodes,
             up_s=round(now - self._started_at, 2),
         )
         return granted
 
+    def _share(self, owner: bool) -> float:
+        """Return the part of the slack that this node may use."""
+        if self.sharing_nodes is None:
+            return 0.0
+        return OWNER_SHARE if owner else 1.0 / self.sharing_nodes
+
     def _window(self, service: str) -> "_Window":
         window = self._by_service.get(service)
         if window is None:
