Budgets of retries are token buckets that start empty

Cause: a process counted its own last 10 s and took all that they allow, so each new process on a host spent the window anew. A second case of it needs no restart: where the requests of one host go to the next (owners of queues in turn, each with a third of the slack; clients that move), the next one's window allows what the first has spent.

Now a bucket holds a part of what a window allows (half of the slack, a quarter of the ratio's part), and the rest accrues with requests and time. In any window all processes together spend at most the saved part of what the window before allows and the rest of what that window does, which is at most the larger of both, whoever is restarted or takes over requests. 0.9 of it is used. Owners lose their third; stages count pieces, as their repeats do, in place of sets. Where a bucket cannot hold one token (60 hosts and more with few requests) it is drawn on by chance, 0.6 of what is drawn being used.

Tests of single repeats give their nodes a window to fill their buckets.

Ruled out: sliding windows of which a new process uses a fifth (sound for restarts only: a first form failed the test of requests that move); an owner that hands out retries (a call more for each, and the same question for its successor); telling others what was spent (a killed process tells nothing of its last second).

--- a/benchmarks/piece_queue.py
+++ b/benchmarks/piece_queue.py
@@ -19,7 +19,7 @@
 from eelgrass_node.process.pieces import Piece, PieceOutcome
 from eelgrass_node.process.poison_requests import PoisonRequests
 from eelgrass_node.process.reach import DataCentreReach
-from eelgrass_node.process.retry_window import RetryWindows
+from eelgrass_node.process.retry_budget import RetryBudgets
 from eelgrass_node.version.deployment import (
     CallerLimits,
     Deployment,
@@ -107,10 +107,12 @@
         has_accounts=False,
         limits=CallerLimits(max_body_bytes=0, idle_s=0.0),
     )
+    retries = RetryBudgets(0.2, 200.0, 10.0, loop.time)
+    retries.sharing_nodes = 1
     local = LocalPieces(
         backends,
         lambda: deployment,
-        RetryWindows(0.2, 200.0, 10.0, loop.time),
+        retries,
         DataCentreReach(DataCentre("a"), loop.time),
         run_call,
         free_call,
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -48,7 +48,7 @@
 from .process.queue_load import QueueLoads
 from .process.reach import DataCentreReach
 from .process.reach_checks import ReachChecks
-from .process.retry_window import RetryWindows
+from .process.retry_budget import RetryBudgets
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
 from .process.shared_pieces import SharedPieces
@@ -102,7 +102,7 @@
             partial(servers.decode_server, settings.region_by_data_centre),
             lambda server_id: None,
         )
-        self.retries = RetryWindows(
+        self.retries = RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, loop.time
         )
         self.reach = DataCentreReach(settings.data_centre, loop.time)
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -10,7 +10,7 @@
 from .poison_requests import PoisonRequests
 from .queue_load import QueueLoad
 from .reach import DataCentreReach
-from .retry_window import RetryWindows
+from .retry_budget import RetryBudgets
 
 __all__ = ["LocalPieces"]
 
@@ -41,7 +41,7 @@
         self,
         backends: Backends,
         deployment: Callable[[], Deployment | None],
-        retries: RetryWindows,
+        retries: RetryBudgets,
         reach: DataCentreReach,
         run_call: RunCall,
         free_call: FreeCall,
@@ -67,7 +67,7 @@
         self, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
         """Run pieces of one stage and return their outcomes, in order."""
-        self._retries.note_request(service)
+        self._retries.note_requests(service, len(pieces))
         if not self._usable(service, pieces[0].regions):
             return [PieceOutcome(trouble=PieceTrouble.UNREACHED)] * len(pieces)
         return await self.queue(service).run(pieces)
@@ -158,7 +158,7 @@
     def _may_repeat(self, service: ServiceName, piece: Piece) -> bool:
         if self._poison.quarantine.holds(piece.request):
             return False
-        return self._retries.try_spend(service, piece.request_id, owner=True)
+        return self._retries.try_spend(service, piece.request_id)
 
     async def _free(
         self, service: ServiceName, backend: Backend, handles: list[str]
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/retry_budget.py
@@ -0,0 +1,137 @@
+"""Budgets of repeats that all nodes share, by service.
+
+In any window, repeats over all nodes may make up a ratio of the requests plus a
+slack. A node takes the ratio of its own requests and its share of the slack
+(:mod:`.budget_shares`), so that the sum over the nodes keeps the limit without a
+word between them.
+
+Each process has a token bucket for each service. It holds a part of what a window
+allows; the rest accrues with requests and with time. In any window a process therefore
+spends at most that part of what the window before it allows, and the rest of what that
+window itself does. It starts with an empty bucket, so that the sum stays the same when
+it stands in the place of another process, or gets the requests of one.
+
+Many nodes share less than one repeat each. A bucket that is too small for a whole token
+is drawn on by chance: what it holds is the probability of a repeat.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+from ..log import Part, log
+
+__all__ = ["RetryBudgets"]
+
+# The part of the allowance that is used. A repeat counts when it arrives, which is
+# later than it is counted here.
+USED_FRACTION = 0.9
+# The parts of the slack and of the ratio that can be saved up for failures that come at
+# once; the rest is for those that go on.
+SAVED_SLACK_FRACTION = 0.5
+SAVED_RATIO_FRACTION = 0.25
+# Of what is drawn by chance this much is used, so that luck at many nodes at once does
+# not pass the limit.
+DRAWN_FRACTION = 0.6
+
+
+class RetryBudgets:
+    """The budgets of one process; times are of ``clock``, in seconds.
+
+    ``sharing_nodes`` is among how many nodes the slack is shared, None while that is
+    not known: then none of it is used. ``draw`` returns a random number from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        clock: Callable[[], float],
+        draw: Callable[[], float] = random.random,
+    ) -> None:
+        self._ratio = ratio * USED_FRACTION
+        self._slack = slack * USED_FRACTION
+        self._window_s = window_s
+        self._clock = clock
+        self._draw = draw
+        self._started_at = clock()
+        self._bucket_by_service: dict[str, _Bucket] = {}
+        self.sharing_nodes: int | None = None
+
+    def note_requests(self, service: str, count: int = 1) -> None:
+        """Count requests for a service, or pieces for one that runs stages."""
+        now = self._clock()
+        bucket = self._refilled(service, now)
+        bucket.note_requests(now, count)
+        bucket.tokens += (1 - SAVED_RATIO_FRACTION) * self._ratio * count
+
+    def try_spend(self, service: str, request_id: str) -> bool:
+        """Take a repeat from the budget; False where it is used up."""
+        bucket = self._refilled(service, self._clock())
+        tokens = bucket.tokens
+        granted = self._take_token(bucket)
+        log(
+            Part.REQUESTS,
+            "A retry is allowed." if granted else "The retry budget is spent.",
+            id=request_id,
+            service=service,
+            requests=bucket.requested,
+            tokens=round(tokens, 2),
+            most=round(self._most(bucket), 2),
+            nodes=self.sharing_nodes,
+        )
+        return granted
+
+    def _take_token(self, bucket: "_Bucket") -> bool:
+        if bucket.tokens >= 1:
+            bucket.tokens -= 1
+            return True
+        if self._most(bucket) >= 1:
+            return False
+        granted = self._draw() < bucket.tokens * DRAWN_FRACTION
+        bucket.tokens = 0.0
+        return granted
+
+    def _refilled(self, service: str, now: float) -> "_Bucket":
+        """Return the bucket of a service with the tokens that it has now."""
+        bucket = self._bucket_by_service.get(service)
+        if bucket is None:
+            bucket = self._bucket_by_service[service] = _Bucket(self._started_at)
+        bucket.forget_before(now - self._window_s)
+        passed = (now - bucket.refilled_at) / self._window_s
+        bucket.refilled_at = now
+        accrued = (1 - SAVED_SLACK_FRACTION) * self._slack_share() * passed
+        bucket.tokens = min(bucket.tokens + accrued, self._most(bucket))
+        return bucket
+
+    def _most(self, bucket: "_Bucket") -> float:
+        """Return how many tokens a bucket can hold."""
+        saved_slack = SAVED_SLACK_FRACTION * self._slack_share()
+        return saved_slack + SAVED_RATIO_FRACTION * self._ratio * bucket.requested
+
+    def _slack_share(self) -> float:
+        return self._slack / self.sharing_nodes if self.sharing_nodes else 0.0
+
+
+class _Bucket:
+    """The tokens of one service, and how much was ``requested`` in the last window.
+
+    ``refilled_at`` is the time to which tokens have accrued with time.
+    """
+
+    def __init__(self, filled_since: float) -> None:
+        self.tokens = 0.0
+        self.refilled_at = filled_since
+        self.requested = 0
+        self._counts: deque[tuple[float, int]] = deque()
+
+    def note_requests(self, now: float, count: int) -> None:
+        """Count requests that come now."""
+        self._counts.append((now, count))
+        self.requested += count
+
+    def forget_before(self, time: float) -> None:
+        """Forget the requests before a time."""
+        while self._counts and self._counts[0][0] < time:
+            self.requested -= self._counts.popleft()[1]
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -104,7 +104,7 @@
 
     async def serve(self) -> web.StreamResponse:
         """Serve the request; raises :class:`CallerGone` where nobody waits."""
-        self._parts.retries.note_request(self._routed.service)
+        self._parts.retries.note_requests(self._routed.service)
         try:
             async with asyncio.timeout_at(self._routed.deadline):
                 return await self._serve()
--- a/packages/node/src/eelgrass_node/request/serving_parts.py
+++ b/packages/node/src/eelgrass_node/request/serving_parts.py
@@ -8,7 +8,7 @@
 from ..process.metrics import Metrics
 from ..process.poison_requests import PoisonRequests
 from ..process.reach import DataCentreReach
-from ..process.retry_window import RetryWindows
+from ..process.retry_budget import RetryBudgets
 from ..process.server_choice import ServerWish
 from ..process.warm_up import Permit
 from ..version.deployment import ServiceName
@@ -42,7 +42,7 @@
     run_pieces: RunPieces
     free_results: Callable[[ServiceName, list[str]], None]
     final_times: FinalTimes
-    retries: RetryWindows
+    retries: RetryBudgets
     reach: DataCentreReach
     server_gone: Callable[[Backend], None]
     server_fails: Callable[[Backend], None]
--- /dev/null
+++ b/packages/node/tests/test_retry_budgets.py
@@ -0,0 +1,127 @@
+"""Budgets of repeats: what one node takes, and what all of them take together."""
+
+import os
+import random
+
+import pytest
+
+from eelgrass_node.process.retry_budget import SAVED_SLACK_FRACTION, RetryBudgets
+from support.clock import Clock
+from support.retry_fleet import RetryFleet
+
+HOSTS = 8
+WINDOW_S = 10.0
+SEEDS = range(int(os.environ.get("EELGRASS_RETRY_SEEDS", "30")))
+
+
+class TestOneProcess:
+    def budgets(self, nodes=HOSTS, requests=100):
+        """Return the budgets of a process that has served requests for a while."""
+        clock = Clock()
+        budgets = RetryBudgets(0.2, 56, WINDOW_S, clock)
+        budgets.sharing_nodes = nodes
+        for number in range(1, requests + 1):
+            clock.now = WINDOW_S * number / requests
+            budgets.note_requests("s")
+        return budgets, clock
+
+    def spend_all(self, budgets):
+        spent = 0
+        while budgets.try_spend("s", "a request"):
+            spent += 1
+        return spent
+
+    def test_all_nodes_together_keep_the_limit(self):
+        total = sum(self.spend_all(self.budgets()[0]) for _ in range(HOSTS))
+        assert 0 < total <= 0.2 * HOSTS * 100 + 56
+
+    def test_only_a_part_of_a_window_is_saved_up(self):
+        budgets, clock = self.budgets()
+        budgets.note_requests("s", 1000)
+        clock.now += 2 * WINDOW_S
+        assert self.spend_all(budgets) <= SAVED_SLACK_FRACTION * 56 / HOSTS
+
+    def test_it_comes_back_with_requests(self):
+        budgets, _ = self.budgets()
+        self.spend_all(budgets)
+        budgets.note_requests("s", 20)
+        assert budgets.try_spend("s", "a request")
+
+    def test_it_comes_back_with_time(self):
+        budgets, clock = self.budgets()
+        self.spend_all(budgets)
+        clock.now += WINDOW_S
+        assert budgets.try_spend("s", "a request")
+
+    def test_a_new_process_has_nothing_saved(self):
+        budgets = RetryBudgets(0.2, 56, WINDOW_S, Clock())
+        budgets.sharing_nodes = 1
+        assert not budgets.try_spend("s", "a request")
+
+    # Guards against the whole slack at a node that does not know of the others yet.
+    def test_there_is_no_slack_until_it_is_known_who_shares_it(self):
+        budgets, clock = self.budgets(nodes=None, requests=1)
+        clock.now += WINDOW_S
+        assert not budgets.try_spend("s", "a request")
+
+
+class TestFleet:
+    """All processes repeat whatever they may, for as long as servers fail."""
+
+    def fleet(self, hosts=HOSTS, requests_per_s=40.0, **options):
+        fleet = RetryFleet(hosts, requests_per_s, **options)
+        fleet.play(2 * WINDOW_S, failing=False)
+        return fleet
+
+    # Guards against a new process that spends what the one before it has spent.
+    @pytest.mark.parametrize("requests_per_s", [4.0, 40.0, 400.0])
+    def test_hosts_restarted_at_once_while_servers_fail(self, requests_per_s):
+        fleet = self.fleet(requests_per_s=requests_per_s)
+        fleet.play(1.0, failing=True)
+        for _ in range(3):
+            for host in range(HOSTS):
+                fleet.restart(host)
+            fleet.play(2.0, failing=True)
+        fleet.play(2 * WINDOW_S, failing=True)
+        assert fleet.excess() <= 0
+
+    # Guards against a budget that is spent once more where its requests go next.
+    @pytest.mark.parametrize("requests_per_s", [4.0, 40.0, 400.0])
+    def test_requests_that_move_from_host_to_host(self, requests_per_s):
+        fleet = self.fleet(requests_per_s=requests_per_s)
+        for host in range(HOSTS):
+            fleet.play(1.0, failing=True, only=host)
+        assert fleet.excess() <= 0
+
+    # Guards against both with any restarts and any times at which servers fail.
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_any_restarts_while_servers_fail_at_any_time(self, seed):
+        draw = random.Random(seed)
+        hosts = draw.choice([1, 3, HOSTS, 60])
+        fleet = self.fleet(
+            hosts=hosts,
+            requests_per_s=hosts * draw.choice([0.3, 2.0, 7.0]),
+            slack=draw.choice([10.0, 56.0, 170.0]),
+        )
+        for _ in range(60):
+            for host in range(hosts):
+                if draw.random() < 0.1:
+                    fleet.restart(host, down_s=draw.choice([0.0, 1.0, 4.0]))
+            fleet.play(draw.uniform(0.1, 1.5), failing=draw.random() < 0.4)
+        assert fleet.excess() <= 0
+
+    def test_without_restarts_most_of_the_budget_is_used(self):
+        fleet = self.fleet()
+        fleet.play(2 * WINDOW_S, failing=True)
+        allowed = 0.2 * 40.0 * WINDOW_S + 56.0
+        assert -0.25 * allowed <= fleet.excess() <= 0
+
+    # Guards against a large deployment in which nobody may ever repeat anything.
+    @pytest.mark.parametrize("hosts", [60, 195, 400])
+    def test_nodes_that_share_less_than_one_repeat_each(self, hosts):
+        """A service that each node sees a request for in ten seconds."""
+        fleet = self.fleet(hosts=hosts, requests_per_s=hosts / 10)
+        fleet.play(WINDOW_S, failing=True)
+        allowed = 0.2 * hosts + 56.0
+        assert fleet.excess() <= 0
+        assert fleet.repeats >= 0.4 * allowed
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -198,6 +198,7 @@
     async def add_node(self) -> EntryNode:
         """Start one more node, without waiting until it is ready."""
         node = self.new_node()
+        let_budgets_fill(node)
         await node.start()
         return node
 
@@ -247,6 +248,12 @@
         return runner
 
 
+def let_budgets_fill(node: EntryNode) -> None:
+    """Have a node reckon that it has been up for a while, as far as it may repeat."""
+    clock = node.retries._clock
+    node.retries._clock = lambda: clock() + node.settings.bounds.retry_window_s
+
+
 @contextmanager
 def hanging_listener() -> Iterator[str]:
     """Yield an address at which connections never come about."""
--- a/tests/support/retry_budget.py
+++ b/tests/support/retry_budget.py
@@ -1,6 +1,7 @@
 """Nodes before failing servers, and by how much repeats pass their budget."""
 
 import asyncio
+from bisect import bisect_left, bisect_right
 
 from eelgrass_node.entry_node import EntryNode
 from eelgrass_standins.users_engines import EngineFault
@@ -72,9 +73,9 @@
 ) -> float:
     """Return by how much repeats pass their budget in the worst window.
 
-    In any window they may make up ``ratio`` of the requests and ``slack`` more; the
-    requests are those of that window, of the one half a window before or of the one
-    before it, whichever has most.
+    Both lists of times are sorted and in seconds. In any window repeats may make up
+    ``ratio`` of the requests and ``slack`` more; the requests are those of that window,
+    of the one half a window before or of the one before it, whichever has most.
     """
     return max(
         (
@@ -92,4 +93,4 @@
 
 
 def _between(times: list[float], since: float, until_s: float) -> int:
-    return sum(since <= at <= until_s for at in times)
+    return bisect_right(times, until_s) - bisect_left(times, since)
--- /dev/null
+++ b/tests/support/retry_fleet.py
@@ -0,0 +1,97 @@
+"""Hosts whose processes share a budget of repeats, in simulated time."""
+
+import random
+
+from eelgrass_node.process.retry_budget import RetryBudgets
+
+from .clock import Clock
+from .retry_budget import worst_excess
+
+__all__ = ["RetryFleet"]
+
+SERVICE = "engines"
+STEP_S = 0.1
+
+
+class RetryFleet:
+    """Hosts with one process each, which repeat as many requests as they may.
+
+    ``requests_per_s`` come to all of them together, evenly and to each host that is up
+    alike.
+    """
+
+    def __init__(
+        self,
+        hosts: int,
+        requests_per_s: float,
+        ratio: float = 0.2,
+        slack: float = 56.0,
+        window_s: float = 10.0,
+    ) -> None:
+        self.clock = Clock()
+        self._budget = (ratio, slack, window_s)
+        self._hosts = hosts
+        self._requests_per_s = requests_per_s
+        self._random = random.Random(hosts)
+        self._owed = 0.0
+        self._turn = 0
+        self._sent_at: list[float] = []
+        self._repeats_at: list[float] = []
+        self._process_by_host = {host: self._new_process() for host in range(hosts)}
+        self._back_at_by_host: dict[int, float] = {}
+
+    def restart(self, host: int, down_s: float = 0.0) -> None:
+        """End the process on a host; another one stands in its place later."""
+        self._process_by_host.pop(host, None)
+        self._back_at_by_host[host] = self.clock.now + down_s
+
+    def play(self, for_s: float, failing: bool, only: int | None = None) -> None:
+        """Let time pass; while servers fail, each process repeats what it may.
+
+        With ``only`` all requests come to that host, as to the owner of a queue.
+        """
+        for _ in range(round(for_s / STEP_S)):
+            self.clock.now += STEP_S
+            self._bring_back()
+            self._serve(only)
+            if failing:
+                self._repeat()
+
+    @property
+    def repeats(self) -> int:
+        """How many repeats there were so far."""
+        return len(self._repeats_at)
+
+    def excess(self) -> float:
+        """Return by how much repeats passed the budget in the worst window."""
+        return worst_excess(self._repeats_at, self._sent_at, *self._budget)
+
+    def _new_process(self) -> RetryBudgets:
+        ratio, slack, window_s = self._budget
+        draw = self._random.random
+        process = RetryBudgets(ratio, slack, window_s, self.clock, draw)
+        process.sharing_nodes = self._hosts
+        return process
+
+    def _bring_back(self) -> None:
+        now = self.clock.now
+        back = [host for host, at in self._back_at_by_host.items() if at <= now]
+        for host in back:
+            del self._back_at_by_host[host]
+            self._process_by_host[host] = self._new_process()
+
+    def _serve(self, only: int | None) -> None:
+        self._owed += self._requests_per_s * STEP_S
+        up = sorted(self._process_by_host) if only is None else [only]
+        while self._owed >= 1:
+            self._owed -= 1
+            self._sent_at.append(self.clock.now)
+            self._turn += 1
+            if up:
+                host = up[self._turn % len(up)]
+                self._process_by_host[host].note_requests(SERVICE)
+
+    def _repeat(self) -> None:
+        for process in self._process_by_host.values():
+            while process.try_spend(SERVICE, "a request"):
+                self._repeats_at.append(self.clock.now)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,5 +1,7 @@
 """The budget of repeats holds for all nodes together, whatever becomes of them."""
 
+from collections import Counter
+
 from support.retry_budget import FailingServers
 
 NODES = 6
@@ -23,3 +25,16 @@
                     await deployment.send(number, REQUESTS // 2)
                     await deployment.restart(number)
             assert deployment.excess() <= 0
+
+
+class TestPieces:
+    # Guards against lost pieces that are counted one by one, and asked for by the set.
+    async def test_each_piece_of_a_stage_counts_as_a_request(self, entry):
+        counts_by_service = Counter()
+        for node in entry.nodes:
+            node.retries.note_requests = lambda service, count=1: (
+                counts_by_service.update({service: count})
+            )
+        segments = {"Eelgrassward_Segments": "2,1,5", "Eelgrassward_Segment_Key": "k"}
+        await entry.ask("/stream/staged/x", **segments)
+        assert counts_by_service == {"portal": 3, "clerks": 5, "readers": 1}
