The test of a paused node pauses it while its server is at work

The node was paused 0.3 s after the call began, by a wait; the server works for 0.6 s.

Now it waits until the request is claimed, and the server works for 2 s. What is checked is the same.

--- a/tests/test_killed_and_paused.py
+++ b/tests/test_killed_and_paused.py
@@ -15,6 +15,8 @@
 
 COMMIT = "/v1/transactions"
 SLOW = Fault(Action.DELAY, "/v1/run", delay_s=0.6)
+# Longer than it takes to pause a node on a machine that is shared.
+VERY_SLOW = Fault(Action.DELAY, "/v1/run", delay_s=2.0)
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
@@ -46,6 +48,16 @@
     return sum(f"<{token}>" in entry.input_text for entry in journal)
 
 
+async def until_claimed(deployment, key):
+    """Wait until a node has registered a keyed request, and sends it at once."""
+
+    async def is_claimed():
+        claims = await deployment.client.operate(deployment.internal(1), "claims")
+        return key in [claim["key"] for claim in claims]
+
+    await until(is_claimed)
+
+
 async def restart(deployment, number):
     await deployment.nodes[number].kill()
     deployment.nodes[number].start()
@@ -154,11 +166,11 @@
         assert await runs(deployment, "paused") == 1
 
     async def test_paused_while_the_service_runs(self, deployment, history):
-        await set_faults(deployment, "register-desk", SLOW)
+        await set_faults(deployment, "register-desk", VERY_SLOW)
         call = asyncio.create_task(
             history.call(deployment, 0, "transmittal", "frozen", key="frozen")
         )
-        await asyncio.sleep(0.3)
+        await until_claimed(deployment, "frozen")
         deployment.nodes[0].signal(signal.SIGSTOP)
         other = await history.call(
             deployment, 1, "transmittal", "frozen", key="frozen", deadline_ms=600
