The test of replaced nodes gives its balancer time to hear of a stop

The nodes now serve for 2 s, under the 2.6 s of the users' platform. The checks are the same: not one call may fail.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -15,13 +15,15 @@
 pytestmark = [pytest.mark.processes, pytest.mark.asyncio(loop_scope="module")]
 
 HEALTH_POLL_S = 0.1
+# How long a stopping node still serves; the balancer must have heard of it by then.
+NOTICE_MS = 2000
 
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def deployment(tmp_path_factory):
     folder = tmp_path_factory.mktemp("stops")
     spec = association(engines=2, pool_size=2)
-    timing = {"drain_notice_ms": 500, "heartbeat_ms": 300}
+    timing = {"drain_notice_ms": NOTICE_MS, "heartbeat_ms": 300}
     async with ProcessDeployment(
         spec, folder, grouped=False, settings={"timing": timing}
     ) as running:
