--- a/packages/node/src/eelgrass_node/process/retry_budget.py
+++ b/packages/node/src/eelgrass_node/process/retry_budget.py
@@ -1,18 +1,18 @@
-"""Budgets of repeats that all nodes share, by service.
+"""Retry budgets that all nodes share, by service.
 
-In any window, repeats over all nodes may make up a ratio of the requests plus a
+In any window, the retries of all nodes may make up a ratio of the requests plus a
 slack. A node takes the ratio of its own requests and its share of the slack
 (:mod:`.budget_shares`), so that the sum over the nodes keeps the limit without a
 word between them.
 
-Each process has a token bucket for each service. It holds a part of what a window
-allows; the rest accrues with requests and with time. In any window a process therefore
-spends at most that part of what the window before it allows, and the rest of what that
-window itself does. It starts with an empty bucket, so that the sum stays the same when
-it stands in the place of another process, or gets the requests of one.
+Each process has a token bucket for each service. Its capacity is a part of what a
+window allows; the rest accrues with requests and with time. In any window a process
+therefore spends at most that part of what the window before it allows, and the rest of
+what that window itself does. A bucket starts empty, so that the sum stays the same when
+a process stands in the place of another one, or gets its requests.
 
-Many nodes share less than one repeat each. A bucket that is too small for a whole token
-is drawn on by chance: what it holds is the probability of a repeat.
+Many nodes share less than one retry each. A bucket whose capacity is less than one
+token is drawn on by chance: its tokens are the probability of a retry.
 """
 
 import random
@@ -23,7 +23,7 @@
 
 __all__ = ["RetryBudgets"]
 
-# The part of the allowance that is used. A repeat counts when it arrives, which is
+# The part of the allowance that is used. A retry counts when it arrives, which is
 # later than it is counted here.
 USED_FRACTION = 0.9
 # The parts of the slack and of the ratio that can be saved up for failures that come at
@@ -67,7 +67,7 @@
         bucket.tokens += (1 - SAVED_RATIO_FRACTION) * self._ratio * count
 
     def try_spend(self, service: str, request_id: str) -> bool:
-        """Take a repeat from the budget; False where it is used up."""
+        """Take a token for a retry; returns whether there was one."""
         bucket = self._refilled(service, self._clock())
         tokens = bucket.tokens
         granted = self._take_token(bucket)
@@ -78,7 +78,7 @@
             service=service,
             requests=bucket.requested,
             tokens=round(tokens, 2),
-            most=round(self._most(bucket), 2),
+            capacity=round(self._capacity(bucket), 2),
             nodes=self.sharing_nodes,
         )
         return granted
@@ -87,7 +87,7 @@
         if bucket.tokens >= 1:
             bucket.tokens -= 1
             return True
-        if self._most(bucket) >= 1:
+        if self._capacity(bucket) >= 1:
             return False
         granted = self._draw() < bucket.tokens * DRAWN_FRACTION
         bucket.tokens = 0.0
@@ -102,10 +102,10 @@
         passed = (now - bucket.refilled_at) / self._window_s
         bucket.refilled_at = now
         accrued = (1 - SAVED_SLACK_FRACTION) * self._slack_share() * passed
-        bucket.tokens = min(bucket.tokens + accrued, self._most(bucket))
+        bucket.tokens = min(bucket.tokens + accrued, self._capacity(bucket))
         return bucket
 
-    def _most(self, bucket: "_Bucket") -> float:
+    def _capacity(self, bucket: "_Bucket") -> float:
         """Return how many tokens a bucket can hold."""
         saved_slack = SAVED_SLACK_FRACTION * self._slack_share()
         return saved_slack + SAVED_RATIO_FRACTION * self._ratio * bucket.requested
