--- a/packages/node/tests/test_retry_budgets.py
+++ b/packages/node/tests/test_retry_budgets.py
@@ -18,7 +18,7 @@
     def budgets(self, nodes=HOSTS, requests=100):
         """Return the budgets of a process that has served requests for a while."""
         clock = Clock()
-        budgets = RetryBudgets(0.2, 56, WINDOW_S, clock)
+        budgets = RetryBudgets(0.2, 56, WINDOW_S, clock, draw=lambda: 0.5)
         budgets.sharing_nodes = nodes
         for number in range(1, requests + 1):
             clock.now = WINDOW_S * number / requests
