Logs tell why pieces were given up as late

A request refused as 'stages: late' left no line that says what its pieces waited for. The line gives the servers with the calls, the memory held and the slowness that the queue counts for them.

--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -231,11 +231,26 @@
                     trouble=PieceTrouble.LATE,
                     retry_after_s=self._overload.lasted_s(now),
                 )
+                self._log_late(pieces, now)
                 self._settle_all(pieces, outcome)
             elif self._servers.inputs_lost(pieces[0]):
                 # Their inputs are out of reach; they can be made again here.
                 self._settle_all(pieces, PieceOutcome(trouble=PieceTrouble.INPUT_GONE))
 
+    def _log_late(self, pieces: Sequence[Piece], now: float) -> None:
+        first = pieces[0]
+        log(
+            Part.PIECES,
+            "Pieces are given up as late.",
+            service=self.service,
+            id=first.request_id,
+            pieces=len(pieces),
+            waited_s=round(now - first.queued_at, 3),
+            begun=first.begun,
+            waiting=len(self._waiting),
+            servers=self._servers.use_by_id(now),
+        )
+
     def _settle_all(self, pieces: Sequence[Piece], outcome: PieceOutcome) -> None:
         for piece, future in self._waiting.futures(pieces):
             self._settle(piece, future, outcome)
--- a/packages/node/src/eelgrass_node/process/piece_servers.py
+++ b/packages/node/src/eelgrass_node/process/piece_servers.py
@@ -9,6 +9,8 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
+from eelgrass_coordination.ids import BackendId
+
 from ..log import Part, log
 from ..version.deployment import PieceLimits
 from .backends import Backend, ServerLife
@@ -79,6 +81,12 @@
             for handle in handles:
                 use.free(handle)
 
+    def use_by_id(self, now: float) -> dict[BackendId, dict[str, float]]:
+        """Return what the queue has at its sound servers, for a log line."""
+        return {
+            server.entry.id: self.use(server).summary(now) for server in self.sound()
+        }
+
     def call_s(self, pieces: int) -> float:
         """Return the expected seconds of a call with that many pieces."""
         limits = self._limits()
--- a/packages/node/src/eelgrass_node/process/server_use.py
+++ b/packages/node/src/eelgrass_node/process/server_use.py
@@ -54,3 +54,11 @@
         excess = max(0.0, self._slowness.mean - 1.0)
         age_s = now - self._called_at
         return 1.0 + excess * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+
+    def summary(self, now: float) -> dict[str, float]:
+        """Return calls under way, megabytes held and slowness, for a log line."""
+        return {
+            "calls": self.calls,
+            "held_mb": round(self.held_bytes(now) / 1e6, 2),
+            "slowness": round(self.slowness(now), 2),
+        }
