Results are freed through the queue that counts them

What callers saw: requests refused as "stages: late" 1.9 s after they came, while 4 to 10 others had been served and the stage's servers were idle. Cause: results are freed at the owner that a node trusts at that moment. Where it has passed over the owner that ran the pieces (a stall of its own or of the owner is enough), it frees them without it, and that queue counts their memory until they would have expired (4 s): 18 of 21 MB held at both servers, no call starts. Ruled out: a lost wake-up (the queue looks again each 0.05 s), a server taken for slow or silent (slowness 1.0 to 1.6). Now an outcome names the node whose queue counts its result, and it is freed there. An owner that stands still gets the message when it goes on, as the call stays open for as long as the result would live; meanwhile the results are freed at the servers, so that others have the memory.

--- a/packages/node/src/eelgrass_node/boot_clock.py
+++ b/packages/node/src/eelgrass_node/boot_clock.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 
-__all__ = ["BootClockLoop"]
+__all__ = ["BootClockLoop", "unix_ms"]
 
 
 class BootClockLoop(asyncio.SelectorEventLoop):
@@ -17,3 +17,8 @@
     def time(self) -> float:
         """Return the time in seconds, suspension included."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def unix_ms() -> int:
+    """Return the Unix time in milliseconds."""
+    return time.time_ns() // 1_000_000
--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -114,13 +114,17 @@
         return done.outcomes
 
     async def free(
-        self, address: str, service: ServiceName, handles: list[str]
+        self,
+        address: str,
+        service: ServiceName,
+        handles: list[str],
+        within_s: float,
     ) -> None:
         """Have results freed by another node; raises :class:`PeerUnreachable`."""
         body = msgspec.json.encode(_FreeResults(service, handles))
         try:
             async with (
-                asyncio.timeout(ACCEPT_S),
+                asyncio.timeout(within_s),
                 self._session.post(
                     f"http://{address}{FREE_PATH}", data=body, allow_redirects=False
                 ) as response,
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -4,12 +4,12 @@
 """
 
 import asyncio
-import time
 from functools import partial
 
 from eelgrass_coordination import Mark, Member, Membership, MemberState
 from eelgrass_coordination.ids import Revision
 
+from .boot_clock import unix_ms
 from .connection.caller_server import CallerServer
 from .connection.listeners import Listeners
 from .connection.listening import listening_at
@@ -36,6 +36,7 @@
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
 from .process.failing_servers import FailingServers
+from .process.freed_results import FreedResults
 from .process.host_settings import HostSettings
 from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
@@ -128,14 +129,14 @@
             self.membership.probe,
         )
         self.failing = FailingServers(
-            self.backends, self.membership.announce_mark, _unix_ms
+            self.backends, self.membership.announce_mark, unix_ms
         )
         self.poison = PoisonRequests(
             self.backends,
             listening_at,
             self.membership.announce_marks,
             loop.time,
-            _unix_ms,
+            unix_ms,
             partial(self.store.write, CRASHES_TABLE),
             self.counters.count,
         )
@@ -211,6 +212,9 @@
             self.queue_loads.hear,
             self.counters.count,
         )
+        self.freed_results = FreedResults(
+            self.owners, self.pieces, self.handoff, self.counters.count
+        )
         self.choice = ServerChoice(
             self.backends,
             settings.data_centre,
@@ -319,7 +323,7 @@
             plan=planner.plan,
             refuse_hopeless=planner.refuse_hopeless,
             run_pieces=self.shared_pieces.run,
-            free_results=self.shared_pieces.free,
+            free_results=self.freed_results.free,
             final_times=self.final_times,
             retries=self.retries,
             reach=self.reach,
@@ -394,7 +398,3 @@
 
     def _server_replaced(self, backend: Backend) -> None:
         self.server_list.forget(backend.entry.life)
-
-
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/freed_results.py
@@ -0,0 +1,104 @@
+"""Frees results of stages through the queue that counts their memory.
+
+The pattern it answers: a node that owns a queue stands still for part of a second.
+Others pass it over and free results without it. A queue that does not hear of that
+takes its servers for full until the results would have expired, seconds later,
+and the pieces that wait there are late beside idle servers.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Protocol
+
+from eelgrass_coordination import Member
+from eelgrass_coordination.ids import NodeId
+
+from ..exceptions import PeerUnreachable
+from ..log import Part, log
+from ..version.deployment import ServiceName
+from .piece_owners import PieceOwners
+from .piece_service import LocalPieces
+
+__all__ = ["FreedResults", "ResultsClient"]
+
+# The owner of the queue is given this long; then the results are freed without it.
+OWNER_ANSWERS_S = 0.15
+
+
+class ResultsClient(Protocol):
+    """How results are freed by another node."""
+
+    async def free(
+        self,
+        address: str,
+        service: ServiceName,
+        handles: list[str],
+        within_s: float,
+    ) -> None:
+        """Have results freed there; raises :class:`PeerUnreachable`."""
+
+
+class FreedResults:
+    """Frees the results that this node's requests need no more.
+
+    ``count`` counts owners that did not hear of it.
+    """
+
+    def __init__(
+        self,
+        owners: PieceOwners,
+        local: LocalPieces,
+        client: ResultsClient,
+        count: Callable[[str], None],
+    ) -> None:
+        self._owners = owners
+        self._local = local
+        self._client = client
+        self._count = count
+        self._tasks: set[asyncio.Task] = set()
+
+    def free(
+        self, service: ServiceName, handles: list[str], owner: NodeId | None
+    ) -> None:
+        """Free results; ``owner`` is the other node whose queue counts them."""
+        member = None if owner is None else self._owners.member(owner)
+        if member is None:
+            self._local.free(service, handles)
+        else:
+            self._keep(self._free_through(member, service, handles))
+
+    async def _free_through(
+        self, owner: Member, service: ServiceName, handles: list[str]
+    ) -> None:
+        """Have the owner of a queue free results.
+
+        One that stands still is still to hear of it, for as long as it counts them.
+        """
+        within_s = max(OWNER_ANSWERS_S, self._local.result_life_s(service))
+        telling = asyncio.ensure_future(
+            self._client.free(owner.internal, service, handles, within_s)
+        )
+        try:
+            await asyncio.wait({telling}, timeout=OWNER_ANSWERS_S)
+            if not telling.done() or telling.exception() is not None:
+                self._local.free(service, handles)
+                self._owners.note_failure(owner)
+            await telling
+            self._owners.note_answer(owner)
+        except PeerUnreachable as error:
+            self._count("handoff.failed")
+            log(
+                Part.PIECES,
+                "The owner of a queue did not hear of results that were freed.",
+                owner=owner.id,
+                service=service,
+                results=len(handles),
+                error=str(error),
+            )
+        finally:
+            telling.cancel()
+
+    def _keep(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/packages/node/src/eelgrass_node/process/piece_service.py
+++ b/packages/node/src/eelgrass_node/process/piece_service.py
@@ -98,6 +98,10 @@
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
+    def result_life_s(self, service: ServiceName) -> float:
+        """Return the seconds after which a result that is not freed expires."""
+        return self._limits(service).result_life_s
+
     def data_centre_of(self, handle: str) -> str:
         """Return the data centre of the server that holds a result, if known."""
         backend = self._backends.at_address(self._maker_of(handle))
--- a/packages/node/src/eelgrass_node/process/pieces.py
+++ b/packages/node/src/eelgrass_node/process/pieces.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from eelgrass_coordination.ids import NodeId
+
 from .backends import ServerLife
 from .ended_servers import Fingerprint
 
@@ -65,14 +67,16 @@
     regions: frozenset[str] | None = None
 
 
-class PieceOutcome(msgspec.Struct, frozen=True):
+class PieceOutcome(msgspec.Struct, frozen=True, omit_defaults=True):
     """A handle of the result, or why there is none.
 
-    ``retry_after_s`` says when to come back where the piece was refused, and
-    ``maker`` which life of a server holds the result.
+    ``retry_after_s`` says when to come back where the piece was refused,
+    ``maker`` which life of a server holds the result, and ``owner`` which other
+    node's queue counts the memory that it takes there.
     """
 
     handle: str | None = None
     trouble: PieceTrouble | None = None
     retry_after_s: float = 0.0
     maker: ServerLife | None = None
+    owner: NodeId | None = None
--- a/packages/node/src/eelgrass_node/process/shared_pieces.py
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -5,10 +5,11 @@
 queue per service for all of them does both.
 """
 
-import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
 from eelgrass_coordination import Member
 
 from ..exceptions import PeerUnreachable
@@ -23,21 +24,16 @@
 
 
 class Handoff(Protocol):
-    """How pieces get to another node; its calls raise PeerUnreachable."""
+    """How pieces get to another node."""
 
     async def run(
         self, address: str, service: ServiceName, pieces: list[Piece]
     ) -> list[PieceOutcome]:
-        """Have pieces run there."""
-
-    async def free(
-        self, address: str, service: ServiceName, handles: list[str]
-    ) -> None:
-        """Have results freed there."""
+        """Have pieces run there; raises :class:`PeerUnreachable`."""
 
 
 class SharedPieces:
-    """Runs and frees pieces through the owners of their queues.
+    """Runs pieces through the owners of their queues.
 
     ``hear_load`` is told the load of queues of this node, and ``count`` counts
     hand-offs that failed.
@@ -56,7 +52,6 @@
         self._handoff = handoff
         self._hear_load = hear_load
         self._count = count
-        self._tasks: set[asyncio.Task] = set()
 
     async def run(
         self, service: ServiceName, pieces: list[Piece]
@@ -68,30 +63,13 @@
             try:
                 outcomes = await self._handoff.run(owner.internal, service, pieces)
                 self._owners.note_answer(owner)
-                return outcomes
+                return [_held_by(owner, outcome) for outcome in outcomes]
             except PeerUnreachable as error:
                 self._note_failure(owner, service, error)
         outcomes = await self._local.run(service, pieces)
         self._hear_load(service, self._local.load(service))
         return outcomes
 
-    def free(self, service: ServiceName, handles: list[str]) -> None:
-        """Free results through the owner of the queue, which counts them."""
-        owner = self._owners.candidates(service)[0]
-        if owner is None:
-            self._local.free(service, handles)
-            return
-        self._keep(self._free_there(owner, service, handles))
-
-    async def _free_there(
-        self, owner: Member, service: ServiceName, handles: list[str]
-    ) -> None:
-        try:
-            await self._handoff.free(owner.internal, service, handles)
-        except PeerUnreachable as error:
-            self._note_failure(owner, service, error)
-            self._local.free(service, handles)
-
     def _note_failure(
         self, owner: Member, service: ServiceName, error: PeerUnreachable
     ) -> None:
@@ -105,7 +83,9 @@
             error=str(error),
         )
 
-    def _keep(self, work: Awaitable[None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+
+def _held_by(owner: Member, outcome: PieceOutcome) -> PieceOutcome:
+    """Return an outcome that names the queue that counts its result."""
+    if outcome.handle is None:
+        return outcome
+    return msgspec.structs.replace(outcome, owner=owner.id)
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from eelgrass_coordination.ids import NodeId
+
 from ..exceptions import StagesFailed
 from ..process.backends import ServerLife
 from ..process.ended_servers import Fingerprint
@@ -17,9 +19,11 @@
 from ..version.deployment import PieceStage, ServiceName
 from .arrival import Routed
 
-__all__ = ["RunPieces", "StageGraph", "StagePlan"]
+__all__ = ["FreeResults", "RunPieces", "StageGraph", "StagePlan"]
 
 RunPieces = Callable[[ServiceName, list[Piece]], Awaitable[list[PieceOutcome]]]
+# Frees results; the node, if any, is the one whose queue counts their memory.
+FreeResults = Callable[[ServiceName, list[str], NodeId | None], None]
 
 # How often lost results are made again before the request is given up.
 MAX_ROUNDS = 2
@@ -45,10 +49,14 @@
 
 
 class _Result(msgspec.Struct, frozen=True):
-    """A result that a life of a server holds under a handle."""
+    """A result that a life of a server holds under a handle.
+
+    ``owner`` is the other node whose queue counts the memory that it takes.
+    """
 
     handle: str
     maker: ServerLife | None
+    owner: NodeId | None
 
 
 class StageGraph:
@@ -63,7 +71,7 @@
         routed: Routed,
         plan: StagePlan,
         run_pieces: RunPieces,
-        free: Callable[[ServiceName, list[str]], None],
+        free: FreeResults,
         data_centre_of: Callable[[str], str],
         is_over: Callable[[ServerLife], bool],
         fingerprint: Fingerprint,
@@ -163,23 +171,20 @@
                 self._release_stage(before, self._routed.route.stages[before])
 
     def _release_stage(self, number: int, stage: PieceStage) -> None:
-        held = [key for key in self._result_by_piece if key[0] == number]
-        results = [self._result_by_piece.pop(key) for key in held]
+        keys = [key for key in self._result_by_piece if key[0] == number]
+        results = [self._result_by_piece.pop(key) for key in keys]
         # Under its handle a server that has started again may hold another result.
-        handles = [
-            result.handle
-            for result in results
-            if result.maker is None or not self._is_over(result.maker)
-        ]
-        if handles:
-            self._free(stage.service, handles)
+        held = [r for r in results if r.maker is None or not self._is_over(r.maker)]
+        for owner in {result.owner for result in held}:
+            handles = [result.handle for result in held if result.owner == owner]
+            self._free(stage.service, handles, owner)
 
     def _take(
         self, number: int, missing: list[int], outcomes: list[PieceOutcome]
     ) -> None:
         for piece, outcome in zip(missing, outcomes, strict=True):
             if outcome.handle is not None:
-                result = _Result(outcome.handle, outcome.maker)
+                result = _Result(outcome.handle, outcome.maker, outcome.owner)
                 self._result_by_piece[number, piece] = result
         troubles = [outcome for outcome in outcomes if outcome.trouble is not None]
         if not troubles:
--- a/packages/node/src/eelgrass_node/request/serving_parts.py
+++ b/packages/node/src/eelgrass_node/request/serving_parts.py
@@ -11,10 +11,9 @@
 from ..process.retry_budget import RetryBudgets
 from ..process.server_choice import ServerWish
 from ..process.warm_up import Permit
-from ..version.deployment import ServiceName
 from .arrival import Routed, WireCodec
 from .final_times import FinalTimes
-from .graph import RunPieces, StagePlan
+from .graph import FreeResults, RunPieces, StagePlan
 
 __all__ = ["ServingParts"]
 
@@ -40,7 +39,7 @@
     plan: Callable[[Routed], StagePlan]
     refuse_hopeless: Callable[[Routed], float | None]
     run_pieces: RunPieces
-    free_results: Callable[[ServiceName, list[str]], None]
+    free_results: FreeResults
     final_times: FinalTimes
     retries: RetryBudgets
     reach: DataCentreReach
--- a/packages/node/tests/test_server_lives.py
+++ b/packages/node/tests/test_server_lives.py
@@ -49,7 +49,7 @@
             routed(stages=stages, counts=(2, 1)),
             plan,
             self.run,
-            lambda service, handles: self.freed.extend(handles),
+            lambda service, handles, owner: self.freed.extend(handles),
             lambda handle: "a",
             self.is_over,
             Fingerprint("a request"),
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -35,7 +35,7 @@
             request,
             plan_stages(request, deployment(), "a", FINAL_S),
             run_pieces,
-            lambda service, handles: freed.extend(handles),
+            lambda service, handles, owner: freed.extend(handles),
             lambda handle: "a",
             lambda life: False,
             Fingerprint("a request"),
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -5,6 +5,7 @@
 import pytest
 
 from eelgrass_node.process import platform_tables, table_relay
+from eelgrass_node.request import routed
 from eelgrass_standins.users_engines import EngineFault
 from support.connections import connect
 from support.entry import (
@@ -320,6 +321,34 @@
         assert (status, body) == (200, WHOLE)
         assert asyncio.get_running_loop().time() - began < 1.0
 
+    # A queue whose owner was passed over took its servers for full for seconds.
+    async def test_results_freed_past_their_owner_make_room_for_others(
+        self, entry, monkeypatch
+    ):
+        monkeypatch.setattr(routed, "FETCHED_S", 0.3)
+        at_owner, elsewhere = self.owner_and_other(entry, "portal")
+        asks = [
+            asyncio.create_task(
+                entry.ask("/stream/staged/x", node=elsewhere, **SEGMENTS)
+            )
+            for _ in range(6)
+        ]
+        await until(lambda: len(self.pieces(entry, "portal")) == 18)
+        owner = entry.nodes[at_owner].membership.own
+        entry.nodes[elsewhere].owners.note_failure(owner)
+        answers = await asyncio.gather(*asks)
+        asks = [
+            entry.ask("/stream/staged/x", node=at_owner, **SEGMENTS) for _ in range(4)
+        ]
+        answers += await asyncio.gather(*asks)
+        assert [answer[0] for answer in answers] == [200] * 10
+
+    @staticmethod
+    def owner_and_other(entry, service):
+        """Return the numbers of the node that owns a queue and of the other one."""
+        owner = entry.nodes[0].owners.candidates(service)[0]
+        return (0, 1) if owner is None else (1, 0)
+
     @staticmethod
     def pieces(entry, service):
         engines = entry.engines_by_service[service]
