Waits for others count only the time in which the process itself ran

Cause: a timer that fell due during a stall fires as the process goes on, before the answer that came meanwhile is read or passed up; the wait then counts as the other's silence. The deadline of a request goes on during a stall, but an answer that is there by then is given (a whole 200 was thrown away for a 504 on a frozen host). The tests fail before: a stall of 0.3 and 0.6 s refuses two of four requests.

--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -4,6 +4,7 @@
 or kept goes through a transactional table service (:class:`Table`).
 """
 
+from .awake_time import AwakeTimeout, awake_sleep, awake_wait, deadline_timeout
 from .bounded_call import bounded_call, sending_s
 from .change_log import ChangeLog, ChangeOutcome, ChangeResult
 from .claims import Claim, Claims, ClaimState, Held
@@ -30,6 +31,7 @@
 
 __all__ = [
     "Action",
+    "AwakeTimeout",
     "Change",
     "ChangeItem",
     "ChangeLog",
@@ -62,7 +64,10 @@
     "Transaction",
     "TransactionResult",
     "Write",
+    "awake_sleep",
+    "awake_wait",
     "bounded_call",
+    "deadline_timeout",
     "ranked",
     "sending_s",
     "share_of_limit",
--- a/packages/coordination/src/eelgrass_coordination/bounded_call.py
+++ b/packages/coordination/src/eelgrass_coordination/bounded_call.py
@@ -1,12 +1,13 @@
 """An HTTP call that is given up in silence, with the client library's gaps closed."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
 import aiohttp
 
+from .awake_time import AwakeTimeout
+
 __all__ = ["BoundedAnswer", "bounded_call", "sending_s"]
 
 # An answer that has begun may pause for so long: a lost packet comes again in half of
@@ -41,16 +42,10 @@
     away half read, and asked for again for ever.
     """
 
-    def __init__(
-        self, response: aiohttp.ClientResponse, bound: asyncio.Timeout
-    ) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, bound: AwakeTimeout) -> None:
         self._response = response
         self._bound = bound
-        self._loop = asyncio.get_running_loop()
-        self._began_at = self._loop.time()
-        self._given_up_at = 0.0
-        self._timer: asyncio.Handle | None = None
-        bound.reschedule(None)
+        self._began_at = bound.awake_time()
         self._put_off()
 
     @property
@@ -75,33 +70,10 @@
             self._put_off()
         return b"".join(parts)
 
-    def stop_waiting(self) -> None:
-        """Give nothing up any more."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
     def _put_off(self) -> None:
         """Let the call go on until it has been silent, or slow, for too long."""
-        silent_at = self._loop.time() + SILENCE_S
         slow_at = self._began_at + SILENCE_S + self.received / SLOWEST_BYTES_PER_S
-        self._given_up_at = min(silent_at, slow_at)
-        if self._timer is None:
-            self._timer = self._loop.call_at(self._given_up_at, self._time_is_over)
-
-    def _time_is_over(self) -> None:
-        """Judge one turn of the loop later, when what came meanwhile has been read.
-
-        Both come together after a suspension of the host, or a long turn of the loop.
-        """
-        self._timer = self._loop.call_soon(self._judge)
-
-    def _judge(self) -> None:
-        self._timer = None
-        if self._given_up_at <= self._loop.time():
-            self._bound.reschedule(self._loop.time())
-        else:
-            self._timer = self._loop.call_at(self._given_up_at, self._time_is_over)
+        self._bound.restart(min(SILENCE_S, slow_at - self._bound.awake_time()))
 
 
 @asynccontextmanager
@@ -134,7 +106,7 @@
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s or within_s)
     begins_s = within_s + sending_s(len(data or b""))
     answer: BoundedAnswer | None = None
-    bound = asyncio.timeout(begins_s)
+    bound = AwakeTimeout(begins_s)
     try:
         async with (
             bound,
@@ -148,10 +120,7 @@
             ) as response,
         ):
             answer = BoundedAnswer(response, bound)
-            try:
-                yield answer
-            finally:
-                answer.stop_waiting()
+            yield answer
     except TimeoutError as error:
         if not bound.expired():
             # It is the library's, of a connection that did not come about, or the
--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -27,6 +27,7 @@
 
 import msgspec
 
+from .awake_time import awake_wait
 from .comparison import Comparison
 from .datagrams import Datagrams
 from .heard_marks import HeardMarks
@@ -264,8 +265,7 @@
             del self._awaited[number]
 
     async def _within(self, answered: asyncio.Future, fraction: float) -> bool:
-        await asyncio.wait({answered}, timeout=self._interval_s * fraction)
-        return answered.done()
+        return await awake_wait(answered, self._interval_s * fraction)
 
     def _next_in_ring(self) -> Member | None:
         while True:
--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from .sockets import new_session, open_socket
+from .sockets import Connector, new_session
 
 __all__ = ["BackendConnections"]
 
@@ -147,11 +147,8 @@
 
     def _fresh(self) -> aiohttp.ClientSession:
         if self._single_use is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, force_close=True, socket_factory=open_socket
-            )
             self._single_use = aiohttp.ClientSession(
-                connector=connector,
+                connector=Connector(force_close=True),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trace_configs=[_tells_when_sent()],
                 **SESSION_OPTIONS,
--- a/packages/node/src/eelgrass_node/connection/listening.py
+++ b/packages/node/src/eelgrass_node/connection/listening.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from eelgrass_coordination import AwakeTimeout
+
 from ..process.ended_servers import Listening
 
 __all__ = ["listening_at"]
@@ -16,7 +18,7 @@
     """Return whether connections to an IP address and port are accepted."""
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(CONNECT_S):
+        async with AwakeTimeout(CONNECT_S):
             _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
     except ConnectionRefusedError:
         return Listening.NO
--- a/packages/node/src/eelgrass_node/connection/piece_calls.py
+++ b/packages/node/src/eelgrass_node/connection/piece_calls.py
@@ -7,6 +7,8 @@
 import aiohttp
 from multidict import CIMultiDict
 
+from eelgrass_coordination import AwakeTimeout
+
 from ..exceptions import PieceAnswerMalformed
 from ..process.backends import Backend
 from ..process.pieces import Piece, PieceOutcome, PieceTrouble
@@ -55,7 +57,7 @@
         now = asyncio.get_running_loop().time()
         body = self._codec.encode_pieces(pieces, now)
         try:
-            async with asyncio.timeout(within_s):
+            async with AwakeTimeout(within_s):
                 status, answer = await self._post(backend, self._codec.RUN_PATH, body)
             if status == HTTP_OK:
                 return self._codec.decode_outcomes(answer, len(pieces))
@@ -81,7 +83,7 @@
         """
         body = self._codec.encode_free(handles)
         try:
-            async with asyncio.timeout(FREE_TIMEOUT_S):
+            async with AwakeTimeout(FREE_TIMEOUT_S):
                 status, _ = await self._post(backend, self._codec.FREE_PATH, body)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             return False
--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -12,6 +12,8 @@
 import msgspec
 from aiohttp import web
 
+from eelgrass_coordination import AwakeTimeout
+
 from ..exceptions import PeerUnreachable
 from ..process.backends import ServerLife
 from ..process.ended_servers import Fingerprint
@@ -95,16 +97,15 @@
         """
         now = asyncio.get_running_loop().time()
         body = msgspec.json.encode(_Handoff(service, _sent(pieces, now)))
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(ACCEPT_S) as bound:
+            async with AwakeTimeout(ACCEPT_S) as bound:
                 async with self._session.post(
                     f"http://{address}{PIECES_PATH}", data=body, allow_redirects=False
                 ) as response:
                     line = BEAT
                     while line == BEAT:
                         line = await response.content.readline()
-                        bound.reschedule(loop.time() + SILENCE_S)
+                        bound.restart(SILENCE_S)
             done = msgspec.json.decode(line, type=_Done)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             raise PeerUnreachable(address, repr(e)) from e
@@ -124,7 +125,7 @@
         body = msgspec.json.encode(_FreeResults(service, handles))
         try:
             async with (
-                asyncio.timeout(within_s),
+                AwakeTimeout(within_s),
                 self._session.post(
                     f"http://{address}{FREE_PATH}", data=body, allow_redirects=False
                 ) as response,
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -9,7 +9,9 @@
 
 import aiohttp
 
-__all__ = ["new_session", "open_socket"]
+from eelgrass_coordination import AwakeTimeout
+
+__all__ = ["Connector", "new_session", "open_socket"]
 
 # Unacknowledged data is given up after this long: three losses in a row on a
 # link of a few milliseconds, and well under the shortest deadlines of 1.6 s.
@@ -32,6 +34,24 @@
     return opened
 
 
+class Connector(aiohttp.TCPConnector):
+    """Opens such sockets; the time to connect is that in which this process runs."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(limit=0, socket_factory=open_socket, **options)
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Get a connection; raises :class:`TimeoutError` where none comes about."""
+        unbounded = aiohttp.ClientTimeout(total=None)
+        async with AwakeTimeout(timeout.sock_connect):
+            return await super().connect(req, traces, unbounded)
+
+
 def new_session(
     keep_alive_s: float, connect_s: float | None = None, **options: Any
 ) -> aiohttp.ClientSession:
@@ -40,14 +60,8 @@
     ``keep_alive_s`` is how long an idle connection is kept and ``connect_s``
     bounds the time to connect; both in seconds. ``options`` go to the session.
     """
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        keepalive_timeout=keep_alive_s,
-        use_dns_cache=False,
-        socket_factory=open_socket,
-    )
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=Connector(keepalive_timeout=keep_alive_s, use_dns_cache=False),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
         **options,
--- a/packages/node/src/eelgrass_node/request/attempt.py
+++ b/packages/node/src/eelgrass_node/request/attempt.py
@@ -13,7 +13,7 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import sending_s
+from eelgrass_coordination import AwakeTimeout, sending_s
 from eelgrass_coordination.ids import AttemptId, new_id
 
 from ..process.backends import Backend
@@ -148,7 +148,7 @@
     # What is added ends with the deadline, after which nobody waits for an answer.
     latest_s = max(attempt.silence_s, attempt.request.remaining())
     try:
-        async with asyncio.timeout(min(bound_s, latest_s)):
+        async with AwakeTimeout(min(bound_s, latest_s)):
             return await context
     except TimeoutError as error:
         if isinstance(error, aiohttp.ConnectionTimeoutError):
@@ -202,10 +202,10 @@
     latest = now() + max(attempt.silence_s, attempt.request.remaining())
     parts: list[bytes] = []
     try:
-        async with asyncio.timeout(attempt.silence_s) as bound:
+        async with AwakeTimeout(attempt.silence_s) as bound:
             async for part in response.content.iter_any():
                 parts.append(part)
-                bound.reschedule(min(now() + attempt.silence_s, latest))
+                bound.restart(min(attempt.silence_s, latest - now()))
         return b"".join(parts)
     except TimeoutError as error:
         attempt.backend.connections.replace()
--- a/packages/node/src/eelgrass_node/request/exchange.py
+++ b/packages/node/src/eelgrass_node/request/exchange.py
@@ -11,7 +11,7 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import sending_s
+from eelgrass_coordination import AwakeTimeout, sending_s
 
 from ..exceptions import CallFailed
 from ..process.backends import Backend
@@ -96,7 +96,7 @@
         Raises :class:`CallFailed` where it breaks off or falls silent.
         """
         try:
-            async with asyncio.timeout(self._before_deadline(within_s)):
+            async with AwakeTimeout(self._before_deadline(within_s)):
                 data = await self._response.content.readany()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise failure_of(error) from error
@@ -147,7 +147,7 @@
         )
         bound_s = self._silence_s + sending_s(len(arrival.body))
         try:
-            async with asyncio.timeout(self._before_deadline(bound_s)):
+            async with AwakeTimeout(self._before_deadline(bound_s)):
                 return await context
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise failure_of(error) from error
--- a/packages/node/src/eelgrass_node/request/generation.py
+++ b/packages/node/src/eelgrass_node/request/generation.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import MovingAverage
+from eelgrass_coordination import AwakeTimeout, MovingAverage
 
 from ..exceptions import CallerGone
 from ..version import Stage
@@ -136,7 +136,7 @@
     ) -> _Line | None:
         try:
             bound_s = min(self._between_s, max(0.0, attempt.request.remaining()))
-            async with asyncio.timeout(bound_s):
+            async with AwakeTimeout(bound_s):
                 raw = await response.content.readline()
         except TimeoutError as error:
             if attempt.request.remaining() > 0:
@@ -179,7 +179,7 @@
     connections = attempt.backend.connections
     connections.enter()
     try:
-        async with asyncio.timeout(within_s):
+        async with AwakeTimeout(within_s):
             context = connections.post(
                 "/v1/cancel", body, attempt.attempt_id, within_s, reuse=False
             )
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from eelgrass_coordination import deadline_timeout
+
 from ..exceptions import (
     CallerGone,
     CallFailed,
@@ -106,7 +108,7 @@
         """Serve the request; raises :class:`CallerGone` where nobody waits."""
         self._parts.retries.note_requests(self._routed.service)
         try:
-            async with asyncio.timeout_at(self._routed.deadline):
+            async with deadline_timeout(self._routed.deadline):
                 return await self._serve()
         except TimeoutError:
             return self._timed_out()
--- a/tests/test_users_platform.py
+++ b/tests/test_users_platform.py
@@ -1,6 +1,7 @@
 """Entry nodes before small stand-ins of the users' platform, with faults."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -281,6 +282,22 @@
         assert sum(len(e.pieces) for e in engines) == 100
         assert sum(e.calls for e in engines) < 50
 
+    # A process that stood still took answers it had not read for silence.
+    @pytest.mark.parametrize("stall_s", [0.3, 0.6])
+    async def test_a_stall_makes_no_piece_twice_and_refuses_nobody(
+        self, entry, stall_s
+    ):
+        for engine in entry.engines_by_service["clerks"]:
+            asking_all = [
+                asyncio.create_task(entry.ask("/stream/staged/x", node=n, **SEGMENTS))
+                for n in (0, 1, 0, 1)
+            ]
+            await until(lambda engine=engine: engine.pieces)
+            time.sleep(stall_s)  # noqa: ASYNC251
+            answers = await asyncio.gather(*asking_all)
+            assert [answer[0] for answer in answers] == [200] * 4
+        assert len(self.pieces(entry, "clerks")) == 40
+
     async def test_results_are_kept_until_the_request_has_gone_out(self, entry):
         """A connection that never comes about makes no piece anew."""
         with hanging_listener() as address:
