What others take is measured in the time in which the process itself ran

Cause: how long a call took is measured on the wall clock. A stall during it is put down to the server (a call of 9 ms that took 1.2 s makes it 40 times as slow), so the next call is expected to end after the deadline. The same holds for how long a request takes after its stages, for a server's usual call, and for the pace of streams.

--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -4,7 +4,13 @@
 or kept goes through a transactional table service (:class:`Table`).
 """
 
-from .awake_time import AwakeTimeout, awake_sleep, awake_wait, deadline_timeout
+from .awake_time import (
+    AwakeTimeout,
+    awake_sleep,
+    awake_time,
+    awake_wait,
+    deadline_timeout,
+)
 from .bounded_call import bounded_call, sending_s
 from .change_log import ChangeLog, ChangeOutcome, ChangeResult
 from .claims import Claim, Claims, ClaimState, Held
@@ -65,6 +71,7 @@
     "TransactionResult",
     "Write",
     "awake_sleep",
+    "awake_time",
     "awake_wait",
     "bounded_call",
     "deadline_timeout",
--- a/packages/coordination/src/eelgrass_coordination/awake_time.py
+++ b/packages/coordination/src/eelgrass_coordination/awake_time.py
@@ -12,7 +12,13 @@
 import asyncio
 import weakref
 
-__all__ = ["AwakeTimeout", "awake_sleep", "awake_wait", "deadline_timeout"]
+__all__ = [
+    "AwakeTimeout",
+    "awake_sleep",
+    "awake_time",
+    "awake_wait",
+    "deadline_timeout",
+]
 
 # How closely it is known how long the loop stood still.
 TICK_S = 0.05
@@ -70,6 +76,14 @@
     return found
 
 
+def awake_time() -> float:
+    """Return the seconds in which this process ran; only differences count.
+
+    A stall is known of only while something waits.
+    """
+    return _stalls().awake_time()
+
+
 class AwakeTimeout:
     """Raises :class:`TimeoutError` in its block after ``within_s`` awake seconds.
 
@@ -116,10 +130,6 @@
         if self._timer is None:
             self._arm()
 
-    def awake_time(self) -> float:
-        """Return the awake seconds since some moment; only differences count."""
-        return self._stalls.awake_time()
-
     def expired(self) -> bool:
         """Return whether the wait has ended by its time."""
         return self._bound.expired()
--- a/packages/coordination/src/eelgrass_coordination/bounded_call.py
+++ b/packages/coordination/src/eelgrass_coordination/bounded_call.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from .awake_time import AwakeTimeout
+from .awake_time import AwakeTimeout, awake_time
 
 __all__ = ["BoundedAnswer", "bounded_call", "sending_s"]
 
@@ -45,7 +45,7 @@
     def __init__(self, response: aiohttp.ClientResponse, bound: AwakeTimeout) -> None:
         self._response = response
         self._bound = bound
-        self._began_at = bound.awake_time()
+        self._began_at = awake_time()
         self._put_off()
 
     @property
@@ -73,7 +73,7 @@
     def _put_off(self) -> None:
         """Let the call go on until it has been silent, or slow, for too long."""
         slow_at = self._began_at + SILENCE_S + self.received / SLOWEST_BYTES_PER_S
-        self._bound.restart(min(SILENCE_S, slow_at - self._bound.awake_time()))
+        self._bound.restart(min(SILENCE_S, slow_at - awake_time()))
 
 
 @asynccontextmanager
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -13,6 +13,9 @@
 
 import msgspec
 
+from eelgrass_coordination import awake_time
+from eelgrass_coordination.ids import BackendId
+
 from ..log import Part, log
 from ..version.deployment import PieceLimits
 from .account_shares import AccountShares
@@ -154,6 +157,10 @@
         """Return the wait behind ``ahead`` pieces, as it is told to other nodes."""
         return round(min(self._servers.expected_wait(ahead, now), LONGEST_TOLD_S), 3)
 
+    def use_by_id(self, now: float) -> dict[BackendId, dict[str, float]]:
+        """Return what the queue has at its sound servers, for operators."""
+        return self._servers.use_by_id(now)
+
     def fill(self) -> None:
         """Start calls at idle servers, as far as pieces wait."""
         while self._waiting:
@@ -248,7 +255,7 @@
             waited_s=round(now - first.queued_at, 3),
             begun=first.begun,
             waiting=len(self._waiting),
-            servers=self._servers.use_by_id(now),
+            servers=self.use_by_id(now),
         )
 
     def _settle_all(self, pieces: Sequence[Piece], outcome: PieceOutcome) -> None:
@@ -306,16 +313,18 @@
     ) -> None:
         batch = list(futures)
         within_s = expected_s * GIVE_UP_FACTOR + GIVE_UP_SLACK_S
-        began = _now()
+        began = awake_time()
         use = self._servers.use(server)
         try:
             outcomes = await self._run_call(server, batch, within_s)
         finally:
             use.calls -= 1
         now = _now()
-        self._servers.note_call(server, batch, outcomes, now - began)
+        # What this process stood still says nothing of the server's pace.
+        took_s = awake_time() - began
+        self._servers.note_call(server, batch, outcomes, took_s)
         made = sum(outcome.handle is not None for outcome in outcomes)
-        self._shares.note_call(self._order.work_s(made), now - began)
+        self._shares.note_call(self._order.work_s(made), took_s)
         until = now + self._limits().result_life_s
         maker = server.entry.life
         for piece, outcome in zip(batch, outcomes, strict=True):
--- a/packages/node/src/eelgrass_node/request/generation.py
+++ b/packages/node/src/eelgrass_node/request/generation.py
@@ -4,13 +4,12 @@
 next attempt says how many pieces were taken and goes on from there.
 """
 
-import asyncio
 from typing import Any
 
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import AwakeTimeout, MovingAverage
+from eelgrass_coordination import AwakeTimeout, MovingAverage, awake_time
 
 from ..exceptions import CallerGone
 from ..version import Stage
@@ -79,7 +78,7 @@
     async def run(self, attempt: Attempt, stage_input: Any) -> AttemptResult:
         """Make one attempt, which goes on after the pieces already taken."""
         body = _generate_body(attempt, stage_input, len(self.pieces))
-        self._sent_at = asyncio.get_running_loop().time()
+        self._sent_at = awake_time()
         try:
             result = await guarded(attempt, "/v1/generate", body, self._read)
         except BaseException:
@@ -112,7 +111,7 @@
                 self._note_pace(taken)
                 return _final_result(line, taken, self.text, len(self.pieces))
             if line.seq == 0:
-                self._first_piece_at = asyncio.get_running_loop().time()
+                self._first_piece_at = awake_time()
                 self._first_average.note(self._first_piece_at - self._sent_at)
             if not await self._take(attempt, line, first, ahead):
                 return unknown(RetryReason.BAD_ANSWER)
@@ -128,7 +127,7 @@
 
     def _note_pace(self, taken: int) -> None:
         if taken > 1:
-            took_s = asyncio.get_running_loop().time() - self._first_piece_at
+            took_s = awake_time() - self._first_piece_at
             self._between_average.note(took_s / (taken - 1))
 
     async def _next_line(
--- a/packages/node/src/eelgrass_node/request/routed.py
+++ b/packages/node/src/eelgrass_node/request/routed.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from eelgrass_coordination import deadline_timeout
+from eelgrass_coordination import awake_time, deadline_timeout
 
 from ..exceptions import (
     CallerGone,
@@ -89,7 +89,7 @@
         self._may_have_run = False
         self._calling = False
         self._step = Step.ADMISSION
-        self._staged_at = 0.0
+        self._staged_at = self._staged_awake = 0.0
         self._headed_at = 0.0
         self._fetched: asyncio.TimerHandle | None = None
         self._last_reply: Reply | None = None
@@ -126,7 +126,7 @@
         if hopeless_s is not None:
             raise RequestRefused("the stages have no room in time", hopeless_s)
         inputs = await self._run_stages()
-        self._staged_at = _now()
+        self._staged_at, self._staged_awake = _now(), awake_time()
         if self._routed.route.stages:
             self._parts.metrics.note_stages(self._routed.route.name, self._age_s())
         while True:
@@ -216,13 +216,13 @@
             self._release_when_fetched,
             self._copy_from(backend),
         )
-        began = _now()
+        began, began_awake = _now(), awake_time()
         try:
             head = await call.open(self._events.last_id)
             self._step = Step.ANSWER
             self._headed_at = _now()
             if routed.route.stages:
-                took_s = self._headed_at - self._staged_at
+                took_s = awake_time() - self._staged_awake
                 self._parts.final_times.note(routed.route.name, took_s)
             self._parts.reach.note_answer(backend.entry.data_centre)
             if head.load is not None:
@@ -236,7 +236,7 @@
         if head.status >= SERVER_ERROR and routed.route.repeatable:
             self._last_reply = reply
             raise CallFailed(RetryReason.BACKEND_ERROR, not_run=False)
-        backend.note_call(_now() - began)
+        backend.note_call(awake_time() - began_awake)
         backend.note_taken(_now() - began)
         self._log_answered(backend, head)
         return self._answer.whole(reply)
--- a/packages/node/src/eelgrass_node/request/stages.py
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from eelgrass_coordination import RetryBudget
+from eelgrass_coordination import RetryBudget, awake_time
 
 from ..exceptions import Refused
 from ..process.backends import Backend
@@ -119,7 +119,7 @@
         if self._request.remaining() <= 0:
             raise Refused(RefusalReason.DEADLINE_PASSED, self._outcome())
         attempt = self._new_attempt(backend)
-        started = self._now()
+        started = awake_time()
         was_dispatched = self.dispatched
         self.dispatched = True
         try:
@@ -131,7 +131,7 @@
             raise
         if result.outcome is AttemptOutcome.NOT_RUN:
             self.dispatched = was_dispatched
-        self._note(backend, result, self._now() - started)
+        self._note(backend, result, awake_time() - started)
         return result
 
     async def _run_attempt(self, attempt: Attempt, stage_input: Any) -> AttemptResult:
@@ -216,6 +216,3 @@
         expected = self._queue.between_s.upper(SILENCE_DEVIATIONS) * 4
         between_s = max(self._environment.between_floor_s, expected)
         return Generation(emit, between_s, self._queue.first_s, self._queue.between_s)
-
-    def _now(self) -> float:
-        return self._request.deadline - self._request.remaining()
--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -1,9 +1,11 @@
 """The queue before a service that runs stages, under the loads of the sheets."""
 
 import asyncio
+import time
 
 import pytest
 
+from eelgrass_coordination import AwakeTimeout
 from eelgrass_coordination.ids import BackendId
 from eelgrass_node.process.backends import ServerLife
 from eelgrass_node.process.piece_queue import LATE_BACKLOG_S
@@ -95,6 +97,22 @@
         assert len(await third) == 3
 
 
+class TestPace:
+    # A server was taken for slow, and callers refused, after a stall of the queue.
+    async def test_a_stall_of_this_process_does_not_make_a_server_slow(self):
+        async def stall(backend, given):
+            async with AwakeTimeout(5.0):
+                asyncio.get_running_loop().call_soon(time.sleep, 0.5)
+                await asyncio.sleep(LIMITS.call_s)
+            return [PieceOutcome(handle=f"{p.number}@a") for p in given]
+
+        service = Service(server("s1"), behave=stall)
+        await service.queue.run(pieces("r", 3))
+        use = service.queue.use_by_id(now())["s1"]
+        # Half a second would make it ten times as slow; a tick of it may count.
+        assert use["slowness"] < 3
+
+
 class TestFailures:
     async def test_a_piece_that_fails_does_not_put_its_server_in_doubt(self):
         """One failure in five hundred took a third of the servers away."""
