Owners of queues are trusted again as soon as they answer

Cause: each hand-off that fails in one stall counts as a failure of its own, and doubles the time for which the owner is passed over: three together make it 6 s. And an owner that answers meanwhile stays passed over until that time is over. Now failures that come together are one; an owner that did not answer at all is probed each 0.1 s, and trusted again with its first answer. One that gives a wrong answer is left alone for the whole time, as before. Tests fail before: three failures at one moment, still passed over after 1.5 s.

--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -108,7 +108,7 @@
                         bound.restart(SILENCE_S)
             done = msgspec.json.decode(line, type=_Done)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
-            raise PeerUnreachable(address, repr(e)) from e
+            raise _unreachable(address, e) from e
         if len(done.outcomes) != len(pieces):
             raise PeerUnreachable(address, "outcomes do not fit the pieces")
         self._hear_load(service, done.load)
@@ -132,7 +132,7 @@
             ):
                 await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as e:
-            raise PeerUnreachable(address, repr(e)) from e
+            raise _unreachable(address, e) from e
 
     async def close(self) -> None:
         """Close all connections."""
@@ -192,6 +192,11 @@
         app.router.add_post(FREE_PATH, self.handle_free)
 
 
+def _unreachable(address: str, error: Exception) -> PeerUnreachable:
+    silent = isinstance(error, TimeoutError)
+    return PeerUnreachable(address, repr(error), silent)
+
+
 def _sent(pieces: list[Piece], now: float) -> _SentSet:
     first = pieces[0]
     return _SentSet(
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -36,7 +36,6 @@
 from .process.counters import Counters
 from .process.deployments import DeploymentInForce
 from .process.failing_servers import FailingServers
-from .process.freed_results import FreedResults
 from .process.host_settings import HostSettings
 from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
@@ -172,7 +171,7 @@
         )
         self.backends.on_change = self.pieces.servers_changed
         self.membership.on_mark = self._mark_heard
-        self.membership.on_ack = self.checks.note_ack
+        self.membership.on_ack = self._ack_heard
         self.reach.on_silent = self.checks.check
         self.table_feed = TableFeedClient(
             self.peer_calls, lambda table, key: self.tables.row(table, key)
@@ -210,11 +209,9 @@
             self.pieces,
             self.handoff,
             self.queue_loads.hear,
+            self.membership.probe,
             self.counters.count,
         )
-        self.freed_results = FreedResults(
-            self.owners, self.pieces, self.handoff, self.counters.count
-        )
         self.choice = ServerChoice(
             self.backends,
             settings.data_centre,
@@ -249,10 +246,7 @@
         log(Part.NODE, "Started.", node=self.settings.node)
 
     def reload(self) -> None:
-        """Note that the settings file has changed.
-
-        Nothing in it that changes concerns a running process.
-        """
+        """Note that the settings have changed; none concerns a running process."""
         log(Part.NODE, "The settings have changed.")
 
     async def run_until_stopped(self) -> bool:
@@ -272,6 +266,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.checks.stop()
+        self.shared_pieces.checks.stop()
         self.poison.ended.stop()
         await self.membership.stop()
         await self._listeners.close()
@@ -323,7 +318,7 @@
             plan=planner.plan,
             refuse_hopeless=planner.refuse_hopeless,
             run_pieces=self.shared_pieces.run,
-            free_results=self.freed_results.free,
+            free_results=self.shared_pieces.freed.free,
             final_times=self.final_times,
             retries=self.retries,
             reach=self.reach,
@@ -393,6 +388,10 @@
         self.poison.news.hear(mark)
         self.places.news.hear(mark)
 
+    def _ack_heard(self, member: Member) -> None:
+        self.checks.note_ack(member)
+        self.shared_pieces.checks.note_ack(member)
+
     def _advanced(self, number: int) -> None:
         self.membership.announce_revision(Revision(number))
 
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -43,9 +43,13 @@
 
 
 class PeerUnreachable(NodeError):
-    """Another node gave no valid answer in time."""
+    """Another node gave no valid answer in time.
 
-    def __init__(self, address: str, reason: str) -> None:
+    ``silent`` says that it did not answer at all.
+    """
+
+    def __init__(self, address: str, reason: str, silent: bool = False) -> None:
+        self.silent = silent
         super().__init__(
             f"The node at {address} gave no valid answer ({reason}). Ask another "
             "node, or ask it again later."
--- a/packages/node/src/eelgrass_node/process/freed_results.py
+++ b/packages/node/src/eelgrass_node/process/freed_results.py
@@ -41,7 +41,8 @@
 class FreedResults:
     """Frees the results that this node's requests need no more.
 
-    ``count`` counts owners that did not hear of it.
+    ``note_silent`` is told of owners that do not answer at once, and ``count``
+    counts those that did not hear of it.
     """
 
     def __init__(
@@ -49,11 +50,13 @@
         owners: PieceOwners,
         local: LocalPieces,
         client: ResultsClient,
+        note_silent: Callable[[Member], None],
         count: Callable[[str], None],
     ) -> None:
         self._owners = owners
         self._local = local
         self._client = client
+        self._note_silent = note_silent
         self._count = count
         self._tasks: set[asyncio.Task] = set()
 
@@ -82,7 +85,7 @@
             await asyncio.wait({telling}, timeout=OWNER_ANSWERS_S)
             if not telling.done() or telling.exception() is not None:
                 self._local.free(service, handles)
-                self._owners.note_failure(owner)
+                self._note_silent(owner)
             await telling
             self._owners.note_answer(owner)
         except PeerUnreachable as error:
--- a/packages/node/src/eelgrass_node/process/piece_owners.py
+++ b/packages/node/src/eelgrass_node/process/piece_owners.py
@@ -82,15 +82,25 @@
         return next((m for m in self._members() if m.id == node), None)
 
     def note_failure(self, owner: Member) -> None:
-        """Pass a node over for a while, because it did not answer."""
+        """Pass a node over for a while, because it did not answer.
+
+        Calls that fail together, as those to a node that stands still, are one failure.
+        """
+        self._reach.note_silent(owner.data_centre, owner.id)
+        if self.is_distrusted(owner):
+            return
         distrust_s = min(MAX_DISTRUST_S, DISTRUST_S * 2 ** self._failures[owner.id])
         self._failures[owner.id] += 1
         self._distrusted_until[owner.id] = self._clock() + distrust_s
-        self._reach.note_silent(owner.data_centre, owner.id)
+
+    def is_distrusted(self, owner: Member) -> bool:
+        """Return whether a node is passed over because it did not answer."""
+        return self._clock() < self._distrusted_until.get(owner.id, float("-inf"))
 
     def note_answer(self, owner: Member) -> None:
         """Trust a node again, because it answered."""
         self._failures.pop(owner.id, None)
+        self._distrusted_until.pop(owner.id, None)
         self._reach.note_answer(owner.data_centre)
 
     def _first(self, members: list[Member], service: str) -> Member | None:
@@ -110,4 +120,4 @@
     def _is_trusted(self, member: Member) -> bool:
         if self._reach.in_doubt(member.data_centre):
             return False
-        return self._distrusted_until.get(member.id, 0.0) <= self._clock()
+        return not self.is_distrusted(member)
--- a/packages/node/src/eelgrass_node/process/shared_pieces.py
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -15,6 +15,8 @@
 from ..exceptions import PeerUnreachable
 from ..log import Part, log
 from ..version.deployment import ServiceName
+from .freed_results import FreedResults, ResultsClient
+from .owner_checks import OwnerChecks
 from .piece_owners import PieceOwners
 from .piece_service import LocalPieces
 from .pieces import Piece, PieceOutcome
@@ -23,7 +25,7 @@
 __all__ = ["Handoff", "SharedPieces"]
 
 
-class Handoff(Protocol):
+class Handoff(ResultsClient, Protocol):
     """How pieces get to another node."""
 
     async def run(
@@ -35,8 +37,9 @@
 class SharedPieces:
     """Runs pieces through the owners of their queues.
 
-    ``hear_load`` is told the load of queues of this node, and ``count`` counts
-    hand-offs that failed.
+    ``hear_load`` is told the load of queues of this node, ``probe`` sends a probe to
+    another node, and ``count`` counts hand-offs that failed. ``freed`` frees the
+    results.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         local: LocalPieces,
         handoff: Handoff,
         hear_load: Callable[[ServiceName, QueueLoad], None],
+        probe: Callable[[Member], None],
         count: Callable[[str], None],
     ) -> None:
         self._owners = owners
@@ -52,6 +56,8 @@
         self._handoff = handoff
         self._hear_load = hear_load
         self._count = count
+        self.checks = OwnerChecks(owners, probe)
+        self.freed = FreedResults(owners, local, handoff, self._note_silent, count)
 
     async def run(
         self, service: ServiceName, pieces: list[Piece]
@@ -73,7 +79,10 @@
     def _note_failure(
         self, owner: Member, service: ServiceName, error: PeerUnreachable
     ) -> None:
-        self._owners.note_failure(owner)
+        if error.silent:
+            self._note_silent(owner)
+        else:
+            self._owners.note_failure(owner)
         self._count("handoff.failed")
         log(
             Part.PIECES,
@@ -83,6 +92,10 @@
             error=str(error),
         )
 
+    def _note_silent(self, owner: Member) -> None:
+        self._owners.note_failure(owner)
+        self.checks.check(owner)
+
 
 def _held_by(owner: Member, outcome: PieceOutcome) -> PieceOutcome:
     """Return an outcome that names the queue that counts its result."""
--- a/packages/node/tests/test_serving_parts.py
+++ b/packages/node/tests/test_serving_parts.py
@@ -165,6 +165,19 @@
         self.clock.now = DISTRUST_S
         assert owners.candidates("portal")[0] == owner
 
+    # Three hand-offs that failed in one stall shut their owner out for 6 s.
+    def test_failures_together_are_one_and_an_answer_ends_the_distrust(self):
+        owner = ranked(self.members, "portal", lambda m: m.id)[0]
+        own = next(m for m in self.members if m.data_centre != owner.data_centre)
+        owners = self.owners(own.id, own.data_centre)
+        for _ in range(3):
+            owners.note_failure(owner)
+        self.clock.now = DISTRUST_S
+        assert owners.candidates("portal")[0] == owner
+        owners.note_failure(owner)
+        owners.note_answer(owner)
+        assert owners.candidates("portal")[0] == owner
+
     def test_in_a_cut_the_nodes_of_a_data_centre_agree_on_one_of_theirs(self):
         found = set()
         for own in ("n0", "n1"):
