Results of a set that nobody waits for any more are all freed

Cause: where a node gives up on a set, or its caller leaves, the results that come later are freed, but not those that were there already: the first calls of a large set, or a whole set whose outcomes could not be written any more. They hold their server's memory until they expire. Both tests fail before: 2 of 6 results freed, and none of those not delivered.

--- a/packages/node/src/eelgrass_node/connection/piece_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/piece_handoff.py
@@ -173,13 +173,24 @@
             while not running.done():
                 await response.write(BEAT)
                 await asyncio.wait({running}, timeout=BEAT_S)
-        finally:
-            running.cancel()
-        done = _Done(running.result(), self._load(handoff.service))
-        await response.write(msgspec.json.encode(done) + b"\n")
-        await response.write_eof()
+            done = _Done(running.result(), self._load(handoff.service))
+            await response.write(msgspec.json.encode(done) + b"\n")
+            await response.write_eof()
+        except BaseException:
+            self._give_up(handoff.service, running)
+            raise
         return response
 
+    def _give_up(
+        self, service: ServiceName, running: asyncio.Future[list[PieceOutcome]]
+    ) -> None:
+        """End a run whose node has gone, or free the results that it did not get."""
+        if not running.done():
+            running.cancel()
+        elif not running.cancelled() and running.exception() is None:
+            handles = [o.handle for o in running.result() if o.handle is not None]
+            self._free(service, handles)
+
     async def handle_free(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/results/free``."""
         message = msgspec.json.decode(await request.read(), type=_FreeResults)
--- a/packages/node/src/eelgrass_node/process/piece_queue.py
+++ b/packages/node/src/eelgrass_node/process/piece_queue.py
@@ -99,7 +99,7 @@
         """Run pieces and return their outcomes, in order.
 
         Where the caller of this is cancelled, pieces that still wait are
-        withdrawn; those that a server works on go on.
+        withdrawn; those that a server works on go on, and all results are freed.
         """
         now = _now()
         self._shares.note_asked(pieces, self._order.work_s(len(pieces)), now)
@@ -116,6 +116,9 @@
         self.fill()
         try:
             return list(await asyncio.gather(*futures))
+        except asyncio.CancelledError:
+            self._free_made(futures)
+            raise
         finally:
             self._waiting.withdraw(pieces)
 
@@ -335,6 +338,13 @@
         self._free_unwanted(futures, outcomes)
         self.fill()
 
+    def _free_made(self, futures: Sequence[asyncio.Future[PieceOutcome]]) -> None:
+        """Free the results that are there of a set that nobody waits for any more."""
+        made = [f.result() for f in futures if f.done() and not f.cancelled()]
+        handles = [outcome.handle for outcome in made if outcome.handle is not None]
+        if handles:
+            self._free_results(handles)
+
     def _free_unwanted(
         self,
         futures: dict[Piece, asyncio.Future[PieceOutcome]],
--- a/packages/node/tests/test_piece_handoff.py
+++ b/packages/node/tests/test_piece_handoff.py
@@ -36,6 +36,7 @@
 
     def __init__(self, handle=None, run=None, knows=True):
         self.heard = []
+        self.freed = []
         self._handle = handle
         self._run = run
         self._knows = knows
@@ -58,7 +59,7 @@
             self._run,
             lambda service: self._knows,
             lambda service: QueueLoad(((0, 0.5),), 0.25),
-            lambda service, handles: None,
+            lambda service, handles: self.freed.extend(handles),
         )
         interface.add_routes(app)
 
@@ -101,6 +102,21 @@
             async with asyncio.timeout(1):
                 await withdrawn.wait()
 
+    # Results of a node that was gone by their end held memory until they expired.
+    async def test_results_that_could_not_be_given_are_freed(self, monkeypatch):
+        write = web.StreamResponse.write
+
+        async def lose_outcomes(response, data):
+            if b"handle" in data:
+                raise ConnectionResetError
+            await write(response, data)
+
+        monkeypatch.setattr(web.StreamResponse, "write", lose_outcomes)
+        async with Owner(run=made) as owner:
+            with pytest.raises(PeerUnreachable):
+                await owner.hand_over()
+            assert owner.freed == ["a:1/0"]
+
 
 class TestOwnersThatFail:
     async def fails_within(self, owner, seconds):
--- a/packages/node/tests/test_piece_queue.py
+++ b/packages/node/tests/test_piece_queue.py
@@ -168,6 +168,16 @@
         await asyncio.sleep(0.05)
         assert {p.request_id for _, given in service.calls for p in given} == {"busy"}
 
+    # Sets that were given up half made held their servers' memory for seconds.
+    async def test_the_half_of_a_set_that_is_made_is_freed_with_its_caller(self):
+        service = Service(server("s1"))
+        run = asyncio.create_task(service.queue.run(pieces("half", 6)))
+        while len(service.calls) < 2:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+        run.cancel()
+        await asyncio.sleep(0.05)
+        assert sorted(service.freed) == [f"half/{n}@a" for n in range(6)]
+
     async def test_results_that_nobody_waits_for_are_freed(self):
         """Else they take up a server's memory until they expire."""
         service = Service(server("s1"))
