Owners that leave still hear of results that are freed

Results were freed without it, so its last pieces waited for memory that was free. It now hears of them until it has gone. Besides: a wait that has ended is not begun again by what comes in the same moment, and the answer of such an owner is waited for in awake time.

--- a/packages/coordination/src/eelgrass_coordination/awake_time.py
+++ b/packages/coordination/src/eelgrass_coordination/awake_time.py
@@ -117,7 +117,12 @@
         return await self._bound.__aexit__(*exc)
 
     def restart(self, within_s: float | None) -> None:
-        """End the wait so many awake seconds from now, None for never."""
+        """End the wait so many awake seconds from now, None for never.
+
+        A wait that has ended stays so.
+        """
+        if self._bound.when() is not None:
+            return
         if within_s is None:
             self._ends_at = None
             self._disarm()
--- a/packages/coordination/tests/test_awake_time.py
+++ b/packages/coordination/tests/test_awake_time.py
@@ -90,6 +90,15 @@
         assert bound.expired()
         assert 0.14 <= loop.time() - began < 0.5
 
+    async def test_a_wait_that_has_ended_is_not_begun_again(self):
+        with pytest.raises(TimeoutError):
+            async with AwakeTimeout(0.01) as bound:
+                try:
+                    await asyncio.get_running_loop().create_future()
+                finally:
+                    bound.restart(0.01)
+                    await asyncio.sleep(0.05)
+
     async def test_a_cancellation_from_outside_is_passed_on(self):
         async def wait():
             async with AwakeTimeout(None):
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -209,6 +209,7 @@
             self.pieces,
             self.handoff,
             self.queue_loads.hear,
+            self.membership.members.by_id.get,
             self.membership.probe,
             self.counters.count,
         )
--- a/packages/node/src/eelgrass_node/process/freed_results.py
+++ b/packages/node/src/eelgrass_node/process/freed_results.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Protocol
 
-from eelgrass_coordination import Member
+from eelgrass_coordination import Member, MemberState, awake_wait
 from eelgrass_coordination.ids import NodeId
 
 from ..exceptions import PeerUnreachable
@@ -41,8 +41,8 @@
 class FreedResults:
     """Frees the results that this node's requests need no more.
 
-    ``note_silent`` is told of owners that do not answer at once, and ``count``
-    counts those that did not hear of it.
+    ``known`` returns a node of which was heard. ``note_silent`` is told of owners that
+    do not answer at once, and ``count`` counts those that did not hear of it.
     """
 
     def __init__(
@@ -50,12 +50,14 @@
         owners: PieceOwners,
         local: LocalPieces,
         client: ResultsClient,
+        known: Callable[[NodeId], Member | None],
         note_silent: Callable[[Member], None],
         count: Callable[[str], None],
     ) -> None:
         self._owners = owners
         self._local = local
         self._client = client
+        self._known = known
         self._note_silent = note_silent
         self._count = count
         self._tasks: set[asyncio.Task] = set()
@@ -64,8 +66,9 @@
         self, service: ServiceName, handles: list[str], owner: NodeId | None
     ) -> None:
         """Free results; ``owner`` is the other node whose queue counts them."""
-        member = None if owner is None else self._owners.member(owner)
-        if member is None:
+        member = None if owner is None else self._known(owner)
+        # One that leaves still counts results while it serves what waits there.
+        if member is None or member.state is MemberState.DEAD:
             self._local.free(service, handles)
         else:
             self._keep(self._free_through(member, service, handles))
@@ -82,8 +85,8 @@
             self._client.free(owner.internal, service, handles, within_s)
         )
         try:
-            await asyncio.wait({telling}, timeout=OWNER_ANSWERS_S)
-            if not telling.done() or telling.exception() is not None:
+            answered = await awake_wait(telling, OWNER_ANSWERS_S)
+            if not answered or telling.exception() is not None:
                 self._local.free(service, handles)
                 self._note_silent(owner)
             await telling
--- a/packages/node/src/eelgrass_node/process/piece_owners.py
+++ b/packages/node/src/eelgrass_node/process/piece_owners.py
@@ -77,10 +77,6 @@
                 candidates.append(first)
         return [*candidates, None]
 
-    def member(self, node: NodeId) -> Member | None:
-        """Return a node that may own queues, if it is still there."""
-        return next((m for m in self._members() if m.id == node), None)
-
     def note_failure(self, owner: Member) -> None:
         """Pass a node over for a while, because it did not answer.
 
--- a/packages/node/src/eelgrass_node/process/shared_pieces.py
+++ b/packages/node/src/eelgrass_node/process/shared_pieces.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from eelgrass_coordination import Member
+from eelgrass_coordination.ids import NodeId
 
 from ..exceptions import PeerUnreachable
 from ..log import Part, log
@@ -37,9 +38,9 @@
 class SharedPieces:
     """Runs pieces through the owners of their queues.
 
-    ``hear_load`` is told the load of queues of this node, ``probe`` sends a probe to
-    another node, and ``count`` counts hand-offs that failed. ``freed`` frees the
-    results.
+    ``hear_load`` is told the load of queues of this node, ``known`` returns a node of
+    which was heard, ``probe`` sends it a probe, and ``count`` counts hand-offs that
+    failed. ``freed`` frees the results.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         local: LocalPieces,
         handoff: Handoff,
         hear_load: Callable[[ServiceName, QueueLoad], None],
+        known: Callable[[NodeId], Member | None],
         probe: Callable[[Member], None],
         count: Callable[[str], None],
     ) -> None:
@@ -57,7 +59,9 @@
         self._hear_load = hear_load
         self._count = count
         self.checks = OwnerChecks(owners, probe)
-        self.freed = FreedResults(owners, local, handoff, self._note_silent, count)
+        self.freed = FreedResults(
+            owners, local, handoff, known, self._note_silent, count
+        )
 
     async def run(
         self, service: ServiceName, pieces: list[Piece]
