--- /dev/null
+++ b/tests/support/host_links.py
@@ -0,0 +1,102 @@
+"""Cuts single nodes of a test's process off from the backend servers.
+
+Each node's connections to a server pass through a proxy of their own. Which node opens
+a connection is known from a context variable, which the tasks of a node inherit from
+the task that starts it.
+"""
+
+import asyncio
+from contextvars import Context, ContextVar
+from enum import Enum
+
+from .entry import EntryDeployment
+from .fault_proxy import FaultProxy
+
+__all__ = ["Cut", "LinkedDeployment"]
+
+_node_number: ContextVar[int | None] = ContextVar("node_number", default=None)
+
+
+class Cut(Enum):
+    """What a cut does to a node's connections to servers.
+
+    Silent: all of them hang. Reset: open ones are reset, and new ones refused. Refused:
+    open ones live on, and only new ones are refused.
+    """
+
+    SILENT = "silent"
+    RESET = "reset"
+    REFUSED = "refused"
+
+
+class LinkedDeployment(EntryDeployment):
+    """A deployment in which tests cut the links of nodes to all servers."""
+
+    async def __aenter__(self) -> "LinkedDeployment":
+        """Start the deployment, with a proxy for each pair of node and server."""
+        self._cut_by_node: dict[int, Cut] = {}
+        self._proxy_by_link: dict[tuple[int, str], FaultProxy] = {}
+        self._proxy_address_by_link: dict[tuple[int, str], str] = {}
+        loop = asyncio.get_running_loop()
+        self._sock_connect = loop.sock_connect
+        loop.sock_connect = self._connect
+        return await super().__aenter__()
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop the proxies and the deployment."""
+        asyncio.get_running_loop().sock_connect = self._sock_connect
+        for proxy in self._proxy_by_link.values():
+            await proxy.stop()
+        await super().__aexit__(*exc)
+
+    async def add_node(self):
+        """Start one more node, whose tasks can be told from those of others."""
+        _node_number.set(len(self.nodes))
+        try:
+            return await super().add_node()
+        finally:
+            _node_number.set(None)
+
+    def cut(self, node: int, how: Cut) -> None:
+        """Cut a node off from all servers."""
+        self._cut_by_node[node] = how
+        for (owner, _), proxy in self._proxy_by_link.items():
+            if owner != node:
+                continue
+            if how is Cut.SILENT:
+                proxy.silence()
+            elif how is Cut.RESET:
+                proxy.reset()
+
+    def heal(self, node: int) -> None:
+        """End the cut of a node; connections that fell silent stay so."""
+        del self._cut_by_node[node]
+
+    async def _connect(self, sock, address) -> None:
+        node = _node_number.get()
+        server = f"{address[0]}:{address[1]}"
+        if node is None or server not in self._server_addresses():
+            await self._sock_connect(sock, address)
+            return
+        cut = self._cut_by_node.get(node)
+        if cut is Cut.SILENT:
+            await asyncio.Event().wait()
+        elif cut is not None:
+            raise ConnectionRefusedError(f"{server} is cut off from node {node}")
+        host, _, port = (await self._proxy_address(node, server)).rpartition(":")
+        await self._sock_connect(sock, (host, int(port)))
+
+    def _server_addresses(self) -> set[str]:
+        engines = self.engines_by_service.values()
+        return {engine.address for group in engines for engine in group}
+
+    async def _proxy_address(self, node: int, server: str) -> str:
+        link = (node, server)
+        if link not in self._proxy_by_link:
+            proxy = self._proxy_by_link[link] = FaultProxy(server)
+            # Not in the node's context: the proxy's own connections are never cut.
+            start = asyncio.create_task(proxy.start(), context=Context())
+            self._proxy_address_by_link[link] = await start
+        while link not in self._proxy_address_by_link:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        return self._proxy_address_by_link[link]
