Open connections to servers through other nodes where the own path is lost

What callers saw: hosts that could not reach the servers refused nearly all requests, and requests with stages were refused at all hosts while one of them owned the queue of a stage. Cause: each call found out by itself, from 0.3 s of silence and up to four times a request, that a server did not answer; nothing told a lost path from a lost server.

A connection that is not open within 60 ms, or is refused, is also opened through another node by CONNECT; whichever succeeds first is used. Bytes that stay unacknowledged for 0.12 s start a check, too. A queue's owner keeps its queue and calls through relays. Failures that the path explains are neither announced to other nodes nor taken for a crash, and calls that were never connected draw on no retry budget.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -8,6 +8,7 @@
 import asyncio
 import weakref
 from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from multidict import CIMultiDict
@@ -15,10 +16,16 @@
 
 from .sockets import Connector, new_session
 
+if TYPE_CHECKING:
+    from .server_connector import ServerLink
+
 __all__ = ["BackendConnections"]
 
 CONNECT_S = 1.0
 KEEP_ALIVE_S = 15.0
+# A peer acknowledges what it receives within some ms, whatever its process does. A path
+# on which nothing is acknowledged for this long after a call was sent may be lost.
+ACKNOWLEDGE_S = 0.12
 READ_BUFFER_BYTES = 1 << 20
 SESSION_OPTIONS = {"auto_decompress": False, "read_bufsize": READ_BUFFER_BYTES}
 # Headers that the client library would add to a request that is forwarded unchanged.
@@ -26,10 +33,14 @@
 
 
 class BackendConnections:
-    """Opens and keeps connections to ``address``, an IP address and port."""
+    """Opens and keeps connections to ``address``, an IP address and port.
+
+    With a ``link``, connections are opened through other nodes if necessary.
+    """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, link: "ServerLink | None" = None) -> None:
         self.address = address
+        self._link = link
         self._session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
@@ -72,6 +83,14 @@
 
         ``on_sent`` is called once a connection is open and the headers are sent.
         """
+
+        def on_headers_sent() -> None:
+            if on_sent is not None:
+                on_sent()
+            if self._link is not None:
+                loop = asyncio.get_running_loop()
+                loop.call_later(ACKNOWLEDGE_S, self._check_acknowledged)
+
         session = self._get_session() if reuse else self._get_single_use_session()
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s)
         return session.request(
@@ -82,7 +101,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=on_sent,
+            trace_request_ctx=on_headers_sent,
         )
 
     def replace(self) -> None:
@@ -95,6 +114,25 @@
             self._retire(self._session)
             self._session = None
 
+    @property
+    def is_used(self) -> bool:
+        """Whether calls are in flight."""
+        return self._calls_in_flight > 0
+
+    def suspect_path(self) -> None:
+        """Check the network path to the server, after a call that it did not answer."""
+        if self._link is not None:
+            self._link.suspect()
+
+    def abort_direct(self) -> None:
+        """Abort calls on direct connections, because the network path is lost.
+
+        Calls that must not be repeated continue, since a caller could not retry them.
+        """
+        for session in (self._session, *self._retired):
+            if session is not None and hasattr(session.connector, "abort_direct"):
+                session.connector.abort_direct()
+
     def begin_call(self) -> None:
         """Count a call that starts; its connections stay open until it ends."""
         self._calls_in_flight += 1
@@ -141,7 +179,10 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = new_session(
-                KEEP_ALIVE_S, trace_configs=[_trace_sent_requests()], **SESSION_OPTIONS
+                KEEP_ALIVE_S,
+                new_connector=self._new_connector,
+                trace_configs=[_trace_sent_requests()],
+                **SESSION_OPTIONS,
             )
             # On a dropped connection the library would repeat a GET by itself, but
             # retries are decided and counted by the request layer alone. The library
@@ -152,13 +193,23 @@
     def _get_single_use_session(self) -> aiohttp.ClientSession:
         if self._single_use_session is None:
             self._single_use_session = aiohttp.ClientSession(
-                connector=Connector(force_close=True),
+                connector=self._new_connector(force_close=True),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 trace_configs=[_trace_sent_requests()],
                 **SESSION_OPTIONS,
             )
         return self._single_use_session
 
+    def _new_connector(self, **options: Any) -> Connector:
+        if self._link is None:
+            return Connector(**options)
+        return self._link.connector(**options)
+
+    def _check_acknowledged(self) -> None:
+        for session in (self._session, self._single_use_session):
+            if session is not None and session.connector.is_unacknowledged():
+                self._link.suspect()
+
     def _retire(self, session: aiohttp.ClientSession) -> None:
         self._retired.append(session)
         if self._calls_in_flight == 0:
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -64,13 +64,19 @@
                 status, answer = await self._post(backend, self._codec.RUN_PATH, body)
             if status == HTTP_OK:
                 return self._codec.decode_outcomes(answer, len(items))
+        except aiohttp.ConnectionTimeoutError:
+            return _all_failed(items, ItemFailure.CONNECT_TIMED_OUT)
         except TimeoutError:
+            backend.connections.suspect_path()
             # Other connections to this server may be dead as well.
             backend.connections.replace()
             return _all_failed(items, ItemFailure.TIMED_OUT)
-        except (aiohttp.ClientConnectorError, ValueError, BatchAnswerMalformed):
+        except aiohttp.ClientConnectorError:
+            return _all_failed(items, ItemFailure.CONNECT_FAILED)
+        except (ValueError, BatchAnswerMalformed):
             return _all_failed(items, ItemFailure.UNREACHABLE)
         except (aiohttp.ClientError, OSError):
+            backend.connections.suspect_path()
             return _all_failed(items, ItemFailure.LOST)
         if status == HTTP_MISDIRECTED:
             self._on_replaced(backend)
--- a/packages/node/src/eelgrass_node/connection/listen_probe.py
+++ b/packages/node/src/eelgrass_node/connection/listen_probe.py
@@ -13,13 +13,16 @@
 CONNECT_S = 0.3
 
 
-async def probe_listening(address: str) -> Listening:
-    """Return whether an IP address and port accept connections, if that is known."""
+async def probe_listening(address: str, within_s: float = CONNECT_S) -> Listening:
+    """Return whether an IP address and port accept connections, if that is known.
+
+    The connection must be established within ``within_s`` seconds.
+    """
     host, _, port = address.rpartition(":")
     try:
-        async with StallAwareTimeout(CONNECT_S):
+        async with StallAwareTimeout(within_s):
             _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
-    except ConnectionRefusedError:
+    except (ConnectionRefusedError, ConnectionResetError):
         return Listening.NO
     except (OSError, TimeoutError):
         return Listening.UNKNOWN
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -0,0 +1,279 @@
+"""Connections to servers through other nodes, by the CONNECT method of HTTP.
+
+A node that cannot reach a server asks another node, the relay, to connect to it. The
+relay then passes bytes on in both directions without interpreting them, and closes or
+resets each side as the other side does. What a connection carries, such as request ids,
+deadlines and streams, is therefore the same as on a direct one, and a request that is
+cancelled closes both.
+
+A relay connects only to servers that are listed, and only directly, so that relayed
+connections cannot form a loop. It listens for TCP at its gossip address; nodes of
+older releases refuse connections there.
+"""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+
+from eelgrass_coordination import Member, StallAwareTimeout
+
+from ..exceptions import RelayUnavailable
+from ..log import Part, log
+from ..process.crash_detector import Listening
+from ..process.relay_choice import RelayChoice
+from ..process.server_paths import Path, ServerPaths
+from .races import first_success
+from .sockets import open_socket, set_timeouts
+
+__all__ = ["RelayClient", "RelayServer"]
+
+# A relay has to connect to the server as well. If it cannot, its answer comes before
+# the client's timeout.
+RELAY_TIMEOUT_S = 0.15
+CONNECT_TIMEOUT_S = 0.1
+# Time between the starts of attempts with different relays: a round trip between data
+# centres and a connection from there.
+STAGGER_S = 0.02
+# Time for the head of a CONNECT request, once the connection is open.
+HEAD_TIMEOUT_S = 1.0
+MAX_HEAD_BYTES = 1024
+BLOCK_BYTES = 1 << 16
+# Relayed connections may use this part of the file descriptors, two for each.
+DESCRIPTOR_FRACTION = 0.25
+HEAD_END = b"\r\n\r\n"
+OPENED = b"HTTP/1.1 200 Connection established\r\n\r\n"
+# The server refused the connection.
+REFUSED_STATUS = 502
+# The relay cannot connect to the server, or does not know it.
+UNAVAILABLE_STATUS = 503
+# The server did not answer the relay in time.
+TIMED_OUT_STATUS = 504
+
+
+class RelayClient:
+    """Opens connections to servers through other nodes."""
+
+    def __init__(self, choice: RelayChoice) -> None:
+        self._choice = choice
+
+    async def open(self, address: str, data_centre: str) -> socket.socket:
+        """Return a connected socket to a server in a data centre, through a relay.
+
+        Raises :class:`RelayUnavailable` if no relay has connected to the server.
+        """
+        members = self._choice.candidates(data_centre)
+        if not members:
+            raise RelayUnavailable(address, None)
+
+        def attempt(member: Member) -> Callable:
+            return lambda: self._open_through(member, address)
+
+        attempts = [attempt(member) for member in members]
+        return await first_success(attempts, STAGGER_S, socket.socket.close)
+
+    async def probe(self, address: str, data_centre: str) -> Listening | None:
+        """Return whether a server accepts connections from other nodes.
+
+        None if no other node could try.
+        """
+        try:
+            (await self.open(address, data_centre)).close()
+        except RelayUnavailable as error:
+            return error.listening
+        return Listening.YES
+
+    async def _open_through(self, member: Member, address: str) -> socket.socket:
+        host, _, port = member.gossip.rpartition(":")
+        opened = open_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
+        try:
+            opened.setblocking(False)
+            async with StallAwareTimeout(RELAY_TIMEOUT_S):
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(opened, (host, int(port)))
+                request = f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+                await loop.sock_sendall(opened, request.encode())
+                status = await _read_status(opened)
+            if status != OPENED.split()[1]:
+                raise RelayUnavailable(address, _listening(status))
+        except BaseException as error:
+            opened.close()
+            if isinstance(error, (OSError, TimeoutError, RelayUnavailable)):
+                self._choice.on_unfit(member)
+                if not isinstance(error, RelayUnavailable):
+                    raise RelayUnavailable(address, None) from error
+            raise
+        self._choice.on_fit(member)
+        return opened
+
+
+async def _read_status(opened: socket.socket) -> bytes:
+    """Return the status of the answer to a CONNECT request.
+
+    The answer has no body, and a server sends nothing before it has a request.
+    """
+    loop = asyncio.get_running_loop()
+    head = b""
+    while not head.endswith(HEAD_END):
+        data = await loop.sock_recv(opened, MAX_HEAD_BYTES)
+        if not data or len(head) > MAX_HEAD_BYTES:
+            raise ConnectionResetError("the relay closed the connection")
+        head += data
+    return head.split(None, 2)[1]
+
+
+def _listening(status: bytes) -> Listening | None:
+    if status == b"%d" % REFUSED_STATUS:
+        return Listening.NO
+    return Listening.UNKNOWN if status == b"%d" % TIMED_OUT_STATUS else None
+
+
+class RelayServer:
+    """Relays connections of other nodes to servers, at the address of this node.
+
+    ``is_listed`` returns whether an address is that of a server, and ``in_flight``
+    counts a connection for the planned stop. ``is_stopping`` tells whether to refuse
+    new ones.
+    """
+
+    def __init__(
+        self,
+        paths: ServerPaths,
+        is_listed: Callable[[str], bool],
+        is_stopping: Callable[[], bool],
+        in_flight: Callable[[], AbstractContextManager[None]],
+        max_descriptors: int,
+        count: Callable[[str], None],
+    ) -> None:
+        self._paths = paths
+        self._is_listed = is_listed
+        self._is_stopping = is_stopping
+        self._in_flight = in_flight
+        self._max_connections = int(max_descriptors * DESCRIPTOR_FRACTION / 2)
+        self._count = count
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self.connections = 0
+
+    async def start(self, address: str) -> None:
+        """Listen at an address; raises :class:`OSError`."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._accept, host, int(port), limit=BLOCK_BYTES
+        )
+
+    async def close(self) -> None:
+        """Close the listener and all relayed connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._tasks.add(asyncio.current_task())
+        set_timeouts(writer.get_extra_info("socket"))
+        try:
+            await self._relay(reader, writer)
+        except (OSError, TimeoutError, ValueError, EOFError) as error:
+            log(Part.HOSTS, "A relayed connection failed.", error=repr(error))
+            self._count("relay.failed")
+        except asyncio.CancelledError:
+            # The node is closing; asyncio would log the cancellation as an error.
+            pass
+        finally:
+            writer.close()
+            self._tasks.discard(asyncio.current_task())
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        async with StallAwareTimeout(HEAD_TIMEOUT_S):
+            head = await reader.readuntil(HEAD_END)
+        method, address, _ = head.decode("ascii").split(None, 2)
+        if method != "CONNECT" or not self._may_connect(address):
+            self._refuse(writer, UNAVAILABLE_STATUS)
+            return
+        with self._in_flight(), self._counted():
+            try:
+                upstream_reader, upstream = await _connect(address)
+            except TimeoutError:
+                self._refuse(writer, TIMED_OUT_STATUS)
+                return
+            except OSError:
+                self._refuse(writer, REFUSED_STATUS)
+                return
+            try:
+                writer.write(OPENED)
+                await _splice(reader, writer, upstream_reader, upstream)
+            finally:
+                upstream.close()
+
+    def _may_connect(self, address: str) -> bool:
+        return (
+            not self._is_stopping()
+            and self.connections < self._max_connections
+            and self._is_listed(address)
+            and self._paths.path(address) is Path.DIRECT
+        )
+
+    def _refuse(self, writer: asyncio.StreamWriter, status: int) -> None:
+        self._count(f"relay.refused-{status}")
+        writer.write(b"HTTP/1.1 %d Not connected\r\nContent-Length: 0\r\n\r\n" % status)
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        self.connections += 1
+        self._count("relay.connections")
+        try:
+            yield
+        finally:
+            self.connections -= 1
+
+
+async def _connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(":")
+    async with StallAwareTimeout(CONNECT_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(
+            host, int(port), limit=BLOCK_BYTES
+        )
+    set_timeouts(writer.get_extra_info("socket"))
+    return reader, writer
+
+
+async def _splice(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    upstream_reader: asyncio.StreamReader,
+    upstream: asyncio.StreamWriter,
+) -> None:
+    """Pass bytes on in both directions until one of the connections ends."""
+    to_server = asyncio.create_task(_copy(reader, upstream))
+    to_client = asyncio.create_task(_copy(upstream_reader, writer))
+    try:
+        await asyncio.wait({to_server, to_client}, return_when=asyncio.FIRST_COMPLETED)
+        if to_client.done() and to_client.exception() is not None:
+            # A response without a length that is cut off must not look complete.
+            _reset(writer)
+    finally:
+        for task in (to_server, to_client):
+            task.cancel()
+        await asyncio.gather(to_server, to_client, return_exceptions=True)
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Pass bytes on until the end of the connection; raises :class:`OSError`."""
+    while data := await reader.read(BLOCK_BYTES):
+        writer.write(data)
+        await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset instead of a regular end."""
+    linger = struct.pack("ii", 1, 0)
+    transport_socket = writer.get_extra_info("socket")
+    transport_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -0,0 +1,128 @@
+"""Opens connections to one server, directly or through another node."""
+
+import errno
+import fcntl
+import struct
+import termios
+import weakref
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from ..exceptions import RelayUnavailable
+from ..process.server_paths import Path, ServerPaths
+from .races import first_success
+from .relays import RelayClient
+from .sockets import Connector
+
+__all__ = ["ServerConnector", "ServerLink"]
+
+# A connection is established in some ms. After this time another node is asked, too.
+RELAY_DELAY_S = 0.06
+
+
+class ServerLink:
+    """How connections to a server at ``address`` in ``data_centre`` are opened.
+
+    ``relayed`` holds the connections that pass through another node.
+    """
+
+    def __init__(
+        self, paths: ServerPaths, relays: RelayClient, address: str, data_centre: str
+    ) -> None:
+        self.paths = paths
+        self.relays = relays
+        self.address = address
+        self.data_centre = data_centre
+        self.relayed: weakref.WeakSet[ResponseHandler] = weakref.WeakSet()
+
+    def connector(self, **options: Any) -> "ServerConnector":
+        """Return a new connector; ``options`` are those of the library."""
+        return ServerConnector(self, **options)
+
+    def suspect(self) -> None:
+        """Check the path to the server after a sign that it may be lost."""
+        self.paths.suspect(self.address)
+
+
+class ServerConnector(Connector):
+    """A pool of connections to one server."""
+
+    def __init__(self, link: ServerLink, **options: Any) -> None:
+        super().__init__(**options)
+        self._link = link
+
+    def abort_direct(self) -> None:
+        """Abort the direct connections that are in use."""
+        for protocol in self._direct_in_use():
+            protocol.transport.abort()
+
+    def is_unacknowledged(self) -> bool:
+        """Return whether bytes that were sent directly are not acknowledged yet."""
+        return any(
+            _unacknowledged_bytes(protocol.transport)
+            for protocol in self._direct_in_use()
+        )
+
+    async def _create_connection(
+        self, req: aiohttp.ClientRequest, traces: list, timeout: aiohttp.ClientTimeout
+    ) -> ResponseHandler:
+        """Open a connection; the library calls this if none is left in the pool."""
+        paths, address = self._link.paths, self._link.address
+        path = paths.path(address)
+
+        async def direct() -> ResponseHandler:
+            connect = super(ServerConnector, self)._create_connection
+            try:
+                protocol = await connect(req, traces, timeout)
+            except (aiohttp.ClientError, OSError):
+                paths.suspect(address)
+                raise
+            paths.on_connected(address)
+            return protocol
+
+        async def relayed() -> ResponseHandler:
+            try:
+                return await self._connect_relayed()
+            except RelayUnavailable as error:
+                reason = OSError(errno.EHOSTUNREACH, str(error))
+                raise aiohttp.ClientConnectorError(
+                    req.connection_key, reason
+                ) from error
+
+        attempts: list[Callable[[], Awaitable[ResponseHandler]]] = [direct]
+        if path is Path.RELAYED:
+            attempts = [relayed, direct]
+        elif path is Path.DIRECT:
+            attempts = [direct, relayed]
+        delay_s = 0.0 if paths.is_doubted(address) else RELAY_DELAY_S
+        return await first_success(attempts, delay_s, ResponseHandler.close)
+
+    async def _connect_relayed(self) -> ResponseHandler:
+        link = self._link
+        link.suspect()
+        opened = await link.relays.open(link.address, link.data_centre)
+        _, protocol = await self._loop.create_connection(self._factory, sock=opened)
+        link.relayed.add(protocol)
+        return protocol
+
+    def _direct_in_use(self) -> list[ResponseHandler]:
+        """Return the direct connections that carry a request."""
+        return [
+            protocol
+            for protocol in self._acquired
+            if isinstance(protocol, ResponseHandler)
+            and protocol.transport is not None
+            and protocol not in self._link.relayed
+        ]
+
+
+def _unacknowledged_bytes(transport: Any) -> int:
+    """Return how many bytes in a socket's send queue the peer has not acknowledged."""
+    opened = transport.get_extra_info("socket")
+    if opened is None or opened.fileno() < 0:
+        return 0
+    buffer = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    return struct.unpack("i", buffer)[0]
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -5,13 +5,14 @@
 """
 
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 
 from eelgrass_coordination import StallAwareTimeout
 
-__all__ = ["Connector", "new_session", "open_socket"]
+__all__ = ["Connector", "new_session", "open_socket", "set_timeouts"]
 
 # A connection is closed when data stays unacknowledged for this long. It allows for
 # three consecutive losses on a link with a latency of a few milliseconds, and is below
@@ -26,13 +27,18 @@
     """Return a new socket for ``address``, an address tuple of the client library."""
     family, kind, protocol, _, _ = address
     opened = socket.socket(family=family, type=kind, proto=protocol)
+    set_timeouts(opened)
+    return opened
+
+
+def set_timeouts(opened: socket.socket) -> None:
+    """Have a TCP socket closed once its peer has not answered for some time."""
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
     opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
     opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
     opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    return opened
 
 
 class Connector(aiohttp.TCPConnector):
@@ -54,7 +60,10 @@
 
 
 def new_session(
-    keep_alive_s: float, connect_s: float | None = None, **options: Any
+    keep_alive_s: float,
+    connect_s: float | None = None,
+    new_connector: Callable[..., aiohttp.BaseConnector] = Connector,
+    **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a client session with these sockets; the caller has to close it.
 
@@ -62,7 +71,7 @@
     connect timeout, both in seconds. ``options`` are passed to the session.
     """
     return aiohttp.ClientSession(
-        connector=Connector(keepalive_timeout=keep_alive_s, use_dns_cache=False),
+        connector=new_connector(keepalive_timeout=keep_alive_s, use_dns_cache=False),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
         **options,
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -1,6 +1,7 @@
 """The exceptions that the node raises; every message names a remedy."""
 
 from .process.batch_items import ItemFailure
+from .process.crash_detector import Listening
 from .request.reasons import Outcome, RefusalReason, RetryReason, refusal_kind
 
 __all__ = [
@@ -13,6 +14,7 @@
     "PeerUnreachable",
     "BatchAnswerMalformed",
     "Refused",
+    "RelayUnavailable",
     "RequestMalformed",
     "RequestQuarantined",
     "RequestRefused",
@@ -56,6 +58,21 @@
         )
 
 
+class RelayUnavailable(NodeError):
+    """No other node has connected to a server.
+
+    ``listening`` is what the last one found out about the server; None if no other
+    node could try.
+    """
+
+    def __init__(self, address: str, listening: Listening | None) -> None:
+        self.listening = listening
+        super().__init__(
+            f"No other node has connected to the server at {address}. Use another "
+            "server, or retry later."
+        )
+
+
 class Refused(NodeError):
     """A request is refused: it gets no answer from its pipeline.
 
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -101,14 +101,19 @@
     only sign of the other nodes' use.
     """
 
-    def __init__(self, entry: HostEntry) -> None:
+    def __init__(
+        self, entry: HostEntry, connections: BackendConnections | None = None
+    ) -> None:
         self.entry = entry
-        self.connections = BackendConnections(entry.address)
+        self.connections = connections or BackendConnections(entry.address)
         self.in_flight = 0
         # When the server was first listed. Servers in the first list that the node
         # reads were there before it.
         self.first_listed_at = float("-inf")
         self.window = 1.0
+        # Whether only other nodes reach the server. A lost connection then tells
+        # nothing about the server itself.
+        self.is_relayed = False
         self.suspect_until = 0.0
         self._suspected_at = float("-inf")
         self._full_until = 0.0
@@ -163,6 +168,16 @@
         self._suspected_at = now
         self.suspect_until = now + suspicion_s
 
+    def extend_suspicion(self, for_s: float) -> None:
+        """Prefer other servers for at least ``for_s`` more seconds."""
+        now = asyncio.get_running_loop().time()
+        self.suspect_until = max(self.suspect_until, now + for_s)
+
+    def clear_suspicion(self) -> None:
+        """End a suspicion, because it was the network path that failed."""
+        self.suspect_until = 0.0
+        self._failures = 0
+
     def record_call(self, took_s: float) -> None:
         """Record the duration of a call, in seconds."""
         self.call_s.record(took_s)
@@ -225,11 +240,17 @@
     """All backend servers by id and by service.
 
     A leaving server (the pair of id and start number) is remembered while an outdated
-    list may still name it as live.
+    list may still name it as live. ``connections_to`` returns the connections to a new
+    server.
     """
 
-    def __init__(self, on_change: Callable[[str], None] = lambda service: None):
+    def __init__(
+        self,
+        on_change: Callable[[str], None] = lambda service: None,
+        connections_to: Callable[[HostEntry], BackendConnections] | None = None,
+    ) -> None:
         self.on_change = on_change
+        self._connections_to = connections_to
         self.by_id: dict[BackendId, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, Backend] = {}
@@ -335,7 +356,8 @@
             backend = None
         is_new = backend is None
         if backend is None:
-            backend = Backend(entry)
+            connections = self._connections_to and self._connections_to(entry)
+            backend = Backend(entry, connections)
             backend.window = float(share_of_limit(entry.limit, self._live_nodes))
             if not is_first:
                 backend.first_listed_at = asyncio.get_running_loop().time()
--- a/packages/node/src/eelgrass_node/process/batch_items.py
+++ b/packages/node/src/eelgrass_node/process/batch_items.py
@@ -9,29 +9,40 @@
 from .backends import ServerIncarnation
 from .crash_detector import Fingerprint
 
-__all__ = ["BatchItem", "ItemOutcome", "ItemFailure"]
+__all__ = ["NOT_CONNECTED_FAILURES", "BatchItem", "ItemFailure", "ItemOutcome"]
 
 
 class ItemFailure(Enum):
     """Why a batch item has no result.
 
-    ``UNREACHABLE`` means that the call did not reach the server, ``TIMED_OUT`` that no
-    answer came in time, ``LOST`` that the connection broke during the call, ``FAILED``
-    that the server reported an error, and ``NO_ROOM`` that it had no memory for the
-    result. ``OVERLOADED`` is a refusal by the queue, ``LATE`` an item that could not
-    finish before its deadline, and ``INPUT_GONE`` one whose inputs are lost.
+    ``CONNECT_TIMED_OUT`` and ``CONNECT_FAILED`` mean that no connection to the server
+    was established, ``UNREACHABLE`` that the call did not reach it, ``TIMED_OUT`` that
+    no answer came in time, ``LOST`` that the connection broke during the call,
+    ``FAILED`` that the server reported an error, and ``NO_ROOM`` that it had no memory
+    for the result. ``OVERLOADED`` is a refusal by the queue, ``LATE`` an item
+    that could not finish before its deadline, and ``INPUT_GONE`` one whose inputs are
+    lost.
     """
 
     LATE = "late"
     INPUT_GONE = "input_gone"
     NO_ROOM = "no_room"
     FAILED = "failed"
+    # These two do not leave a queue: nodes of older releases do not know them.
+    CONNECT_TIMED_OUT = "connect_silent"
+    CONNECT_FAILED = "connect_failed"
     UNREACHABLE = "unreached"
     LOST = "lost"
     TIMED_OUT = "silent"
     OVERLOADED = "overloaded"
 
 
+# A call that reached no server puts no load on one, so that its retry needs no budget.
+NOT_CONNECTED_FAILURES = frozenset(
+    (ItemFailure.CONNECT_TIMED_OUT, ItemFailure.CONNECT_FAILED)
+)
+
+
 class BatchItem(msgspec.Struct, eq=False):
     """One unit of work of one stage of a request; servers run items in batches.
 
--- a/packages/node/src/eelgrass_node/process/batch_queue.py
+++ b/packages/node/src/eelgrass_node/process/batch_queue.py
@@ -21,7 +21,12 @@
 from ..version.deployment import BatchLimits
 from .account_shares import AccountShares
 from .backends import Backend, ServerIncarnation
-from .batch_items import BatchItem, ItemFailure, ItemOutcome
+from .batch_items import (
+    NOT_CONNECTED_FAILURES,
+    BatchItem,
+    ItemFailure,
+    ItemOutcome,
+)
 from .batch_selection import select_batch
 from .item_order import ItemOrder, rank
 from .overload import Overload
@@ -376,10 +381,13 @@
         if outcome.failure is ItemFailure.NO_ROOM:
             # The server did not run the item; it is called again when memory is free.
             item.tries -= 1
+        connected = outcome.failure not in NOT_CONNECTED_FAILURES
         if is_retryable and item.tries < MAX_TRIES and not future.done():
-            if self._may_retry(item):
+            if not connected or self._may_retry(item):
                 self._waiting.add(item, future)
                 return
+        if not connected:
+            outcome = ItemOutcome(failure=ItemFailure.UNREACHABLE)
         self._settle(item, future, outcome)
 
     def _settle(
--- a/packages/node/src/eelgrass_node/process/failure_gossip.py
+++ b/packages/node/src/eelgrass_node/process/failure_gossip.py
@@ -6,7 +6,8 @@
 prefer other servers for as long as this one does.
 """
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 
 from eelgrass_coordination import GossipItem
 from eelgrass_coordination.ids import BackendId
@@ -23,7 +24,9 @@
     """The failures of servers that nodes announce to each other.
 
     ``announce`` spreads a gossip item, and ``clock`` returns Unix time in
-    milliseconds, by which later failures supersede earlier ones.
+    milliseconds, by which later failures supersede earlier ones. ``check_path`` checks
+    this node's path to the server at an address before a failure is announced: a
+    failure of the path must not keep other nodes from using the server.
     """
 
     def __init__(
@@ -31,13 +34,34 @@
         backends: Backends,
         announce: Callable[[GossipItem], bool],
         clock: Callable[[], int],
+        check_path: Callable[[str], Awaitable[object]] | None = None,
     ) -> None:
         self._backends = backends
         self._announce = announce
         self._clock = clock
+        self._check_path = check_path
+        self._checks: set[asyncio.Task] = set()
 
     def announce_failure(self, backend: Backend) -> None:
         """Announce that a server has failed a request."""
+        if self._check_path is None:
+            self._announce_now(backend)
+            return
+        check = asyncio.create_task(self._check(backend))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    async def _check(self, backend: Backend) -> None:
+        await self._check_path(backend.entry.address)
+        if not backend.is_relayed:
+            self._announce_now(backend)
+
+    def _announce_now(self, backend: Backend) -> None:
+        log(
+            Part.HOSTS,
+            "A failing server is announced to the other nodes.",
+            backend=backend.entry.id,
+        )
         self._announce(GossipItem(GOSSIP_KIND, backend.entry.id, self._clock()))
 
     def receive(self, item: GossipItem) -> None:
--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -15,7 +15,12 @@
 from ..log import Part, log
 from ..version.deployment import BatchLimits
 from .backends import Backend, ServerIncarnation
-from .batch_items import BatchItem, ItemFailure, ItemOutcome
+from .batch_items import (
+    NOT_CONNECTED_FAILURES,
+    BatchItem,
+    ItemFailure,
+    ItemOutcome,
+)
 from .reachability import DataCentreReachability
 from .server_use import ServerUse
 
@@ -34,9 +39,11 @@
 # servers that are no longer listed are dropped.
 MAX_REMEMBERED_FACTOR = 4
 
-SERVER_FAILURES = frozenset(
-    (ItemFailure.UNREACHABLE, ItemFailure.TIMED_OUT, ItemFailure.FAILED)
-)
+SERVER_FAILURES = NOT_CONNECTED_FAILURES | {
+    ItemFailure.UNREACHABLE,
+    ItemFailure.TIMED_OUT,
+    ItemFailure.FAILED,
+}
 
 
 class QueueServers:
@@ -162,14 +169,17 @@
         use = self.use(server)
         if ItemFailure.TIMED_OUT in failures:
             self._on_timeout(server, batch)
+        elif ItemFailure.CONNECT_TIMED_OUT in failures:
+            self._record_timeout(server)
         else:
             self._reachability.record_answer(server.entry.data_centre)
-        if ItemFailure.UNREACHABLE not in failures:
+        if not failures & (NOT_CONNECTED_FAILURES | {ItemFailure.UNREACHABLE}):
             use.record_call(took_s / self.call_s(len(batch)), _now())
         # A healthy server fails single items now and then, so it is only suspected if
         # the whole call failed.
         if failures <= SERVER_FAILURES:
-            if not self._may_block_on_inputs(server, batch, failures):
+            blocked = self._may_block_on_inputs(server, batch, failures)
+            if not blocked and not _is_path_failure(server, failures):
                 server.suspect()
             self._log_call("Batch call failed.", server, batch, outcomes, took_s)
             return
@@ -225,7 +235,11 @@
                 server.entry.data_centre
             }:
                 self._reachability.record_timeout(data_centre, item.inputs[0])
-        self._reachability.record_timeout(server.entry.data_centre, server.entry.id)
+        self._record_timeout(server)
+
+    def _record_timeout(self, server: Backend) -> None:
+        if not server.is_relayed:
+            self._reachability.record_timeout(server.entry.data_centre, server.entry.id)
 
     def _may_block_on_inputs(
         self, server: Backend, batch: list[BatchItem], failures: set[ItemFailure | None]
@@ -268,5 +282,10 @@
         )
 
 
+def _is_path_failure(server: Backend, failures: set[ItemFailure | None]) -> bool:
+    """Return whether this node's path to a server explains that a call failed."""
+    return server.is_relayed and ItemFailure.FAILED not in failures
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "NOT_CONNECTED_REASONS",
+    "PATH_FAILURE_REASONS",
     "POSSIBLE_CRASH_REASONS",
     "SERVER_FAILING_REASONS",
     "SUSPECT_SERVER_REASONS",
@@ -106,6 +107,10 @@
     (RetryReason.CONNECT_FAILED, RetryReason.CONNECT_SILENT)
 )
 TIMEOUT_REASONS = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
+# These failures are explained by a network path that is lost.
+PATH_FAILURE_REASONS = (
+    NOT_CONNECTED_REASONS | TIMEOUT_REASONS | {RetryReason.CONNECTION_LOST}
+)
 
 
 class DiscardReason(Enum):
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -34,6 +34,7 @@
 from .incoming_request import ResponseHead, RoutedRequest
 from .reasons import (
     NOT_CONNECTED_REASONS,
+    PATH_FAILURE_REASONS,
     POSSIBLE_CRASH_REASONS,
     SERVER_FAILING_REASONS,
     SUSPECT_SERVER_REASONS,
@@ -307,12 +308,14 @@
         if failed.reason is RetryReason.BACKEND_REPLACED:
             self._context.on_server_replaced(backend)
         elif failed.reason in SUSPECT_SERVER_REASONS:
-            backend.suspect()
+            if not (backend.is_relayed and failed.reason in PATH_FAILURE_REASONS):
+                backend.suspect()
             if failed.reason in SERVER_FAILING_REASONS:
                 self._context.on_server_failing(backend)
         if failed.reason is RetryReason.CONNECTION_SILENT:
+            backend.connections.suspect_path()
             backend.connections.replace()
-        if failed.reason in TIMEOUT_REASONS:
+        if failed.reason in TIMEOUT_REASONS and not backend.is_relayed:
             self._context.reachability.record_timeout(
                 backend.entry.data_centre, backend.entry.id
             )
