Close brittle servers at all nodes after their first refusal

Servers may say in their answers that they are brittle: one that has to refuse more than a few requests within a second crashes. Nothing limited the refusals over all nodes; each node retried, and tried again, by itself.

The header is decoded for requests and batch calls. The first refusal closes the server at its node, which announces it by gossip; it opens after 1.2 to 1.8 s, later if it refuses again at once, at different times at each node. Until then nothing is sent there, and a request without another server is refused with the time until one opens. Besides, a node sends a brittle server no more than its reported load and a share of its slots leave room for.

--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -1,7 +1,7 @@
 """Calls to backend servers that run batch items or free results."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import aiohttp
@@ -34,6 +34,9 @@
     def decode_outcomes(self, body: bytes, count: int) -> list[ItemOutcome]:
         """Decode the answer; raises :class:`BatchAnswerMalformed`."""
 
+    def decode_refusal_limit(self, headers: Mapping[str, str]) -> int | None:
+        """Return how many refusals per second the server bears; None if not brittle."""
+
     def encode_free(self, handles: list[str]) -> bytes:
         """Return the body of a call that frees results."""
 
@@ -44,14 +47,19 @@
 class BatchCalls:
     """Calls backend servers.
 
-    ``on_replaced`` is called if another server answers at a server's address.
+    ``on_replaced`` is called if another server answers at a server's address, and
+    ``on_refused`` if a server refuses a call because it is full.
     """
 
     def __init__(
-        self, codec: BatchCodec, on_replaced: Callable[[Backend], None]
+        self,
+        codec: BatchCodec,
+        on_replaced: Callable[[Backend], None],
+        on_refused: Callable[[Backend], None] = lambda backend: None,
     ) -> None:
         self._codec = codec
         self._on_replaced = on_replaced
+        self._on_refused = on_refused
 
     async def run(
         self, backend: Backend, items: list[BatchItem], timeout_s: float
@@ -82,6 +90,7 @@
             self._on_replaced(backend)
             return _all_failed(items, ItemFailure.UNREACHABLE)
         if status == HTTP_UNAVAILABLE:
+            self._on_refused(backend)
             return _all_failed(items, ItemFailure.NO_ROOM)
         return _all_failed(items, ItemFailure.FAILED)
 
@@ -110,6 +119,8 @@
                 "POST", path, headers, body, CONNECT_TIMEOUT_S, reuse=True
             ) as response:
                 connections.track(response)
+                limit = self._codec.decode_refusal_limit(response.headers)
+                backend.refusal_limit = limit
                 return response.status, await response.read()
         finally:
             connections.end_call()
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -8,7 +8,7 @@
 from functools import partial
 
 from eelgrass_coordination import GossipItem, Member, Membership, MemberState
-from eelgrass_coordination.ids import Revision
+from eelgrass_coordination.ids import NodeId, Revision
 
 from .boot_clock import unix_ms
 from .connection.backend import BackendConnections
@@ -37,6 +37,7 @@
 from .platform.store import RowStore
 from .process.backends import Backend, Backends, HostEntry
 from .process.batch_items import BatchItem, ItemOutcome
+from .process.brittle_servers import BrittleServers
 from .process.budget_shares import count_sharing_nodes
 from .process.counters import Counters
 from .process.crash_detector import Listening
@@ -118,7 +119,11 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, loop.time
         )
         self.reachability = DataCentreReachability(settings.data_centre, loop.time)
-        self.batch_calls = BatchCalls(stage_calls, self._on_server_replaced)
+        self.batch_calls = BatchCalls(
+            stage_calls,
+            self._on_server_replaced,
+            lambda backend: self.brittle_servers.record_refusal(backend),
+        )
         self.peer_session = new_session(PEER_IDLE_S / 2)
         self.peer_calls = PeerCalls(self.peer_session)
         self.peer_catch_up = PeerCatchUp(
@@ -161,6 +166,14 @@
             settings.max_descriptors,
             self.counters.count,
         )
+        self.brittle_servers = BrittleServers(
+            self.backends,
+            self.membership.announce_gossip_item,
+            loop.time,
+            unix_ms,
+            lambda: len(self.membership.members.reachable()) + 1,
+            self.counters.count,
+        )
         self.failure_gossip = FailureGossip(
             self.backends,
             self.membership.announce_gossip_item,
@@ -205,6 +218,7 @@
             self.metrics.record_wait,
             self.poison_requests,
             self.warm_up.admission.is_rate_limited,
+            self.brittle_servers,
         )
         self.backends.on_change = self.local_queues.servers_changed
         self.membership.on_gossip_item = self._on_gossip_item
@@ -255,7 +269,9 @@
             settings.data_centre,
             self.reachability,
             lambda: self.deployments.current,
+            self.brittle_servers,
         )
+        self._left_members: set[NodeId] = set()
         self._tasks: list[asyncio.Task] = []
         self._listeners = Listeners()
 
@@ -353,6 +369,7 @@
         context = ServingContext(
             codec=requests,
             choose=self.server_choice.choose,
+            closed_for_s=self.server_choice.closed_for_s,
             admit=self.warm_up.admission.admit,
             copy_source=self.server_choice.copy_source,
             data_centre_of=self.local_queues.data_centre_of,
@@ -364,6 +381,7 @@
             final_call_latency=self.final_call_latency,
             retries=self.retry_budgets,
             reachability=self.reachability,
+            brittle_servers=self.brittle_servers,
             on_server_replaced=self._on_server_replaced,
             on_server_failing=self.failure_gossip.announce_failure,
             poison_requests=self.poison_requests,
@@ -437,7 +455,10 @@
         for member in members:
             if member.state is MemberState.SUSPECT:
                 self.reachability.record_timeout(member.data_centre, member.id)
-        self.server_paths.relays_changed()
+        left = {m.id for m in members if m.state is MemberState.LEFT}
+        if left - self._left_members:
+            self.server_paths.relays_changed()
+        self._left_members = left
         self.retry_budgets.sharing_nodes = count_sharing_nodes(
             self.settings, self.membership.own, members
         )
@@ -451,6 +472,7 @@
 
     def _on_gossip_item(self, item: GossipItem) -> None:
         self.failure_gossip.receive(item)
+        self.brittle_servers.receive(item)
         self.poison_requests.gossip.receive(item)
         self.evacuation.gossip.receive(item)
 
--- a/packages/node/src/eelgrass_node/platform/names.py
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -3,6 +3,7 @@
 __all__ = [
     "ATTEMPT_ID",
     "AUTHORIZATION",
+    "BRITTLE",
     "CRASHES_TABLE",
     "DEADLINE_MS",
     "ENGINE_ID",
@@ -33,6 +34,8 @@
 
 ATTEMPT_ID = "Eelgrassward-Attempt-Id"
 AUTHORIZATION = "Authorization"
+# How many requests a server may have to refuse within a second; it crashes beyond that.
+BRITTLE = "Server-Brittle"
 DEADLINE_MS = "Eelgrassward-Deadline-Ms"
 ENGINE_ID = "Eelgrassward-Engine-Id"
 ENGINE_LOAD = "Eelgrassward-Engine-Load"
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -115,6 +115,11 @@
         # nothing about the server itself.
         self.is_relayed = False
         self.suspect_until = 0.0
+        # The refusals per second, over all nodes, beyond which the server crashes; None
+        # if it is not brittle. While it is closed it gets no requests.
+        self.refusal_limit: int | None = None
+        self.closed_until = float("-inf")
+        self.closed_s = 0.0
         self._suspected_at = float("-inf")
         self._full_until = 0.0
         self._failures = 0
--- a/packages/node/src/eelgrass_node/process/local_queues.py
+++ b/packages/node/src/eelgrass_node/process/local_queues.py
@@ -7,6 +7,7 @@
 from .backends import Backend, Backends
 from .batch_items import BatchItem, ItemFailure, ItemOutcome
 from .batch_queue import BatchQueue, RunCall
+from .brittle_servers import BrittleServers
 from .poison_requests import PoisonRequests
 from .queue_load import QueueLoad
 from .reachability import DataCentreReachability
@@ -34,7 +35,8 @@
     ``producer_of`` returns the address of the server that holds a result, and
     ``record_wait`` records how many seconds the items of a service waited. ``poison``
     keeps poison requests from being sent to servers. Servers for which
-    ``is_rate_limited`` is true are cold; they get no items until they are warm.
+    ``is_rate_limited`` is true are cold; they get no items until they are warm, and
+    brittle ones of ``brittle_servers`` get none while they are full.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         record_wait: Callable[[str, float], None],
         poison: PoisonRequests,
         is_rate_limited: Callable[[Backend], bool],
+        brittle_servers: BrittleServers,
     ) -> None:
         self._backends = backends
         self._deployment = deployment
@@ -60,6 +63,7 @@
         self._record_wait = record_wait
         self._poison = poison
         self._is_rate_limited = is_rate_limited
+        self._brittle_servers = brittle_servers
         self._tasks: set[asyncio.Task] = set()
         self.by_service: dict[ServiceName, BatchQueue] = {}
 
@@ -138,7 +142,9 @@
         return [
             server
             for server in self._backends.usable(service)
-            if server.is_in(regions) and not self._is_rate_limited(server)
+            if server.is_in(regions)
+            and not self._is_rate_limited(server)
+            and self._brittle_servers.accepts(server)
         ]
 
     async def _call(
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -9,6 +9,7 @@
 
 from ..version.deployment import Deployment, ServiceName
 from .backends import Backend, Backends, ServerIncarnation
+from .brittle_servers import BrittleServers
 from .placement import copy_source, place_plain, place_prompt
 from .reachability import DataCentreReachability
 
@@ -33,7 +34,10 @@
 
 
 class ServerChoice:
-    """Chooses servers for a node in ``data_centre``."""
+    """Chooses servers for a node in ``data_centre``.
+
+    Brittle servers that ``brittle_servers`` says are full are not chosen.
+    """
 
     def __init__(
         self,
@@ -41,7 +45,9 @@
         data_centre: DataCentre,
         reachability: DataCentreReachability,
         deployment: Callable[[], Deployment | None],
+        brittle_servers: BrittleServers,
     ) -> None:
+        self._brittle_servers = brittle_servers
         self._backends = backends
         self._data_centre = data_centre
         self._reachability = reachability
@@ -50,8 +56,9 @@
     def choose(self, criteria: ServerCriteria) -> Backend | None:
         """Return a server, or None if the service has no usable server."""
         now = asyncio.get_running_loop().time()
-        usable = self._backends.usable(criteria.service)
-        allowed = [server for server in usable if server.is_in(criteria.regions)]
+        allowed = [
+            s for s in self._allowed(criteria) if self._brittle_servers.accepts(s)
+        ]
         servers = self._reachability.healthiest(allowed, criteria.tried)
         if not servers:
             return None
@@ -68,6 +75,18 @@
             )
         return place_plain(servers, self._data_centre, now)
 
+    def closed_for_s(self, criteria: ServerCriteria) -> float | None:
+        """Return the seconds until a brittle server may accept a request again.
+
+        None if the service has no server at all that a request may go to.
+        """
+        allowed = self._allowed(criteria)
+        return self._brittle_servers.opens_in_s(allowed) if allowed else None
+
+    def _allowed(self, criteria: ServerCriteria) -> list[Backend]:
+        usable = self._backends.usable(criteria.service)
+        return [server for server in usable if server.is_in(criteria.regions)]
+
     def copy_source(
         self, chosen: Backend, prefix_key: str | None, shared_tokens: int
     ) -> Backend | None:
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -305,6 +305,8 @@
         else:
             self._runs += 1
             self._may_have_run = True
+        if failed.reason is RetryReason.BACKEND_OVERLOADED:
+            self._context.brittle_servers.record_refusal(backend)
         if failed.reason is RetryReason.BACKEND_REPLACED:
             self._context.on_server_replaced(backend)
         elif failed.reason in SUSPECT_SERVER_REASONS:
--- a/packages/node/src/eelgrass_node/request/server_selection.py
+++ b/packages/node/src/eelgrass_node/request/server_selection.py
@@ -22,8 +22,9 @@
 async def select_server(context: ServingContext, criteria: ServerCriteria) -> Backend:
     """Return a server that may receive the request now.
 
-    Raises :class:`RequestRefused` if the service has no usable server, or if the only
-    ones left are cold and have reached their warm-up limits.
+    Raises :class:`RequestRefused` if the service has no usable server, if its brittle
+    servers are full, or if the only ones left are cold and have reached their warm-up
+    limits.
     """
     denied: frozenset[ServerIncarnation] = frozenset()
     retry_after_s = WARM_UP_RETRY_S
@@ -31,7 +32,7 @@
         tried = criteria.tried | denied
         server = context.choose(msgspec.structs.replace(criteria, tried=tried))
         if server is None:
-            raise RequestRefused("the service has no usable server", NO_SERVER_RETRY_S)
+            raise _refusal(context.closed_for_s(criteria))
         if server.entry.incarnation in denied:
             break
         permit = await context.admit(server)
@@ -40,3 +41,13 @@
         denied |= {server.entry.incarnation}
         retry_after_s = max(MIN_RETRY_S, min(retry_after_s, permit.after_s))
     raise RequestRefused("the servers of the service are warming up", retry_after_s)
+
+
+def _refusal(closed_for_s: float | None) -> RequestRefused:
+    """Return the refusal if no server may get the request."""
+    if closed_for_s is None:
+        return RequestRefused("the service has no usable server", NO_SERVER_RETRY_S)
+    return RequestRefused(
+        "the servers of the service are brittle and full",
+        max(MIN_RETRY_S, closed_for_s),
+    )
--- a/packages/node/src/eelgrass_node/request/serving_context.py
+++ b/packages/node/src/eelgrass_node/request/serving_context.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..process.backends import Backend, ServerIncarnation
+from ..process.brittle_servers import BrittleServers
 from ..process.metrics import Metrics
 from ..process.poison_requests import PoisonRequests
 from ..process.reachability import DataCentreReachability
@@ -21,16 +22,19 @@
 class ServingContext(msgspec.Struct, frozen=True):
     """The parts of the process that a request uses.
 
-    ``choose`` selects a server, ``admit`` grants or denies a permit to send it one
-    request, and ``copy_source`` returns another engine that already has a prompt prefix
-    of so many tokens cached. ``data_centre_of`` returns the data centre of the result
-    with a handle, and ``has_ended`` whether a server incarnation has ended. ``plan``
-    returns when the stages of a request should be complete, and
-    ``infeasible_retry_after_s`` a Retry-After in seconds if they cannot be in time.
+    ``choose`` selects a server; if there is none, ``closed_for_s`` returns after how
+    many seconds a brittle one may accept requests again. ``admit`` grants or denies a
+    permit to send it one request, and ``copy_source`` returns another engine that
+    already has a prompt prefix of so many tokens cached. ``data_centre_of`` returns the
+    data centre of the result with a handle, and ``has_ended`` whether a server
+    incarnation has ended. ``plan`` returns when the stages of a request should be
+    complete, and ``infeasible_retry_after_s`` a Retry-After in seconds if they cannot
+    be in time.
     """
 
     codec: WireCodec
     choose: Callable[[ServerCriteria], Backend | None]
+    closed_for_s: Callable[[ServerCriteria], float | None]
     admit: Callable[[Backend], Awaitable[Permit]]
     copy_source: Callable[[Backend, str | None, int], Backend | None]
     data_centre_of: Callable[[str], str]
@@ -42,6 +46,7 @@
     final_call_latency: FinalCallLatency
     retries: RetryBudgets
     reachability: DataCentreReachability
+    brittle_servers: BrittleServers
     on_server_replaced: Callable[[Backend], None]
     on_server_failing: Callable[[Backend], None]
     poison_requests: PoisonRequests
--- /dev/null
+++ b/packages/node/tests/test_brittle_servers.py
@@ -0,0 +1,157 @@
+"""Tests for servers that crash if they have to refuse many requests within a second."""
+
+import heapq
+import random
+
+import pytest
+
+from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_node.platform import requests, stage_calls
+from eelgrass_node.process.backends import Backends, HostEntry
+from eelgrass_node.process.brittle_servers import BrittleServers
+
+SLOTS = 6
+REFUSAL_LIMIT = 5
+GOSSIP_S = 0.005
+CALL_S = 0.5
+
+
+class Fleet:
+    """Nodes that send requests to brittle servers, in simulated time.
+
+    A server refuses a request while all of its slots are taken, and gossip takes
+    ``GOSSIP_S``. ``refused_at`` holds the times of the refusals of each server.
+    """
+
+    def __init__(self, nodes, servers, seed, share_gossip=True):
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.names = [f"s{number}" for number in range(servers)]
+        self.running = dict.fromkeys(self.names, 0)
+        self.refused_at = {name: [] for name in self.names}
+        self.served = 0
+        self._events = []
+        self._sequence = 0
+        self._share_gossip = share_gossip
+        self.nodes = [self._node(number, nodes) for number in range(nodes)]
+
+    def _node(self, number, nodes):
+        backends = Backends()
+        backends.update(
+            [
+                HostEntry(BackendId(name), "desk", name, DataCentre("a"), limit=SLOTS)
+                for name in self.names
+            ]
+        )
+        for backend in backends.by_id.values():
+            backend.refusal_limit = REFUSAL_LIMIT
+            backend.load_at = lambda now, b=backend: (b.in_flight, 0)
+        brittle = BrittleServers(
+            backends,
+            lambda item: self._spread(number, item),
+            lambda: self.now,
+            lambda: int(self.now * 1000),
+            lambda: nodes,
+            lambda kind: None,
+            self.random.random,
+        )
+        return backends, brittle
+
+    def _spread(self, sender, item):
+        if not self._share_gossip:
+            return True
+        for number, (_, brittle) in enumerate(self.nodes):
+            if number != sender:
+                self.at(GOSSIP_S, lambda b=brittle: b.receive(item))
+        return True
+
+    def at(self, in_s, action):
+        self._sequence += 1
+        heapq.heappush(self._events, (self.now + in_s, self._sequence, action))
+
+    def arrive(self):
+        """Send one request from a random node to a server that it may use."""
+        backends, brittle = self.random.choice(self.nodes)
+        usable = [b for b in backends.by_id.values() if brittle.accepts(b)]
+        if not usable:
+            return
+        backend = self.random.choice(usable)
+        name = backend.entry.id
+        if self.running[name] >= SLOTS:
+            self.refused_at[name].append(self.now)
+            brittle.record_refusal(backend)
+            return
+        self.running[name] += 1
+        backend.in_flight += 1
+        self.at(CALL_S, lambda: self._finish(backend))
+
+    def _finish(self, backend):
+        self.running[backend.entry.id] -= 1
+        backend.in_flight -= 1
+        self.served += 1
+
+    def play(self, per_s, for_s):
+        end = for_s
+        arrival = 0.0
+        while arrival < end:
+            arrival += self.random.expovariate(per_s)
+            heapq.heappush(self._events, (arrival, -1, self.arrive))
+        while self._events:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+
+    def most_refused_within_a_second(self):
+        return max(
+            sum(start <= at < start + 1.0 for at in times)
+            for times in self.refused_at.values()
+            if times
+            for start in times
+        )
+
+
+class TestBrittleServers:
+    # Guards against nodes that together have a brittle server refuse so many requests
+    # that it crashes: each node alone sees only a few of the refusals.
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize("nodes", [9, 100, 400])
+    def test_refusals_of_all_nodes_stay_within_the_limit(self, nodes, seed):
+        fleet = Fleet(nodes, servers=3, seed=seed)
+        # Four times what the servers can do.
+        fleet.play(per_s=4 * 3 * SLOTS / CALL_S, for_s=12.0)
+        assert fleet.most_refused_within_a_second() <= REFUSAL_LIMIT
+        assert fleet.served > 0
+
+    def test_without_gossip_the_limit_is_exceeded(self):
+        fleet = Fleet(100, servers=3, seed=1, share_gossip=False)
+        fleet.play(per_s=4 * 3 * SLOTS / CALL_S, for_s=12.0)
+        assert fleet.most_refused_within_a_second() > REFUSAL_LIMIT
+
+    def test_a_server_that_is_not_brittle_is_not_closed(self):
+        fleet = Fleet(1, servers=1, seed=1)
+        backends, brittle = fleet.nodes[0]
+        [backend] = backends.by_id.values()
+        backend.refusal_limit = None
+        brittle.record_refusal(backend)
+        assert brittle.accepts(backend)
+
+    def test_a_closed_server_opens_again(self):
+        fleet = Fleet(1, servers=1, seed=1)
+        backends, brittle = fleet.nodes[0]
+        [backend] = backends.by_id.values()
+        brittle.record_refusal(backend)
+        assert not brittle.accepts(backend)
+        fleet.now = backend.closed_until
+        assert brittle.accepts(backend)
+
+
+class TestHeader:
+    @pytest.mark.parametrize(
+        ("value", "limit"), [(None, None), ("3", 3), ("0", 0), ("many", 0)]
+    )
+    def test_refusal_limit_of_an_answer(self, value, limit):
+        raw = () if value is None else ((b"Server-Brittle", value.encode()),)
+        assert requests.decode_head(200, raw).refusal_limit == limit
+
+    def test_refusal_limit_of_a_batch_call(self):
+        assert stage_calls.decode_refusal_limit({"Server-Brittle": "4"}) == 4
+        assert stage_calls.decode_refusal_limit({}) is None
