Retrieve the exception of a connection that is lost after its call

asyncio reported 'Future exception was never retrieved' with a traceback of a dozen lines for each connection that timed out after close() had looked at it.

--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -77,7 +77,12 @@
         self._backend.connections.track(response)
         if response.connection is not None and response.connection.protocol is not None:
             self._closed = response.connection.protocol.closed
+        if self._closed is not None:
+            # Retrieves the exception, so that asyncio does not report it as unhandled;
+            # check_complete() handles it.
+            self._closed.add_done_callback(_retrieve_exception)
         head = self._codec.decode_head(response.status, response.raw_headers)
+        self._backend.refusal_limit = head.refusal_limit
         self._check_head(head)
         return head
 
@@ -118,10 +123,6 @@
 
     def close(self) -> None:
         """Return the connection to the pool; close it if unread data is left."""
-        if self._closed is not None and self._closed.done():
-            # Retrieves the exception, so that asyncio does not report it as unhandled;
-            # check_complete() handles it.
-            self._closed.exception()
         if self._response is not None:
             self._response.close()
         self._backend.connections.end_call()
@@ -196,6 +197,11 @@
     return CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
 
 
+def _retrieve_exception(closed: asyncio.Future) -> None:
+    if not closed.cancelled():
+        closed.exception()
+
+
 def _refusal_reason(head: ResponseHead) -> RetryReason:
     if head.status == HTTP_MISDIRECTED:
         return RetryReason.BACKEND_REPLACED
