--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -154,7 +154,6 @@
             self._check_quarantine()
             backend = await select_server(self._context, self._criteria())
             backend.in_flight += 1
-            self._calling = True
             try:
                 return await self._call(backend, inputs)
             except CallFailed as failed:
@@ -232,7 +231,7 @@
             backend,
             inputs,
             self._head_timeout_s(),
-            self._release_after_fetch,
+            self._on_sent,
             self._copy_from(backend),
         )
         began, began_running_s = _now(), running_time()
@@ -268,7 +267,10 @@
         )
         return None if source is None else source.entry.address
 
-    def _release_after_fetch(self) -> None:
+    def _on_sent(self) -> None:
+        self._calling = True
+        if not self._routed.route.stages:
+            return
         loop = asyncio.get_running_loop()
         self._release_timer = loop.call_later(RESULT_FETCH_S, self._graph.release)
 
--- a/tests/test_hosts_without_servers.py
+++ b/tests/test_hosts_without_servers.py
@@ -61,3 +61,16 @@
                 if run.target.startswith("/once/")
             )
             assert runs and max(runs.values()) == 1
+
+
+class TestRequestsThatReachNoServer:
+    # Guards against a 504, after which a caller may not retry a request that must run
+    # once, although no byte of it has been sent to a server.
+    async def test_a_deadline_that_passes_while_connecting_is_a_refusal(self):
+        async with LinkedDeployment(nodes=1) as deployment:
+            deployment.cut(0, Cut.SILENT)
+            status, headers, _ = await deployment.ask(
+                "/once/x", Eelgrassward_Deadline_Ms="200"
+            )
+            assert status == 503 and "Retry-After" in headers
+            assert deployment.runs("desk") == []
