Let connections outlast a server that is silent for a second

With TCP_USER_TIMEOUT set, Linux gives up keep-alive probes by that time and not by their number: after 1.5 s, so at the second probe. A connection whose server fell silent for 1.2 s at a bad moment was closed although its probe would have been answered. The time now lies after the third probe.

--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -14,13 +14,14 @@
 
 __all__ = ["Connector", "new_session", "open_socket", "set_timeouts"]
 
-# A connection is closed when data stays unacknowledged for this long. It allows for
-# three consecutive losses on a link with a latency of a few milliseconds, and is below
-# the shortest deadlines, which are 1.6 s.
-USER_TIMEOUT_MS = 1500
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_PROBES = 2
+KEEP_ALIVE_PROBES = 3
+# A connection is closed when data stays unacknowledged for this long. The kernel then
+# also gives up keep-alive probes after this time instead of after their number. It
+# therefore lies between the last probe and its answer's timeout: a server that falls
+# silent for a second has lost one probe, or two, and answers the next one.
+USER_TIMEOUT_MS = 3500
 
 
 def open_socket(address: Any) -> socket.socket:
