Count the memory of results whose answer was lost

What callers saw: after hosts had lost their paths, stages failed as no_room for some seconds, and the retry budget went to calls that found no memory. The results of a call whose answer was lost stay at the server until they expire; the queue counted them as not made. They now count as held until then, if the call lasted long enough to run. The new test failed before.

--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -35,6 +35,7 @@
 # A server that refused for lack of memory counts as full for this long, about a call.
 UNKNOWN_RESULTS_S = 0.25
 UNKNOWN_RESULTS = "unknown"
+LOST_RESULT = "lost"
 # If there are records of more than this many times the listed servers, the records of
 # servers that are no longer listed are dropped.
 MAX_REMEMBERED_FACTOR = 4
@@ -44,6 +45,8 @@
     ItemFailure.TIMED_OUT,
     ItemFailure.FAILED,
 }
+# After these failures of a call the server may have run it.
+ANSWER_LOST_FAILURES = frozenset((ItemFailure.TIMED_OUT, ItemFailure.UNREACHABLE))
 
 
 class QueueServers:
@@ -175,6 +178,8 @@
             self._reachability.record_answer(server.entry.data_centre)
         if not failures & (NOT_CONNECTED_FAILURES | {ItemFailure.UNREACHABLE}):
             use.record_call(took_s / self.call_s(len(batch)), _now())
+        if failures <= ANSWER_LOST_FAILURES and took_s >= self.call_s(1):
+            self._hold_lost_results(use, batch)
         # A healthy server fails single items now and then, so it is only suspected if
         # the whole call failed.
         if failures <= SERVER_FAILURES:
@@ -192,6 +197,17 @@
         else:
             self._size_factor = max(1.0, self._size_factor * SIZE_DECAY)
 
+    def _hold_lost_results(self, use: ServerUse, batch: list[BatchItem]) -> None:
+        """Count the memory of results whose handles were lost with the answer.
+
+        Nobody can free them, so that they stay until they expire. Calls that find no
+        memory would use up the retry budget meanwhile.
+        """
+        until = _now() + self._limits().result_life_s
+        for item in batch:
+            handle = f"{LOST_RESULT}/{item.request_id}/{item.stage}/{item.number}"
+            use.hold(handle, int(self.size(item)), until)
+
     def _is_useful(self, server: Backend, waiting: int, now: float) -> bool:
         """Return whether items finish sooner here than if they wait for the others.
 
--- a/packages/node/tests/test_batch_queue.py
+++ b/packages/node/tests/test_batch_queue.py
@@ -96,6 +96,25 @@
         service.queue.free(ServerIncarnation(BackendId("s1")), held[:3])
         assert len(await third) == 3
 
+    # Guards against calls that find no memory, and use up the retry budget, after an
+    # answer was lost whose results still take up the server's memory.
+    async def test_results_of_a_lost_answer_take_up_memory_until_they_expire(self):
+        async def lose_first_answer(backend, batch):
+            if len(service.calls) > 1:
+                return None
+            await asyncio.sleep(LIMITS.call_s + LIMITS.item_s * len(batch))
+            return [ItemOutcome(failure=ItemFailure.TIMED_OUT)] * len(batch)
+
+        service = Service(server("one"), behave=lose_first_answer)
+        began = now()
+        lost = asyncio.create_task(service.queue.run(items("a", 4, size=LARGE)))
+        outcomes = await service.queue.run(items("b", 4, size=LARGE))
+        assert all(outcome.handle for outcome in outcomes)
+        assert all(outcome.handle for outcome in await lost)
+        # Four results of 3 MB are lost, and three more fit into 21 MB.
+        full_calls = [at for at, (_, batch) in service.timed_calls if len(batch) > 3]
+        assert all(at - began >= LIMITS.result_life_s for at in full_calls[1:])
+
 
 class TestStalls:
     # Guards against a stall of the queue's process that is attributed to a server, so
--- a/tests/support/batching.py
+++ b/tests/support/batching.py
@@ -70,6 +70,7 @@
         self._limits = limits
         self.servers = list(servers)
         self.calls = []
+        self.timed_calls = []
         self.freed = []
         self.ended = set()
         self._behave = behave
@@ -89,6 +90,7 @@
 
     async def _run(self, backend, items, timeout_s):
         self.calls.append((backend.entry.id, items))
+        self.timed_calls.append((now(), self.calls[-1]))
         if self._behave is not None:
             outcomes = await self._behave(backend, items)
             if outcomes is not None:
