Refuse at once where no server can be reached; never blame a mass loss on requests

If half of all servers refuse connections within half a second, the network failed, and the requests that ran there are not marked as causes of crashes. A relay connects only to servers that may get new work, its listener is optional, and relayed connections start no checks of their own.

--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -132,22 +132,22 @@
 class RelayServer:
     """Relays connections of other nodes to servers, at the address of this node.
 
-    ``is_listed`` returns whether an address is that of a server, and ``in_flight``
-    counts a connection for the planned stop. ``is_stopping`` tells whether to refuse
-    new ones.
+    ``accepts_work`` returns whether an address is that of a server that may get new
+    work, and ``in_flight`` counts a connection for the planned stop. ``is_stopping``
+    tells whether to refuse new ones.
     """
 
     def __init__(
         self,
         paths: ServerPaths,
-        is_listed: Callable[[str], bool],
+        accepts_work: Callable[[str], bool],
         is_stopping: Callable[[], bool],
         in_flight: Callable[[], AbstractContextManager[None]],
         max_descriptors: int,
         count: Callable[[str], None],
     ) -> None:
         self._paths = paths
-        self._is_listed = is_listed
+        self._accepts_work = accepts_work
         self._is_stopping = is_stopping
         self._in_flight = in_flight
         self._max_connections = int(max_descriptors * DESCRIPTOR_FRACTION / 2)
@@ -157,11 +157,19 @@
         self.connections = 0
 
     async def start(self, address: str) -> None:
-        """Listen at an address; raises :class:`OSError`."""
+        """Listen at an address; without a listener the node relays nothing."""
         host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._accept, host, int(port), limit=BLOCK_BYTES
-        )
+        try:
+            self._server = await asyncio.start_server(
+                self._accept, host, int(port), limit=BLOCK_BYTES
+            )
+        except OSError as error:
+            log(
+                Part.NODE,
+                "Cannot listen for relayed connections; other nodes are not helped.",
+                address=address,
+                error=repr(error),
+            )
 
     async def close(self) -> None:
         """Close the listener and all relayed connections."""
@@ -216,7 +224,7 @@
         return (
             not self._is_stopping()
             and self.connections < self._max_connections
-            and self._is_listed(address)
+            and self._accepts_work(address)
             and self._paths.path(address) is Path.DIRECT
         )
 
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -84,9 +84,12 @@
             return protocol
 
         async def relayed() -> ResponseHandler:
+            if path is Path.DIRECT:
+                paths.suspect(address)
             try:
                 return await self._connect_relayed()
             except RelayUnavailable as error:
+                paths.suspect(address)
                 reason = OSError(errno.EHOSTUNREACH, str(error))
                 raise aiohttp.ClientConnectorError(
                     req.connection_key, reason
@@ -102,7 +105,6 @@
 
     async def _connect_relayed(self) -> ResponseHandler:
         link = self._link
-        link.suspect()
         opened = await link.relays.open(link.address, link.data_centre)
         _, protocol = await self._loop.create_connection(self._factory, sock=opened)
         link.relayed.add(protocol)
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -160,7 +160,7 @@
         )
         self.relay_server = RelayServer(
             self.server_paths,
-            lambda address: self.backends.at_address(address) is not None,
+            self.backends.accepts_work_at,
             lambda: self.stopping.stopping,
             self.stopping.in_flight,
             settings.max_descriptors,
@@ -369,7 +369,8 @@
         context = ServingContext(
             codec=requests,
             choose=self.server_choice.choose,
-            closed_for_s=self.server_choice.closed_for_s,
+            no_server_refusal=self.server_choice.refusal,
+            unavailable=self.server_choice.unavailable,
             admit=self.warm_up.admission.admit,
             copy_source=self.server_choice.copy_source,
             data_centre_of=self.local_queues.data_centre_of,
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -114,6 +114,8 @@
         # Whether only other nodes reach the server. A lost connection then tells
         # nothing about the server itself.
         self.is_relayed = False
+        # Whether neither this node nor the relays that it asked reach the server.
+        self.is_unreachable = False
         self.suspect_until = 0.0
         # The refusals per second, over all nodes, beyond which the server crashes; None
         # if it is not brittle. While it is closed it gets no requests.
@@ -310,6 +312,11 @@
         servers = self.by_id.values()
         return [s for s in servers if s.entry.data_centre == data_centre]
 
+    def accepts_work_at(self, address: str) -> bool:
+        """Return whether the server at an address is listed and may get new work."""
+        backend = self.at_address(address)
+        return backend is not None and self._accepts_work(backend)
+
     def notify_all(self) -> None:
         """Call ``on_change`` for every service."""
         for service in self.by_service:
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -7,6 +7,7 @@
 
 from eelgrass_coordination.ids import DataCentre
 
+from ..exceptions import RequestRefused
 from ..version.deployment import Deployment, ServiceName
 from .backends import Backend, Backends, ServerIncarnation
 from .brittle_servers import BrittleServers
@@ -15,6 +16,11 @@
 
 __all__ = ["ServerChoice", "ServerCriteria"]
 
+# Values of Retry-After, in seconds: a restarted server is listed after about its
+# heartbeat of 1.2 s, and a server that cannot be reached is probed every half second.
+NO_SERVER_RETRY_S = 0.5
+MIN_RETRY_S = 0.1
+
 
 class ServerCriteria(msgspec.Struct, frozen=True):
     """The requirements of a request for the server of ``service`` that will run it.
@@ -54,11 +60,13 @@
         self._deployment = deployment
 
     def choose(self, criteria: ServerCriteria) -> Backend | None:
-        """Return a server, or None if the service has no usable server."""
+        """Return a server, or None if there is none that the request may go to now."""
         now = asyncio.get_running_loop().time()
         allowed = [
             s for s in self._allowed(criteria) if self._brittle_servers.accepts(s)
         ]
+        if all(server.is_unreachable for server in allowed):
+            return None
         servers = self._reachability.healthiest(allowed, criteria.tried)
         if not servers:
             return None
@@ -75,13 +83,23 @@
             )
         return place_plain(servers, self._data_centre, now)
 
-    def closed_for_s(self, criteria: ServerCriteria) -> float | None:
-        """Return the seconds until a brittle server may accept a request again.
-
-        None if the service has no server at all that a request may go to.
-        """
+    def unavailable(self, criteria: ServerCriteria) -> RequestRefused | None:
+        """Return a refusal if the service has no server that can be reached."""
         allowed = self._allowed(criteria)
-        return self._brittle_servers.opens_in_s(allowed) if allowed else None
+        if not allowed:
+            reason = "the service has no usable server"
+            return RequestRefused(reason, NO_SERVER_RETRY_S)
+        if all(server.is_unreachable for server in allowed):
+            reason = "no server of the service can be reached"
+            return RequestRefused(reason, NO_SERVER_RETRY_S)
+        return None
+
+    def refusal(self, criteria: ServerCriteria) -> RequestRefused:
+        """Return the refusal of a request for which there is no server to choose."""
+        return self.unavailable(criteria) or RequestRefused(
+            "the servers of the service are brittle and full",
+            max(MIN_RETRY_S, self._brittle_servers.opens_in_s(self._allowed(criteria))),
+        )
 
     def _allowed(self, criteria: ServerCriteria) -> list[Backend]:
         usable = self._backends.usable(criteria.service)
--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -14,7 +14,7 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
-from eelgrass_coordination import stall_aware_wait
+from eelgrass_coordination import stall_aware_sleep, stall_aware_wait
 
 from ..log import Part, log
 from .backends import Backend, Backends
@@ -35,6 +35,12 @@
 # How long a server's path stays in doubt after that to another server was lost. Paths
 # are usually lost together.
 DOUBT_S = 3.0
+# Servers that refuse connections within this time of each other were not crashed by
+# single requests, if they are at least this part of all servers.
+TOGETHER_S = 0.5
+TOGETHER_FRACTION = 0.5
+# How long a check waits for those of other servers, before it tells of a crash.
+TOGETHER_WAIT_S = 0.02
 # Longer than the recovery interval, so that an unreachable server stays suspected.
 UNREACHABLE_SUSPICION_S = 1.0
 
@@ -74,6 +80,7 @@
         self._lost_by_address: dict[str, Path] = {}
         self._doubted_until: dict[str, float] = {}
         self._checked_at: dict[str, float] = {}
+        self._unreachable_since: dict[str, float] = {}
         self._check_by_address: dict[str, asyncio.Task[Listening]] = {}
         self._recovery: asyncio.Task | None = None
 
@@ -145,7 +152,12 @@
             if await direct is Listening.YES:
                 self._set_path(address, Path.DIRECT)
                 return Listening.YES
-            return self._conclude(address, direct.result(), await relayed)
+            listening = self._conclude(address, direct.result(), await relayed)
+            if listening is Listening.NO:
+                await stall_aware_sleep(TOGETHER_WAIT_S)
+                if self._are_lost_together():
+                    return Listening.UNKNOWN
+            return listening
         finally:
             direct.cancel()
             if relayed is not None:
@@ -164,6 +176,12 @@
         refused = direct is Listening.NO and relayed is not Listening.UNKNOWN
         return Listening.NO if refused else Listening.UNKNOWN
 
+    def _are_lost_together(self) -> bool:
+        """Return whether so many servers became unreachable that the network failed."""
+        since = self._clock() - TOGETHER_S
+        lost = sum(at >= since for at in self._unreachable_since.values())
+        return lost > 1 and lost >= TOGETHER_FRACTION * len(self._backends.by_id)
+
     async def _probe_directly(self, address: str) -> Listening:
         listening = Listening.UNKNOWN
         for timeout_s in PROBE_TIMEOUTS_S:
@@ -185,6 +203,7 @@
         else:
             self._lost_by_address[address] = path
         backend.is_relayed = path is Path.RELAYED
+        backend.is_unreachable = path is Path.UNREACHABLE
         log(
             Part.HOSTS,
             "The path to a server has changed.",
@@ -196,8 +215,10 @@
         )
         self._count(f"path.{path.value}")
         if path is Path.UNREACHABLE:
+            self._unreachable_since[address] = self._clock()
             backend.suspect()
         else:
+            self._unreachable_since.pop(address, None)
             backend.clear_suspicion()
             backend.connections.replace()
         if path is Path.RELAYED:
@@ -258,7 +279,11 @@
             self._set_path(address, Path.DIRECT)
 
     def _forget_unlisted(self) -> None:
-        for by_address in (self._checked_at, self._doubted_until):
+        for by_address in (
+            self._checked_at,
+            self._doubted_until,
+            self._unreachable_since,
+        ):
             for address in list(by_address):
                 if self._backends.at_address(address) is None:
                     del by_address[address]
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -136,6 +136,11 @@
             raise RequestRefused(
                 "the stages cannot be completed in time", retry_after_s
             )
+        if self._routed.route.stages:
+            # The work of the stages would be wasted.
+            refusal = self._context.unavailable(self._criteria())
+            if refusal is not None:
+                raise refusal
         inputs = await self._run_stages()
         self._staged_at, self._staged_running_s = _now(), running_time()
         if self._routed.route.stages:
--- a/packages/node/src/eelgrass_node/request/server_selection.py
+++ b/packages/node/src/eelgrass_node/request/server_selection.py
@@ -12,9 +12,7 @@
 # Cold servers that may deny a permit before the request is refused; asking for a permit
 # may take a call to another node.
 MAX_DENIED = 4
-# Values of Retry-After, in seconds: a restarted server is listed after about its
-# heartbeat of 1.2 s, and a cold server takes a few requests a second.
-NO_SERVER_RETRY_S = 0.5
+# Values of Retry-After, in seconds; a cold server takes a few requests a second.
 WARM_UP_RETRY_S = 0.4
 MIN_RETRY_S = 0.1
 
@@ -22,9 +20,8 @@
 async def select_server(context: ServingContext, criteria: ServerCriteria) -> Backend:
     """Return a server that may receive the request now.
 
-    Raises :class:`RequestRefused` if the service has no usable server, if its brittle
-    servers are full, or if the only ones left are cold and have reached their warm-up
-    limits.
+    Raises :class:`RequestRefused` if no server may receive it, or if the only ones left
+    are cold and have reached their warm-up limits.
     """
     denied: frozenset[ServerIncarnation] = frozenset()
     retry_after_s = WARM_UP_RETRY_S
@@ -32,7 +29,7 @@
         tried = criteria.tried | denied
         server = context.choose(msgspec.structs.replace(criteria, tried=tried))
         if server is None:
-            raise _refusal(context.closed_for_s(criteria))
+            raise context.no_server_refusal(criteria)
         if server.entry.incarnation in denied:
             break
         permit = await context.admit(server)
@@ -41,13 +38,3 @@
         denied |= {server.entry.incarnation}
         retry_after_s = max(MIN_RETRY_S, min(retry_after_s, permit.after_s))
     raise RequestRefused("the servers of the service are warming up", retry_after_s)
-
-
-def _refusal(closed_for_s: float | None) -> RequestRefused:
-    """Return the refusal if no server may get the request."""
-    if closed_for_s is None:
-        return RequestRefused("the service has no usable server", NO_SERVER_RETRY_S)
-    return RequestRefused(
-        "the servers of the service are brittle and full",
-        max(MIN_RETRY_S, closed_for_s),
-    )
--- a/packages/node/src/eelgrass_node/request/serving_context.py
+++ b/packages/node/src/eelgrass_node/request/serving_context.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..exceptions import RequestRefused
 from ..process.backends import Backend, ServerIncarnation
 from ..process.brittle_servers import BrittleServers
 from ..process.metrics import Metrics
@@ -22,8 +23,9 @@
 class ServingContext(msgspec.Struct, frozen=True):
     """The parts of the process that a request uses.
 
-    ``choose`` selects a server; if there is none, ``closed_for_s`` returns after how
-    many seconds a brittle one may accept requests again. ``admit`` grants or denies a
+    ``choose`` selects a server; if there is none, ``no_server_refusal`` returns the
+    refusal that says why. ``unavailable`` returns a refusal if no server of the service
+    can be reached. ``admit`` grants or denies a
     permit to send it one request, and ``copy_source`` returns another engine that
     already has a prompt prefix of so many tokens cached. ``data_centre_of`` returns the
     data centre of the result with a handle, and ``has_ended`` whether a server
@@ -34,7 +36,8 @@
 
     codec: WireCodec
     choose: Callable[[ServerCriteria], Backend | None]
-    closed_for_s: Callable[[ServerCriteria], float | None]
+    no_server_refusal: Callable[[ServerCriteria], RequestRefused]
+    unavailable: Callable[[ServerCriteria], RequestRefused | None]
     admit: Callable[[Backend], Awaitable[Permit]]
     copy_source: Callable[[Backend, str | None, int], Backend | None]
     data_centre_of: Callable[[str], str]
