--- a/tests/support/host_links.py
+++ b/tests/support/host_links.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from contextvars import Context, ContextVar
 from enum import Enum
+from typing import Any
 
 from .entry import EntryDeployment
 from .fault_proxy import FaultProxy
@@ -51,11 +53,15 @@
 
     async def add_node(self):
         """Start one more node, whose tasks can be told from those of others."""
-        _node_number.set(len(self.nodes))
+        return await self.run_as(len(self.nodes), super().add_node())
+
+    async def run_as(self, node: int, coroutine: Coroutine) -> Any:
+        """Run a coroutine as if a node ran it."""
+        token = _node_number.set(node)
         try:
-            return await super().add_node()
+            return await coroutine
         finally:
-            _node_number.set(None)
+            _node_number.reset(token)
 
     def cut(self, node: int, how: Cut) -> None:
         """Cut a node off from all servers."""
