--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -78,7 +78,8 @@
         self._clock = clock
         self._count = count
         self._lost_by_address: dict[str, Path] = {}
-        self._doubted_until: dict[str, float] = {}
+        self._doubt_began = float("-inf")
+        self._connected_at: dict[str, float] = {}
         self._checked_at: dict[str, float] = {}
         self._unreachable_since: dict[str, float] = {}
         self._check_by_address: dict[str, asyncio.Task[Listening]] = {}
@@ -94,11 +95,13 @@
 
     def is_doubted(self, address: str) -> bool:
         """Return whether a path may be lost, as that to another server was."""
-        return self._clock() < self._doubted_until.get(address, float("-inf"))
+        if self._clock() >= self._doubt_began + DOUBT_S:
+            return False
+        return self._connected_at.get(address, float("-inf")) < self._doubt_began
 
     def on_connected(self, address: str) -> None:
         """Record that a direct connection to a server was established."""
-        self._doubted_until.pop(address, None)
+        self._connected_at[address] = self._clock()
 
     def suspect(self, address: str) -> None:
         """Check a path after a sign that it may be lost, unless it was just checked."""
@@ -199,7 +202,7 @@
             return
         if path is Path.DIRECT:
             del self._lost_by_address[address]
-            self._doubted_until.pop(address, None)
+            self.on_connected(address)
         else:
             self._lost_by_address[address] = path
         backend.is_relayed = path is Path.RELAYED
@@ -232,15 +235,12 @@
             # Packets are dropped, so that those of open connections are, too.
             backend.connections.abort_direct()
         now = self._clock()
+        if now < self._doubt_began + DOUBT_S:
+            return
+        self._doubt_began = now
         for other in self._backends.by_id.values():
-            address = other.entry.address
-            if other is backend or address in self._lost_by_address:
-                continue
-            if self.is_doubted(address):
-                continue
-            self._doubted_until[address] = now + DOUBT_S
-            if other.connections.is_used:
-                self.suspect(address)
+            if other is not backend and other.connections.is_used:
+                self.suspect(other.entry.address)
 
     async def _recover(self) -> None:
         """Probe the lost paths until all of them work again."""
@@ -281,7 +281,7 @@
     def _forget_unlisted(self) -> None:
         for by_address in (
             self._checked_at,
-            self._doubted_until,
+            self._connected_at,
             self._unreachable_since,
         ):
             for address in list(by_address):
