Put the paths, relays and connections of a node together in one module

ServerLinks takes them out of the composition root. Besides: what several relays find out is combined, a server that they are refused by counts as refusing only if none had no answer; servers of several services that are lost at once count as a network failure.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -129,8 +129,10 @@
 
         Calls that must not be repeated continue, since a caller could not retry them.
         """
+        if self._link is None:
+            return
         for session in (self._session, *self._retired):
-            if session is not None and hasattr(session.connector, "abort_direct"):
+            if session is not None and session.connector is not None:
                 session.connector.abort_direct()
 
     def begin_call(self) -> None:
@@ -207,7 +209,9 @@
 
     def _check_acknowledged(self) -> None:
         for session in (self._session, self._single_use_session):
-            if session is not None and session.connector.is_unacknowledged():
+            if session is None or session.connector is None:
+                continue
+            if session.connector.is_unacknowledged():
                 self._link.suspect()
 
     def _retire(self, session: aiohttp.ClientSession) -> None:
--- a/packages/node/src/eelgrass_node/connection/races.py
+++ b/packages/node/src/eelgrass_node/connection/races.py
@@ -37,8 +37,7 @@
                 if not task.cancelled() and task.exception() is None:
                     del running[task]
                     return task.result()
-                number = running.pop(task)
-                errors[number] = task.exception() or asyncio.CancelledError()
+                errors[running.pop(task)] = _error(task)
     finally:
         for task in running:
             task.add_done_callback(lambda task: _discard_result(task, discard))
@@ -48,7 +47,7 @@
 async def _first_done(
     running: dict[asyncio.Task[T], int], within_s: float | None
 ) -> list[asyncio.Task[T]]:
-    """Wait for one task, up to ``within_s``; return those done, earliest first."""
+    """Wait for one task, up to ``within_s``; return those done, in order of start."""
     try:
         async with StallAwareTimeout(within_s):
             await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
@@ -57,6 +56,10 @@
     return [task for task in running if task.done()]
 
 
+def _error(task: asyncio.Task) -> BaseException:
+    return asyncio.CancelledError() if task.cancelled() else task.exception()
+
+
 def _discard_result(task: asyncio.Task[T], discard: Callable[[T], None]) -> None:
     if not task.cancelled() and task.exception() is None:
         discard(task.result())
--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -15,7 +15,8 @@
 import socket
 import struct
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager
+from contextlib import contextmanager
+from functools import partial
 
 from eelgrass_coordination import Member, StallAwareTimeout
 
@@ -24,6 +25,7 @@
 from ..process.crash_detector import Listening
 from ..process.relay_choice import RelayChoice
 from ..process.server_paths import Path, ServerPaths
+from ..process.stopping import Stopping
 from .races import first_success
 from .sockets import open_socket, set_timeouts
 
@@ -67,11 +69,20 @@
         if not members:
             raise RelayUnavailable(address, None)
 
-        def attempt(member: Member) -> Callable:
-            return lambda: self._open_through(member, address)
+        found: list[Listening | None] = []
 
-        attempts = [attempt(member) for member in members]
-        return await first_success(attempts, STAGGER_S, socket.socket.close)
+        async def attempt(member: Member) -> socket.socket:
+            try:
+                return await self._open_through(member, address)
+            except RelayUnavailable as error:
+                found.append(error.listening)
+                raise
+
+        attempts = [partial(attempt, member) for member in members]
+        try:
+            return await first_success(attempts, STAGGER_S, socket.socket.close)
+        except RelayUnavailable as error:
+            raise RelayUnavailable(address, _combined(found)) from error
 
     async def probe(self, address: str, data_centre: str) -> Listening | None:
         """Return whether a server accepts connections from other nodes.
@@ -123,6 +134,17 @@
     return head.split(None, 2)[1]
 
 
+def _combined(found: list[Listening | None]) -> Listening | None:
+    """Return what several relays found out about a server.
+
+    Those that are refused may have lost their own paths; one without an answer is
+    enough to doubt that the server refuses connections.
+    """
+    if Listening.UNKNOWN in found:
+        return Listening.UNKNOWN
+    return Listening.NO if Listening.NO in found else None
+
+
 def _listening(status: bytes) -> Listening | None:
     if status == b"%d" % REFUSED_STATUS:
         return Listening.NO
@@ -133,23 +155,20 @@
     """Relays connections of other nodes to servers, at the address of this node.
 
     ``accepts_work`` returns whether an address is that of a server that may get new
-    work, and ``in_flight`` counts a connection for the planned stop. ``is_stopping``
-    tells whether to refuse new ones.
+    work. A planned stop, by ``stopping``, waits for the connections that are open.
     """
 
     def __init__(
         self,
         paths: ServerPaths,
         accepts_work: Callable[[str], bool],
-        is_stopping: Callable[[], bool],
-        in_flight: Callable[[], AbstractContextManager[None]],
+        stopping: Stopping,
         max_descriptors: int,
         count: Callable[[str], None],
     ) -> None:
         self._paths = paths
         self._accepts_work = accepts_work
-        self._is_stopping = is_stopping
-        self._in_flight = in_flight
+        self._stopping = stopping
         self._max_connections = int(max_descriptors * DESCRIPTOR_FRACTION / 2)
         self._count = count
         self._server: asyncio.Server | None = None
@@ -186,7 +205,13 @@
         set_timeouts(writer.get_extra_info("socket"))
         try:
             await self._relay(reader, writer)
-        except (OSError, TimeoutError, ValueError, EOFError) as error:
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            EOFError,
+            asyncio.LimitOverrunError,
+        ) as error:
             log(Part.HOSTS, "A relayed connection failed.", error=repr(error))
             self._count("relay.failed")
         except asyncio.CancelledError:
@@ -205,7 +230,7 @@
         if method != "CONNECT" or not self._may_connect(address):
             self._refuse(writer, UNAVAILABLE_STATUS)
             return
-        with self._in_flight(), self._counted():
+        with self._stopping.in_flight(), self._counted():
             try:
                 upstream_reader, upstream = await _connect(address)
             except TimeoutError:
@@ -222,7 +247,7 @@
 
     def _may_connect(self, address: str) -> bool:
         return (
-            not self._is_stopping()
+            not self._stopping.stopping
             and self.connections < self._max_connections
             and self._accepts_work(address)
             and self._paths.path(address) is Path.DIRECT
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -73,8 +73,9 @@
         paths, address = self._link.paths, self._link.address
         path = paths.path(address)
 
+        connect = super()._create_connection
+
         async def direct() -> ResponseHandler:
-            connect = super(ServerConnector, self)._create_connection
             try:
                 protocol = await connect(req, traces, timeout)
             except (aiohttp.ClientError, OSError):
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -0,0 +1,80 @@
+"""The links of one node to the servers: their paths, relays and connections."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from eelgrass_coordination import Member, Membership, MemberState
+from eelgrass_coordination.ids import NodeId
+
+from ..process.backends import Backends, HostEntry
+from ..process.crash_detector import Listening
+from ..process.host_settings import HostSettings
+from ..process.relay_choice import RelayChoice
+from ..process.server_paths import ServerPaths
+from ..process.stopping import Stopping
+from .backend import BackendConnections
+from .listen_probe import probe_listening
+from .relays import RelayClient, RelayServer
+from .server_connector import ServerLink
+
+__all__ = ["ServerLinks"]
+
+
+class ServerLinks:
+    """The links of a node: ``paths`` to servers, and the ``server`` for other nodes.
+
+    ``backends`` must open the connections to its servers by :meth:`connections_to`.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        backends: Backends,
+        membership: Membership,
+        stopping: Stopping,
+        count: Callable[[str], None],
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        self._backends = backends
+        self._left: set[NodeId] = set()
+        self._client = RelayClient(
+            RelayChoice(
+                lambda: membership.own,
+                membership.members.reachable,
+                settings.region_by_data_centre,
+                clock,
+            )
+        )
+        self.paths = ServerPaths(
+            backends, probe_listening, self._probe_relayed, clock, count
+        )
+        self.server = RelayServer(
+            self.paths,
+            backends.accepts_work_at,
+            stopping,
+            settings.max_descriptors,
+            count,
+        )
+
+    def connections_to(self, entry: HostEntry) -> BackendConnections:
+        """Return the connections to a server, which use its path."""
+        link = ServerLink(self.paths, self._client, entry.address, entry.data_centre)
+        return BackendConnections(entry.address, link)
+
+    def on_members_changed(self, members: Iterable[Member]) -> None:
+        """Replace connections through relays if a node has begun to leave."""
+        left = {m.id for m in members if m.state is MemberState.LEFT}
+        if left - self._left:
+            self.paths.relays_changed()
+        self._left = left
+
+    async def close(self) -> None:
+        """Stop all checks, and close the connections that are relayed."""
+        self.paths.stop()
+        await self.server.close()
+
+    async def _probe_relayed(self, address: str) -> Listening | None:
+        backend = self._backends.at_address(address)
+        if backend is None:
+            return None
+        return await self._client.probe(address, backend.entry.data_centre)
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -8,19 +8,16 @@
 from functools import partial
 
 from eelgrass_coordination import GossipItem, Member, Membership, MemberState
-from eelgrass_coordination.ids import NodeId, Revision
+from eelgrass_coordination.ids import Revision
 
 from .boot_clock import unix_ms
-from .connection.backend import BackendConnections
 from .connection.batch_calls import BatchCalls
 from .connection.batch_handoff import HandoffClient, HandoffInterface
 from .connection.caller_server import CallerServer
-from .connection.listen_probe import probe_listening
 from .connection.listeners import Listeners
 from .connection.peer_calls import PeerCalls
 from .connection.peer_state import STATE_CALL, PeerState
-from .connection.relays import RelayClient, RelayServer
-from .connection.server_connector import ServerLink
+from .connection.server_links import ServerLinks
 from .connection.sockets import new_session
 from .connection.table_feed import TableFeedClient
 from .connection.warm_up_calls import WarmUpClient
@@ -35,12 +32,11 @@
 from .platform import configuration, requests, servers, stage_calls
 from .platform.names import CRASHES_TABLE, READY_PATH
 from .platform.store import RowStore
-from .process.backends import Backend, Backends, HostEntry
+from .process.backends import Backend, Backends
 from .process.batch_items import BatchItem, ItemOutcome
 from .process.brittle_servers import BrittleServers
 from .process.budget_shares import count_sharing_nodes
 from .process.counters import Counters
-from .process.crash_detector import Listening
 from .process.deployments import DeploymentInForce
 from .process.evacuation import EvacuationManager
 from .process.failure_gossip import FailureGossip
@@ -54,11 +50,9 @@
 from .process.queue_owners import QueueOwners
 from .process.reachability import DataCentreReachability
 from .process.reachability_checks import ReachabilityChecks
-from .process.relay_choice import RelayChoice
 from .process.retry_budget import RetryBudgets
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
-from .process.server_paths import ServerPaths
 from .process.shared_queues import SharedQueues
 from .process.stopping import Stopping
 from .process.supervision import keep_running
@@ -103,7 +97,9 @@
         self.stopping = Stopping(
             STOP_NOTICE_S, bounds.stop_s - STOP_NOTICE_S - STOP_RESERVE_S
         )
-        self.backends = Backends(connections_to=self._connections_to)
+        self.backends = Backends(
+            connections_to=lambda entry: self.server_links.connections_to(entry)
+        )
         self.store = RowStore(settings.store.address)
         self.deployments = DeploymentInForce(
             configuration.CONFIGURATION_KEY,
@@ -144,26 +140,11 @@
             lambda: list(self.membership.members.by_id.values()),
             self.membership.probe,
         )
-        self.relay_choice = RelayChoice(
-            lambda: self.membership.own,
-            self.membership.members.reachable,
-            settings.region_by_data_centre,
-            loop.time,
-        )
-        self.relay_client = RelayClient(self.relay_choice)
-        self.server_paths = ServerPaths(
+        self.server_links = ServerLinks(
+            settings,
             self.backends,
-            probe_listening,
-            self._probe_relayed,
-            loop.time,
-            self.counters.count,
-        )
-        self.relay_server = RelayServer(
-            self.server_paths,
-            self.backends.accepts_work_at,
-            lambda: self.stopping.stopping,
-            self.stopping.in_flight,
-            settings.max_descriptors,
+            self.membership,
+            self.stopping,
             self.counters.count,
         )
         self.brittle_servers = BrittleServers(
@@ -178,11 +159,11 @@
             self.backends,
             self.membership.announce_gossip_item,
             unix_ms,
-            self.server_paths.check,
+            self.server_links.paths.check,
         )
         self.poison_requests = PoisonRequests(
             self.backends,
-            self.server_paths.check,
+            self.server_links.paths.check,
             self.membership.announce_gossip_items,
             loop.time,
             unix_ms,
@@ -271,7 +252,6 @@
             lambda: self.deployments.current,
             self.brittle_servers,
         )
-        self._left_members: set[NodeId] = set()
         self._tasks: list[asyncio.Task] = []
         self._listeners = Listeners()
 
@@ -285,7 +265,7 @@
         if self.settings.metrics is not None:
             await self._listen_metrics(self.settings.metrics)
         await self._listen_peers()
-        await self.relay_server.start(self.settings.gossip)
+        await self.server_links.server.start(self.settings.gossip)
         await self.membership.start()
         self._on_members_changed()
         await self._listen_callers()
@@ -322,8 +302,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.reachability_checks.stop()
-        self.server_paths.stop()
-        await self.relay_server.close()
+        await self.server_links.close()
         self.shared_queues.checks.stop()
         self.poison_requests.crash_detector.stop()
         await self.membership.stop()
@@ -395,18 +374,6 @@
         server = CallerServer(handler.handle, self._header_timeout_s, MAX_BODY_BYTES)
         await self._listeners.serve(server, self.settings.callers)
 
-    def _connections_to(self, entry: HostEntry) -> BackendConnections:
-        link = ServerLink(
-            self.server_paths, self.relay_client, entry.address, entry.data_centre
-        )
-        return BackendConnections(entry.address, link)
-
-    async def _probe_relayed(self, address: str) -> Listening | None:
-        backend = self.backends.at_address(address)
-        if backend is None:
-            return None
-        return await self.relay_client.probe(address, backend.entry.data_centre)
-
     def _header_timeout_s(self) -> float:
         deployment = self.deployments.current
         return (
@@ -456,10 +423,7 @@
         for member in members:
             if member.state is MemberState.SUSPECT:
                 self.reachability.record_timeout(member.data_centre, member.id)
-        left = {m.id for m in members if m.state is MemberState.LEFT}
-        if left - self._left_members:
-            self.server_paths.relays_changed()
-        self._left_members = left
+        self.server_links.on_members_changed(members)
         self.retry_budgets.sharing_nodes = count_sharing_nodes(
             self.settings, self.membership.own, members
         )
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -61,8 +61,7 @@
 class RelayUnavailable(NodeError):
     """No other node has connected to a server.
 
-    ``listening`` is what the last one found out about the server; None if no other
-    node could try.
+    ``listening`` is what they found out about the server; None if none could try.
     """
 
     def __init__(self, address: str, listening: Listening | None) -> None:
--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -35,10 +35,10 @@
 # How long a server's path stays in doubt after that to another server was lost. Paths
 # are usually lost together.
 DOUBT_S = 3.0
-# Servers that refuse connections within this time of each other were not crashed by
-# single requests, if they are at least this part of all servers.
+# Servers that are lost within this time of each other were not crashed by a request if
+# they are at least so many, of different services.
 TOGETHER_S = 0.5
-TOGETHER_FRACTION = 0.5
+MIN_TOGETHER = 3
 # How long a check waits for those of other servers, before it tells of a crash.
 TOGETHER_WAIT_S = 0.02
 # Longer than the recovery interval, so that an unreachable server stays suspected.
@@ -180,10 +180,14 @@
         return Listening.NO if refused else Listening.UNKNOWN
 
     def _are_lost_together(self) -> bool:
-        """Return whether so many servers became unreachable that the network failed."""
+        """Return whether several servers were lost at once, as the network failed."""
         since = self._clock() - TOGETHER_S
-        lost = sum(at >= since for at in self._unreachable_since.values())
-        return lost > 1 and lost >= TOGETHER_FRACTION * len(self._backends.by_id)
+        lost = [
+            backend.entry.service
+            for address, at in self._unreachable_since.items()
+            if at >= since and (backend := self._backends.at_address(address))
+        ]
+        return len(lost) >= MIN_TOGETHER and len(set(lost)) > 1
 
     async def _probe_directly(self, address: str) -> Listening:
         listening = Listening.UNKNOWN
