Compare a server only with those that may run the same items

What callers saw: requests bound to a region refused as 'a stage failed: late' after most of their time, while the servers of their region stood idle; the known red test_a_route_keeps_its_requests_there, a 503 among 50 answers. Cause: a slow server is called only if the others would not finish the items sooner, and the others included servers in regions where the items may not run. One fast server elsewhere made all servers of the region useless until their slowness had faded.

Now a server is compared with those in the regions to which the items are bound. Its check now prints the refusals, and is as strict.

Besides, the memory of results counts as held only where a connection was lost, as a call that timed out may not have run.

--- a/packages/node/src/eelgrass_node/process/batch_items.py
+++ b/packages/node/src/eelgrass_node/process/batch_items.py
@@ -99,3 +99,8 @@
     retry_after_s: float = 0.0
     producer: ServerIncarnation | None = msgspec.field(name="maker", default=None)
     owner: NodeId | None = None
+
+    @property
+    def connected(self) -> bool:
+        """Whether a connection to the server was established, if there was a call."""
+        return self.failure not in NOT_CONNECTED_FAILURES
--- a/packages/node/src/eelgrass_node/process/batch_queue.py
+++ b/packages/node/src/eelgrass_node/process/batch_queue.py
@@ -21,12 +21,7 @@
 from ..version.deployment import BatchLimits
 from .account_shares import AccountShares
 from .backends import Backend, ServerIncarnation
-from .batch_items import (
-    NOT_CONNECTED_FAILURES,
-    BatchItem,
-    ItemFailure,
-    ItemOutcome,
-)
+from .batch_items import BatchItem, ItemFailure, ItemOutcome
 from .batch_selection import select_batch
 from .item_order import ItemOrder, rank
 from .overload import Overload
@@ -187,7 +182,7 @@
 
     def _start_one(self, now: float) -> bool:
         """Start a call at the first idle server that has items to run."""
-        for server in self._servers.idle(len(self._waiting), now):
+        for server in self._servers.idle(now):
             batch = self._select_batch(server, now)
             if batch:
                 self._start(server, batch, now)
@@ -281,15 +276,18 @@
 
     def _select_batch(self, server: Backend, now: float) -> list[BatchItem]:
         limits = self._limits()
-        data_centre = server.entry.data_centre
+        regions = {items[0].regions for items in self._waiting}
+        useful = self._servers.useful_for(server, regions, len(self._waiting), now)
+        allowed = (items for items in self._waiting if items[0].regions in useful)
         sets = [
             items
-            for items in self._waiting
-            if server.is_in(items[0].regions)
-            and not self._order.waits_for_preferred(items[0], server, now)
+            for items in allowed
+            if not self._order.waits_for_preferred(items[0], server, now)
         ]
+        data_centre = server.entry.data_centre
+        sets.sort(key=lambda items: self._order.key(items[0], data_centre, now))
         return select_batch(
-            sorted(sets, key=lambda items: self._order.key(items[0], data_centre, now)),
+            sets,
             limits.batch,
             self._servers.free_bytes(server, now),
             limits.memory_bytes,
@@ -376,17 +374,14 @@
     def _finish(
         self, item: BatchItem, future: asyncio.Future[ItemOutcome], outcome: ItemOutcome
     ) -> None:
-        item.tries += 1
+        # A server without memory has not run the item, which is called again later.
+        item.tries += outcome.failure is not ItemFailure.NO_ROOM
         is_retryable = outcome.failure in SERVER_FAILURES | {ItemFailure.NO_ROOM}
-        if outcome.failure is ItemFailure.NO_ROOM:
-            # The server did not run the item; it is called again when memory is free.
-            item.tries -= 1
-        connected = outcome.failure not in NOT_CONNECTED_FAILURES
         if is_retryable and item.tries < MAX_TRIES and not future.done():
-            if not connected or self._may_retry(item):
+            if not outcome.connected or self._may_retry(item):
                 self._waiting.add(item, future)
                 return
-        if not connected:
+        if not outcome.connected:
             outcome = ItemOutcome(failure=ItemFailure.UNREACHABLE)
         self._settle(item, future, outcome)
 
--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -8,7 +8,7 @@
 import asyncio
 import math
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from eelgrass_coordination.ids import BackendId
 
@@ -45,8 +45,6 @@
     ItemFailure.TIMED_OUT,
     ItemFailure.FAILED,
 }
-# After these failures of a call the server may have run it.
-ANSWER_LOST_FAILURES = frozenset((ItemFailure.TIMED_OUT, ItemFailure.UNREACHABLE))
 
 
 class QueueServers:
@@ -127,12 +125,11 @@
         rounds = ahead / (batch * self.slots())
         return max(0.0, free_at - now) + rounds * self.call_s(batch)
 
-    def idle(self, waiting: int, now: float) -> list[Backend]:
-        """Return the idle servers that are fast enough for a call, fastest first."""
+    def idle(self, now: float) -> list[Backend]:
+        """Return the idle servers, fastest first."""
         slots = self._limits().slots
         idle = [s for s in self.healthy() if self.use(s).calls < slots]
-        useful = [server for server in idle if self._is_useful(server, waiting, now)]
-        return sorted(useful, key=lambda server: self.use(server).slowness(now))
+        return sorted(idle, key=lambda server: self.use(server).slowness(now))
 
     def wait_at(self, data_centre: str, size: float, now: float) -> float:
         """Return the seconds until a healthy server in a data centre is free.
@@ -178,7 +175,8 @@
             self._reachability.record_answer(server.entry.data_centre)
         if not failures & (NOT_CONNECTED_FAILURES | {ItemFailure.UNREACHABLE}):
             use.record_call(took_s / self.call_s(len(batch)), _now())
-        if failures <= ANSWER_LOST_FAILURES and took_s >= self.call_s(1):
+        connection_lost = failures == {ItemFailure.UNREACHABLE}
+        if connection_lost and took_s >= self.call_s(1):
             self._hold_lost_results(use, batch)
         # A healthy server fails single items now and then, so it is only suspected if
         # the whole call failed.
@@ -208,13 +206,34 @@
             handle = f"{LOST_RESULT}/{item.request_id}/{item.stage}/{item.number}"
             use.hold(handle, int(self.size(item)), until)
 
-    def _is_useful(self, server: Backend, waiting: int, now: float) -> bool:
+    def useful_for(
+        self,
+        server: Backend,
+        bounds: Iterable[frozenset[str] | None],
+        waiting: int,
+        now: float,
+    ) -> set[frozenset[str] | None]:
+        """Return those regions for whose items a server is useful."""
+        return {
+            regions
+            for regions in bounds
+            if server.is_in(regions) and self._is_useful(server, regions, waiting, now)
+        }
+
+    def _is_useful(
+        self, server: Backend, regions: frozenset[str] | None, waiting: int, now: float
+    ) -> bool:
         """Return whether items finish sooner here than if they wait for the others.
 
         A server that is five times as slow is only called if so many items wait that
-        the other servers would need as long for them.
+        the other servers would need as long for them. Only servers in ``regions``, to
+        which the items are bound, can run them instead.
         """
-        others = [self.use(other) for other in self.healthy() if other is not server]
+        others = [
+            self.use(other)
+            for other in self.healthy()
+            if other is not server and other.is_in(regions)
+        ]
         if not others:
             return True
         batch = self._limits().batch
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -187,6 +187,7 @@
         answers = await send_requests(regions)
         asks = [regions.ask("/stream/staged/x", **STAGED) for _ in range(10)]
         answers += await asyncio.gather(*asks)
+        assert [body for status, _, body in answers if status != 200] == []
         assert {status for status, _, _ in answers} == {200}
         assert remote_run_count(regions) == 0
 
