Log the software version of servers, and which stream a request takes up

'Answered.', 'A call to a backend server failed.' and 'A server is listed.' name the server's version; the lines of a request name the one whose stream it takes up. No decision uses either yet.

--- a/packages/coordination/src/eelgrass_coordination/ids.py
+++ b/packages/coordination/src/eelgrass_coordination/ids.py
@@ -13,6 +13,7 @@
     "Incarnation",
     "NodeId",
     "Revision",
+    "SoftwareVersion",
     "new_id",
 ]
 
@@ -25,6 +26,7 @@
 ClaimId = NewType("ClaimId", str)
 ChangeId = NewType("ChangeId", str)
 Revision = NewType("Revision", int)
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 _RANDOM_BYTES = 12
 
--- a/packages/node/src/eelgrass_node/platform/names.py
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -19,6 +19,7 @@
     "READY_PATH",
     "REPORT_PATH",
     "REQUEST_PRIORITY",
+    "RESUMES",
     "RETRY_AFTER",
     "SEGMENTS",
     "SEGMENT_KEY",
@@ -50,6 +51,9 @@
 NOT_EXECUTED = "Eelgrassward-Not-Executed"
 PROMPT_PREFIX = "Eelgrassward-Prompt-Prefix"
 REQUEST_PRIORITY = "Eelgrassward-Request-Priority"
+# The attempt id of the attempt that brought the first event of a stream which the
+# caller takes up again.
+RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
 SEGMENTS = "Eelgrassward-Segments"
 SEGMENT_KEY = "Eelgrassward-Segment-Key"
--- a/packages/node/src/eelgrass_node/platform/requests.py
+++ b/packages/node/src/eelgrass_node/platform/requests.py
@@ -72,6 +72,7 @@
         caller_deadline_s=_parse_deadline_s(by_name.get(names.DEADLINE_MS)),
         api_key=_parse_api_key(by_name.get(names.AUTHORIZATION)),
         last_event_id=by_name.get(names.LAST_EVENT_ID),
+        resumes=by_name.get(names.RESUMES),
         item_counts=_parse_item_counts(by_name.get(names.SEGMENTS)),
         item_key=by_name.get(names.SEGMENT_KEY, ""),
         prompt=_parse_prompt(
--- a/packages/node/src/eelgrass_node/platform/servers.py
+++ b/packages/node/src/eelgrass_node/platform/servers.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_coordination.ids import BackendId, DataCentre, SoftwareVersion
 
 from ..exceptions import ServerEntryMalformed
 from ..process.backends import BackendState, HostEntry
@@ -68,6 +68,7 @@
         started=wire.born,
         region=region_by_data_centre.get(wire.zone, ""),
         warm_up_s=wire.warmup_left_ms / 1000,
+        version=SoftwareVersion(wire.version),
     )
 
 
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from eelgrass_coordination import MovingAverage, share_of_limit
-from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_coordination.ids import BackendId, DataCentre, SoftwareVersion
 
 from ..connection.backend import BackendConnections
 from ..log import Part, log
@@ -72,7 +72,8 @@
     ``started`` tells the incarnations of a server apart; the greater number is the
     newer one. ``limit`` is the number of concurrent calls that it accepts.
     ``warm_up_s`` is the remaining warm-up time that it reported, and ``region`` is the
-    region of its data centre.
+    region of its data centre. ``version`` is the version of its software, which is
+    empty if the list does not state it.
     """
 
     id: BackendId
@@ -85,6 +86,7 @@
     checks_fencing: bool = True
     region: str = ""
     warm_up_s: float = 0.0
+    version: SoftwareVersion = SoftwareVersion("")
 
     @property
     def incarnation(self) -> ServerIncarnation:
--- a/packages/node/src/eelgrass_node/process/server_list.py
+++ b/packages/node/src/eelgrass_node/process/server_list.py
@@ -120,6 +120,7 @@
                 address=entry.address,
                 state=entry.state.value,
                 started=entry.started,
+                version=entry.version,
             )
             if entry.state is BackendState.LEAVING:
                 self._on_leaving(server_id)
--- a/packages/node/src/eelgrass_node/request/incoming_request.py
+++ b/packages/node/src/eelgrass_node/request/incoming_request.py
@@ -55,7 +55,9 @@
 
     ``caller_deadline_s`` is how long the caller waits, counted from ``arrived_at``;
     None if the caller does not state it. ``item_counts`` holds the number of batch
-    items of each stage.
+    items of each stage. ``last_event_id`` is the last event that the caller has of a
+    stream that it resumes, and ``resumes`` the id of the request that brought the first
+    one.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     caller_deadline_s: float | None
     api_key: str | None
     last_event_id: str | None
+    resumes: str | None
     item_counts: tuple[int, ...]
     item_key: str
     prompt: PromptShape
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -334,6 +334,7 @@
             id=self._routed.incoming.request_id,
             route=self._routed.route.name,
             backend=backend.entry.id,
+            version=backend.entry.version,
             reason=failed.reason.value,
             not_run=failed.not_run,
             at=self._step.value,
@@ -416,6 +417,7 @@
         self._log_end(
             "Answered.",
             backend=backend.entry.id,
+            version=backend.entry.version,
             status=head.status,
             load=head.load,
             staged_s=round(self._staged_at - arrived_at, 3),
@@ -433,6 +435,7 @@
             id=routed.incoming.request_id,
             route=routed.route.name,
             account=routed.account_name,
+            resumes=routed.incoming.resumes,
             runs=self._runs,
             refused_calls=self._refused_calls,
             may_have_run=self._may_have_run,
--- a/tests/support/batching.py
+++ b/tests/support/batching.py
@@ -161,6 +161,7 @@
         caller_deadline_s=deadline_s,
         api_key=None,
         last_event_id=None,
+        resumes=None,
         item_counts=counts,
         item_key="key",
         prompt=PromptShape(),
