--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -31,7 +31,7 @@
 
 
 class Run(msgspec.Struct, frozen=True):
-    """A request that the server ran."""
+    """A request that the server ran, at one version of its software."""
 
     request_id: str
     method: str
@@ -39,11 +39,15 @@
     headers: dict[str, str]
     body: bytes
     at: float = 0.0
+    version: str = ""
 
 
 class EngineStandIn:
     """A backend server; ``server_id`` and ``started`` identify its incarnation.
 
+    ``version`` is the version of its software. A run at one version can be resumed at
+    another one, although what they write does not fit together. A fault that cuts a
+    stream takes effect once a run has written ``events_before_cut`` events.
     ``runs`` and ``batch_items`` record the work that it has run, ``results`` the
     handles of the results that it holds, and ``item_by_handle`` the batch item behind
     each result. A request with ``fatal`` in its body, or a batch item with it in its
@@ -62,6 +66,8 @@
         self.item_by_handle: dict[str, dict] = {}
         self.cancelled = 0
         self.started = 1_700_000_000_000
+        self.version = "v1"
+        self.events_before_cut = 0
         self.fatal: bytes | None = None
         self.crash: Callable[[], None] = lambda: None
         self._last_handle_number = 0
@@ -117,6 +123,7 @@
                 dict(request.headers),
                 body,
                 asyncio.get_running_loop().time(),
+                self.version,
             )
         )
         headers = self._headers(request)
@@ -146,7 +153,8 @@
         first_event = int(request.headers.get("Last-Event-Id", "0")) + 1
         try:
             for number in range(first_event, EVENTS + 1):
-                if self._consume_fault(EngineFault.CUT_IN_EVENT):
+                cuts = number - first_event >= self.events_before_cut
+                if cuts and self._consume_fault(EngineFault.CUT_IN_EVENT):
                     await response.write(b"id: %d\nda" % number)
                     request.transport.close()
                     return response
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -152,7 +152,7 @@
             "Service": service,
             "Address": address or engine.address,
             "Zone": data_centre,
-            "Version": "v1",
+            "Version": engine.version,
             "Slots": 6,
             "State": state,
             "Sequence": next(self._numbers),
@@ -191,12 +191,17 @@
         return [run for e in self.engines_by_service[service] for run in e.runs]
 
     async def start_engine(
-        self, service: str, server_id: str, data_centre: str = "a"
+        self,
+        service: str,
+        server_id: str,
+        data_centre: str = "a",
+        version: str = "v1",
     ) -> EngineStandIn:
         """Start a server and write its entry to the store."""
         [address] = free_addresses(1)
         advertised = await self._advertised_address(address)
         engine = EngineStandIn(server_id, advertised, self._event_s)
+        engine.version = version
         self.engines_by_service.setdefault(service, []).append(engine)
         runner = await self._serve(engine.application(), address)
         engine.crash = lambda: abort_serving(runner)
--- a/tests/support/soak_deployment.py
+++ b/tests/support/soak_deployment.py
@@ -132,9 +132,11 @@
         self.engine_proxies[advertised] = proxy
         return advertised
 
-    async def start_engine(self, service: str, server_id: str) -> EngineStandIn:
+    async def start_engine(
+        self, service: str, server_id: str, **entry: str
+    ) -> EngineStandIn:
         """Start a server behind its own proxy and write its store entry."""
-        engine = await super().start_engine(service, server_id)
+        engine = await super().start_engine(service, server_id, **entry)
         proxy, crash = self.engine_proxies[engine.address], engine.crash
 
         def crash_both() -> None:
