--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -26,32 +26,20 @@
 from ..process.crash_detector import Fingerprint
 from ..process.server_choice import ServerCriteria
 from ..version.deployment import RouteKind, ServiceName
+from .call_failures import record_failure
 from .caller_response import CallerResponse
 from .engine_call import EngineCall, Reply
 from .events import EventSplitter
 from .fingerprint import fingerprint_of
 from .graph import StageGraph
 from .incoming_request import ResponseHead, RoutedRequest
-from .reasons import (
-    NOT_CONNECTED_REASONS,
-    PATH_FAILURE_REASONS,
-    POSSIBLE_CRASH_REASONS,
-    SERVER_FAILING_REASONS,
-    SUSPECT_SERVER_REASONS,
-    TIMEOUT_REASONS,
-    RetryReason,
-)
+from .reasons import POSSIBLE_CRASH_REASONS, RetryReason
+from .retry_limits import RETRY_FULL_S, RetryLimits
 from .server_selection import select_server
 from .serving_context import ServingContext
 
 __all__ = ["ANSWER_MARGIN_S", "RequestExecution"]
 
-# Calls per request that may be refused without being run, or not reach a server.
-MAX_REFUSED_CALLS = 4
-# Timeouts for the head of a response if another server can be tried, in seconds: well
-# above what queueing and reading a long prompt take in normal operation.
-STREAM_HEAD_TIMEOUT_S = 2.5
-PLAIN_HEAD_TIMEOUT_S = 1.2
 # A stream that can be resumed at another server is given up after this gap, in seconds:
 # callers leave after 2 s or more, and a gap of over 0.8 s already misses its target.
 STREAM_IDLE_TIMEOUT_S = 1.8
@@ -62,9 +50,6 @@
 # them is the scarcest resource in a burst. If an engine asks for a freed result, it
 # reports it as gone without having run the request.
 RESULT_FETCH_S = 0.06
-# Retry-After in seconds if the servers are full: a slot becomes free within a call or
-# two.
-RETRY_FULL_S = 0.4
 # By the callers' protocol, callers wait for at most a third of the time that they have
 # left, and Retry-After is lengthened at random by up to a third.
 RETRY_FRACTION = 0.25
@@ -93,9 +78,7 @@
         self._routed = routed
         self._answer = answer
         self._tried: frozenset[ServerIncarnation] = frozenset()
-        self._runs = 0
-        self._refused_calls = 0
-        self._may_have_run = False
+        self._limits = RetryLimits(routed, context.retries)
         self._calling = False
         self._step = Step.ADMISSION
         self._staged_at = self._staged_running_s = 0.0
@@ -164,7 +147,8 @@
             except CallFailed as failed:
                 self._calling = False
                 self._record_failure(backend, failed)
-                self._check_retry(failed)
+                self._limits.check_retry(failed)
+                self._context.count(f"retry.{failed.reason.value}")
                 await self._context.poison_requests.crash_detector.wait_for_check(
                     backend
                 )
@@ -235,7 +219,7 @@
             routed,
             backend,
             inputs,
-            self._head_timeout_s(),
+            self._limits.head_timeout_s(),
             self._on_sent,
             self._copy_from(backend),
         )
@@ -307,27 +291,7 @@
     def _record_failure(self, backend: Backend, failed: CallFailed) -> None:
         self._tried |= {backend.entry.incarnation}
         self._events.restart()
-        if failed.not_run:
-            self._refused_calls += 1
-        else:
-            self._runs += 1
-            self._may_have_run = True
-        if failed.reason is RetryReason.BACKEND_OVERLOADED:
-            self._context.brittle_servers.record_refusal(backend)
-        if failed.reason is RetryReason.BACKEND_REPLACED:
-            self._context.on_server_replaced(backend)
-        elif failed.reason in SUSPECT_SERVER_REASONS:
-            if not (backend.is_relayed and failed.reason in PATH_FAILURE_REASONS):
-                backend.suspect()
-            if failed.reason in SERVER_FAILING_REASONS:
-                self._context.on_server_failing(backend)
-        if failed.reason is RetryReason.CONNECTION_SILENT:
-            backend.connections.suspect_path()
-            backend.connections.replace()
-        if failed.reason in TIMEOUT_REASONS and not backend.is_relayed:
-            self._context.reachability.record_timeout(
-                backend.entry.data_centre, backend.entry.id
-            )
+        self._limits.record_failure(failed)
         log(
             Part.REQUESTS,
             "A call to a backend server failed.",
@@ -340,50 +304,16 @@
             at=self._step.value,
             events=self._events.events,
         )
+        record_failure(self._context, backend, failed)
         if failed.reason in POSSIBLE_CRASH_REASONS:
             self._context.poison_requests.crash_detector.on_connection_lost(
                 backend, self._fingerprint
             )
 
-    def _check_retry(self, failed: CallFailed) -> None:
-        """Raise :class:`RequestRefused` if the request may not be retried."""
-        routed = self._routed
-        reason = failed.reason.value
-        if not failed.not_run:
-            if not routed.route.repeatable:
-                raise RequestRefused(f"the request may have run: {reason}")
-            if self._runs >= routed.route.max_attempts:
-                raise RequestRefused(
-                    f"the last permitted attempt failed: {reason}", RETRY_FULL_S
-                )
-        elif self._refused_calls >= MAX_REFUSED_CALLS:
-            raise RequestRefused(
-                f"too many calls did not run the request: {reason}", RETRY_FULL_S
-            )
-        # A call that reached no server puts no load on one, so that its retry needs no
-        # budget.
-        reached = failed.reason not in NOT_CONNECTED_REASONS
-        if reached and not self._context.retries.try_spend(
-            routed.service, routed.incoming.request_id
-        ):
-            raise RequestRefused(
-                f"the retry budget is exhausted: {reason}", RETRY_FULL_S
-            )
-        self._context.count(f"retry.{reason}")
-
-    def _head_timeout_s(self) -> float:
-        """Return how long to wait for a response head before trying another server."""
-        route = self._routed.route
-        if not route.repeatable or self._runs + 1 >= route.max_attempts:
-            return float("inf")
-        if route.kind is RouteKind.STREAM:
-            return STREAM_HEAD_TIMEOUT_S
-        return PLAIN_HEAD_TIMEOUT_S
-
     def _timed_out(self) -> web.StreamResponse:
         self._log_end("The deadline passed.")
         self._context.count("refusal.deadline-passed")
-        if self._may_have_run or self._calling:
+        if self._limits.may_have_run or self._calling:
             return self._answer.refusal(HTTP_GATEWAY_TIMEOUT, "the deadline passed")
         return self._answer.refusal(
             HTTP_UNAVAILABLE,
@@ -396,7 +326,7 @@
         if self._last_reply is not None and not self._answer.has_begun:
             # A server's error response says more than a refusal by the node.
             return self._answer.complete(self._last_reply)
-        if self._may_have_run:
+        if self._limits.may_have_run:
             self._context.count("refusal.may-have-run")
             return self._answer.refusal(HTTP_BAD_GATEWAY, refused.reason)
         if isinstance(refused, RequestQuarantined):
@@ -436,9 +366,9 @@
             route=routed.route.name,
             account=routed.account_name,
             resumes=routed.incoming.resumes,
-            runs=self._runs,
-            refused_calls=self._refused_calls,
-            may_have_run=self._may_have_run,
+            runs=self._limits.runs,
+            refused_calls=self._limits.refused_calls,
+            may_have_run=self._limits.may_have_run,
             took_s=round(self._elapsed_s(), 3),
             **fields,
         )
--- /dev/null
+++ b/packages/node/src/eelgrass_node/request/retry_limits.py
@@ -0,0 +1,79 @@
+"""Counts the failed calls of one request, and limits how often it is retried."""
+
+from ..exceptions import CallFailed, RequestRefused
+from ..process.retry_budget import RetryBudgets
+from ..version.deployment import RouteKind
+from .incoming_request import RoutedRequest
+from .reasons import NOT_CONNECTED_REASONS
+
+__all__ = ["RETRY_FULL_S", "RetryLimits"]
+
+# Calls per request that may be refused without being run, or not reach a server.
+MAX_REFUSED_CALLS = 4
+# Timeouts for the head of a response if another server can be tried, in seconds: well
+# above what queueing and reading a long prompt take in normal operation.
+STREAM_HEAD_TIMEOUT_S = 2.5
+PLAIN_HEAD_TIMEOUT_S = 1.2
+# Retry-After in seconds if the servers are full: a slot becomes free within a call or
+# two.
+RETRY_FULL_S = 0.4
+
+
+class RetryLimits:
+    """The failed calls of one request.
+
+    ``runs`` counts those that may have run, and ``refused_calls`` those that certainly
+    did not. Retries draw on the budget that all nodes share.
+    """
+
+    def __init__(self, routed: RoutedRequest, budgets: RetryBudgets) -> None:
+        self._routed = routed
+        self._budgets = budgets
+        self.runs = 0
+        self.refused_calls = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have run in one of the failed calls."""
+        return self.runs > 0
+
+    def record_failure(self, failed: CallFailed) -> None:
+        """Count a failed call."""
+        if failed.not_run:
+            self.refused_calls += 1
+        else:
+            self.runs += 1
+
+    def check_retry(self, failed: CallFailed) -> None:
+        """Raise :class:`RequestRefused` if the request may not be retried."""
+        route = self._routed.route
+        reason = failed.reason.value
+        if not failed.not_run:
+            if not route.repeatable:
+                raise RequestRefused(f"the request may have run: {reason}")
+            if self.runs >= route.max_attempts:
+                raise RequestRefused(
+                    f"the last permitted attempt failed: {reason}", RETRY_FULL_S
+                )
+        elif self.refused_calls >= MAX_REFUSED_CALLS:
+            raise RequestRefused(
+                f"too many calls did not run the request: {reason}", RETRY_FULL_S
+            )
+        # A call that reached no server puts no load on one, so that its retry needs no
+        # budget.
+        reached = failed.reason not in NOT_CONNECTED_REASONS
+        if reached and not self._budgets.try_spend(
+            self._routed.service, self._routed.incoming.request_id
+        ):
+            raise RequestRefused(
+                f"the retry budget is exhausted: {reason}", RETRY_FULL_S
+            )
+
+    def head_timeout_s(self) -> float:
+        """Return how long to wait for a response head before trying another server."""
+        route = self._routed.route
+        if not route.repeatable or self.runs + 1 >= route.max_attempts:
+            return float("inf")
+        if route.kind is RouteKind.STREAM:
+            return STREAM_HEAD_TIMEOUT_S
+        return PLAIN_HEAD_TIMEOUT_S
--- a/packages/node/tests/test_large_bodies.py
+++ b/packages/node/tests/test_large_bodies.py
@@ -23,7 +23,7 @@
 from eelgrass_node.request.attempt import Attempt, AttemptOutcome, run_call
 from eelgrass_node.request.engine_call import EngineCall
 from eelgrass_node.request.model import CallerRequest
-from eelgrass_node.request.request_execution import PLAIN_HEAD_TIMEOUT_S
+from eelgrass_node.request.retry_limits import PLAIN_HEAD_TIMEOUT_S
 from eelgrass_node.version import Pipeline, Stage, StageKind
 from eelgrass_standins.ports import free_addresses
 from support.batching import routed
