Let other protocols between nodes use the socket of the membership protocol

Nodes will tell a few others of each stream that begins. An HTTP call costs a node some half millisecond and 400 bytes of headers each way; a datagram costs neither. The socket stays open after a node has left, while it ends its last requests; as before, it sends and answers no messages of the membership protocol then.

--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -68,7 +68,7 @@
     has it and the age of its confirmation in seconds, ``on_gossip_item`` with each new
     gossip item, ``on_change`` when the set of members has changed, and ``on_ack`` with
     a member that has answered a probe, which shows that both directions of the network
-    path work.
+    path work. Payloads of other protocols between members pass through ``datagrams``.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         self._seeds = [seed for seed in seeds if seed != own.gossip]
         self._interval_s = interval_s
         self._random = randomness or random.Random()
-        self._datagrams = Datagrams(self._receive)
+        self.datagrams = Datagrams(self._receive)
         self._updates = BroadcastQueue()
         self._gossip_items = GossipItems()
         self._probe_order: list[NodeId] = []
@@ -99,22 +99,23 @@
         self._suspicions = Suspicions()
         self._anti_entropy = AntiEntropy(self._live_members, self._send)
         self._period = 0
+        self._has_left = False
         self._tasks: list[asyncio.Task] = []
         self._push_timer: asyncio.TimerHandle | None = None
 
     @property
     def sent_messages(self) -> int:
         """The number of messages sent."""
-        return self._datagrams.sent
+        return self.datagrams.sent
 
     @property
     def sent_bytes(self) -> int:
         """The total size of the messages sent, in bytes."""
-        return self._datagrams.sent_bytes
+        return self.datagrams.sent_bytes
 
     async def start(self) -> None:
         """Listen, contact the seeds and start probing."""
-        await self._datagrams.open(self.own.gossip)
+        await self.datagrams.open(self.own.gossip)
         self._queue_update(self.own)
         self._tasks = [
             asyncio.create_task(self._join()),
@@ -122,20 +123,24 @@
         ]
 
     async def leave(self) -> None:
-        """Announce that this node leaves, then stop."""
+        """Announce that this node leaves; only payloads pass from then on."""
         self.own = msgspec.structs.replace(self.own, state=MemberState.LEFT)
         for member in self._sample(self.members.reachable(), FANOUT * 2):
             self._send(member.gossip, MessageKind.GOSSIP)
-        await self.stop()
+        self._has_left = True
+        await self._stop_tasks()
 
     async def stop(self) -> None:
-        """Stop without an announcement, as a crash would."""
+        """Stop at once; without :meth:`leave` before, it looks like a crash."""
+        await self._stop_tasks()
+        self.datagrams.close()
+
+    async def _stop_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._push_timer is not None:
             self._push_timer.cancel()
-        self._datagrams.close()
 
     def probe(self, member: Member) -> None:
         """Probe a member now; ``on_ack`` is called if it answers."""
@@ -179,6 +184,8 @@
             self.on_gossip_item(item)
 
     def _receive(self, message: Message) -> None:
+        if self._has_left:
+            return
         if message.sender.id == self.own.id:
             self._refute_if_needed(message.sender)
             return
@@ -384,7 +391,7 @@
         fingerprints: bytes = b"",
         records: tuple[Member, ...] = (),
     ) -> None:
-        if not self._datagrams.is_open:
+        if self._has_left or not self.datagrams.is_open:
             return
         updates = records or self._updates.take(MAX_UPDATES)
         if subject is not None and subject not in updates:
@@ -402,7 +409,7 @@
             digest=self._anti_entropy.digest(),
             fingerprints=fingerprints,
         )
-        self._datagrams.send(address, message)
+        self.datagrams.send(address, message)
 
 
 def _ignore(*arguments: object) -> None:
