Keep streams at the service and software version that began them

Callers saw streams that hold events of two versions of a server, which do not fit together. Cause: the next server of a broken stream was chosen by prefix, load and data centre only; and a caller that takes a stream up comes to another host, which cannot know what the first one knew, or knew until it was killed.

- In one answer only servers of the version that wrote the first event are chosen (request/stream_version.py).
The stages of the request do not run again where there is none.
- Before the first event is sent, the node tells three others, found by hash of the attempt id: one in its own data centre, the others in two others of its region (process/stream_origins).
The copies are renewed when a node that has one ends, restarts or leaves; a node that leaves hands over what it holds.
A version is told once and never changed, as it is told when the first event is there; if two are told, it is uncertain for good.
- The node at which the stream is taken up asks these, then all.
If none knows, the stream goes on only where all versions of the service that any node has listed while the stream can have begun are one, and a node with a list that old vouches for it.
Otherwise, and where no server of the version is left, the caller gets 503 at once.
- A server that restarts with another version under its id may have run a call that is under way at either: such a stream is not continued.
- The service is part of the origin, as a route may be split between services.

One had a wrong set-up: eight streams broken at once, not twelve, is what the retry budget of a single node allows (a log line 'The retry budget is exhausted.' for the others); its checks are the same.

--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -66,9 +66,9 @@
 
     ``on_revision`` is called with a received configuration revision, the member that
     has it and the age of its confirmation in seconds, ``on_gossip_item`` with each new
-    gossip item, ``on_change`` when the set of members has changed, and ``on_ack`` with
-    a member that has answered a probe, which shows that both directions of the network
-    path work. Payloads of other protocols between members pass through ``datagrams``.
+    gossip item, ``on_change`` when members have come, gone or restarted, and ``on_ack``
+    with a member that has answered a probe, which shows that both directions of the
+    network path work. Payloads of other protocols pass through ``datagrams``.
     """
 
     def __init__(
@@ -332,7 +332,7 @@
             self.on_change()
 
     def _merge_record(self, member: Member, pass_on: bool) -> bool:
-        """Apply a record; return whether its member is new or has changed its state."""
+        """Apply a record; return whether its member is new, or its start or state."""
         if member.id == self.own.id:
             self._refute_if_needed(member)
             return False
@@ -342,7 +342,9 @@
         if pass_on:
             self._queue_update(member)
         self._suspicions.record(member, self._period)
-        return known is None or known.state is not member.state
+        if known is None:
+            return True
+        return (known.epoch, known.state) != (member.epoch, member.state)
 
     def _live_members(self) -> list[Member]:
         return [self.own, *self.members.reachable()]
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -28,6 +28,7 @@
     readiness_application,
 )
 from .entry_gauges import entry_gauges
+from .entry_serving import serving_context
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
 from .platform.names import CRASHES_TABLE, READY_PATH
@@ -55,12 +56,11 @@
 from .process.server_list import ServerList
 from .process.shared_queues import SharedQueues
 from .process.stopping import Stopping
+from .process.stream_origins import ReplicaChoice, StreamOrigins, VersionHistory
 from .process.supervision import keep_running
 from .process.warm_up import WarmUp
 from .request.final_call_latency import FinalCallLatency
 from .request.request_handler import RequestHandler
-from .request.serving_context import ServingContext
-from .request.stage_planner import StagePlanner
 from .version.deployment import ServiceName
 
 __all__ = ["EntryNode"]
@@ -117,7 +117,7 @@
         self.reachability = DataCentreReachability(settings.data_centre, loop.time)
         self.batch_calls = BatchCalls(
             stage_calls,
-            self._on_server_replaced,
+            self.on_server_replaced,
             lambda backend: self.brittle_servers.record_refusal(backend),
         )
         self.peer_session = new_session(PEER_IDLE_S / 2)
@@ -201,7 +201,24 @@
             self.warm_up.admission.is_rate_limited,
             self.brittle_servers,
         )
-        self.backends.on_change = self.local_queues.servers_changed
+        self.version_history = VersionHistory(self.backends, loop.time, unix_ms)
+        self.backends.on_change = self._on_servers_changed
+        self.stream_origins = StreamOrigins(
+            ReplicaChoice(
+                settings.data_centre,
+                settings.region_by_data_centre,
+                self.membership.members.reachable,
+                lambda data_centre: not self.reachability.is_suspected(data_centre),
+                loop.time,
+            ),
+            self.membership.members.reachable,
+            self.membership.datagrams.send_payload,
+            self.version_history,
+            lambda: self.tables.servers.reachable,
+            loop.time,
+            self.counters.count,
+        )
+        self.membership.datagrams.on_payload = self.stream_origins.receive
         self.membership.on_gossip_item = self._on_gossip_item
         self.membership.on_ack = self._on_ack
         self.reachability.on_timeout = self.reachability_checks.check
@@ -292,6 +309,7 @@
         # node's queues are still served.
         self.queue_owners.leave()
         await self.membership.leave()
+        self.stream_origins.leave()
         clean = await self.stopping.finish()
         log(Part.NODE, "Stopped.", clean=clean, in_flight=self.stopping.count)
         return clean
@@ -304,6 +322,7 @@
         self.reachability_checks.stop()
         await self.server_links.close()
         self.shared_queues.checks.stop()
+        self.stream_origins.copies.stop()
         self.poison_requests.crash_detector.stop()
         await self.membership.stop()
         await self._listeners.close()
@@ -339,35 +358,7 @@
         return addresses or list(self.settings.other_seeds())
 
     async def _listen_callers(self) -> None:
-        planner = StagePlanner(
-            self.server_choice.choose,
-            lambda: self.deployments.current,
-            self.queue_loads,
-            self.final_call_latency,
-        )
-        context = ServingContext(
-            codec=requests,
-            choose=self.server_choice.choose,
-            no_server_refusal=self.server_choice.refusal,
-            unavailable=self.server_choice.unavailable,
-            admit=self.warm_up.admission.admit,
-            copy_source=self.server_choice.copy_source,
-            data_centre_of=self.local_queues.data_centre_of,
-            has_ended=self.backends.has_ended,
-            plan=planner.plan,
-            infeasible_retry_after_s=planner.infeasible_retry_after_s,
-            run_items=self.shared_queues.run,
-            free_results=self.shared_queues.results.free,
-            final_call_latency=self.final_call_latency,
-            retries=self.retry_budgets,
-            reachability=self.reachability,
-            brittle_servers=self.brittle_servers,
-            on_server_replaced=self._on_server_replaced,
-            on_server_failing=self.failure_gossip.announce_failure,
-            poison_requests=self.poison_requests,
-            count=self.counters.count,
-            metrics=self.metrics,
-        )
+        context = serving_context(self, requests)
         handler = RequestHandler(
             requests, self.deployments, context, self.stopping, self.counters.count
         )
@@ -428,6 +419,11 @@
             self.settings, self.membership.own, members
         )
         self.backends.set_live_nodes(len(self.membership.members.reachable()) + 1)
+        self.stream_origins.copies.on_members_changed()
+
+    def _on_servers_changed(self, service: str) -> None:
+        self.version_history.servers_changed(service)
+        self.local_queues.servers_changed(service)
 
     def _on_revision_announced(
         self, revision: Revision, member: Member, age_s: float
@@ -448,5 +444,6 @@
     def _on_configuration_advanced(self, number: int) -> None:
         self.membership.announce_revision(Revision(number))
 
-    def _on_server_replaced(self, backend: Backend) -> None:
+    def on_server_replaced(self, backend: Backend) -> None:
+        """Forget a server after another one has answered at its address."""
         self.server_list.forget(backend.entry.incarnation)
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -2,15 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum
-
-import msgspec
 
 from eelgrass_coordination import MovingAverage, share_of_limit
-from eelgrass_coordination.ids import BackendId, DataCentre, SoftwareVersion
+from eelgrass_coordination.ids import BackendId, DataCentre
 
 from ..connection.backend import BackendConnections
 from ..log import Part, log
+from .host_entry import BackendState, HostEntry, ServerIncarnation
 
 __all__ = [
     "MAX_WARM_UP_S",
@@ -47,53 +45,6 @@
 REPORTED_LOAD_MAX_AGE_S = 1.5
 
 
-class BackendState(Enum):
-    """Whether a backend server gets new work."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
-class ServerIncarnation(msgspec.Struct, frozen=True, array_like=True):
-    """One run of a backend server, from its start to its termination.
-
-    A server may restart under the same id. It then has none of its earlier state,
-    so results, load, suspicion and connections are tracked per incarnation.
-    ``started`` grows with each start; it is 0 if the server does not report it.
-    """
-
-    id: BackendId
-    started: int = 0
-
-
-class HostEntry(msgspec.Struct, frozen=True):
-    """A backend server in the platform's host list.
-
-    ``started`` tells the incarnations of a server apart; the greater number is the
-    newer one. ``limit`` is the number of concurrent calls that it accepts.
-    ``warm_up_s`` is the remaining warm-up time that it reported, and ``region`` is the
-    region of its data centre. ``version`` is the version of its software, which is
-    empty if the list does not state it.
-    """
-
-    id: BackendId
-    service: str
-    address: str
-    data_centre: DataCentre
-    limit: int = 8
-    state: BackendState = BackendState.LIVE
-    started: int = 0
-    checks_fencing: bool = True
-    region: str = ""
-    warm_up_s: float = 0.0
-    version: SoftwareVersion = SoftwareVersion("")
-
-    @property
-    def incarnation(self) -> ServerIncarnation:
-        """The incarnation of the server that the entry describes."""
-        return ServerIncarnation(self.id, self.started)
-
-
 class Backend:
     """One backend server: its entry, this node's calls to it, and its failures.
 
@@ -119,6 +70,9 @@
         # Whether neither this node nor the relays that it asked reach the server.
         self.is_unreachable = False
         self.suspect_until = 0.0
+        # Whether the server was found to have restarted with another software version.
+        # Calls that were under way then may have run at either of the two.
+        self.is_version_uncertain = False
         # The refusals per second, over all nodes, beyond which the server crashes; None
         # if it is not brittle. While it is closed it gets no requests.
         self.refusal_limit: int | None = None
@@ -363,6 +317,7 @@
             return
         if backend is not None and _is_successor(entry, backend.entry):
             ended = backend.entry.started < entry.started
+            backend.is_version_uncertain = backend.entry.version != entry.version
             self._remove(entry.id)
             if ended:
                 # Calls that wait for the earlier incarnation would get no answer.
@@ -394,5 +349,10 @@
 
 
 def _is_successor(entry: HostEntry, known: HostEntry) -> bool:
-    """Return whether an entry is for another server or incarnation of a known id."""
-    return (entry.address, entry.started) != (known.address, known.started)
+    """Return whether an entry is for another server or incarnation of a known id.
+
+    A server that does not report its start is known to have restarted if its software
+    has another version.
+    """
+    identity = (entry.address, entry.started, entry.version)
+    return identity != (known.address, known.started, known.version)
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from eelgrass_coordination.ids import DataCentre
+from eelgrass_coordination.ids import DataCentre, SoftwareVersion
 
 from ..exceptions import RequestRefused
 from ..version.deployment import Deployment, ServiceName
@@ -29,6 +29,8 @@
     ``shared_tokens`` is its length. Servers in ``tried`` are avoided if possible.
     ``inputs_at`` is the data centre that holds large results that the server has to
     fetch, and ``regions`` are those to which the request is bound, None for any.
+    ``version`` is the software version that wrote the events of a stream so far, None
+    if any may serve.
     """
 
     service: ServiceName
@@ -37,6 +39,7 @@
     tried: frozenset[ServerIncarnation] = frozenset()
     inputs_at: str = ""
     regions: frozenset[str] | None = None
+    version: SoftwareVersion | None = None
 
 
 class ServerChoice:
@@ -88,6 +91,8 @@
         allowed = self._allowed(criteria)
         if not allowed:
             reason = "the service has no usable server"
+            if criteria.version is not None:
+                reason += f" of software version {criteria.version}"
             return RequestRefused(reason, NO_SERVER_RETRY_S)
         if all(server.is_unreachable for server in allowed):
             reason = "no server of the service can be reached"
@@ -103,7 +108,12 @@
 
     def _allowed(self, criteria: ServerCriteria) -> list[Backend]:
         usable = self._backends.usable(criteria.service)
-        return [server for server in usable if server.is_in(criteria.regions)]
+        return [
+            server
+            for server in usable
+            if server.is_in(criteria.regions)
+            and criteria.version in (None, server.entry.version)
+        ]
 
     def copy_source(
         self, chosen: Backend, prefix_key: str | None, shared_tokens: int
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/stream_origins/version_history.py
@@ -0,0 +1,82 @@
+"""Remembers which software versions of a service have been listed lately.
+
+A stream whose origin is not known to any node can be resumed only if a single version
+can have begun it.
+"""
+
+from collections.abc import Callable
+
+from eelgrass_coordination.ids import SoftwareVersion
+
+from ..backends import Backend, Backends
+
+__all__ = ["VersionHistory"]
+
+# A server may go on serving for some time after its entry was removed, and a stream
+# may begin there until this node notices the removal.
+REMOVAL_NOTICE_S = 3.0
+# How long a version is remembered after its last server was removed; no stream lasts
+# longer.
+RETENTION_S = 300.0
+# The clocks of hosts and servers may differ by seconds.
+CLOCK_SKEW_S = 5.0
+
+
+class VersionHistory:
+    """The versions of all services, as listed in ``backends``.
+
+    ``clock`` returns seconds, and ``unix_ms`` Unix time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        clock: Callable[[], float],
+        unix_ms: Callable[[], int],
+    ) -> None:
+        self._backends = backends
+        self._clock = clock
+        self._unix_ms = unix_ms
+        self._since: float | None = None
+        # When the last server of a version was removed, by service and version.
+        self._removed_at: dict[str, dict[SoftwareVersion, float]] = {}
+        self._listed: dict[str, frozenset[SoftwareVersion]] = {}
+
+    def servers_changed(self, service: str) -> None:
+        """Record the versions that are listed of a service."""
+        now = self._clock()
+        if self._since is None:
+            self._since = now
+        listed = frozenset(s.entry.version for s in self._servers(service))
+        removed_at = self._removed_at.setdefault(service, {})
+        for version in self._listed.get(service, frozenset()) - listed:
+            removed_at[version] = now
+        self._listed[service] = listed
+        for version, at in list(removed_at.items()):
+            if version in listed or now - at > RETENTION_S:
+                del removed_at[version]
+
+    def versions(self, service: str, within_s: float) -> frozenset[SoftwareVersion]:
+        """Return the versions that can have begun a stream within ``within_s``."""
+        since = self._clock() - within_s - REMOVAL_NOTICE_S
+        removed_at = self._removed_at.get(service, {})
+        lately = (version for version, at in removed_at.items() if at >= since)
+        return self._listed.get(service, frozenset()).union(lately)
+
+    def covers(self, service: str, within_s: float) -> bool:
+        """Return whether no version that began a stream since then can be missing.
+
+        That is so if this node has followed the list for that long, or if all servers
+        of the service have been running for that long, so that none has taken the place
+        of another one.
+        """
+        if self._since is None:
+            return False
+        if self._clock() - self._since >= within_s:
+            return True
+        since_ms = self._unix_ms() - (within_s + CLOCK_SKEW_S) * 1000
+        starts = [server.entry.started for server in self._servers(service)]
+        return bool(starts) and all(0 < started < since_ms for started in starts)
+
+    def _servers(self, service: str) -> list[Backend]:
+        return self._backends.by_service.get(service, [])
--- a/packages/node/src/eelgrass_node/request/incoming_request.py
+++ b/packages/node/src/eelgrass_node/request/incoming_request.py
@@ -10,6 +10,8 @@
 import msgspec
 from multidict import CIMultiDict
 
+from eelgrass_coordination.ids import SoftwareVersion
+
 from ..version.deployment import AccountGrant, Route, RouteKind, ServiceName
 
 __all__ = [
@@ -85,7 +87,9 @@
     """An incoming request with the route, service and account assigned to it.
 
     ``deadline`` is when the caller must have its response, and ``target_at`` until
-    when a response meets the latency target and earns full credit.
+    when a response meets the latency target and earns full credit. ``patience_s`` is
+    how long callers of the route wait, over all their attempts. ``version`` is the
+    software version that began the stream, if the request takes one up.
     """
 
     incoming: IncomingRequest
@@ -94,6 +98,21 @@
     account: AccountGrant | None
     deadline: float
     target_at: float
+    patience_s: float = 0.0
+    version: SoftwareVersion | None = None
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has a part of the stream already."""
+        incoming = self.incoming
+        return self.route.is_resumable_stream and (
+            incoming.resumes is not None or incoming.last_event_id is not None
+        )
+
+    @property
+    def stream_id(self) -> str:
+        """The id of the request that brings, or has brought, the first event."""
+        return self.incoming.resumes or self.incoming.request_id
 
     @property
     def caller_leaves_at(self) -> float:
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -78,6 +78,7 @@
     BACKEND_REPLACED = "backend_replaced"
     INPUT_GONE = "input_gone"
     BACKEND_ERROR = "backend_error"
+    VERSION_UNCERTAIN = "version_uncertain"
 
 
 # After these failures a server is avoided for a while; one that is only full is not.
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -37,6 +37,7 @@
 from .retry_limits import RETRY_FULL_S, RetryLimits
 from .server_selection import select_server
 from .serving_context import ServingContext
+from .stream_version import StreamVersion
 
 __all__ = ["ANSWER_MARGIN_S", "RequestExecution"]
 
@@ -86,6 +87,7 @@
         self._release_timer: asyncio.TimerHandle | None = None
         self._last_reply: Reply | None = None
         self._events = EventSplitter(routed.incoming.last_event_id)
+        self._stream_version = StreamVersion(routed, context.origins)
         self._graph = StageGraph(
             routed,
             context.plan(routed),
@@ -111,6 +113,7 @@
             raise
         finally:
             self._graph.release()
+            self._stream_version.release()
 
     async def _serve(self) -> web.StreamResponse:
         self._check_quarantine()
@@ -120,10 +123,7 @@
                 "the stages cannot be completed in time", retry_after_s
             )
         if self._routed.route.stages:
-            # The work of the stages would be wasted.
-            refusal = self._context.unavailable(self._criteria())
-            if refusal is not None:
-                raise refusal
+            self._check_available()
         inputs = await self._run_stages()
         self._staged_at, self._staged_running_s = _now(), running_time()
         if self._routed.route.stages:
@@ -147,6 +147,9 @@
             except CallFailed as failed:
                 self._calling = False
                 self._record_failure(backend, failed)
+                await self._stream_version.check_continuation(backend)
+                if self._stream_version.version is not None:
+                    self._check_available()
                 self._limits.check_retry(failed)
                 self._context.count(f"retry.{failed.reason.value}")
                 await self._context.poison_requests.crash_detector.wait_for_check(
@@ -157,6 +160,12 @@
             finally:
                 backend.in_flight -= 1
 
+    def _check_available(self) -> None:
+        """Refuse the request before its stages do work that would be wasted."""
+        refusal = self._context.unavailable(self._criteria())
+        if refusal is not None:
+            raise refusal
+
     async def _run_stages(self) -> tuple[str, ...]:
         if not self._routed.route.stages:
             return ()
@@ -207,6 +216,7 @@
             self._tried,
             self._inputs_data_centre(),
             routed.regions,
+            self._stream_version.version,
         )
 
     async def _call(
@@ -281,7 +291,11 @@
             data = await call.read_some(idle_timeout_s)
             if not data:
                 break
-            await self._answer.write(self._events.feed(data))
+            self._stream_version.check_server(backend)
+            events = self._events.feed(data)
+            if events:
+                await self._stream_version.begin_events(backend)
+            await self._answer.write(events)
         if self._events.partial:
             raise CallFailed(RetryReason.STREAM_CUT, not_run=False)
         backend.record_success(_now() - began)
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from ..exceptions import CallerGone, RequestMalformed
+from ..exceptions import CallerGone, RequestMalformed, RequestRefused
 from ..log import Part, log
 from ..process.deployments import DeploymentInForce
 from ..process.stopping import Stopping
@@ -15,6 +15,7 @@
 from .incoming_request import IncomingRequest, RoutedRequest, WireCodec
 from .request_execution import ANSWER_MARGIN_S, RequestExecution
 from .serving_context import ServingContext
+from .stream_take_up import with_stream_origin
 from .typical_deadline import TypicalDeadlines
 
 __all__ = ["RequestHandler"]
@@ -138,6 +139,10 @@
                     incoming, answer, "unknown key", HTTP_UNAUTHORIZED
                 )
         routed = self._new_routed_request(incoming, route, account)
+        try:
+            routed = await with_stream_origin(self._context.origins, routed)
+        except RequestRefused as refused:
+            return self._refuse_take_up(routed, answer, refused)
         return await RequestExecution(self._context, routed, answer).serve()
 
     def _new_routed_request(
@@ -155,7 +160,24 @@
             account=account,
             deadline=incoming.arrived_at + max(0.0, limit_s),
             target_at=incoming.arrived_at + route.target_s - waited_s,
+            patience_s=max(
+                route.timeout_s, self._typical_deadlines.longest(route.name)
+            ),
+        )
+
+    def _refuse_take_up(
+        self, routed: RoutedRequest, answer: CallerResponse, refused: RequestRefused
+    ) -> web.StreamResponse:
+        self._count("refusal.stream-origin")
+        log(
+            Part.REQUESTS,
+            "A stream cannot be taken up; its caller is refused.",
+            id=routed.incoming.request_id,
+            resumes=routed.incoming.resumes,
+            route=routed.route.name,
+            reason=refused.reason,
         )
+        return answer.refusal(HTTP_UNAVAILABLE, refused.reason, refused.retry_after_s)
 
     def _refuse_unknown(
         self,
--- a/packages/node/src/eelgrass_node/request/serving_context.py
+++ b/packages/node/src/eelgrass_node/request/serving_context.py
@@ -12,6 +12,7 @@
 from ..process.reachability import DataCentreReachability
 from ..process.retry_budget import RetryBudgets
 from ..process.server_choice import ServerCriteria
+from ..process.stream_origins import StreamOrigins
 from ..process.warm_up import Permit
 from .final_call_latency import FinalCallLatency
 from .graph import FreeResults, RunItems, StagePlan
@@ -50,6 +51,7 @@
     retries: RetryBudgets
     reachability: DataCentreReachability
     brittle_servers: BrittleServers
+    origins: StreamOrigins
     on_server_replaced: Callable[[Backend], None]
     on_server_failing: Callable[[Backend], None]
     poison_requests: PoisonRequests
--- a/packages/node/src/eelgrass_node/request/typical_deadline.py
+++ b/packages/node/src/eelgrass_node/request/typical_deadline.py
@@ -35,3 +35,10 @@
         if count < 2 or count < TYPICAL_FRACTION * len(stated):
             return 0.0
         return max(0.0, typical_s - stated_s)
+
+    def longest(self, route: str) -> float:
+        """Return the longest deadline that callers of a route have stated lately.
+
+        It is 0 if none is known.
+        """
+        return max(self._stated_by_route.get(route, ()), default=0.0)
--- a/packages/node/src/eelgrass_node/version/deployment.py
+++ b/packages/node/src/eelgrass_node/version/deployment.py
@@ -92,6 +92,16 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether its answers are streams that may go on at another backend server."""
+        return self.kind is RouteKind.STREAM and self.resumable
+
+    @property
+    def service_names(self) -> tuple[ServiceName, ...]:
+        """The names of the services that serve the route's requests."""
+        return tuple(service.name for service in self.services)
+
     def pick_service(self, randomness: random.Random) -> ServiceName:
         """Return a random service; their weights set the odds."""
         if len(self.services) == 1:
--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -7,9 +7,11 @@
 import msgspec
 from aiohttp import web
 
-__all__ = ["EngineFault", "EngineStandIn", "Run"]
+__all__ = ["EVENTS", "STARTED_MS", "EngineFault", "EngineStandIn", "Run"]
 
 EVENTS = 6
+# Unix time, in milliseconds, of the first start of each server.
+STARTED_MS = 1_700_000_000_000
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
 HTTP_ERROR = 500
@@ -65,7 +67,7 @@
         self.results: set[str] = set()
         self.item_by_handle: dict[str, dict] = {}
         self.cancelled = 0
-        self.started = 1_700_000_000_000
+        self.started = STARTED_MS
         self.version = "v1"
         self.events_before_cut = 0
         self.fatal: bytes | None = None
--- a/tests/support/datagram_network.py
+++ b/tests/support/datagram_network.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from .simulated_time import SimulatedTimeLoop
@@ -24,7 +24,8 @@
     """A loop whose datagram sockets are connected by a simulated network.
 
     ``loss`` is the fraction of datagrams that are lost. ``sent`` counts the datagrams
-    sent and ``sent_bytes`` their bytes.
+    sent and ``sent_bytes`` their bytes. ``is_cut`` returns whether the path from one
+    host to another is cut.
     """
 
     def __init__(self, loss: float = 0.0, seed: int = 1) -> None:
@@ -34,6 +35,7 @@
         self._protocol_by_address: dict[tuple[str, int], asyncio.DatagramProtocol] = {}
         self.sent = 0
         self.sent_bytes = 0
+        self.is_cut: Callable[[str, str], bool] = lambda source, to: False
 
     async def create_datagram_endpoint(
         self, protocol_factory: Any, local_addr: tuple[str, int], **options: Any
@@ -47,7 +49,7 @@
         """Deliver a datagram after the network latency, or lose it."""
         self.sent += 1
         self.sent_bytes += len(data)
-        if self._random.random() >= self._loss:
+        if self._random.random() >= self._loss and not self.is_cut(source[0], to[0]):
             self.call_later(ONE_WAY_DELAY_S, self._deliver, data, source, to)
 
     def unbind(self, address: tuple[str, int]) -> None:
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -18,7 +18,7 @@
     ServingBounds,
     StoreSettings,
 )
-from eelgrass_standins.entry_engines import EVENTS, EngineStandIn
+from eelgrass_standins.entry_engines import EVENTS, STARTED_MS, EngineStandIn
 from eelgrass_standins.ports import free_addresses
 from eelgrass_standins.row_store import RowStoreStandIn
 
@@ -196,12 +196,13 @@
         server_id: str,
         data_centre: str = "a",
         version: str = "v1",
+        started: int = STARTED_MS,
     ) -> EngineStandIn:
         """Start a server and write its entry to the store."""
         [address] = free_addresses(1)
         advertised = await self._advertised_address(address)
         engine = EngineStandIn(server_id, advertised, self._event_s)
-        engine.version = version
+        engine.version, engine.started = version, started
         self.engines_by_service.setdefault(service, []).append(engine)
         runner = await self._serve(engine.application(), address)
         engine.crash = lambda: abort_serving(runner)
--- /dev/null
+++ b/tests/support/origin_fleet.py
@@ -0,0 +1,134 @@
+"""Nodes in a simulated network that tell each other the origins of streams."""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+from eelgrass_coordination import Member, Membership
+from eelgrass_node.process.stream_origins import (
+    ReplicaChoice,
+    StreamOrigin,
+    StreamOrigins,
+    VersionHistory,
+)
+
+from .datagram_network import DatagramLoop
+
+__all__ = [
+    "PATIENCE_S",
+    "SERVICE",
+    "UNIX_MS",
+    "V1",
+    "V2",
+    "FleetNode",
+    "OriginFleet",
+    "server",
+]
+
+SERVICE = "readers"
+V1, V2 = StreamOrigin(SERVICE, "v1"), StreamOrigin(SERVICE, "v2")
+UNIX_MS = 1_800_000_000_000
+PATIENCE_S = 8.0
+
+
+def server(version: str, started: int = 0) -> SimpleNamespace:
+    """Return a server as :class:`VersionHistory` sees it."""
+    return SimpleNamespace(entry=SimpleNamespace(version=version, started=started))
+
+
+class FleetNode:
+    """One node; ``list_servers`` gives it the list of servers."""
+
+    def __init__(
+        self, name: str, data_centre: str, address: str, seeds: list[str], epoch: int
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        own = Member(name, data_centre, address, address, epoch)
+        self.membership = Membership(own, seeds)
+        self.counts = Counter()
+        self.is_list_current = True
+        self.backends = SimpleNamespace(by_service={})
+        self.history = VersionHistory(self.backends, clock, lambda: UNIX_MS)
+        members = self.membership.members.reachable
+        self.origins = StreamOrigins(
+            ReplicaChoice(data_centre, {}, members, lambda _: True, clock),
+            members,
+            self.membership.datagrams.send_payload,
+            self.history,
+            lambda: self.is_list_current,
+            clock,
+            lambda name: self.counts.update([name]),
+        )
+        self.membership.on_change = self.origins.copies.on_members_changed
+        self.membership.datagrams.on_payload = self.origins.receive
+
+    def list_servers(self, *versions: str) -> None:
+        """Replace the list of servers by one of each version."""
+        self.backends.by_service = {SERVICE: [server(v) for v in versions]}
+        self.history.servers_changed(SERVICE)
+
+    async def find(self, stream: str) -> StreamOrigin | None:
+        """Find the origin of a stream, as a request that takes it up does."""
+        return await self.origins.find(stream, SERVICE, PATIENCE_S)
+
+    async def stop(self) -> None:
+        """End the node at once."""
+        self.origins.copies.stop()
+        await self.membership.stop()
+
+
+class OriginFleet:
+    """Nodes spread evenly over data centres; servers of v1 and v2 are listed."""
+
+    def __init__(self, nodes: int = 9, data_centres: int = 3) -> None:
+        self._data_centres = data_centres
+        self._count = nodes
+        self._epoch = 0
+        self.nodes: list[FleetNode] = []
+
+    async def __aenter__(self) -> "OriginFleet":
+        """Start all nodes and wait until they know each other."""
+        for number in range(self._count):
+            await self.add(number)
+        while not self.agrees():  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop all nodes."""
+        for node in self.nodes:
+            await node.stop()
+
+    async def add(self, number: int) -> FleetNode:
+        """Start a node, in place of one that has ended if there is one."""
+        self._epoch += 1
+        data_centre = number % self._data_centres
+        host = f"10.{data_centre}.0.{number + 1}"
+        seeds = ["10.0.0.1:1", "10.1.0.2:1", "10.2.0.3:1"]
+        name = f"node-{number}"
+        node = FleetNode(name, f"dc-{data_centre}", f"{host}:1", seeds, self._epoch)
+        self.nodes[number : number + 1] = [node]
+        node.list_servers("v1", "v2")
+        await node.membership.start()
+        return node
+
+    async def restart(self, number: int) -> FleetNode:
+        """Kill a node and start it again, with nothing of what it knew."""
+        await self.nodes[number].stop()
+        return await self.add(number)
+
+    def agrees(self) -> bool:
+        """Return whether every node knows every other one."""
+        known = len(self.nodes) - 1
+        return all(
+            len(node.membership.members.reachable()) == known for node in self.nodes
+        )
+
+    def cut(self, data_centre: int) -> None:
+        """Cut a data centre off from all others."""
+        inside = f"10.{data_centre}."
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, DatagramLoop)
+        loop.is_cut = lambda source, to: (
+            source.startswith(inside) != to.startswith(inside)
+        )
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -30,7 +30,7 @@
         self, deployment: EntryDeployment, addresses: list[str] | None = None
     ) -> None:
         self._deployment = deployment
-        self._addresses = addresses or [n.settings.callers for n in deployment.nodes]
+        self._addresses = addresses
         self._first_id: str | None = None
         self.body = b""
         self.request_ids: list[str] = []
@@ -65,7 +65,7 @@
         if self._first_id or resumes:
             headers["Resumes"] = resumes or self._first_id
             headers["Last-Event-Id"] = str(self.events)
-        url = URL(f"http://{self._addresses[node]}{TARGET}", encoded=True)
+        url = URL(f"http://{self._address(node)}{TARGET}", encoded=True)
         buffer = b""
         try:
             async with (
@@ -92,6 +92,11 @@
             if run.request_id in self.request_ids
         }
 
+    def _address(self, node: int) -> str:
+        if self._addresses is not None:
+            return self._addresses[node]
+        return self._deployment.nodes[node].settings.callers
+
     def _take_events(self, data: bytes, request_id: str) -> bytes:
         """Take the complete events; return the rest."""
         whole, end, rest = data.rpartition(EVENT_END)
@@ -123,11 +128,11 @@
             await self.release(version)
         return self
 
-    async def release(self, version: str, count: int = SERVERS) -> None:
+    async def release(self, version: str, count: int = SERVERS, **entry: int) -> None:
         """Start servers of a version, and wait until all nodes know them."""
         for number in range(count):
             server_id = f"readers-{version}-{number}"
-            await self.start_engine("readers", server_id, version=version)
+            await self.start_engine("readers", server_id, version=version, **entry)
         await until(lambda: self._all_know(version, count))
 
     async def withdraw(self, version: str) -> None:
@@ -156,7 +161,7 @@
         return all(
             sum(
                 server.entry.version == version
-                for server in node.backends.by_service["readers"]
+                for server in node.backends.by_service.get("readers", ())
             )
             == count
             for node in self.nodes
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,6 +20,7 @@
     "entry_node",
     "entry_gauges",
     "entry_applications",
+    "entry_serving",
     "cli",
     "__main__",
 }
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,9 +6,13 @@
 
 from eelgrass_node.process import platform_tables
 from eelgrass_standins.entry_engines import EngineFault
+from support.entry import until
+from support.host_links import Cut, LinkedDeployment
 from support.streams import StreamCaller, VersionedDeployment, of_several_versions
 
 STREAMS = 12
+# As many streams as one node may retry at once within its share of the retry budget.
+BROKEN_STREAMS = 8
 
 
 @pytest.fixture(autouse=True)
@@ -17,6 +21,24 @@
     monkeypatch.setattr(platform_tables, "SERVERS_FEED_DELAY_S", 0.01)
 
 
+class LinkedVersionedDeployment(VersionedDeployment, LinkedDeployment):
+    """Servers of two versions, and nodes that can be cut off from them."""
+
+
+async def upgrade(deployment, engine, restarts=True):
+    """Let a server come back under its id with another version of its software."""
+    if restarts:
+        engine.restart()
+    engine.version = "v2"
+    deployment.list_engine("readers", engine)
+    await until(
+        lambda: all(
+            node.backends.by_id[engine.server_id].entry.version == "v2"
+            for node in deployment.nodes
+        )
+    )
+
+
 class TestTakingUpAStream:
     # Guards against a host that does not know which version began the stream.
     async def test_it_goes_on_at_the_version_that_began_it(self):
@@ -59,15 +81,115 @@
             new = StreamCaller(deployment)
             assert await new.read(1) == 200 and new.complete
 
+    # Guards against a host that remembers a stream by its last attempt only.
+    async def test_a_third_attempt_names_the_first(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            await deployment.take_up(callers, node=1, events=4)
+            await deployment.nodes[0].close()
+            await deployment.nodes[1].close()
+            await deployment.take_up(callers, node=2)
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
+    async def test_it_is_taken_up_at_a_host_that_has_just_joined(self):
+        async with VersionedDeployment(nodes=3) as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            joined = await deployment.add_node()
+            await until(
+                lambda: joined.ready and len(joined.membership.members.by_id) == 3
+            )
+            await deployment.nodes[0].close()
+            await deployment.take_up(callers, node=3)
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
+    # Guards against copies that leave with hosts which are restarted as planned.
+    async def test_the_hosts_that_know_its_version_have_left(self):
+        async with VersionedDeployment(nodes=5) as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            await deployment.nodes[0].close()
+            for node in deployment.nodes[1:4]:
+                stop = asyncio.create_task(node.run_until_stopped())
+                node.stopping.request()
+                await until(lambda node=node: node.stopping.stopping)
+                await asyncio.sleep(0.3)
+                stop.cancel()
+                await node.close()
+            await deployment.take_up(callers, node=4)
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
+    # Guards against a guess where the version is not known to any host.
+    async def test_an_unknown_stream_is_refused_while_there_are_two_versions(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            statuses = await deployment.take_up(callers, node=1, resumes="unknown")
+            assert set(statuses) == {503}
+            assert all("Retry-After" in caller.refusal_headers for caller in callers)
+            assert of_several_versions(callers) == []
+
+    # Guards against refusals where only one version can have begun the stream.
+    async def test_an_unknown_stream_goes_on_while_there_is_one_version(self):
+        async with VersionedDeployment(versions=("v1",)) as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            statuses = await deployment.take_up(callers, node=1, resumes="unknown")
+            assert set(statuses) == {200}
+            assert all(caller.complete for caller in callers)
+
+    # Guards against streams that cross to another version over a relayed connection.
+    async def test_it_is_taken_up_at_a_host_that_reaches_no_server_itself(self):
+        async with LinkedVersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            deployment.cut(1, Cut.REFUSED)
+            await deployment.take_up(callers, node=1)
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
+
+class TestAServerThatRestartsWithAnotherVersion:
+    # Guards against an id that is taken for a version.
+    async def test_its_streams_go_on_at_other_servers_of_their_version(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            await upgrade(deployment, deployment.engines_by_service["readers"][0])
+            await deployment.take_up(callers, node=1)
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
+    # Guards against hosts that send a stream to a server which has restarted since its
+    # entry was read, and take the old version for the one that began it.
+    @pytest.mark.parametrize("reports_start", [True, False])
+    async def test_a_stream_that_began_before_its_new_entry_was_read(
+        self, reports_start
+    ):
+        async with VersionedDeployment(("v1",), event_s=0.1) as deployment:
+            engines = deployment.engines_by_service["readers"]
+            if not reports_start:
+                await deployment.withdraw("v1")
+                engines.clear()
+                await deployment.release("v1", started=0)
+            engines[0].version = "v2"
+            callers = [StreamCaller(deployment) for _ in range(BROKEN_STREAMS)]
+            reading = [asyncio.create_task(caller.read(0)) for caller in callers]
+            await until(lambda: all(caller.events >= 2 for caller in callers))
+            await upgrade(deployment, engines[0], restarts=reports_start)
+            for engine in engines:
+                engine.faults = [EngineFault.CUT_IN_EVENT]
+            await asyncio.gather(*reading)
+            broken = [caller for caller in callers if not caller.complete]
+            await deployment.take_up(broken, node=1)
+            assert of_several_versions(callers) == []
+
 
 class TestAStreamThatItsServerBreaksOff:
     # Guards against a host that resumes a broken stream at any server of the service.
     async def test_it_goes_on_at_the_version_that_began_it(self):
         async with VersionedDeployment(nodes=1) as deployment:
-            faults = [EngineFault.CUT_IN_EVENT] * STREAMS
+            faults = [EngineFault.CUT_IN_EVENT] * BROKEN_STREAMS
             for engine in deployment.engines_by_service["readers"]:
                 engine.faults, engine.events_before_cut = faults, 2
-            callers = [StreamCaller(deployment) for _ in range(STREAMS)]
+            callers = [StreamCaller(deployment) for _ in range(BROKEN_STREAMS)]
             await asyncio.gather(*(caller.read(0) for caller in callers))
             assert faults == []
             assert of_several_versions(callers) == []
