Copy cached prompts only between engines of one software version

An engine that lacks a prompt's shared parts copies them from another one, whatever its version. What two versions write does not fit together, and no page says that caches do. test_it_copies_only_from_engines_of_its_software_version failed before: the copy came from an engine of the other version.

--- a/packages/node/src/eelgrass_node/process/placement.py
+++ b/packages/node/src/eelgrass_node/process/placement.py
@@ -96,13 +96,19 @@
     leaving passes some on. Their prefill would then be repeated, which takes a quarter
     of a second each, although another engine has them cached: the first one in hash
     order that has been listed long enough. ``copy_s`` is the duration of the copy. An
-    engine that has the prefix cached already copies nothing.
+    engine that has the prefix cached already copies nothing. Engines of different
+    software versions do not share their caches, as their formats may differ.
     """
     if prefix_key is None or shared_tokens < MIN_COPY_TOKENS:
         return None
     if copy_s > COPY_FRACTION * shared_tokens / PREFILL_TOKENS_PER_S:
         return None
-    established = [s for s in listed if now - s.first_listed_at >= CACHE_WARM_S]
+    established = [
+        server
+        for server in listed
+        if server.entry.version == chosen.entry.version
+        and now - server.first_listed_at >= CACHE_WARM_S
+    ]
     if not established:
         return None
     holder = hash_order(established, prefix_key)[0]
--- a/packages/node/tests/test_placement.py
+++ b/packages/node/tests/test_placement.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+import msgspec
 import pytest
 
 from eelgrass_coordination.ids import BackendId, DataCentre
@@ -101,6 +102,17 @@
         first.first_listed_at = 100.0 - CACHE_WARM_S / 2
         assert self.source(engines, first) is second
 
+    # Guards against copies of a cache that another software version has written.
+    def test_it_copies_only_from_engines_of_its_software_version(self):
+        engines = self.engines()
+        first, second, third = hash_order(engines, "subject")[:3]
+        for engine in (first, third):
+            engine.entry = msgspec.structs.replace(engine.entry, version="v2")
+        first.first_listed_at = 100.0 - CACHE_WARM_S / 2
+        assert self.source(engines, first) is third
+        third.entry = second.entry
+        assert self.source(engines, first) is None
+
     def test_an_established_engine_has_its_prefixes_cached(self):
         engines = self.engines()
         first = hash_order(engines, "subject")[0]
