Keep generations of the product's own front door at one software version

The host list now states a version, and a stage that has chunks waits for servers of the version that wrote them. It is refused at once where there is none, and does not hold up stages that may go anywhere. test_a_broken_stream_goes_on_at_its_version failed before: of twelve cut streams some had run at both versions.

--- a/packages/node/src/eelgrass_node/process/dispatch.py
+++ b/packages/node/src/eelgrass_node/process/dispatch.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from eelgrass_coordination import MovingAverage
-from eelgrass_coordination.ids import BackendId
+from eelgrass_coordination.ids import BackendId, SoftwareVersion
 
 from ..exceptions import Refused
 from ..request.model import CallerRequest
@@ -26,14 +26,19 @@
 
 
 class _Waiter:
-    """A stage that waits for a backend server."""
+    """A stage that waits for a backend server, of one ``version`` if it is set."""
 
     def __init__(
-        self, key: OrderKey, tried: frozenset[BackendId], latest: float
+        self,
+        key: OrderKey,
+        tried: frozenset[BackendId],
+        latest: float,
+        version: SoftwareVersion | None,
     ) -> None:
         self.key = key
         self.tried = tried
         self.latest = latest
+        self.version = version
         self.granted: asyncio.Future[Backend] = (
             asyncio.get_running_loop().create_future()
         )
@@ -98,19 +103,16 @@
         request: CallerRequest,
         tried: frozenset[BackendId],
         latest: float,
+        version: SoftwareVersion | None = None,
     ) -> Backend:
         """Wait for a server until ``latest``, a time of the event loop.
 
-        Raises :class:`TimeoutError` at that time, and :class:`Refused` if there is no
-        server or the queue is full. The caller must :meth:`release` the server.
+        Only servers of the software ``version`` are granted, if it is set. Raises
+        :class:`TimeoutError` at that time, and :class:`Refused` if there is no server
+        or the queue is full. The caller must :meth:`release` the server.
         """
-        if not self._backends.usable(self.service):
-            raise Refused(
-                RefusalReason.NO_BACKEND,
-                Outcome.NOT_RUN,
-                f"Service {self.service!r} has no usable server.",
-                NO_BACKEND_RETRY_S,
-            )
+        if not self._usable(version):
+            raise self._no_server(version)
         if len(self._waiters) >= MAX_WAITING:
             raise Refused(
                 RefusalReason.QUEUE_FULL,
@@ -121,7 +123,7 @@
         self._arrivals += 1
         priority = request.pipeline.priority
         key = self._order(priority, request.deadline, self._arrivals)
-        waiter = _Waiter(key, tried, latest)
+        waiter = _Waiter(key, tried, latest, version)
         bisect.insort(self._waiters, waiter, key=lambda other: other.key)
         self.grant()
         if self._sheds:
@@ -144,19 +146,32 @@
         asyncio.get_running_loop().call_later(backoff_s, self.grant)
 
     def grant(self) -> None:
-        """Grant servers with free slots to the first waiters."""
-        while self._waiters:
-            waiter = self._waiters[0]
+        """Grant servers with free slots to the first waiters.
+
+        Those that need a certain version do not hold up the others.
+        """
+        for waiter in list(self._waiters):
             if waiter.granted.done():
                 # The waiter has just timed out, and its task has not run since.
-                del self._waiters[0]
+                self._waiters.remove(waiter)
                 continue
-            backend = self._pick(waiter.tried)
-            if backend is None:
+            backend = self._pick(waiter)
+            if backend is None and waiter.version is None:
                 return
-            del self._waiters[0]
-            backend.in_flight += 1
-            waiter.granted.set_result(backend)
+            if backend is not None:
+                self._waiters.remove(waiter)
+                backend.in_flight += 1
+                waiter.granted.set_result(backend)
+
+    def servers_changed(self) -> None:
+        """Refuse waiters whose version has no server left; grant new servers."""
+        for waiter in list(self._waiters):
+            if waiter.version is None or self._usable(waiter.version):
+                continue
+            self._waiters.remove(waiter)
+            if not waiter.granted.done():
+                waiter.granted.set_exception(self._no_server(waiter.version))
+        self.grant()
 
     def shed(self) -> None:
         """Refuse waiters at the end of the queue that cannot be served in time.
@@ -184,20 +199,32 @@
         usable = self._backends.usable(self.service)
         return any(backend.has_room() for backend in usable)
 
-    def _pick(self, tried: frozenset[BackendId]) -> Backend | None:
-        with_room = [b for b in self._candidates(tried) if b.has_room()]
+    def _usable(self, version: SoftwareVersion | None) -> list[Backend]:
+        usable = self._backends.usable(self.service)
+        return [b for b in usable if version in (None, b.entry.version)]
+
+    def _no_server(self, version: SoftwareVersion | None) -> Refused:
+        detail = f"Service {self.service!r} has no usable server"
+        if version is not None:
+            detail += f" of software version {version!r}"
+        return Refused(
+            RefusalReason.NO_BACKEND, Outcome.NOT_RUN, f"{detail}.", NO_BACKEND_RETRY_S
+        )
+
+    def _pick(self, waiter: _Waiter) -> Backend | None:
+        with_room = [b for b in self._candidates(waiter) if b.has_room()]
         return self._choose(with_room) if with_room else None
 
-    def _candidates(self, tried: frozenset[BackendId]) -> list[Backend]:
+    def _candidates(self, waiter: _Waiter) -> list[Backend]:
         """Return the preferred servers, whether or not they have free slots.
 
         A server that has just failed always has free slots. Waiting for a healthy one
         is better than failing there again.
         """
-        usable = self._backends.usable(self.service)
+        usable = self._usable(waiter.version)
         now = asyncio.get_running_loop().time()
         healthy = [b for b in usable if b.suspect_until <= now]
-        untried = [b for b in healthy if b.entry.id not in tried]
+        untried = [b for b in healthy if b.entry.id not in waiter.tried]
         return untried or healthy or usable
 
     def _withdraw(self, waiter: _Waiter) -> None:
@@ -244,7 +271,7 @@
     def servers_changed(self, service: str) -> None:
         """Serve waiters after the servers of a service have changed."""
         if service in self.by_service:
-            self.by_service[service].grant()
+            self.by_service[service].servers_changed()
 
     def expected_rest(self, stages: tuple[Stage, ...]) -> float:
         """Return the expected duration of stages without queueing, in seconds."""
--- a/packages/node/src/eelgrass_node/request/stages.py
+++ b/packages/node/src/eelgrass_node/request/stages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from eelgrass_coordination import RetryBudget, running_time
+from eelgrass_coordination.ids import SoftwareVersion
 
 from ..exceptions import Refused
 from ..process.backends import Backend
@@ -67,6 +68,9 @@
         self._queue: ServiceQueue = environment.dispatch.queue(stage.service)
         self._tried: frozenset[str] = frozenset()
         self._generation = self._new_generation(emit)
+        # The software version that wrote the chunks so far: those of another one do not
+        # continue them.
+        self._version: SoftwareVersion | None = None
         self.dispatched = False
         self.cost = StageCost(stage.name)
 
@@ -89,17 +93,34 @@
                 # priority and deadline: a full server does not count as a failure.
                 self._environment.on_retry(result.reason)
                 continue
+            self._check_version(backend)
             if result.reason is not RetryReason.TOO_SLOW:
                 backend.suspect()
             self._tried |= {backend.entry.id}
             self._check_retry(result)
 
+    def _check_version(self, backend: Backend) -> None:
+        """Note the version of the first chunks; raise :class:`Refused` if unknown."""
+        if self._generation is None or not self._generation.chunks:
+            return
+        if backend.is_version_uncertain:
+            raise Refused(
+                RefusalReason.ATTEMPTS_EXHAUSTED,
+                self._outcome(),
+                f"The server of stage {self._stage.name!r} was restarted with another "
+                "software version.",
+                self._queue.retry_after(),
+            )
+        self._version = self._version or backend.entry.version
+
     async def _acquire(self) -> Backend:
         request = self._request
         min_run_s = self._queue.expected_run(self._stage) * MIN_RUN_FRACTION
         latest = request.deadline - self._rest_s - min_run_s
         try:
-            return await self._queue.acquire(request, self._tried, latest)
+            return await self._queue.acquire(
+                request, self._tried, latest, self._version
+            )
         except TimeoutError as error:
             raise Refused(
                 RefusalReason.DEADLINE_INFEASIBLE,
--- a/packages/node/tests/test_dispatch.py
+++ b/packages/node/tests/test_dispatch.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrass_node.exceptions import Refused
 from eelgrass_node.process.backends import Backends, HostEntry
 from eelgrass_node.process.dispatch import ServiceQueue
 from eelgrass_node.process.policy import (
@@ -13,14 +14,18 @@
     order_function,
 )
 from eelgrass_node.request.model import CallerRequest
+from eelgrass_node.request.reasons import RefusalReason
 from eelgrass_node.version import Pipeline
 
 
+def entry(server_id, number=0, limit=1, version=""):
+    address = f"127.0.0.1:{number}"
+    return HostEntry(server_id, "desk", address, "x", limit, version=version)
+
+
 def new_queue(*ids, limit=1, sheds=True, order=Order.PRIORITY_DEADLINE):
     backends = Backends()
-    backends.update(
-        [HostEntry(i, "desk", f"127.0.0.1:{n}", "x", limit) for n, i in enumerate(ids)]
-    )
+    backends.update([entry(i, n, limit) for n, i in enumerate(ids)])
     choose = choice_function(Choice.LEAST_OF_TWO, seed=1)
     queue = ServiceQueue("desk", backends, choose, order_function(order), sheds)
     queue.service_time_s.record(0.1)
@@ -35,10 +40,10 @@
     )
 
 
-def acquire(queue, tried=(), **options):
+def acquire(queue, tried=(), version=None, **options):
     request = new_request(**options)
     return asyncio.create_task(
-        queue.acquire(request, frozenset(tried), request.deadline)
+        queue.acquire(request, frozenset(tried), request.deadline, version)
     )
 
 
@@ -123,3 +128,43 @@
         for _ in range(100):
             held.record_success()
         assert int(held.window) == 8
+
+
+class TestSoftwareVersions:
+    def queue(self):
+        queue = new_queue()
+        v1, v2 = entry("a", 1, version="v1"), entry("b", 2, version="v2")
+        queue._backends.on_change = lambda _: queue.servers_changed()
+        queue._backends.update([v1, v2])
+        return queue, v1, v2
+
+    async def test_only_servers_of_the_version_are_granted(self):
+        queue, _, _ = self.queue()
+        held = await acquire(queue, version="v2")
+        assert held.entry.id == "b"
+        waiting = acquire(queue, version="v2")
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        queue.release(held)
+        assert (await waiting).entry.id == "b"
+
+    # Guards against a waiter for one version that holds up all others.
+    async def test_a_waiter_for_a_version_does_not_hold_up_others(self):
+        queue, _, _ = self.queue()
+        await acquire(queue, version="v2")
+        waiting = acquire(queue, version="v2", priority=0)
+        await asyncio.sleep(0)
+        assert (await acquire(queue, priority=5)).entry.id == "a"
+        assert not waiting.done()
+        waiting.cancel()
+
+    async def test_it_is_refused_at_once_if_the_version_has_no_server_left(self):
+        queue, v1, _ = self.queue()
+        await acquire(queue, version="v2")
+        waiting = acquire(queue, version="v2")
+        await asyncio.sleep(0)
+        queue._backends.update([v1])
+        for refused in (waiting, acquire(queue, version="v2")):
+            with pytest.raises(Refused) as raised:
+                await refused
+            assert raised.value.reason is RefusalReason.NO_BACKEND
--- a/packages/standins/src/eelgrass_standins/deployment.py
+++ b/packages/standins/src/eelgrass_standins/deployment.py
@@ -36,6 +36,7 @@
     work_ms: float = 0.0
     checks_fencing: bool = True
     started: int = 1
+    version: str = "v1"
 
     def host_entry(self) -> dict[str, Any]:
         """Return the entry in the platform's host list."""
@@ -48,6 +49,7 @@
             "state": "live",
             "started": self.started,
             "checks_fencing": self.checks_fencing,
+            "version": self.version,
         }
 
 
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 import pytest_asyncio
 
 from eelgrass_standins.faults import Fault, FaultAction as Action
+from eelgrass_standins.samples import sample_deployment
 from support.history import History, violations
 from support.local import LocalDeployment
 
@@ -108,3 +110,41 @@
         )
         complete = sum(reply is not None and reply.status == 200 for reply in replies)
         assert complete >= 57, [r for r in replies if r is None or r.status != 200]
+
+
+def spec_with_two_versions():
+    """Return a sample deployment whose engines are of two versions by turns."""
+    spec = sample_deployment(engines=6, pool_size=2, work=0.0, step_ms=1.0)
+    backends = tuple(
+        msgspec.structs.replace(backend, version=f"v{number % 2 + 1}")
+        for number, backend in enumerate(spec.backends)
+    )
+    return msgspec.structs.replace(spec, backends=backends)
+
+
+class TestSoftwareVersions:
+    # Guards against answers that join the chunks of two software versions.
+    @pytest.mark.parametrize("stream", [False, True])
+    async def test_a_broken_stream_goes_on_at_its_version(self, stream):
+        policy = {"retry_budget_ratio": 1.0, "retry_budget_reserve": 100.0}
+        spec = spec_with_two_versions()
+        version_by_id = {backend.id: backend.version for backend in spec.backends}
+        async with LocalDeployment(spec, nodes=1, policy=policy) as deployment:
+            history = History()
+            cut = Fault(Action.CUT_STREAM, GENERATE, times=12, after=3)
+            deployment.fault("model-readers", cut)
+            texts = [f"text {letter}" for letter in "abcdefghijkl"]
+            replies = await asyncio.gather(
+                *(
+                    history.call(deployment, 0, "revision-check", text, stream=stream)
+                    for text in texts
+                )
+            )
+            assert [reply.status for reply in replies] == [200] * len(texts)
+            for text in texts:
+                versions = {
+                    version_by_id[entry.backend_id]
+                    for entry in deployment.journal("model-readers")
+                    if text in entry.input_text and entry.tokens
+                }
+                assert len(versions) == 1, text
