Test: a host with streams in flight gets a SIGKILL, with real processes

Twelve streams in the middle of their answers at a node that runs as a process; it is killed and they are taken up at another one. Fails if the origin is not asked for. The planner's guess of the server that a request gets follows the version of its stream, too.

--- a/packages/node/src/eelgrass_node/request/stage_planner.py
+++ b/packages/node/src/eelgrass_node/request/stage_planner.py
@@ -40,6 +40,7 @@
             prompt.prefix_key(),
             prompt.shared_tokens(),
             regions=routed.regions,
+            version=routed.version,
         )
         expected = self._choose(criteria)
         preferred_data_centre = "" if expected is None else expected.entry.data_centre
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,6 +8,7 @@
 from eelgrass_standins.entry_engines import EngineFault
 from support.entry import until
 from support.host_links import Cut, LinkedDeployment
+from support.soak_deployment import SoakDeployment
 from support.streams import StreamCaller, VersionedDeployment, of_several_versions
 
 STREAMS = 12
@@ -182,6 +183,30 @@
             assert of_several_versions(callers) == []
 
 
+class TestHostsThatAreKilled:
+    # Guards against the loss of the version with a process that gets a SIGKILL.
+    @pytest.mark.processes
+    async def test_their_streams_stay_at_their_versions(self, tmp_path):
+        async with SoakDeployment(tmp_path, seed=49, nodes=4, servers=3) as deployment:
+            for number in range(3):
+                name = f"readers-v2-{number}"
+                await deployment.start_engine("readers", name, version="v2")
+            nodes = deployment.soak_nodes
+            await until(lambda: all(name in node.process.log_text() for node in nodes))
+            for engine in deployment.engines_by_service["readers"]:
+                engine.event_s = 0.2
+            addresses = [node.callers for node in nodes]
+            callers = [StreamCaller(deployment, addresses) for _ in range(STREAMS)]
+            reading = [asyncio.create_task(caller.read(0)) for caller in callers]
+            await until(lambda: all(caller.events >= 2 for caller in callers))
+            await nodes[0].process.kill()
+            await asyncio.gather(*reading)
+            assert not any(caller.complete for caller in callers)
+            await asyncio.gather(*(caller.read(1) for caller in callers))
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
+
 class TestAStreamThatItsServerBreaksOff:
     # Guards against a host that resumes a broken stream at any server of the service.
     async def test_it_goes_on_at_the_version_that_began_it(self):
