--- a/packages/node/src/eelgrass_node/process/stream_origins/origin_copies.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/origin_copies.py
@@ -109,30 +109,34 @@
 
     async def _copy(self, copying: _Copying) -> None:
         """Copy an origin until as many nodes as possible have it, or it expires."""
-        while self._missing(copying) and self._clock() < copying.expires_at:
+        while self._clock() < copying.expires_at:
+            missing = self._missing(copying)
+            if not missing:
+                break
+            silent = await self._copy_to(copying, missing)
+            if not silent:
+                break
             # Other nodes take the place of those that do not answer.
-            for member in await self._copy_to_replicas(copying):
+            for member in silent:
                 self._choice.on_silence(member, SILENCE_S)
         if not copying.confirmed.done():
             # There is no other node that could keep a copy.
             copying.confirmed.set_result(None)
 
-    async def _copy_to_replicas(self, copying: _Copying) -> list[Member]:
-        """Send copies to the replicas; return those that did not confirm any."""
+    async def _copy_to(self, copying: _Copying, members: list[Member]) -> list[Member]:
+        """Send copies to some nodes; return those that did not confirm any."""
         numbers: list[int] = []
-        silent: list[Member] = []
         for pause_s in RESEND_AFTER_S:
-            missing = self._missing(copying)
-            if not missing:
-                break
             copying.round_complete = asyncio.get_running_loop().create_future()
-            copying.unconfirmed = {member.id for member in missing}
-            numbers += [self._send_copy(copying, member) for member in missing]
+            copying.unconfirmed = {member.id for member in members}
+            numbers += [self._send_copy(copying, member) for member in members]
             await stall_aware_wait(copying.round_complete, pause_s)
-            silent = [member for member in missing if not copying.is_at(member)]
+            members = [member for member in members if not copying.is_at(member)]
+            if not members:
+                break
         for number in numbers:
             self._sent.pop(number, None)
-        return silent
+        return members
 
     def _missing(self, copying: _Copying) -> list[Member]:
         """Return the replicas that have no copy yet."""
