Ask a server when it was started before a stream goes on there

A server that ends may be back under its id within a moment, with another version, and accepts requests that name the id before any host has read its new entry. Callers whose streams it broke come back in just that moment, so their streams would go on at the new version. Before a stream goes on, the server's report must state the start that its entry states; otherwise it is forgotten until its new entry is read, as one that another server has replaced. New streams are not checked, nor servers that do not state their start.

test_no_stream_is_resumed_there_before_its_new_entry_was_read fails without the check. Also: a query of other nodes is forgotten if its request is cancelled.

--- a/packages/node/src/eelgrass_node/platform/requests.py
+++ b/packages/node/src/eelgrass_node/platform/requests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import msgspec
 from multidict import CIMultiDict
 
 from ..exceptions import RequestMalformed
@@ -13,10 +14,13 @@
     RoutedRequest,
 )
 from . import names
+from .names import REPORT_PATH
 
 __all__ = [
+    "REPORT_PATH",
     "decode_head",
     "decode_request",
+    "decode_start",
     "encode_request",
     "parse_refusal_limit",
 ]
@@ -129,6 +133,20 @@
     )
 
 
+class _Report(msgspec.Struct, frozen=True):
+    """The part of a server's report that is used; ``born`` is in Unix milliseconds."""
+
+    born: int | None = None
+
+
+def decode_start(report: bytes) -> int | None:
+    """Decode when a server was started from the report of its state."""
+    try:
+        return msgspec.json.decode(report, type=_Report).born
+    except msgspec.MsgspecError:
+        return None
+
+
 def parse_refusal_limit(value: str | None) -> int | None:
     """Decode how many refusals per second a server bears; None if it is not brittle."""
     if value is None:
--- a/packages/node/src/eelgrass_node/process/server_list.py
+++ b/packages/node/src/eelgrass_node/process/server_list.py
@@ -108,10 +108,7 @@
         self._remove_at.pop(server_id, None)
         known = self._entry_by_id.get(server_id)
         self._entry_by_id[server_id] = entry
-        if known is None or (known.state, known.incarnation) != (
-            entry.state,
-            entry.incarnation,
-        ):
+        if known is None or _identity(known) != _identity(entry):
             log(
                 Part.HOSTS,
                 "A server is listed.",
@@ -160,5 +157,9 @@
         self._backends.update(list(self._entry_by_id.values()))
 
 
+def _identity(entry: HostEntry) -> tuple:
+    return (entry.state, entry.incarnation, entry.version)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -183,19 +183,25 @@
     ) -> _Query:
         """Ask nodes until one knows the origin, all have answered, or time is up."""
         query = _Query(members)
-        for _ in range(ASKS_PER_TIMEOUT):
-            if not query.unanswered or query.complete.done():
-                break
-            for member in list(query.unanswered.values()):
-                number = next(self._numbers)
-                query.member_by_number[number] = member
-                self._query_by_number[number] = query
-                self._send(member.gossip, msgspec.structs.replace(ask, number=number))
-            await stall_aware_wait(query.complete, within_s / ASKS_PER_TIMEOUT)
-        for number in query.member_by_number:
-            del self._query_by_number[number]
+        try:
+            for _ in range(ASKS_PER_TIMEOUT):
+                if not query.unanswered or query.complete.done():
+                    break
+                self._send_asks(query, ask)
+                await stall_aware_wait(query.complete, within_s / ASKS_PER_TIMEOUT)
+        finally:
+            for number in query.member_by_number:
+                del self._query_by_number[number]
         return query
 
+    def _send_asks(self, query: _Query, ask: Ask) -> None:
+        """Ask the nodes that have not answered yet."""
+        for member in list(query.unanswered.values()):
+            number = next(self._numbers)
+            query.member_by_number[number] = member
+            self._query_by_number[number] = query
+            self._send(member.gossip, msgspec.structs.replace(ask, number=number))
+
     def _only_possible(
         self, ask: Ask, queries: tuple[_Query, _Query]
     ) -> StreamOrigin | None:
--- a/packages/node/src/eelgrass_node/request/incoming_request.py
+++ b/packages/node/src/eelgrass_node/request/incoming_request.py
@@ -173,7 +173,12 @@
 
 
 class WireCodec(Protocol):
-    """Encodes and decodes requests; the platform adapter implements it."""
+    """Encodes and decodes requests; the platform adapter implements it.
+
+    Servers answer ``GET`` requests to ``REPORT_PATH`` with their state.
+    """
+
+    REPORT_PATH: str
 
     def decode_request(
         self,
@@ -203,3 +208,9 @@
         self, status: int, raw_headers: tuple[tuple[bytes, bytes], ...]
     ) -> ResponseHead:
         """Decode the head of a backend server's response."""
+
+    def decode_start(self, report: bytes) -> int | None:
+        """Decode when a server was started from the report of its state.
+
+        The result is as in its entry, and None if the report does not state it.
+        """
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -143,6 +143,7 @@
             backend = await select_server(self._context, self._criteria())
             backend.in_flight += 1
             try:
+                await self._stream_version.confirm_server(self._context.codec, backend)
                 return await self._call(backend, inputs)
             except CallFailed as failed:
                 self._calling = False
--- a/packages/node/src/eelgrass_node/request/stream_version.py
+++ b/packages/node/src/eelgrass_node/request/stream_version.py
@@ -5,7 +5,8 @@
 from ..exceptions import CallFailed, RequestRefused
 from ..process.backends import Backend
 from ..process.stream_origins import StreamOrigin, StreamOrigins
-from .incoming_request import RoutedRequest
+from .incarnation_check import check_incarnation
+from .incoming_request import RoutedRequest, WireCodec
 from .reasons import RetryReason
 
 __all__ = ["StreamVersion"]
@@ -29,6 +30,11 @@
         if self._writer is not server and server.is_version_uncertain:
             raise CallFailed(RetryReason.VERSION_UNCERTAIN, not_run=False)
 
+    async def confirm_server(self, codec: WireCodec, server: Backend) -> None:
+        """Raise :class:`CallFailed` if the server may not be of the version."""
+        if self.version is not None:
+            await check_incarnation(codec, server)
+
     async def begin_events(self, server: Backend) -> None:
         """Note which server writes the next events, before they are sent."""
         is_first = self._writer is None
--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -79,9 +79,13 @@
         app = web.Application()
         app.router.add_post("/-/stage-run", self._handle_items)
         app.router.add_post("/-/stage-free", self._handle_free)
+        app.router.add_get("/-/report", self._handle_report)
         app.router.add_route("*", "/{path:.*}", self._handle)
         return app
 
+    async def _handle_report(self, request: web.Request) -> web.Response:
+        return web.json_response({"Phase": "both", "born": self.started})
+
     def restart(self) -> None:
         """Begin a new incarnation; drop all results and restart the handle numbers."""
         self.started += 1
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -158,6 +158,18 @@
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
+    # Guards against hosts that resume a stream at a server which has restarted without
+    # their knowledge.
+    async def test_no_stream_is_resumed_there_before_its_new_entry_was_read(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            restarted = deployment.engines_by_service["readers"][0]
+            restarted.restart()
+            restarted.version = "v2"
+            await deployment.take_up(callers, node=1)
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
     # Guards against hosts that send a stream to a server which has restarted since its
     # entry was read, and take the old version for the one that began it.
     @pytest.mark.parametrize("reports_start", [True, False])
