Name the parts of stream resumption by the terms of the field

Take up becomes resume, copies replication, and times to live say so. Also: the check of a server's start no longer counts as a connection that was lost under the request, which would have been recorded as one that may crash servers; the list must have been followed for the time in which a removed server may go on, too, before it proves a single version; the version of a stream that cannot be resumed is never recorded.

--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -13,7 +13,7 @@
 
 from eelgrass_coordination.rendezvous import ranked
 from eelgrass_standins.ports import free_addresses
-from support.origin_fleet import PATIENCE_S, V1, FleetNode
+from support.origin_fleet import CALLER_TIMEOUT_S, V1, FleetNode
 
 STREAMS_PER_S = 5.5
 RUN_S = 10.0
@@ -30,7 +30,7 @@
     for stream in range(int(RUN_S * STREAMS_PER_S)):
         began = loop.time()
         name = f"{number:08x}{stream:08x}"
-        await node.origins.record(name, V1, PATIENCE_S)
+        await node.origins.record(name, V1, CALLER_TIMEOUT_S)
         waits_s.append(loop.time() - began)
         node.origins.release(name)
         await asyncio.sleep(max(0.0, 1 / STREAMS_PER_S - (loop.time() - began)))
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -322,7 +322,7 @@
         self.reachability_checks.stop()
         await self.server_links.close()
         self.shared_queues.checks.stop()
-        self.stream_origins.copies.stop()
+        self.stream_origins.replication.stop()
         self.poison_requests.crash_detector.stop()
         await self.membership.stop()
         await self._listeners.close()
@@ -419,7 +419,7 @@
             self.settings, self.membership.own, members
         )
         self.backends.set_live_nodes(len(self.membership.members.reachable()) + 1)
-        self.stream_origins.copies.on_members_changed()
+        self.stream_origins.replication.on_members_changed()
 
     def _on_servers_changed(self, service: str) -> None:
         self.version_history.servers_changed(service)
--- a/packages/node/src/eelgrass_node/platform/names.py
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -51,8 +51,8 @@
 NOT_EXECUTED = "Eelgrassward-Not-Executed"
 PROMPT_PREFIX = "Eelgrassward-Prompt-Prefix"
 REQUEST_PRIORITY = "Eelgrassward-Request-Priority"
-# The attempt id of the attempt that brought the first event of a stream which the
-# caller takes up again.
+# The attempt id of the attempt that brought the first event of a stream that the caller
+# resumes.
 RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
 SEGMENTS = "Eelgrassward-Segments"
--- a/packages/node/src/eelgrass_node/process/stream_origins/messages.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/messages.py
@@ -11,12 +11,12 @@
 
 
 class Store(msgspec.Struct, frozen=True, array_like=True, tag="store"):
-    """Keep the origin of a stream for ``for_s`` seconds."""
+    """Keep the origin of a stream for ``ttl_s`` seconds."""
 
     number: int
     stream: str
     origin: StreamOrigin
-    for_s: float
+    ttl_s: float
 
 
 class Confirm(msgspec.Struct, frozen=True, array_like=True, tag="confirm"):
@@ -28,14 +28,14 @@
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
     """Tell the origin of a stream; if it is unknown, what can have begun it.
 
-    ``stream`` is empty if its id is not known. ``within_s`` is the time since which the
-    stream of ``service`` can have begun.
+    ``stream`` is empty if its id is not known. The stream is one of ``service`` and has
+    begun within the last ``max_age_s`` seconds.
     """
 
     number: int
     stream: str
     service: ServiceName
-    within_s: float
+    max_age_s: float
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
--- a/packages/node/src/eelgrass_node/process/stream_origins/origin_table.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/origin_table.py
@@ -41,8 +41,8 @@
         entry = self._entry_by_stream.get(stream)
         return entry[0] if entry and entry[1] > self._clock() else None
 
-    def put(self, stream: str, origin: StreamOrigin, for_s: float) -> None:
-        """Keep the origin of a stream for ``for_s`` seconds at least.
+    def put(self, stream: str, origin: StreamOrigin, ttl_s: float) -> None:
+        """Keep the origin of a stream for ``ttl_s`` seconds at least.
 
         The version is uncertain if a different one was given before.
         """
@@ -50,7 +50,7 @@
         if known is not None and known != origin:
             origin = StreamOrigin(known.service, None)
         _, expires_at = self._entry_by_stream.pop(stream, (origin, 0.0))
-        expires_at = max(expires_at, self._clock() + for_s)
+        expires_at = max(expires_at, self._clock() + ttl_s)
         self._entry_by_stream[stream] = (origin, expires_at)
         self._drop_expired()
 
--- a/packages/node/src/eelgrass_node/process/stream_origins/replica_choice.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/replica_choice.py
@@ -1,7 +1,7 @@
 """Chooses the nodes that keep a copy of the origin of a stream.
 
 The choice follows from the id of the stream and the live members, so that a node where
-the stream is taken up again finds the same ones. One is in the node's own data centre,
+the stream is resumed finds the same ones. One is in the node's own data centre,
 which stays reachable when data centres are partitioned from each other; the others are
 in other data centres, so that the loss of one leaves a copy.
 """
@@ -22,7 +22,7 @@
 class ReplicaChoice:
     """The choice as seen by a node in ``data_centre``.
 
-    Data centres of its region are preferred: streams are taken up near their callers,
+    Data centres of its region are preferred: streams are resumed near their callers,
     and answers from other regions take long. ``is_reachable`` returns whether a data
     centre is expected to answer, and ``clock`` returns seconds.
     """
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -1,14 +1,14 @@
 """Records which service and software version began a stream, and finds it again.
 
 What two versions of a server write does not fit together, so a stream that breaks may
-go on only at the version that wrote its first event. Its caller may take it up at any
+go on only at the version that wrote its first event. Its caller may resume it at any
 node, also after the node that served it has ended.
 
 Example::
 
-    await origins.record("9c41d07b", StreamOrigin(service, version), for_s=8.0)
+    await origins.record("9c41d07b", StreamOrigin(service, version), ttl_s=8.0)
     # At another node:
-    origin = await origins.find("9c41d07b", service, within_s=8.0)
+    origin = await origins.find("9c41d07b", service, max_age_s=8.0)
 """
 
 import asyncio
@@ -23,7 +23,7 @@
 from ...log import Part, log
 from ...version.deployment import ServiceName
 from .messages import Answer, Ask, Confirm, Store, decode, encode
-from .origin_copies import OriginCopies
+from .origin_replication import OriginReplication
 from .origin_table import OriginTable, StreamOrigin
 from .replica_choice import ReplicaChoice
 from .version_history import VersionHistory
@@ -91,16 +91,17 @@
         self._query_by_number: dict[int, _Query] = {}
         self._leaving = False
         self.table = OriginTable(clock)
-        self.copies = OriginCopies(choice, self._send, clock)
+        self.replication = OriginReplication(choice, self._send, clock)
 
-    async def record(self, stream: str, origin: StreamOrigin, for_s: float) -> None:
-        """Keep the origin of a stream that callers may take up for ``for_s`` seconds.
+    async def record(self, stream: str, origin: StreamOrigin, ttl_s: float) -> None:
+        """Keep the origin of a stream that callers may resume for ``ttl_s`` seconds.
 
         Returns once another node has a copy, or after a short while without an answer.
         """
-        for_s += EXPIRY_SLACK_S
-        self.table.put(stream, origin, for_s)
-        confirmed = self.copies.copy(stream, self.table.get(stream) or origin, for_s)
+        ttl_s += EXPIRY_SLACK_S
+        self.table.put(stream, origin, ttl_s)
+        known = self.table.get(stream) or origin
+        confirmed = self.replication.replicate(stream, known, ttl_s)
         if not await stall_aware_wait(confirmed, CONFIRM_TIMEOUT_S):
             self._count("stream.origin-unconfirmed")
             log(
@@ -113,12 +114,12 @@
 
     def release(self, stream: str) -> None:
         """Stop renewing the copies of a stream, which this node no longer serves."""
-        self.copies.release(stream)
+        self.replication.release(stream)
 
     async def find(
-        self, stream: str | None, service: ServiceName | None, within_s: float
+        self, stream: str | None, service: ServiceName | None, max_age_s: float
     ) -> StreamOrigin | None:
-        """Return the origin of a stream that began within ``within_s`` seconds.
+        """Return the origin of a stream that began within ``max_age_s`` seconds.
 
         None if no node knows it, unless all agree that a single version of ``service``
         can have begun it. ``service`` is None if several can have.
@@ -126,7 +127,7 @@
         known = self.table.get(stream) if stream else None
         if known is not None:
             return known
-        ask = Ask(0, stream or "", service or ServiceName(""), within_s)
+        ask = Ask(0, stream or "", service or ServiceName(""), max_age_s)
         replicas = self._choice.replicas(stream) if stream else []
         first = await self._ask(replicas, ask, REPLICA_TIMEOUT_S)
         origin = _origin(first)
@@ -148,7 +149,7 @@
         if isinstance(message, Store):
             self._on_store(message, address)
         elif isinstance(message, Confirm):
-            self.copies.on_confirm(message.number)
+            self.replication.on_confirm(message.number)
         elif isinstance(message, Ask):
             self._send(address, self._answer(message))
         else:
@@ -159,21 +160,21 @@
     def leave(self) -> None:
         """Hand all origins over to other nodes, because this node is leaving."""
         self._leaving = True
-        self.copies.hand_over(list(self.table.items()))
+        self.replication.hand_over(list(self.table.items()))
 
     def _on_store(self, message: Store, address: str) -> None:
         if self._leaving:
             # Without an answer the sender chooses another node.
             return
-        self.table.put(message.stream, message.origin, message.for_s)
+        self.table.put(message.stream, message.origin, message.ttl_s)
         self._send(address, Confirm(message.number))
 
     def _answer(self, ask: Ask) -> Answer:
         origin = self.table.get(ask.stream)
         if origin is not None:
             return Answer(ask.number, origin)
-        versions = self._history.versions(ask.service, ask.within_s)
-        covers = self._history.covers(ask.service, ask.within_s)
+        versions = self._history.versions(ask.service, ask.max_age_s)
+        covers = self._history.covers(ask.service, ask.max_age_s)
         return Answer(
             ask.number, None, tuple(versions), covers and self._list_is_current()
         )
@@ -213,7 +214,7 @@
             return None
         # Without the store no node lists a new version, if all of them are in reach.
         all_answered = not any(query.unanswered for query in queries)
-        covers = self._history.covers(ask.service, ask.within_s) and all_answered
+        covers = self._history.covers(ask.service, ask.max_age_s) and all_answered
         if not covers and not any(answer.covers for answer in answers):
             return None
         return StreamOrigin(ask.service, versions.pop())
--- a/packages/node/src/eelgrass_node/process/stream_origins/version_history.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/version_history.py
@@ -56,14 +56,14 @@
             if version in listed or now - at > RETENTION_S:
                 del removed_at[version]
 
-    def versions(self, service: str, within_s: float) -> frozenset[SoftwareVersion]:
-        """Return the versions that can have begun a stream within ``within_s``."""
-        since = self._clock() - within_s - REMOVAL_NOTICE_S
+    def versions(self, service: str, max_age_s: float) -> frozenset[SoftwareVersion]:
+        """Return the versions that can have begun a stream within ``max_age_s``."""
+        since = self._clock() - max_age_s - REMOVAL_NOTICE_S
         removed_at = self._removed_at.get(service, {})
         lately = (version for version, at in removed_at.items() if at >= since)
         return self._listed.get(service, frozenset()).union(lately)
 
-    def covers(self, service: str, within_s: float) -> bool:
+    def covers(self, service: str, max_age_s: float) -> bool:
         """Return whether no version that began a stream since then can be missing.
 
         That is so if this node has followed the list for that long, or if all servers
@@ -72,9 +72,9 @@
         """
         if self._since is None:
             return False
-        if self._clock() - self._since >= within_s:
+        if self._clock() - self._since >= max_age_s + REMOVAL_NOTICE_S:
             return True
-        since_ms = self._unix_ms() - (within_s + CLOCK_SKEW_S) * 1000
+        since_ms = self._unix_ms() - (max_age_s + CLOCK_SKEW_S) * 1000
         starts = [server.entry.started for server in self._servers(service)]
         return bool(starts) and all(0 < started < since_ms for started in starts)
 
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -12,7 +12,7 @@
 
 from ..exceptions import CallFailed
 from ..process.backends import Backend
-from .engine_call import CONNECT_S, call_failure
+from .engine_call import CONNECT_S
 from .incoming_request import WireCodec
 from .reasons import RetryReason
 
@@ -38,8 +38,11 @@
             )
             async with context as response:
                 started = codec.decode_start(await response.read())
-    except (aiohttp.ClientError, OSError, TimeoutError) as error:
-        raise CallFailed(call_failure(error).reason, not_run=True) from error
+    except TimeoutError as error:
+        raise CallFailed(RetryReason.CONNECT_SILENT, not_run=True) from error
+    except (aiohttp.ClientError, OSError) as error:
+        # Not a lost connection: the request was not running there.
+        raise CallFailed(RetryReason.CONNECT_FAILED, not_run=True) from error
     finally:
         connections.end_call()
     if started not in (None, server.entry.started):
--- a/packages/node/src/eelgrass_node/request/incoming_request.py
+++ b/packages/node/src/eelgrass_node/request/incoming_request.py
@@ -87,9 +87,10 @@
     """An incoming request with the route, service and account assigned to it.
 
     ``deadline`` is when the caller must have its response, and ``target_at`` until
-    when a response meets the latency target and earns full credit. ``patience_s`` is
-    how long callers of the route wait, over all their attempts. ``version`` is the
-    software version that began the stream, if the request takes one up.
+    when a response meets the latency target and earns full credit.
+    ``caller_timeout_s`` is how long callers of the route wait, over all their attempts.
+    ``version`` is the software version that began the stream, if the request resumes
+    one.
     """
 
     incoming: IncomingRequest
@@ -98,11 +99,11 @@
     account: AccountGrant | None
     deadline: float
     target_at: float
-    patience_s: float = 0.0
+    caller_timeout_s: float = 0.0
     version: SoftwareVersion | None = None
 
     @property
-    def takes_up_stream(self) -> bool:
+    def resumes_stream(self) -> bool:
         """Whether the caller has a part of the stream already."""
         incoming = self.incoming
         return self.route.is_resumable_stream and (
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -15,7 +15,7 @@
 from .incoming_request import IncomingRequest, RoutedRequest, WireCodec
 from .request_execution import ANSWER_MARGIN_S, RequestExecution
 from .serving_context import ServingContext
-from .stream_take_up import with_stream_origin
+from .stream_resumption import with_stream_origin
 from .typical_deadline import TypicalDeadlines
 
 __all__ = ["RequestHandler"]
@@ -142,7 +142,7 @@
         try:
             routed = await with_stream_origin(self._context.origins, routed)
         except RequestRefused as refused:
-            return self._refuse_take_up(routed, answer, refused)
+            return self._refuse_resumption(routed, answer, refused)
         return await RequestExecution(self._context, routed, answer).serve()
 
     def _new_routed_request(
@@ -160,18 +160,18 @@
             account=account,
             deadline=incoming.arrived_at + max(0.0, limit_s),
             target_at=incoming.arrived_at + route.target_s - waited_s,
-            patience_s=max(
+            caller_timeout_s=max(
                 route.timeout_s, self._typical_deadlines.longest(route.name)
             ),
         )
 
-    def _refuse_take_up(
+    def _refuse_resumption(
         self, routed: RoutedRequest, answer: CallerResponse, refused: RequestRefused
     ) -> web.StreamResponse:
         self._count("refusal.stream-origin")
         log(
             Part.REQUESTS,
-            "A stream cannot be taken up; its caller is refused.",
+            "A stream cannot be resumed; its caller is refused.",
             id=routed.incoming.request_id,
             resumes=routed.incoming.resumes,
             route=routed.route.name,
--- a/packages/node/src/eelgrass_node/request/stream_take_up.py
+++ b/packages/node/src/eelgrass_node/request/stream_resumption.py
@@ -1,4 +1,4 @@
-"""Finds where a stream goes on that its caller takes up again.
+"""Finds where a stream goes on that its caller resumes.
 
 What two software versions of a server write does not fit together, so it goes on only
 at the service and version that wrote its first event.
@@ -21,17 +21,17 @@
 ) -> RoutedRequest:
     """Return the request with the service and version that began its stream.
 
-    A request that takes up no stream is returned unchanged. Raises
+    A request that resumes no stream is returned unchanged. Raises
     :class:`RequestRefused` if the stream cannot go on, because its version is not known
     or the route does not lead to its service.
     """
-    if not routed.takes_up_stream:
+    if not routed.resumes_stream:
         return routed
     services = routed.route.service_names
     origin = await origins.find(
         routed.incoming.resumes,
         services[0] if len(services) == 1 else None,
-        routed.patience_s,
+        routed.caller_timeout_s,
     )
     if origin is None:
         raise RequestRefused(
--- a/packages/node/src/eelgrass_node/request/stream_version.py
+++ b/packages/node/src/eelgrass_node/request/stream_version.py
@@ -15,8 +15,8 @@
 class StreamVersion:
     """The version at which a stream goes on; ``version`` is None until it has begun.
 
-    The origin is recorded before the first event is sent, so that the caller may take
-    the stream up at any node.
+    The origin is recorded before the first event is sent, so that the caller may resume
+    the stream at any node.
     """
 
     def __init__(self, routed: RoutedRequest, origins: StreamOrigins) -> None:
@@ -45,7 +45,9 @@
 
     async def check_continuation(self, failed_server: Backend) -> None:
         """Raise :class:`RequestRefused` if the version of the events is uncertain."""
-        if self._writer is failed_server and failed_server.is_version_uncertain:
+        if self.version is None or self._writer is not failed_server:
+            return
+        if failed_server.is_version_uncertain:
             await self._record(None)
             raise RequestRefused("the software version of the stream is not certain")
 
@@ -56,4 +58,4 @@
     async def _record(self, version: SoftwareVersion | None) -> None:
         routed = self._routed
         origin = StreamOrigin(routed.service, version)
-        await self._origins.record(routed.stream_id, origin, routed.patience_s)
+        await self._origins.record(routed.stream_id, origin, routed.caller_timeout_s)
--- a/packages/node/tests/test_stream_origins.py
+++ b/packages/node/tests/test_stream_origins.py
@@ -9,9 +9,10 @@
 from eelgrass_node.process.stream_origins.messages import encode
 from eelgrass_node.process.stream_origins.origin_table import OriginTable, StreamOrigin
 from eelgrass_node.process.stream_origins.stream_origins import CONFIRM_TIMEOUT_S
+from eelgrass_node.process.stream_origins.version_history import REMOVAL_NOTICE_S
 from support.datagram_network import ONE_WAY_DELAY_S, run_network
 from support.origin_fleet import (
-    PATIENCE_S,
+    CALLER_TIMEOUT_S,
     SERVICE,
     UNIX_MS,
     V1,
@@ -27,7 +28,7 @@
 async def begin(node, streams=STREAMS, origin=V1):
     """Record streams as requests that serve them do."""
     await asyncio.gather(
-        *(node.origins.record(stream, origin, PATIENCE_S) for stream in streams)
+        *(node.origins.record(stream, origin, CALLER_TIMEOUT_S) for stream in streams)
     )
 
 
@@ -184,7 +185,7 @@
             async with OriginFleet() as fleet:
                 clock = asyncio.get_running_loop().time
                 began = clock()
-                await fleet.nodes[0].origins.record("s", V1, PATIENCE_S)
+                await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
                 assert clock() - began < 3 * ONE_WAY_DELAY_S
                 assert sum(len(node.origins.table) for node in fleet.nodes) >= 2
 
@@ -198,7 +199,7 @@
                     await node.stop()
                 clock = asyncio.get_running_loop().time
                 began = clock()
-                await fleet.nodes[0].origins.record("s", V1, PATIENCE_S)
+                await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
                 assert clock() - began <= CONFIRM_TIMEOUT_S + 0.06
                 assert fleet.nodes[0].counts["stream.origin-unconfirmed"] == 1
 
@@ -231,7 +232,7 @@
     def test_it_is_not_known_if_two_versions_are_listed(self):
         async def main():
             async with OriginFleet() as fleet:
-                await asyncio.sleep(2 * PATIENCE_S)
+                await asyncio.sleep(2 * CALLER_TIMEOUT_S)
                 assert await fleet.nodes[0].find("unknown") is None
                 assert await fleet.nodes[0].find(None) is None
 
@@ -242,7 +243,7 @@
             async with OriginFleet() as fleet:
                 for node in fleet.nodes:
                     node.list_servers("v1")
-                await asyncio.sleep(2 * PATIENCE_S)
+                await asyncio.sleep(2 * CALLER_TIMEOUT_S)
                 assert await fleet.nodes[0].find("unknown") == V1
                 assert await fleet.nodes[0].find(None) == V1
 
@@ -269,7 +270,7 @@
                     await fleet.nodes[number].stop()
                 for number in range(9):
                     (await fleet.add(number)).list_servers("v2")
-                await asyncio.sleep(PATIENCE_S / 4)
+                await asyncio.sleep(CALLER_TIMEOUT_S / 4)
                 assert await fleet.nodes[0].find("unknown") is None
 
         run_network(main())
@@ -281,7 +282,7 @@
             async with OriginFleet(nodes=6) as fleet:
                 for node in fleet.nodes:
                     node.list_servers("v1")
-                await asyncio.sleep(2 * PATIENCE_S)
+                await asyncio.sleep(2 * CALLER_TIMEOUT_S)
                 fleet.cut(0)
                 for number in (0, 3):
                     fleet.nodes[number].is_list_current = False
@@ -294,7 +295,7 @@
             async with OriginFleet() as fleet:
                 for node in fleet.nodes:
                     node.list_servers("v1")
-                await asyncio.sleep(2 * PATIENCE_S)
+                await asyncio.sleep(2 * CALLER_TIMEOUT_S)
                 for node in fleet.nodes:
                     node.is_list_current = False
                 assert await fleet.nodes[0].find("unknown") == V1
@@ -351,10 +352,10 @@
         history = self.history(server("v1"), server("v2"))
         self.servers[:] = [server("v2")]
         history.servers_changed(SERVICE)
-        self.now += PATIENCE_S
-        assert history.versions(SERVICE, PATIENCE_S) == {"v1", "v2"}
-        self.now += PATIENCE_S
-        assert history.versions(SERVICE, PATIENCE_S) == {"v2"}
+        self.now += CALLER_TIMEOUT_S
+        assert history.versions(SERVICE, CALLER_TIMEOUT_S) == {"v1", "v2"}
+        self.now += CALLER_TIMEOUT_S
+        assert history.versions(SERVICE, CALLER_TIMEOUT_S) == {"v2"}
 
     @pytest.mark.parametrize(
         ("starts", "covers"),
@@ -368,6 +369,6 @@
     )
     def test_servers_that_have_run_for_long_tell_what_was_before(self, starts, covers):
         history = self.history(*(server("v1", started) for started in starts))
-        assert history.covers(SERVICE, PATIENCE_S) == covers
-        self.now += PATIENCE_S
-        assert history.covers(SERVICE, PATIENCE_S)
+        assert history.covers(SERVICE, CALLER_TIMEOUT_S) == covers
+        self.now += CALLER_TIMEOUT_S + REMOVAL_NOTICE_S
+        assert history.covers(SERVICE, CALLER_TIMEOUT_S)
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -15,7 +15,7 @@
 from .datagram_network import DatagramLoop
 
 __all__ = [
-    "PATIENCE_S",
+    "CALLER_TIMEOUT_S",
     "SERVICE",
     "UNIX_MS",
     "V1",
@@ -28,7 +28,7 @@
 SERVICE = "readers"
 V1, V2 = StreamOrigin(SERVICE, "v1"), StreamOrigin(SERVICE, "v2")
 UNIX_MS = 1_800_000_000_000
-PATIENCE_S = 8.0
+CALLER_TIMEOUT_S = 8.0
 
 
 def server(version: str, started: int = 0) -> SimpleNamespace:
@@ -59,7 +59,7 @@
             clock,
             lambda name: self.counts.update([name]),
         )
-        self.membership.on_change = self.origins.copies.on_members_changed
+        self.membership.on_change = self.origins.replication.on_members_changed
         self.membership.datagrams.on_payload = self.origins.receive
 
     def list_servers(self, *versions: str) -> None:
@@ -69,11 +69,11 @@
 
     async def find(self, stream: str) -> StreamOrigin | None:
         """Find the origin of a stream, as a request that takes it up does."""
-        return await self.origins.find(stream, SERVICE, PATIENCE_S)
+        return await self.origins.find(stream, SERVICE, CALLER_TIMEOUT_S)
 
     async def stop(self) -> None:
         """End the node at once."""
-        self.origins.copies.stop()
+        self.origins.replication.stop()
         await self.membership.stop()
 
 
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -1,4 +1,4 @@
-"""Callers that take streams up at other nodes, and servers of several versions."""
+"""Callers that resume streams at other nodes, and servers of several versions."""
 
 import asyncio
 import itertools
@@ -149,10 +149,10 @@
         assert all(caller.events >= 2 for caller in callers)
         return callers
 
-    async def take_up(
+    async def resume(
         self, callers: list[StreamCaller], node: int, **options: Any
     ) -> list[int]:
-        """Take streams up at a node; return the statuses."""
+        """Resume streams at a node; return the statuses."""
         attempts = (caller.read(node, **options) for caller in callers)
         return await asyncio.gather(*attempts)
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -40,12 +40,12 @@
     )
 
 
-class TestTakingUpAStream:
+class TestResumingAStream:
     # Guards against a host that does not know which version began the stream.
     async def test_it_goes_on_at_the_version_that_began_it(self):
         async with VersionedDeployment() as deployment:
             callers = await deployment.begin(0, STREAMS)
-            await deployment.take_up(callers, node=1)
+            await deployment.resume(callers, node=1)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -54,7 +54,7 @@
         async with VersionedDeployment() as deployment:
             callers = await deployment.begin(0, STREAMS)
             await deployment.nodes[0].close()
-            await deployment.take_up(callers, node=2)
+            await deployment.resume(callers, node=2)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -63,7 +63,7 @@
         async with VersionedDeployment(versions=("v1",)) as deployment:
             callers = await deployment.begin(0, STREAMS)
             await deployment.release("v2")
-            await deployment.take_up(callers, node=1)
+            await deployment.resume(callers, node=1)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -75,7 +75,7 @@
             assert of_v1
             await deployment.withdraw("v1")
             async with asyncio.timeout(1):
-                statuses = await deployment.take_up(of_v1, node=1)
+                statuses = await deployment.resume(of_v1, node=1)
             assert set(statuses) == {503}
             assert all("Retry-After" in caller.refusal_headers for caller in of_v1)
             assert of_several_versions(of_v1) == []
@@ -86,10 +86,10 @@
     async def test_a_third_attempt_names_the_first(self):
         async with VersionedDeployment() as deployment:
             callers = await deployment.begin(0, STREAMS)
-            await deployment.take_up(callers, node=1, events=4)
+            await deployment.resume(callers, node=1, events=4)
             await deployment.nodes[0].close()
             await deployment.nodes[1].close()
-            await deployment.take_up(callers, node=2)
+            await deployment.resume(callers, node=2)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -101,7 +101,7 @@
                 lambda: joined.ready and len(joined.membership.members.by_id) == 3
             )
             await deployment.nodes[0].close()
-            await deployment.take_up(callers, node=3)
+            await deployment.resume(callers, node=3)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -117,7 +117,7 @@
                 await asyncio.sleep(0.3)
                 stop.cancel()
                 await node.close()
-            await deployment.take_up(callers, node=4)
+            await deployment.resume(callers, node=4)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -125,7 +125,7 @@
     async def test_an_unknown_stream_is_refused_while_there_are_two_versions(self):
         async with VersionedDeployment() as deployment:
             callers = await deployment.begin(0, STREAMS)
-            statuses = await deployment.take_up(callers, node=1, resumes="unknown")
+            statuses = await deployment.resume(callers, node=1, resumes="unknown")
             assert set(statuses) == {503}
             assert all("Retry-After" in caller.refusal_headers for caller in callers)
             assert of_several_versions(callers) == []
@@ -134,7 +134,7 @@
     async def test_an_unknown_stream_goes_on_while_there_is_one_version(self):
         async with VersionedDeployment(versions=("v1",)) as deployment:
             callers = await deployment.begin(0, STREAMS)
-            statuses = await deployment.take_up(callers, node=1, resumes="unknown")
+            statuses = await deployment.resume(callers, node=1, resumes="unknown")
             assert set(statuses) == {200}
             assert all(caller.complete for caller in callers)
 
@@ -143,7 +143,7 @@
         async with LinkedVersionedDeployment() as deployment:
             callers = await deployment.begin(0, STREAMS)
             deployment.cut(1, Cut.REFUSED)
-            await deployment.take_up(callers, node=1)
+            await deployment.resume(callers, node=1)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -154,7 +154,7 @@
         async with VersionedDeployment() as deployment:
             callers = await deployment.begin(0, STREAMS)
             await upgrade(deployment, deployment.engines_by_service["readers"][0])
-            await deployment.take_up(callers, node=1)
+            await deployment.resume(callers, node=1)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -166,7 +166,7 @@
             restarted = deployment.engines_by_service["readers"][0]
             restarted.restart()
             restarted.version = "v2"
-            await deployment.take_up(callers, node=1)
+            await deployment.resume(callers, node=1)
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
@@ -191,7 +191,7 @@
                 engine.faults = [EngineFault.CUT_IN_EVENT]
             await asyncio.gather(*reading)
             broken = [caller for caller in callers if not caller.complete]
-            await deployment.take_up(broken, node=1)
+            await deployment.resume(broken, node=1)
             assert of_several_versions(callers) == []
 
 
