--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -81,7 +81,11 @@
     disturbed_until = deployment.soak_nodes[call.node].disturbed_until
     held_s = call.ended_at - max(call.sent_at, min(disturbed_until, call.ended_at))
     if held_s > DEADLINE_S + ANSWER_TOLERANCE_S:
-        found.append(f"{name} took {held_s:.1f} s, too long past its deadline")
+        stalled_s = deployment.stalled_s(call.sent_at, call.ended_at)
+        found.append(
+            f"{name} took {held_s:.1f} s, too long past its deadline; callers and "
+            f"servers stood still for {stalled_s:.1f} s of it"
+        )
     return found
 
 
--- a/tests/support/soak_deployment.py
+++ b/tests/support/soak_deployment.py
@@ -21,6 +21,8 @@
 
 SEGMENTS = {"Eelgrassward-Segments": "2,1,5", "Eelgrassward-Segment-Key": "key"}
 DEADLINE_S = 3.0
+# Interval of the ticks that show when this process itself stands still.
+TICK_S = 0.05
 SETTINGS = """
 NodeName: "edge-{number}"
 Zone: "a"
@@ -114,9 +116,17 @@
         self._network = f"127.{os.getpid() % 200 + 1}.{seed % 250}"
         self.engine_proxies: dict[str, FaultProxy] = {}
         self.soak_nodes: list[SoakNode] = []
+        self._late_ticks: list[tuple[float, float]] = []
+        self._ticking: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "SoakDeployment":
+        """Start the stand-ins and the nodes, and watch this process for stalls."""
+        self._ticking = asyncio.create_task(self._tick())
+        return await super().__aenter__()
 
     async def __aexit__(self, *exc: object) -> None:
         """Kill the nodes, then close the stand-ins and the proxies."""
+        self._ticking.cancel()
         for node in self.soak_nodes:
             await node.process.kill()
         await super().__aexit__(*exc)
@@ -126,6 +136,19 @@
         ):
             await proxy.stop()
 
+    def stalled_s(self, since: float, until: float) -> float:
+        """Return how long this process, with its callers and servers, stood still."""
+        return sum(late_s for at, late_s in self._late_ticks if since <= at <= until)
+
+    async def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + TICK_S
+            await asyncio.sleep(TICK_S)
+            late_s = loop.time() - due
+            if late_s > TICK_S:
+                self._late_ticks.append((loop.time(), late_s))
+
     async def _advertised_address(self, address: str) -> str:
         proxy = FaultProxy(address)
         advertised = await proxy.start()
