Log the shared prompt parts of a request that loses its server

The lines of the incident name lost requests by fingerprint alone, so they do not show whether different requests have a part of their prompts in common.

--- a/packages/node/src/eelgrass_node/request/incoming_request.py
+++ b/packages/node/src/eelgrass_node/request/incoming_request.py
@@ -47,6 +47,10 @@
             return None
         return self.parts[-2].id
 
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts that other requests may share."""
+        return tuple(part.id for part in self.parts[:-1])
+
     def shared_tokens(self) -> int:
         """Return the token count of the prefix: all parts but the last."""
         return sum(part.tokens for part in self.parts[:-1])
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -318,6 +318,7 @@
             not_run=failed.not_run,
             at=self._step.value,
             events=self._events.events,
+            prompt_parts=self._routed.incoming.prompt.shared_parts(),
         )
         record_failure(self._context, backend, failed)
         if failed.reason in POSSIBLE_CRASH_REASONS:
