--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -53,7 +53,9 @@
     ``runs`` and ``batch_items`` record the work that it has run, ``results`` the
     handles of the results that it holds, and ``item_by_handle`` the batch item behind
     each result. A request with ``fatal`` in its body, or a batch item with it in its
-    key, crashes the server once it runs: ``crash`` is called.
+    key, crashes the server once it runs: ``crash`` is called. So does a request with a
+    part in ``fatal_parts`` among the shared parts of its prompt, after
+    ``crash_delay_s``.
     """
 
     def __init__(self, server_id: str, address: str, event_s: float = 0.0) -> None:
@@ -71,6 +73,8 @@
         self.version = "v1"
         self.events_before_cut = 0
         self.fatal: bytes | None = None
+        self.fatal_parts: set[str] = set()
+        self.crash_delay_s = 0.0
         self.crash: Callable[[], None] = lambda: None
         self._last_handle_number = 0
 
@@ -133,7 +137,8 @@
             )
         )
         headers = self._headers(request)
-        if self.fatal is not None and self.fatal in body:
+        if self._is_fatal(request, body):
+            await asyncio.sleep(self.crash_delay_s)
             await self._crash_in_answer(request, headers)
         if self._consume_fault(EngineFault.HANG):
             await asyncio.sleep(60)
@@ -150,6 +155,12 @@
             return await self._stream(request, headers)
         return web.Response(headers=headers, body=b"answer of " + body)
 
+    def _is_fatal(self, request: web.Request, body: bytes) -> bool:
+        if self.fatal is not None and self.fatal in body:
+            return True
+        *shared, _ = request.headers.get("Eelgrassward-Prompt-Prefix", "").split(",")
+        return any(part.partition(":")[0] in self.fatal_parts for part in shared)
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
