Write first crashes under prompt parts to the store after a delay; list and clear parts

Hosts that reach the store but no other host saw one crash each and wrote none, since only parts with two crashes were written. First crashes are now written after 0.7 s unless the part was answered by then. eelgrassctl crashes lists parts, and clears them.

--- a/packages/ctl/src/eelgrass_ctl/commands/crashes.py
+++ b/packages/ctl/src/eelgrass_ctl/commands/crashes.py
@@ -15,11 +15,12 @@
 def crashes(store: str, *, clear: str = "", json: bool = False) -> int:
     """List requests under which servers crashed, those with most crashes first.
 
-    Nodes send a held request to no server until an hour after its last crash. If
+    The list also has the parts of prompts under which servers crashed. Nodes send a
+    held request to no server until an hour after its last crash. If
     servers can run it by now, clear it: nodes then accept it again at once.
 
     :param store: the address of the platform's store
-    :param clear: remove all crashes of the request with this fingerprint
+    :param clear: remove all crashes of the request or part with this fingerprint
     :param json: print JSON for scripts
     """
     if clear:
--- a/packages/ctl/tests/test_crashes.py
+++ b/packages/ctl/tests/test_crashes.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from eelgrass_coordination.ids import BackendId
+from eelgrass_coordination.ids import BackendId, SoftwareVersion
 from eelgrass_ctl.crash_rows import RequestCrashes, clear_request, read_crashes
 from eelgrass_ctl.exceptions import ExitCode, StoreUnreadable
 from eelgrass_node.process.backends import ServerIncarnation
-from eelgrass_node.process.crash_detector import Fingerprint
+from eelgrass_node.process.crash_subjects import Fingerprint, PartCrash, PartKey
 from eelgrass_standins.ports import free_addresses
 from support.entry import EntryDeployment, until
 
@@ -34,6 +34,26 @@
         yield deployment
 
 
+class TestParts:
+    """Parts of prompts under which servers crashed are listed and cleared alike."""
+
+    async def test_a_cleared_part_is_no_suspect_at_any_node(self, entry):
+        part = PartKey("0a")
+        for number in range(3):
+            server = ServerIncarnation(BackendId(f"p{number}"))
+            crash = PartCrash(server, SoftwareVersion("v1"), (part,))
+            entry.nodes[0].poison_requests.parts.record_crash(crash)
+        await until(lambda: len(entry.store.keys("crashes")) == 8)
+        found = await read_crashes(entry.store_address)
+        assert (part, 3) in [(e.request, len(e.servers)) for e in found]
+        assert await clear_request(entry.store_address, part) == 3
+        await until(
+            lambda: (
+                not any(len(n.poison_requests.parts.quarantine) for n in entry.nodes)
+            )
+        )
+
+
 class TestCrashes:
     async def test_requests_with_most_crashes_come_first(self, entry):
         found = await read_crashes(entry.store_address)
--- a/packages/node/src/eelgrass_node/process/poison_parts/__init__.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/__init__.py
@@ -2,7 +2,7 @@
 
 from .part_gossip import PartGossip
 from .part_quarantine import PartQuarantine
-from .part_rows import PART_ROW_PREFIX, PartCrashRow, PartRows
+from .part_rows import PART_ROW_PREFIX, PartCrashRow, PartRows, decode_part_row
 from .poison_parts import PoisonParts
 from .trials import AskTrialOwner, TrialAdmission, TrialPermits
 
@@ -16,4 +16,5 @@
     "PoisonParts",
     "TrialAdmission",
     "TrialPermits",
+    "decode_part_row",
 ]
--- a/packages/node/src/eelgrass_node/process/poison_parts/part_rows.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/part_rows.py
@@ -11,7 +11,13 @@
 from ..crash_subjects import PartCrash, PartKey
 from .part_quarantine import PartQuarantine
 
-__all__ = ["PART_ROW_PREFIX", "PartCrashRow", "PartRows", "part_row_key"]
+__all__ = [
+    "PART_ROW_PREFIX",
+    "PartCrashRow",
+    "PartRows",
+    "decode_part_row",
+    "part_row_key",
+]
 
 PART_ROW_PREFIX = "part-"
 KEY_SEPARATOR = "-"
@@ -35,6 +41,11 @@
 _decoder = msgspec.json.Decoder(PartCrashRow)
 
 
+def decode_part_row(value: bytes) -> PartCrashRow:
+    """Decode the value of a row; raises :class:`msgspec.MsgspecError`."""
+    return _decoder.decode(value)
+
+
 class PartRows:
     """Applies rows of the table to a node's record of crashes under parts."""
 
@@ -43,7 +54,7 @@
 
     def decode(self, value: bytes) -> PartCrashRow:
         """Decode the value of a row; raises :class:`msgspec.MsgspecError`."""
-        return _decoder.decode(value)
+        return decode_part_row(value)
 
     def record(self, row: PartCrashRow, age_s: float) -> None:
         """Record the crash of a row."""
--- a/packages/node/src/eelgrass_node/process/poison_parts/poison_parts.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/poison_parts.py
@@ -1,5 +1,6 @@
 """Detects prompt parts that crash servers, and shares what is known of them."""
 
+import asyncio
 from collections.abc import Callable, Collection, Sequence
 
 from eelgrass_coordination import GossipItem
@@ -13,9 +14,9 @@
 
 __all__ = ["PoisonParts"]
 
-# Crashes of a part are kept in the store from this number on. Most parts that lose a
-# server once are answered elsewhere within a second.
-MIN_STORED_CRASHES = 2
+# The first crash under a part is written to the store after this time, if the part is
+# still a suspect: most are answered elsewhere by then. Later ones are written at once.
+FIRST_ROW_DELAY_S = 0.7
 
 
 class PoisonParts:
@@ -53,12 +54,14 @@
         self.gossip.announce_crash(
             PartCrash(crash.server, crash.version, tuple(sorted(new)))
         )
-        repeated = [
-            part
-            for part in new
-            if len(self.quarantine.crashed_servers(part)) >= MIN_STORED_CRASHES
-        ]
-        self.write_rows(self.rows.rows_of(repeated, self._unix_ms()))
+        repeated = {p for p in new if len(self.quarantine.crashed_servers(p)) > 1}
+        self._write_suspects(repeated)
+        loop = asyncio.get_running_loop()
+        loop.call_later(FIRST_ROW_DELAY_S, self._write_suspects, new - repeated)
+
+    def _write_suspects(self, parts: set[PartKey]) -> None:
+        """Write the crashes under those of some parts that are still suspects."""
+        self.write_rows(self.rows.rows_of(parts, self._unix_ms()))
 
     def record_answer(
         self, parts: frozenset[PartKey], version: SoftwareVersion, began_at: float
--- a/tests/support/poison_parts.py
+++ b/tests/support/poison_parts.py
@@ -53,6 +53,11 @@
         engine.crash_delay_s = 0.02
         return engine
 
+    def running_servers(self) -> list[EngineStandIn]:
+        """Return the model servers that have not crashed."""
+        servers = self.engines_by_service["readers"]
+        return [server for server in servers if server not in self.crashed]
+
     def held_parts(self) -> set[str]:
         """Return the parts that any node holds."""
         return {
