Close new connections unread while the event loop cannot keep up

Callers of a host that gets most new connections got no answer: it read all requests, beyond what its processor can serve, and nearly all of them missed their deadlines. A host now measures the delay of its event loop.

--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -3,6 +3,9 @@
 The library limits the idle time between two requests of a connection, but not the time
 that a caller takes for the header of its first request. Without a timeout for it,
 stalled callers would use up file descriptors, of which a host has four thousand.
+
+A connection that the host could not serve in time is closed before anything is read
+from it, so that its caller can try another host at once.
 """
 
 import asyncio
@@ -70,11 +73,20 @@
             self.transport.close()
 
 
+class _UnreadConnection(asyncio.Protocol):
+    """A connection that is closed before anything is read from it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close the connection."""
+        transport.abort()
+
+
 class CallerServer(web.Server):
     """Serves callers with ``handler``.
 
     ``header_timeout_s`` returns the seconds that a connection's first header may take,
-    and ``max_body_bytes`` limits how much of a body is read.
+    and ``max_body_bytes`` limits how much of a body is read. New connections are closed
+    unread while ``is_overloaded`` returns True; ``count`` counts them.
     """
 
     def __init__(
@@ -82,15 +94,22 @@
         handler: Callable,
         header_timeout_s: Callable[[], float],
         max_body_bytes: int,
+        is_overloaded: Callable[[], bool] = lambda: False,
+        count: Callable[[str], None] = lambda name: None,
     ) -> None:
         super().__init__(handler, request_factory=self._build_request)
         self._header_timeout_s = header_timeout_s
         self._max_body_bytes = max_body_bytes
+        self._is_overloaded = is_overloaded
+        self._count = count
         # Cancel a handler when its caller disconnects.
         self.handler_cancellation = True
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> asyncio.Protocol:
         """Return the protocol for a new connection."""
+        if self._is_overloaded():
+            self._count("connection.closed-unread")
+            return _UnreadConnection()
         return _CallerConnection(
             self,
             self._header_timeout_s(),
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -44,6 +44,7 @@
 from .process.failure_gossip import FailureGossip
 from .process.host_settings import HostSettings
 from .process.local_queues import LocalQueues
+from .process.loop_load import LoopLoad
 from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
 from .process.platform_tables import PlatformTables, TableNames
@@ -278,6 +279,7 @@
             lambda: self.deployments.current,
             self.brittle_servers,
         )
+        self.loop_load = LoopLoad()
         self._tasks: list[asyncio.Task] = []
         self._listeners = Listeners()
 
@@ -297,6 +299,7 @@
         await self._listen_callers()
         await self._listen_readiness()
         for run in (
+            self.loop_load.run,
             self.tables.operator.run,
             self.tables.servers.run,
             self.tables.crashes.run,
@@ -371,7 +374,13 @@
         handler = RequestHandler(
             requests, self.deployments, context, self.stopping, self.counters.count
         )
-        server = CallerServer(handler.handle, self._header_timeout_s, MAX_BODY_BYTES)
+        server = CallerServer(
+            handler.handle,
+            self._header_timeout_s,
+            MAX_BODY_BYTES,
+            lambda: self.loop_load.is_overloaded,
+            self.counters.count,
+        )
         await self._listeners.serve(server, self.settings.callers)
 
     def _header_timeout_s(self) -> float:
--- /dev/null
+++ b/tests/test_connection_overload.py
@@ -0,0 +1,136 @@
+"""A host that gets most new connections closes those that it cannot serve, unread."""
+
+import asyncio
+import random
+
+import aiohttp
+import msgspec
+import pytest
+from yarl import URL
+
+from support.entry import HOST, KEY
+from support.slowed import slowed
+from support.soak_deployment import SoakDeployment
+
+# Hosts run for this part of each period, as the weakest hosts do.
+RUN_S, PERIOD_S = 0.005, 0.025
+HOSTS = 4
+CALM_PER_S = 40.0
+RUSH_PER_S = 240.0
+RUSH_SHARE = 0.9
+CONTACT_S = 3.0
+DEADLINE_S = 3.0
+# Of the calm share, that must be served of the requests that a host reads.
+REQUIRED = 0.75
+
+
+class Outcome(msgspec.Struct):
+    """How one request on a connection of its own ended.
+
+    ``status`` is 0 if the connection was closed without an answer, and None if nothing
+    came until the deadline.
+    """
+
+    request_id: str
+    sent_at: float
+    status: int | None = None
+
+
+class Rush:
+    """Callers that open a connection for each request."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._random = random.Random(1)
+        self.outcomes = []
+        self._tasks = set()
+
+    async def run(self, for_s, per_s, share):
+        """Send requests, a share of them to the first host and the rest to others."""
+        loop = asyncio.get_running_loop()
+        end, next_at = loop.time() + for_s, loop.time()
+        while loop.time() < end:
+            while next_at <= loop.time():
+                next_at += 1 / per_s
+                first = self._random.random() < share
+                node = 0 if first else self._random.randrange(1, HOSTS)
+                task = asyncio.create_task(self._call(node))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(0.002)
+
+    async def finish(self):
+        await asyncio.gather(*self._tasks)
+
+    def since(self, at):
+        return [outcome for outcome in self.outcomes if outcome.sent_at >= at]
+
+    async def _call(self, node):
+        kind = ("safe", "stream/resumed")[len(self.outcomes) % 2]
+        outcome = Outcome(
+            f"rush-{len(self.outcomes)}", asyncio.get_running_loop().time()
+        )
+        self.outcomes.append(outcome)
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
+            "Eelgrassward-Attempt-Id": outcome.request_id,
+            "Eelgrassward-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "Connection": "close",
+        }
+        url = URL(f"http://{self._deployment.soak_nodes[node].callers}/{kind}/x")
+        try:
+            async with (
+                asyncio.timeout(DEADLINE_S + 0.5),
+                aiohttp.ClientSession(
+                    connector=aiohttp.TCPConnector(force_close=True)
+                ) as session,
+                session.post(url, data=b"body", headers=headers) as response,
+            ):
+                await response.read()
+                outcome.status = response.status
+        except TimeoutError:
+            outcome.status = None
+        except (aiohttp.ClientError, OSError):
+            outcome.status = 0
+
+
+def served_share(outcomes):
+    """Return the share that was served of the requests that hosts have read."""
+    read = [o for o in outcomes if o.status != 0]
+    return sum(o.status == 200 for o in read) / max(1, len(read))
+
+
+@pytest.mark.processes
+class TestMostConnectionsAtOneHost:
+    # Guards against a host that reads more requests than its processor can serve, so
+    # that most of their callers get no answer.
+    async def test_what_it_reads_is_served_and_the_rest_is_closed_unread(
+        self, tmp_path
+    ):
+        async with SoakDeployment(tmp_path, 1, nodes=HOSTS, servers=4) as deployment:
+            pids = [node.process.pid for node in deployment.soak_nodes]
+            with slowed(pids, RUN_S, PERIOD_S):
+                rush = Rush(deployment)
+                await rush.run(2.0, CALM_PER_S, 1 / HOSTS)
+                calm = served_share(rush.outcomes)
+                began = asyncio.get_running_loop().time()
+                await rush.run(8.0, RUSH_PER_S, RUSH_SHARE)
+                await rush.finish()
+                late = rush.since(began + CONTACT_S)
+                closed = {o.request_id for o in rush.outcomes if o.status == 0}
+                assert served_share(late) >= REQUIRED * calm > REQUIRED * REQUIRED
+                # A host that closes all connections serves nobody.
+                assert sum(o.status == 200 for o in late) >= 0.3 * len(late)
+                ran = {
+                    run.request_id
+                    for service in ("desk", "readers")
+                    for run in deployment.runs(service)
+                }
+                assert not closed & ran
+                await asyncio.sleep(1.0)
+                after = Rush(deployment)
+                await after.run(2.0, CALM_PER_S, 1 / HOSTS)
+                await after.finish()
+                assert served_share(after.outcomes) >= REQUIRED * calm
+                assert not any(o.status == 0 for o in after.outcomes)
