Let a node use brittle servers by its part in their load

A host that got nine in ten of the requests could use two of six places of a brittle server, as each of the others, which used none. A node may now also have the calls that it has there and half of its fraction of the free places, by the load that the server last reported.

--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -43,6 +43,8 @@
 # A load that the server reported takes precedence over this node's own counts for this
 # long. A typical request takes about half of it.
 REPORTED_LOAD_MAX_AGE_S = 1.5
+# The part of a server's free places that the nodes may take up between two reports.
+OWN_PART_OF_FREE = 0.5
 
 
 class Backend:
@@ -161,6 +163,29 @@
         self._reported_at = asyncio.get_running_loop().time()
         self._in_flight_at_report = self.in_flight
 
+    def reported_load_at(self, now: float) -> tuple[int, int] | None:
+        """Return the running and waiting requests that the server last reported.
+
+        None if the report is too old.
+        """
+        if now - self._reported_at > REPORTED_LOAD_MAX_AGE_S:
+            return None
+        return self._reported_load
+
+    def own_share_at(self, now: float) -> int:
+        """Return how many calls this node may have by its part in the server's load.
+
+        These are its calls at the last report, and a part of the free places: half of
+        the fraction that its calls make up, since other nodes see the same places.
+        """
+        reported = self.reported_load_at(now)
+        if reported is None:
+            return 0
+        load, own = sum(reported), self._in_flight_at_report
+        free = max(0, self.entry.limit - load)
+        fraction = min(1.0, own / max(1, load))
+        return own + int(free * fraction * OWN_PART_OF_FREE)
+
     def load_at(self, now: float) -> tuple[int, int]:
         """Return the expected numbers of running and waiting requests at the server.
 
--- a/packages/node/src/eelgrass_node/process/brittle_servers.py
+++ b/packages/node/src/eelgrass_node/process/brittle_servers.py
@@ -66,7 +66,7 @@
             return True
         running, waiting = backend.load_at(now)
         share = share_of_limit(backend.entry.limit, self._nodes())
-        most = max(1, round(SHARE_FACTOR * share))
+        most = max(1, round(SHARE_FACTOR * share), backend.own_share_at(now))
         return running + waiting < backend.entry.limit and backend.in_flight < most
 
     def opens_in_s(self, servers: list[Backend]) -> float:
--- a/packages/node/tests/test_brittle_servers.py
+++ b/packages/node/tests/test_brittle_servers.py
@@ -23,16 +23,17 @@
     ``GOSSIP_S``. ``refused_at`` holds the times of the refusals of each server.
     """
 
-    def __init__(self, nodes, servers, seed, share_gossip=True):
+    def __init__(self, nodes, servers, seed, share_gossip=True, first_share=0.0):
         self.now = 0.0
         self.random = random.Random(seed)
         self.names = [f"s{number}" for number in range(servers)]
         self.running = dict.fromkeys(self.names, 0)
         self.refused_at = {name: [] for name in self.names}
-        self.served = 0
+        self.arrived = self.served = 0
         self._events = []
         self._sequence = 0
         self._share_gossip = share_gossip
+        self._first_share = first_share
         self.nodes = [self._node(number, nodes) for number in range(nodes)]
 
     def _node(self, number, nodes):
@@ -46,6 +47,7 @@
         for backend in backends.by_id.values():
             backend.refusal_limit = REFUSAL_LIMIT
             backend.load_at = lambda now, b=backend: (b.in_flight, 0)
+            backend.reported_load_at = lambda now, b=backend: b._reported_load
         brittle = BrittleServers(
             backends,
             lambda item: self._spread(number, item),
@@ -70,8 +72,15 @@
         heapq.heappush(self._events, (self.now + in_s, self._sequence, action))
 
     def arrive(self):
-        """Send one request from a random node to a server that it may use."""
-        backends, brittle = self.random.choice(self.nodes)
+        """Send one request from a random node to a server that it may use.
+
+        Where the load balancer prefers the first node, it gets that share.
+        """
+        self.arrived += 1
+        is_first = self.random.random() < self._first_share
+        backends, brittle = (
+            self.nodes[0] if is_first else self.random.choice(self.nodes)
+        )
         usable = [b for b in backends.by_id.values() if brittle.accepts(b)]
         if not usable:
             return
@@ -83,6 +92,9 @@
             return
         self.running[name] += 1
         backend.in_flight += 1
+        # The head of the answer reports the load of the server.
+        backend._reported_load = (self.running[name], 0)
+        backend._in_flight_at_report = backend.in_flight
         self.at(CALL_S, lambda: self._finish(backend))
 
     def _finish(self, backend):
@@ -101,12 +113,12 @@
             action()
 
     def most_refused_within_a_second(self):
-        return max(
+        counts = (
             sum(start <= at < start + 1.0 for at in times)
             for times in self.refused_at.values()
-            if times
             for start in times
         )
+        return max(counts, default=0)
 
 
 class TestBrittleServers:
@@ -121,6 +133,16 @@
         assert fleet.most_refused_within_a_second() <= REFUSAL_LIMIT
         assert fleet.served > 0
 
+    # Guards against a node that gets most of the load, and may use no more of a server
+    # than each of the nodes that get none.
+    @pytest.mark.parametrize("nodes", [9, 400])
+    def test_a_node_with_most_of_the_load_uses_most_of_the_servers(self, nodes):
+        per_s = 0.6 * 3 * SLOTS / CALL_S
+        fleet = Fleet(nodes, servers=3, seed=1, first_share=0.9)
+        fleet.play(per_s, for_s=12.0)
+        assert fleet.served >= 0.8 * fleet.arrived
+        assert fleet.most_refused_within_a_second() <= REFUSAL_LIMIT
+
     def test_without_gossip_the_limit_is_exceeded(self):
         fleet = Fleet(100, servers=3, seed=1, share_gossip=False)
         fleet.play(per_s=4 * 3 * SLOTS / CALL_S, for_s=12.0)
