Treat a batch answer that ends inside with its connection as a lost server

A server that crashed while it sent an answer without a length to a batch call was counted as unreachable, not as lost: no check for a crash was made, and an item that crashes servers was not recorded. New tests cover answers with neither a length nor chunks: plain, streams and stage results; a close ends them, a reset or an end inside an event does not.

--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import aiohttp
+import msgspec
 from multidict import CIMultiDict
 
 from eelgrass_coordination import StallAwareTimeout
@@ -44,6 +45,14 @@
         """Return the headers of a call that only this server may accept."""
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """An answer; without a length its body ended with the connection."""
+
+    status: int
+    body: bytes
+    has_length: bool
+
+
 class BatchCalls:
     """Calls backend servers.
 
@@ -69,9 +78,9 @@
         body = self._codec.encode_items(items, now)
         try:
             async with StallAwareTimeout(timeout_s):
-                status, answer = await self._post(backend, self._codec.RUN_PATH, body)
-            if status == HTTP_OK:
-                return self._codec.decode_outcomes(answer, len(items))
+                answer = await self._post(backend, self._codec.RUN_PATH, body)
+            if answer.status == HTTP_OK:
+                return self._decode(answer, len(items))
         except aiohttp.ConnectionTimeoutError:
             return _all_failed(items, ItemFailure.CONNECT_TIMED_OUT)
         except TimeoutError:
@@ -86,10 +95,10 @@
         except (aiohttp.ClientError, OSError):
             backend.connections.suspect_path()
             return _all_failed(items, ItemFailure.LOST)
-        if status == HTTP_MISDIRECTED:
+        if answer.status == HTTP_MISDIRECTED:
             self._on_replaced(backend)
             return _all_failed(items, ItemFailure.UNREACHABLE)
-        if status == HTTP_UNAVAILABLE:
+        if answer.status == HTTP_UNAVAILABLE:
             self._on_refused(backend)
             return _all_failed(items, ItemFailure.NO_ROOM)
         return _all_failed(items, ItemFailure.FAILED)
@@ -102,14 +111,22 @@
         body = self._codec.encode_free(handles)
         try:
             async with StallAwareTimeout(FREE_TIMEOUT_S):
-                status, _ = await self._post(backend, self._codec.FREE_PATH, body)
+                answer = await self._post(backend, self._codec.FREE_PATH, body)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             return False
-        return status == HTTP_OK
+        return answer.status == HTTP_OK
 
-    async def _post(
-        self, backend: Backend, path: str, body: bytes
-    ) -> tuple[int, bytes]:
+    def _decode(self, answer: _Answer, count: int) -> list[ItemOutcome]:
+        """Decode the outcomes of items; raises :class:`BatchAnswerMalformed`."""
+        try:
+            return self._codec.decode_outcomes(answer.body, count)
+        except BatchAnswerMalformed:
+            if answer.has_length:
+                raise
+            # The connection ended inside the answer, as if the server had crashed.
+            return [ItemOutcome(failure=ItemFailure.LOST)] * count
+
+    async def _post(self, backend: Backend, path: str, body: bytes) -> _Answer:
         headers = self._codec.call_headers(backend.entry.id)
         headers["Content-Type"] = "application/json"
         connections = backend.connections
@@ -121,7 +138,12 @@
                 connections.track(response)
                 limit = self._codec.decode_refusal_limit(response.headers)
                 backend.refusal_limit = limit
-                return response.status, await response.read()
+                return _Answer(
+                    response.status,
+                    await response.read(),
+                    "Content-Length" in response.headers
+                    or "Transfer-Encoding" in response.headers,
+                )
         finally:
             connections.end_call()
 
--- /dev/null
+++ b/tests/test_answers_without_length.py
@@ -0,0 +1,160 @@
+"""Answers with neither a length nor chunks, which end with their connection."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from eelgrass_standins.ports import free_addresses
+from support.closing_engine import ClosingEngine, Ending
+from support.entry import COMPLETE_STREAM, EntryDeployment, until
+
+SEGMENTS = {"Eelgrassward_Segments": "2,1,5", "Eelgrassward_Segment_Key": "key"}
+BODY = b"a body of some length"
+
+
+class Deployment(EntryDeployment):
+    """One node, and two servers of each service that send answers without length."""
+
+    def __init__(self):
+        super().__init__(nodes=1)
+        self.closing: dict[str, list[ClosingEngine]] = {}
+
+    async def start_engine(self, service, server_id, **options):
+        [address] = free_addresses(1)
+        engine = ClosingEngine(server_id, address)
+        engine.version, engine.started = "v1", 1
+        await engine.start()
+        self.engines_by_service.setdefault(service, []).append(engine)
+        self.list_engine(service, engine)
+        return engine
+
+    def end(self, service, *endings):
+        """Set how the next answer of each server of a service ends."""
+        for engine in self.engines_by_service[service]:
+            engine.endings = list(endings)
+
+
+@asynccontextmanager
+async def deployed():
+    async with Deployment() as deployment:
+        try:
+            yield deployment
+        finally:
+            for engines in deployment.engines_by_service.values():
+                for engine in engines:
+                    await engine.stop()
+
+
+async def answer(deployment, target, **headers):
+    """Return status and body; status 0 if the answer was broken off."""
+    try:
+        status, _, body = await deployment.ask(target, body=BODY, **headers)
+    except aiohttp.ClientError:
+        return 0, b""
+    return status, body
+
+
+class TestClose:
+    """A close ends an answer; what came before it is whole."""
+
+    @pytest.mark.parametrize(
+        ("target", "expected"),
+        [
+            ("/safe/x", b"answer of " + BODY),
+            ("/once/x", b"answer of " + BODY),
+            ("/stream/resumed/x", COMPLETE_STREAM),
+            ("/stream/single/x", COMPLETE_STREAM),
+        ],
+    )
+    async def test_the_answer_is_whole(self, target, expected):
+        async with deployed() as deployment:
+            for _ in range(5):
+                assert await answer(deployment, target) == (200, expected)
+
+    async def test_results_of_stages_are_used(self):
+        async with deployed() as deployment:
+            status, body = await answer(deployment, "/stream/staged/x", **SEGMENTS)
+            assert (status, body) == (200, COMPLETE_STREAM)
+            ran = [e.answered for e in deployment.engines_by_service["portal"]]
+            assert any("/-/stage-run" in paths for paths in ran)
+
+
+class TestReset:
+    """A reset breaks an answer off, whatever came before it."""
+
+    # Guards against a part of an answer that is passed off as whole.
+    @pytest.mark.parametrize("ending", [Ending.RESET, Ending.RESET_AFTER_ALL])
+    async def test_an_answer_that_may_not_be_repeated_is_not_passed_off_as_whole(
+        self, ending
+    ):
+        async with deployed() as deployment:
+            for target, service in (
+                ("/once/x", "desk"),
+                ("/stream/single/x", "readers"),
+            ):
+                deployment.end(service, ending)
+                status, _ = await answer(deployment, target)
+                assert status in (0, 502)
+
+    async def test_one_that_may_be_repeated_is_whole(self):
+        async with deployed() as deployment:
+            [first, second] = deployment.engines_by_service["desk"]
+            for engine in (first, second):
+                engine.endings = [Ending.RESET]
+                other = second if engine is first else first
+                other.endings = []
+                status, body = await answer(deployment, "/safe/x")
+                assert (status, body) == (200, b"answer of " + BODY)
+
+    # Guards against stage results that are taken from half an answer.
+    @pytest.mark.parametrize("ending", [Ending.RESET, Ending.CLOSE_EARLY])
+    async def test_stages_run_again_after_half_an_answer(self, ending):
+        async with deployed() as deployment:
+            [first, _] = deployment.engines_by_service["portal"]
+            first.endings = [ending]
+            for _ in range(3):
+                status, body = await answer(deployment, "/stream/staged/x", **SEGMENTS)
+                assert (status, body) == (200, COMPLETE_STREAM)
+
+    # Guards against a server that crashed in the answer to a batch call and is not
+    # recognized as crashed, so that an item that crashes servers is not either.
+    async def test_a_server_that_crashed_in_a_batch_answer_is_reported(self):
+        async with deployed() as deployment:
+            for engine in deployment.engines_by_service["portal"]:
+                engine.endings = [Ending.RESET] * 3
+                stop = engine.stop
+                asyncio.get_running_loop().call_later(0.02, lambda s=stop: run(s))
+            await answer(deployment, "/stream/staged/x", **SEGMENTS)
+            quarantine = deployment.nodes[0].poison_requests.quarantine
+            await until(lambda: len(quarantine) > 0)
+
+
+class TestStreamEndsInsideAnEvent:
+    """A stream that is closed inside an event was broken off."""
+
+    # Guards against a stream without its last events that looks complete.
+    async def test_one_that_may_be_resumed_goes_on_elsewhere(self):
+        async with deployed() as deployment:
+            [first, _] = deployment.engines_by_service["readers"]
+            first.endings = [Ending.CLOSE_EARLY]
+            for _ in range(3):
+                status, body = await answer(deployment, "/stream/resumed/x")
+                assert (status, body) == (200, COMPLETE_STREAM)
+
+    async def test_one_that_may_not_be_resumed_is_broken_off(self):
+        async with deployed() as deployment:
+            deployment.end("readers", Ending.CLOSE_EARLY)
+            status, _ = await answer(deployment, "/stream/single/x")
+            assert status == 0
+
+
+_running = set()
+
+
+def run(coroutine_function):
+    """Start a coroutine function in a task."""
+    task = asyncio.ensure_future(coroutine_function())
+    _running.add(task)
+    task.add_done_callback(_running.discard)
