--- a/packages/node/src/eelgrass_node/process/loop_load.py
+++ b/packages/node/src/eelgrass_node/process/loop_load.py
@@ -16,10 +16,10 @@
 # Time between two timers.
 INTERVAL_S = 0.02
 # The least delay within this time counts, so that a single pause does not.
-WINDOW_S = 0.15
+WINDOW_S = 0.25
 # A request takes some ten turns of the loop, and callers expect answers within a
 # second or two.
-OVERLOAD_DELAY_S = 0.06
+OVERLOAD_DELAY_S = 0.12
 
 
 class LoopLoad:
