--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from .server_connector import ServerLink
 
-__all__ = ["BackendConnections"]
+__all__ = ["BackendConnections", "has_length"]
 
 CONNECT_S = 1.0
 KEEP_ALIVE_S = 15.0
@@ -240,6 +240,12 @@
     return trace
 
 
+def has_length(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a body says where it ends, and does not end by a close."""
+    headers = response.headers
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+
 _closing_tasks: set[asyncio.Task] = set()
 
 
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -13,6 +13,7 @@
 from ..exceptions import BatchAnswerMalformed
 from ..process.backends import Backend
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
+from .backend import has_length
 
 __all__ = ["BatchCalls", "BatchCodec"]
 
@@ -138,12 +139,8 @@
                 connections.track(response)
                 limit = self._codec.decode_refusal_limit(response.headers)
                 backend.refusal_limit = limit
-                return _Answer(
-                    response.status,
-                    await response.read(),
-                    "Content-Length" in response.headers
-                    or "Transfer-Encoding" in response.headers,
-                )
+                body = await response.read()
+                return _Answer(response.status, body, has_length(response))
         finally:
             connections.end_call()
 
--- a/packages/node/src/eelgrass_node/entry_gauges.py
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -48,7 +48,7 @@
     )
     yield Gauge(
         "quarantined_prompt_parts",
-        "Quarantined prompt parts; requests with them are sent one at a time or not.",
+        "Quarantined prompt parts; requests with them are tried one at a time.",
         len(parts.held_parts()),
     )
     yield Gauge("store_calls", "Calls made to the store.", float(node.store.calls))
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -13,6 +13,7 @@
 
 from eelgrass_coordination import StallAwareTimeout, send_allowance_s
 
+from ..connection.backend import has_length
 from ..exceptions import CallFailed
 from ..process.backends import Backend
 from .incoming_request import ResponseHead, RoutedRequest, WireCodec
@@ -116,7 +117,7 @@
         A body without a length ends when its connection is closed. The client library
         then treats a reset like a regular close.
         """
-        if self._has_length():
+        if has_length(self._response):
             return
         if self._backend.connections.aborted or self._was_reset():
             raise CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
@@ -171,10 +172,6 @@
             return False
         return closed.exception() is not None
 
-    def _has_length(self) -> bool:
-        headers = self._response.headers
-        return "Content-Length" in headers or "Transfer-Encoding" in headers
-
     def _before_deadline(self, timeout_s: float) -> float | None:
         """Return ``timeout_s``, or None if the deadline comes first."""
         return timeout_s if timeout_s < self._remaining() else None
