Lend retries to a node that gets most of the requests

The fixed part of the retry budget was divided evenly: a node that got all requests could use one part of it. A node whose bucket is empty now asks three others, which lend half of their tokens if they got less than half as many requests and did not run out themselves in the last window. What is lent leaves the lender's bucket and is lost unless it is used within a second, so that all nodes together keep the limit.

The new test fails without loans.

--- a/packages/node/src/eelgrass_node/entry_applications.py
+++ b/packages/node/src/eelgrass_node/entry_applications.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from .connection.batch_handoff import HandoffInterface
+from .connection.loan_calls import LoanInterface
 from .connection.peer_state import PeerStateInterface
 from .connection.table_feed import TableFeedInterface
 from .connection.trial_calls import TrialInterface
@@ -30,6 +31,7 @@
     PeerStateInterface(node.peer_state).add_routes(app)
     TableFeedInterface(node.tables.relay).add_routes(app)
     WarmUpInterface(node.warm_up.permits).add_routes(app)
+    LoanInterface(node.retry_budgets).add_routes(app)
     TrialInterface(node.poison_requests.parts.permits).add_routes(app)
     return app
 
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -15,6 +15,7 @@
 from .connection.batch_handoff import HandoffClient, HandoffInterface
 from .connection.caller_server import CallerServer
 from .connection.listeners import Listeners
+from .connection.loan_calls import LoanClient
 from .connection.peer_calls import PeerCalls
 from .connection.peer_state import STATE_CALL, PeerState
 from .connection.server_links import ServerLinks
@@ -55,6 +56,7 @@
 from .process.reachability import DataCentreReachability
 from .process.reachability_checks import ReachabilityChecks
 from .process.retry_budget import RetryBudgets
+from .process.retry_loans import RetryLoans
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
 from .process.shared_queues import SharedQueues
@@ -272,6 +274,12 @@
             self.membership.probe,
             self.counters.count,
         )
+        self.retry_loans = RetryLoans(
+            self.retry_budgets,
+            self.membership.members.reachable,
+            LoanClient(self.peer_calls).ask,
+            loop.time,
+        )
         self.server_choice = ServerChoice(
             self.backends,
             settings.data_centre,
@@ -332,6 +340,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.reachability_checks.stop()
+        self.retry_loans.stop()
         await self.server_links.close()
         self.shared_queues.checks.stop()
         self.stream_origins.replication.stop()
--- a/packages/node/src/eelgrass_node/process/retry_budget.py
+++ b/packages/node/src/eelgrass_node/process/retry_budget.py
@@ -11,6 +11,10 @@
 the window's own allowance. A bucket starts empty, so that the sum stays the same when a
 process replaces another one, or takes over its requests.
 
+A node that gets most of the requests may borrow from nodes that get few
+(:mod:`.retry_loans`). What is lent leaves the lender's bucket, and is lost if it is not
+used at once, so that the sum over the nodes stays the same.
+
 In a large deployment the share of a node may be less than one retry. A bucket whose
 capacity is less than one token grants retries at random: its tokens are the
 probability of a retry.
@@ -34,6 +38,13 @@
 # Reduces the probability of random grants, so that many nodes that grant at the same
 # time do not exceed the limit.
 DRAWN_FRACTION = 0.6
+# The part of its tokens that a node lends to a busier one, and how much busier that
+# must be.
+LENT_FRACTION = 0.5
+BUSIER_FACTOR = 2
+# Borrowed tokens are used within this time: later ones would count in another window
+# than the lender's.
+LOAN_S = 1.0
 
 
 class RetryBudgets:
@@ -41,6 +52,7 @@
 
     ``sharing_nodes`` is the number of nodes that share the slack. While it is None
     (unknown), no slack is used. ``draw`` returns a random number from 0 to 1.
+    ``on_exhausted`` is called with a service whose bucket is empty.
     """
 
     def __init__(
@@ -59,6 +71,7 @@
         self._started_at = clock()
         self._bucket_by_service: dict[str, _Bucket] = {}
         self.sharing_nodes: int | None = None
+        self.on_exhausted: Callable[[str], None] = lambda service: None
 
     def record_requests(self, service: str, count: int = 1) -> None:
         """Count requests for a service, or batch items for one that runs stages."""
@@ -70,8 +83,8 @@
     def try_spend(self, service: str, request_id: str) -> bool:
         """Take a token for a retry; return whether there was one."""
         bucket = self._refilled(service, self._clock())
-        tokens = bucket.tokens
-        granted = self._take_token(bucket)
+        tokens, borrowed = bucket.tokens, bucket.borrowed
+        granted = self._take_token(bucket) or self._take_borrowed(bucket)
         log(
             Part.REQUESTS,
             "A retry is allowed." if granted else "The retry budget is exhausted.",
@@ -79,11 +92,48 @@
             service=service,
             requests=bucket.requested,
             tokens=round(tokens, 2),
+            borrowed=round(borrowed, 2),
             capacity=round(self._capacity(bucket), 2),
             nodes=self.sharing_nodes,
         )
+        if not granted:
+            bucket.exhausted_at = self._clock()
+            self.on_exhausted(service)
         return granted
 
+    def requested(self, service: str) -> int:
+        """Return the number of requests for a service in the last window."""
+        return self._refilled(service, self._clock()).requested
+
+    def lend(self, service: str, requested: int) -> float:
+        """Give up tokens for a node that got ``requested`` requests; return how many.
+
+        Nothing is lent to a node that is not much busier, or while this node needs its
+        tokens itself.
+        """
+        now = self._clock()
+        bucket = self._refilled(service, now)
+        if requested < BUSIER_FACTOR * max(1, bucket.requested):
+            return 0.0
+        if now - bucket.exhausted_at < self._window_s:
+            return 0.0
+        lent = bucket.tokens * LENT_FRACTION
+        bucket.tokens -= lent
+        return lent
+
+    def borrow(self, service: str, tokens: float) -> None:
+        """Add tokens that another node has lent."""
+        now = self._clock()
+        bucket = self._refilled(service, now)
+        bucket.borrowed += tokens
+        bucket.borrowed_until = now + LOAN_S
+
+    def _take_borrowed(self, bucket: "_Bucket") -> bool:
+        if bucket.borrowed < 1:
+            return False
+        bucket.borrowed -= 1
+        return True
+
     def _take_token(self, bucket: "_Bucket") -> bool:
         if bucket.tokens >= 1:
             bucket.tokens -= 1
@@ -100,6 +150,8 @@
         if bucket is None:
             bucket = self._bucket_by_service[service] = _Bucket(self._started_at)
         bucket.forget_before(now - self._window_s)
+        if now >= bucket.borrowed_until:
+            bucket.borrowed = 0.0
         passed = (now - bucket.refilled_at) / self._window_s
         bucket.refilled_at = now
         accrued = (1 - SAVED_SLACK_FRACTION) * self._slack_share() * passed
@@ -123,6 +175,9 @@
 
     def __init__(self, filled_since: float) -> None:
         self.tokens = 0.0
+        self.borrowed = 0.0
+        self.borrowed_until = float("-inf")
+        self.exhausted_at = float("-inf")
         self.refilled_at = filled_since
         self.requested = 0
         self._counts: deque[tuple[float, int]] = deque()
--- a/packages/node/tests/test_retry_budgets.py
+++ b/packages/node/tests/test_retry_budgets.py
@@ -111,6 +111,39 @@
             fleet.run(draw.uniform(0.1, 1.5), failing=draw.random() < 0.4)
         assert fleet.excess() <= 0
 
+    # Guards against a node that gets all requests and may use its own part of the
+    # slack only.
+    def test_a_node_with_all_requests_borrows_from_the_others(self):
+        used = []
+        for lending in (False, True):
+            fleet = RetryFleet(HOSTS, 4.0, lending=lending)
+            fleet.run(2 * WINDOW_S, failing=False, only=0)
+            fleet.run(2 * WINDOW_S, failing=True, only=0, others_retry=False)
+            assert fleet.excess() <= 0
+            used.append(fleet.retries)
+        alone, with_loans = used
+        assert with_loans >= 2 * alone
+
+    # Guards against loans by which the nodes together exceed the budget.
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_loans_do_not_exceed_the_budget(self, seed):
+        draw = random.Random(seed)
+        hosts = draw.choice([3, HOSTS, 60])
+        fleet = self.fleet(
+            hosts=hosts, requests_per_s=hosts * draw.choice([0.3, 2.0]), lending=True
+        )
+        for _ in range(60):
+            if draw.random() < 0.2:
+                fleet.restart(draw.randrange(hosts), down_s=draw.choice([0.0, 1.0]))
+            busy = draw.randrange(hosts) if draw.random() < 0.7 else None
+            fleet.run(
+                draw.uniform(0.1, 2.0),
+                failing=draw.random() < 0.5,
+                only=busy,
+                others_retry=draw.random() < 0.5,
+            )
+        assert fleet.excess() <= 0
+
     def test_without_restarts_most_of_the_budget_is_used(self):
         fleet = self.fleet()
         fleet.run(2 * WINDOW_S, failing=True)
