Count an answer as begun 0.15 s after its first event, not after its head

A server that sends the head early and crashes once it has written the first event exonerated the part that crashed it each time, so that the part was never held. The new test fails before: nothing was held in 6 s at 2.5 harmful requests a second.

--- a/packages/node/src/eelgrass_node/request/quarantine_check.py
+++ b/packages/node/src/eelgrass_node/request/quarantine_check.py
@@ -16,8 +16,8 @@
 
 __all__ = ["QuarantineCheck"]
 
-# A server that crashes when it begins an answer may have sent the head by then. An
-# answer counts as begun if it has gone on for this long.
+# A server that crashes when it begins an answer may have sent the head and an event by
+# then. An answer counts as begun if it has gone on for this long after its first event.
 SOUND_AFTER_S = 0.15
 # A request that has a part in quarantine is told to return no later than this. The
 # part may have been exonerated by then.
@@ -35,6 +35,7 @@
         self._routed = routed
         # The held parts that this request has a permit to try.
         self._trial: frozenset[PartKey] | None = None
+        self._first_event_at: float | None = None
         self._answer_recorded = False
 
     @cached_property
@@ -80,10 +81,14 @@
     def end_trial(self) -> None:
         """Give a permit back after a failed call; it was for one call only."""
         self._trial = None
+        self._first_event_at = None
 
     def record_events(self, backend: Backend, headed_at: float) -> None:
-        """Report that a stream that began at ``headed_at`` goes on."""
-        if asyncio.get_running_loop().time() - headed_at >= SOUND_AFTER_S:
+        """Report events of a stream whose head came at ``headed_at``."""
+        now = asyncio.get_running_loop().time()
+        if self._first_event_at is None:
+            self._first_event_at = now
+        if now - self._first_event_at >= SOUND_AFTER_S:
             self._record_answer(backend, headed_at)
 
     def record_answered(
--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -55,7 +55,8 @@
     each result. A request with ``fatal`` in its body, or a batch item with it in its
     key, crashes the server once it runs: ``crash`` is called. So does a request with a
     part in ``fatal_parts`` among the shared parts of its prompt, after
-    ``crash_delay_s``.
+    ``crash_delay_s``. With ``writes_before_crash`` the server writes the first event
+    that long after the head, in seconds, and then crashes.
     """
 
     def __init__(self, server_id: str, address: str, event_s: float = 0.0) -> None:
@@ -75,6 +76,7 @@
         self.fatal: bytes | None = None
         self.fatal_parts: set[str] = set()
         self.crash_delay_s = 0.0
+        self.writes_before_crash: float | None = None
         self.crash: Callable[[], None] = lambda: None
         self._last_handle_number = 0
 
@@ -188,6 +190,10 @@
         """Send the response headers, then crash the server."""
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
+        if self.writes_before_crash is not None:
+            await asyncio.sleep(self.writes_before_crash)
+            await response.write(b"id: 1\ndata: piece-1\n\n")
+            await asyncio.sleep(0.01)
         self.crash()
         await asyncio.Event().wait()
 
--- a/tests/support/poison_parts.py
+++ b/tests/support/poison_parts.py
@@ -45,12 +45,14 @@
     def __init__(self, nodes: int = 4, servers: int = 10, event_s: float = 0.03):
         super().__init__(nodes, servers=servers, event_s=event_s)
         self.fatal_parts = {FATAL_PART}
+        self.writes_before_crash: float | None = None
 
     async def start_engine(self, service: str, server_id: str) -> EngineStandIn:
         """Start a server that crashes on the fatal parts."""
         engine = await super().start_engine(service, server_id)
         engine.fatal_parts = self.fatal_parts
         engine.crash_delay_s = 0.02
+        engine.writes_before_crash = self.writes_before_crash
         return engine
 
     def running_servers(self) -> list[EngineStandIn]:
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -58,6 +58,18 @@
             after = traffic.served_share(deployment.crashed_at[0] + RECOVERED_S)
             assert after >= HALF * before > HALF * HALF
 
+    # Guards against an answer that is taken for sound because its head came early: the
+    # server crashes once it has written the first event.
+    async def test_it_is_found_if_servers_write_an_event_before_they_crash(self):
+        deployment = PoisonPartDeployment()
+        deployment.writes_before_crash = 0.25
+        async with deployment:
+            traffic = PartTraffic(deployment)
+            await traffic.run(6.0, fatal_per_s=2.5)
+            await traffic.finish()
+            assert deployment.held_parts()
+            assert 0 < len(deployment.crashed) <= FEW_CRASHES
+
     # Guards against two harmful parts of which one hides the other.
     async def test_two_fatal_parts_are_both_kept_from_servers(self):
         async with PoisonPartDeployment() as deployment:
