Check that no connection is closed once the limit after an overload has ended

The check that nothing is closed after the rush was dropped when the rate limit came. It is back, for the time after the limit has ended; the earlier second is still checked for what is served.

--- a/tests/test_connection_overload.py
+++ b/tests/test_connection_overload.py
@@ -146,3 +146,8 @@
             await after.run(2.0, CALM_PER_S, 1 / HOSTS)
             await after.finish()
             assert served_share(after.outcomes) >= REQUIRED * calm
+            # The limit on new connections has ended by now.
+            later = Rush(deployment)
+            await later.run(1.0, CALM_PER_S, 1 / HOSTS)
+            await later.finish()
+            assert not any(o.status == 0 for o in later.outcomes)
