Log whom a node asked for a stream's version when nobody knows it

The refusal said only that the version is not known. Members known, answers, and how long the node has run tell a node that has just started from one that is apart from the others, and both from a version that ended with its hosts.

--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -86,6 +86,8 @@
         self._send_payload = send
         self._history = history
         self._list_is_current = list_is_current
+        self._clock = clock
+        self._started_at = clock()
         self._count = count
         self._numbers = itertools.count(1)
         self._query_by_number: dict[int, _Query] = {}
@@ -136,7 +138,10 @@
         asked = {member.id for member in replicas}
         others = [member for member in self._members() if member.id not in asked]
         second = await self._ask(others, ask, ALL_NODES_TIMEOUT_S)
-        return _origin(second) or self._only_possible(ask, (first, second))
+        origin = _origin(second) or self._only_possible(ask, (first, second))
+        if origin is None:
+            self._log_unknown(ask, (first, second))
+        return origin
 
     def receive(self, payload: bytes, address: str) -> None:
         """Handle a message from another node."""
@@ -219,6 +224,22 @@
             return None
         return StreamOrigin(ask.service, versions.pop())
 
+    def _log_unknown(self, ask: Ask, queries: tuple[_Query, _Query]) -> None:
+        answers = [answer for query in queries for answer in query.answers]
+        versions = {version for answer in answers for version in answer.versions}
+        self._count("stream.origin-unknown")
+        log(
+            Part.REQUESTS,
+            "No node in reach knows which version began a stream.",
+            id=ask.stream,
+            members=len(self._members()),
+            answered=len(answers),
+            unanswered=sum(len(query.unanswered) for query in queries),
+            versions=sorted(versions),
+            covering=sum(answer.covers for answer in answers),
+            running_s=round(self._clock() - self._started_at, 2),
+        )
+
     def _send(self, address: str, message: Store | Confirm | Ask | Answer) -> None:
         self._send_payload(address, encode(message))
 
