--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -56,7 +56,8 @@
     key, crashes the server once it runs: ``crash`` is called. So does a request with a
     part in ``fatal_parts`` among the shared parts of its prompt, after
     ``crash_delay_s``. With ``writes_before_crash`` the server writes the first event
-    that long after the head, in seconds, and then crashes.
+    that long after the head, in seconds, and then crashes. Reports take
+    ``report_delay_s``.
     """
 
     def __init__(self, server_id: str, address: str, event_s: float = 0.0) -> None:
@@ -73,6 +74,7 @@
         self.started = STARTED_MS
         self.version = "v1"
         self.events_before_cut = 0
+        self.report_delay_s = 0.0
         self.fatal: bytes | None = None
         self.fatal_parts: set[str] = set()
         self.crash_delay_s = 0.0
@@ -90,6 +92,7 @@
         return app
 
     async def _handle_report(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(self.report_delay_s)
         return web.json_response({"Phase": "both", "born": self.started})
 
     def restart(self) -> None:
