Look for members that are gone, whether they left as planned or not

What callers saw: streams that they resumed were refused for some fifteen seconds while hosts were restarted in turn, as the hosts formed two or three groups that did not know each other, and a version recorded in one group is not known in another.

Cause: a member that left as planned was never probed again, and one that starts knows its seeds only. Where all seeds restart, or the only one, nobody looks for anybody. Seeds that were beyond a cut for a member's first 4 s were not looked for either.

Members that are suspected, dead or left since 60 intervals are probed by all others together some ten times an interval, whatever their number, so that they are found within some tenths of a second of their start and need no seed; later one at random is probed every five intervals, as dead ones were before, and so are missing seeds.

--- a/packages/coordination/src/eelgrass_coordination/members.py
+++ b/packages/coordination/src/eelgrass_coordination/members.py
@@ -81,6 +81,10 @@
         states = (MemberState.ALIVE, MemberState.SUSPECT)
         return [member for member in self.by_id.values() if member.state in states]
 
-    def unreachable(self) -> list[Member]:
-        """Return the members considered dead, which may only be partitioned off."""
-        return [m for m in self.by_id.values() if m.state is MemberState.DEAD]
+    def absent(self) -> list[Member]:
+        """Return the members that left or are considered dead.
+
+        They may have started again, or may only be partitioned off.
+        """
+        states = (MemberState.DEAD, MemberState.LEFT)
+        return [member for member in self.by_id.values() if member.state in states]
--- a/packages/coordination/src/eelgrass_coordination/membership.py
+++ b/packages/coordination/src/eelgrass_coordination/membership.py
@@ -3,8 +3,9 @@
 In each period a node probes one member over UDP, in a shuffled order, so that the load
 on a node does not grow with the number of nodes. A member that answers neither
 directly nor through other members is suspected and, unless it refutes that in time,
-considered dead. Dead members are probed occasionally, which heals a partition. The
-protocol follows SWIM (Das, Gupta and Motivala, 2002).
+considered dead. Members that are gone are probed, too (:mod:`.absent_members`), as they
+may start again or have been partitioned off. The protocol follows SWIM (Das, Gupta and
+Motivala, 2002).
 
 Every message also carries the sender's configuration revision and recent gossip items,
 such as backend servers that are leaving. Urgent updates are pushed at once to a few
@@ -27,10 +28,12 @@
 
 import msgspec
 
+from .absent_members import AbsentMembers
 from .anti_entropy import AntiEntropy
 from .datagrams import Datagrams
 from .gossip_items import GossipItems
 from .ids import NodeId, Revision
+from .joining import join
 from .members import Member, MemberState, MemberTable
 from .messages import BroadcastQueue, Exchange, GossipItem, Message, MessageKind
 from .running_time import stall_aware_wait
@@ -47,18 +50,11 @@
 # Limits that keep the records and gossip items of a message within one packet.
 MAX_UPDATES = 8
 MAX_GOSSIP_ITEMS = 8
-# Periods between probes of a dead member, which heal a partition within seconds.
-DEAD_PROBE_PERIODS = 5
-# All members may start at once, and a probe to a seed that is not up yet is lost. Seeds
-# are probed this often, for this many intervals, until their records are received.
-JOIN_ATTEMPTS_PER_INTERVAL = 5
-JOIN_INTERVALS = 4
+# Periods after which indirect probes without an answer are dropped.
+INDIRECT_PROBE_PERIODS = 5
 # Changes of members are batched for this fraction of an interval and then pushed. A
 # small group whose members all start at once agrees within half an interval.
 PUSH_FRACTION = 0.05
-# Members that a starting node compares its records with, one per join attempt. Each
-# comparison about doubles the members it knows: to 400 after eight.
-JOIN_COMPARISONS = 8
 
 
 class Membership:
@@ -86,7 +82,6 @@
         self.on_gossip_item: Callable[[GossipItem], None] = _ignore
         self.on_change: Callable[[], None] = _ignore
         self.on_ack: Callable[[Member], None] = _ignore
-        self._seeds = [seed for seed in seeds if seed != own.gossip]
         self._interval_s = interval_s
         self._random = randomness or random.Random()
         self.datagrams = Datagrams(self._receive)
@@ -97,6 +92,14 @@
         self._pending_probes: dict[int, asyncio.Future] = {}
         self._indirect_probes: dict[int, tuple[str, int]] = {}
         self._suspicions = Suspicions()
+        self._absent = AbsentMembers(
+            self.members,
+            self._suspicions,
+            [seed for seed in seeds if seed != own.gossip],
+            self._send_probe,
+            interval_s,
+            self._random,
+        )
         self._anti_entropy = AntiEntropy(self._live_members, self._send)
         self._period = 0
         self._has_left = False
@@ -118,7 +121,15 @@
         await self.datagrams.open(self.own.gossip)
         self._queue_update(self.own)
         self._tasks = [
-            asyncio.create_task(self._join()),
+            asyncio.create_task(
+                join(
+                    self.members,
+                    self._absent,
+                    self._anti_entropy,
+                    self._interval_s,
+                    self._random,
+                )
+            ),
             asyncio.create_task(self._run()),
         ]
 
@@ -139,6 +150,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._absent.stop()
         if self._push_timer is not None:
             self._push_timer.cancel()
 
@@ -234,19 +246,6 @@
         if origin is not None:
             self._send(origin[0], MessageKind.ACK, origin[1])
 
-    async def _join(self) -> None:
-        """Probe the seeds until each is known; compare records with some members."""
-        for step in range(JOIN_ATTEMPTS_PER_INTERVAL * JOIN_INTERVALS):
-            known_addresses = {member.gossip for member in self.members.reachable()}
-            missing = [seed for seed in self._seeds if seed not in known_addresses]
-            if not missing and step > JOIN_COMPARISONS:
-                return
-            self._probe_seeds(missing)
-            if step <= JOIN_COMPARISONS:
-                for member in self._sample(self.members.reachable(), 1):
-                    self._anti_entropy.begin(member)
-            await asyncio.sleep(self._interval_s / JOIN_ATTEMPTS_PER_INTERVAL)
-
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -254,8 +253,8 @@
             self._period += 1
             await self._probe_next()
             self._expire_suspicions()
-            if self._period % DEAD_PROBE_PERIODS == 0:
-                self._probe_dead()
+            self._absent.begin_period(self._period)
+            if self._period % INDIRECT_PROBE_PERIODS == 0:
                 self._indirect_probes.clear()
             rest_s = self._interval_s - (loop.time() - started_at)
             await asyncio.sleep(max(0.0, rest_s))
@@ -313,15 +312,8 @@
             self.members.forget(node)
         self._gossip_items.forget_old(self._period)
 
-    def _probe_dead(self) -> None:
-        for dead in self._sample(self.members.unreachable(), 1):
-            self._send(dead.gossip, MessageKind.PROBE, subject=dead)
-        if not self.members.reachable():
-            self._probe_seeds(self._seeds)
-
-    def _probe_seeds(self, seeds: Iterable[str]) -> None:
-        for seed in seeds:
-            self._send(seed, MessageKind.PROBE)
+    def _send_probe(self, address: str, member: Member | None) -> None:
+        self._send(address, MessageKind.PROBE, subject=member)
 
     def _merge_records(self, members: Iterable[Member], pass_on: bool = True) -> None:
         """Apply records; call ``on_change`` once if the set of members has changed."""
@@ -342,6 +334,7 @@
         if pass_on:
             self._queue_update(member)
         self._suspicions.record(member, self._period)
+        self._absent.on_change()
         if known is None:
             return True
         return (known.epoch, known.state) != (member.epoch, member.state)
--- a/packages/coordination/src/eelgrass_coordination/suspicion.py
+++ b/packages/coordination/src/eelgrass_coordination/suspicion.py
@@ -29,6 +29,11 @@
         elif member.state in (MemberState.DEAD, MemberState.LEFT):
             self._dead_since[member.id] = period
 
+    def recent(self, since: int) -> list[NodeId]:
+        """Return the members that are suspected, dead or left since a period."""
+        known = (*self._suspected_since.items(), *self._dead_since.items())
+        return [node for node, period in known if period >= since]
+
     def pop_expired_suspects(self, period: int) -> list[NodeId]:
         """Remove and return the members that did not refute their suspicion in time."""
         return _pop_due(self._suspected_since, period - SUSPICION_PERIODS)
--- a/packages/coordination/tests/test_membership.py
+++ b/packages/coordination/tests/test_membership.py
@@ -6,7 +6,7 @@
 import pytest
 
 from eelgrass_coordination import GossipItem, Member, Membership, MemberState
-from eelgrass_coordination.membership import JOIN_INTERVALS
+from eelgrass_coordination.joining import JOIN_INTERVALS
 from eelgrass_standins.ports import free_addresses
 
 INTERVAL_S = 0.1
--- a/packages/coordination/tests/test_rejoining.py
+++ b/packages/coordination/tests/test_rejoining.py
@@ -17,6 +17,8 @@
 STOP_S = 2.6
 # Callers come back within a second or two of the end of their host.
 REJOIN_S = 1.0
+# A partition is healed within seconds of its end.
+HEALED_S = 6.0
 
 
 class RestartingGroup:
@@ -121,6 +123,24 @@
 
         assert run_network(main()) <= REJOIN_S
 
+    # Guards against members that start during a partition and look for their seeds, all
+    # of which are on the other side, for their first seconds only.
+    def test_members_that_start_during_a_partition_are_found_after_it(self):
+        async def main():
+            loop = asyncio.get_running_loop()
+            loop.is_cut = lambda source, to: (source < "10.0.0.4") != (to < "10.0.0.4")
+            group = RestartingGroup(seeds=3)
+            await group.start(up_s=30.0)
+            apart = [len(member.members.reachable()) for member in group.members]
+            loop.is_cut = lambda source, to: False
+            took_s = await group.rejoined_after(2 * HEALED_S)
+            await group.stop()
+            return apart, took_s
+
+        apart, took_s = run_network(main())
+        assert apart == [2, 2, 2, 0, 0, 0]
+        assert took_s <= HEALED_S
+
     # Guards against members that left for good and are probed for ever at that rate.
     def test_members_that_left_for_good_cost_little(self):
         async def main():
