Go on asking for a stream's version until the node has settled

What callers saw: streams that they resumed at a host which had just started were refused ("the software version that began the stream is not known") while new ones began there, also where a host lived that knew the version.

Cause: a host serves some milliseconds after its start, before it has heard of other hosts. `find` asked the members of that moment, none or a few, and took the lack of an answer for a version that nobody knows. Besides, an answer that came after the timeout was dropped: a socket yields one datagram in an iteration of the event loop, and a host that serves some fifty requests at once reads the answers of all members late.

Change: an origin counts as unknown only once the node has been up for 1.5 s. Until then each member that becomes known is asked, and late answers count. The search ends with the first node that knows, with the caller's deadline, or when the caller leaves; a node that has settled refuses as soon as before. The questions move into a module of their own.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -448,7 +448,7 @@
             self.settings, self.membership.own, members
         )
         self.backends.set_live_nodes(len(self.membership.members.reachable()) + 1)
-        self.stream_origins.replication.on_members_changed()
+        self.stream_origins.on_members_changed()
 
     def _on_servers_changed(self, service: str) -> None:
         self.version_history.servers_changed(service)
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -11,18 +11,16 @@
     origin = await origins.find("9c41d07b", service, max_age_s=8.0)
 """
 
-import asyncio
-import itertools
 from collections.abc import Callable, Sequence
 
 import msgspec
 
 from eelgrass_coordination import Member, stall_aware_wait
-from eelgrass_coordination.ids import NodeId
 
 from ...log import Part, log
 from ...version.deployment import ServiceName
 from .messages import Answer, Ask, Confirm, Store, decode, encode
+from .origin_queries import OriginQueries, OriginSearch
 from .origin_replication import OriginReplication
 from .origin_table import OriginTable, StreamOrigin
 from .replica_choice import ReplicaChoice
@@ -36,33 +34,13 @@
 # Timeouts for the answers of the nodes that should have a copy, and of all others.
 REPLICA_TIMEOUT_S = 0.05
 ALL_NODES_TIMEOUT_S = 0.15
-# Parts of a timeout after which nodes that have not answered are asked again.
-ASKS_PER_TIMEOUT = 2
+# How long after its start a node may not have heard of others that know an origin: a
+# node that has restarted is found by others within some tenths of a second.
+SETTLE_S = 1.5
 # Streams are forgotten this long after their callers have left for certain.
 EXPIRY_SLACK_S = 5.0
 
 
-class _Query:
-    """A question to some nodes, and their answers."""
-
-    def __init__(self, members: Sequence[Member]) -> None:
-        self.member_by_number: dict[int, Member] = {}
-        self.unanswered: dict[NodeId, Member] = {m.id: m for m in members}
-        self.answers: list[Answer] = []
-        self.complete = asyncio.get_running_loop().create_future()
-
-    def receive(self, answer: Answer) -> None:
-        """Add the answer of a node; one origin completes the query."""
-        member = self.member_by_number[answer.number]
-        if self.unanswered.pop(member.id, None) is None:
-            return
-        self.answers.append(answer)
-        if self.complete.done():
-            return
-        if answer.origin is not None or not self.unanswered:
-            self.complete.set_result(None)
-
-
 class StreamOrigins:
     """The origins of streams, as one node knows them and learns of them from others.
 
@@ -89,8 +67,7 @@
         self._clock = clock
         self._started_at = clock()
         self._count = count
-        self._numbers = itertools.count(1)
-        self._query_by_number: dict[int, _Query] = {}
+        self._queries = OriginQueries(self._send)
         self._leaving = False
         self.table = OriginTable(clock)
         self.replication = OriginReplication(choice, self._send, clock)
@@ -124,25 +101,27 @@
         """Return the origin of a stream that began within ``max_age_s`` seconds.
 
         None if no node knows it, unless all agree that a single version of ``service``
-        can have begun it. ``service`` is None if several can have.
+        can have begun it. ``service`` is None if several can have. A node that has just
+        started waits until it has heard of the others.
         """
         known = self.table.get(stream) if stream else None
         if known is not None:
             return known
         ask = Ask(0, stream or "", service or ServiceName(""), max_age_s)
         replicas = self._choice.replicas(stream) if stream else []
-        first = await self._ask(replicas, ask, REPLICA_TIMEOUT_S)
-        origin = _origin(first)
-        if origin is not None:
-            return origin
-        asked = {member.id for member in replicas}
-        others = [member for member in self._members() if member.id not in asked]
-        second = await self._ask(others, ask, ALL_NODES_TIMEOUT_S)
-        origin = _origin(second) or self._only_possible(ask, (first, second))
+        with self._queries.search(ask) as search:
+            origin = await self._queries.ask(search, replicas, REPLICA_TIMEOUT_S)
+            if origin is None:
+                origin = await self._ask_all(search)
         if origin is None:
-            self._log_unknown(ask, (first, second))
+            self._log_unknown(search)
         return origin
 
+    def on_members_changed(self) -> None:
+        """Renew copies that were lost, and ask nodes that have become known."""
+        self.replication.on_members_changed()
+        self._queries.on_members_changed()
+
     def receive(self, payload: bytes, address: str) -> None:
         """Handle a message from another node."""
         try:
@@ -158,9 +137,7 @@
         elif isinstance(message, Ask):
             self._send(address, self._answer(message))
         else:
-            query = self._query_by_number.get(message.number)
-            if query is not None:
-                query.receive(message)
+            self._queries.receive(message)
 
     def leave(self) -> None:
         """Hand all origins over to other nodes, because this node is leaving."""
@@ -184,57 +161,44 @@
             ask.number, None, tuple(versions), covers and self._list_is_current()
         )
 
-    async def _ask(
-        self, members: Sequence[Member], ask: Ask, within_s: float
-    ) -> _Query:
-        """Ask nodes until one knows the origin, all have answered, or time is up."""
-        query = _Query(members)
-        try:
-            for _ in range(ASKS_PER_TIMEOUT):
-                if not query.unanswered or query.complete.done():
-                    break
-                self._send_asks(query, ask)
-                await stall_aware_wait(query.complete, within_s / ASKS_PER_TIMEOUT)
-        finally:
-            for number in query.member_by_number:
-                del self._query_by_number[number]
-        return query
-
-    def _send_asks(self, query: _Query, ask: Ask) -> None:
-        """Ask the nodes that have not answered yet."""
-        for member in list(query.unanswered.values()):
-            number = next(self._numbers)
-            query.member_by_number[number] = member
-            self._query_by_number[number] = query
-            self._send(member.gossip, msgspec.structs.replace(ask, number=number))
-
-    def _only_possible(
-        self, ask: Ask, queries: tuple[_Query, _Query]
-    ) -> StreamOrigin | None:
+    async def _ask_all(self, search: OriginSearch) -> StreamOrigin | None:
+        """Ask all nodes, also those that become known until this one has settled."""
+        while True:
+            search.news.clear()
+            others = search.not_asked(self._members())
+            origin = await self._queries.ask(search, others, ALL_NODES_TIMEOUT_S)
+            origin = origin or self._only_possible(search)
+            unsettled_s = self._started_at + SETTLE_S - self._clock()
+            if origin is not None or unsettled_s <= 0:
+                return origin
+            await search.wait_for_news(unsettled_s)
+
+    def _only_possible(self, search: OriginSearch) -> StreamOrigin | None:
         """Return the origin if a single version can have begun a stream, else None."""
+        ask = search.ask
         own = self._answer(msgspec.structs.replace(ask, stream=""))
-        answers = [own, *(answer for query in queries for answer in query.answers)]
+        answers = [own, *search.answers]
         versions = {version for answer in answers for version in answer.versions}
         if len(versions) != 1:
             return None
         # Without the store no node lists a new version, if all of them are in reach.
-        all_answered = not any(query.unanswered for query in queries)
+        all_answered = not search.unanswered
         covers = self._history.covers(ask.service, ask.max_age_s) and all_answered
         if not covers and not any(answer.covers for answer in answers):
             return None
         return StreamOrigin(ask.service, versions.pop())
 
-    def _log_unknown(self, ask: Ask, queries: tuple[_Query, _Query]) -> None:
-        answers = [answer for query in queries for answer in query.answers]
+    def _log_unknown(self, search: OriginSearch) -> None:
+        answers = search.answers
         versions = {version for answer in answers for version in answer.versions}
         self._count("stream.origin-unknown")
         log(
             Part.REQUESTS,
             "No node in reach knows which version began a stream.",
-            id=ask.stream,
+            id=search.ask.stream,
             members=len(self._members()),
             answered=len(answers),
-            unanswered=sum(len(query.unanswered) for query in queries),
+            unanswered=len(search.unanswered),
             versions=sorted(versions),
             covering=sum(answer.covers for answer in answers),
             running_s=round(self._clock() - self._started_at, 2),
@@ -242,9 +206,3 @@
 
     def _send(self, address: str, message: Store | Confirm | Ask | Answer) -> None:
         self._send_payload(address, encode(message))
-
-
-def _origin(query: _Query) -> StreamOrigin | None:
-    """Return the origin that a node answered with, an uncertain one before others."""
-    found = [answer.origin for answer in query.answers if answer.origin is not None]
-    return min(found, key=lambda origin: origin.version is not None, default=None)
--- a/packages/node/src/eelgrass_node/request/stream_resumption.py
+++ b/packages/node/src/eelgrass_node/request/stream_resumption.py
@@ -6,8 +6,10 @@
 
 import msgspec
 
+from eelgrass_coordination import deadline_timeout
+
 from ..exceptions import RequestRefused
-from ..process.stream_origins import StreamOrigins
+from ..process.stream_origins import StreamOrigin, StreamOrigins
 from .incoming_request import RoutedRequest
 
 __all__ = ["with_stream_origin"]
@@ -28,11 +30,7 @@
     if not routed.resumes_stream:
         return routed
     services = routed.route.service_names
-    origin = await origins.find(
-        routed.incoming.resumes,
-        services[0] if len(services) == 1 else None,
-        routed.caller_timeout_s,
-    )
+    origin = await _find_origin(origins, routed)
     if origin is None:
         raise RequestRefused(
             "the software version that began the stream is not known", UNKNOWN_RETRY_S
@@ -49,3 +47,18 @@
     return msgspec.structs.replace(
         routed, service=origin.service, version=origin.version
     )
+
+
+async def _find_origin(
+    origins: StreamOrigins, routed: RoutedRequest
+) -> StreamOrigin | None:
+    """Return the origin of a stream; None if it is not found before the deadline."""
+    services = routed.route.service_names
+    service = services[0] if len(services) == 1 else None
+    try:
+        async with deadline_timeout(routed.deadline):
+            return await origins.find(
+                routed.incoming.resumes, service, routed.caller_timeout_s
+            )
+    except TimeoutError:
+        return None
--- /dev/null
+++ b/packages/node/tests/test_origin_search.py
@@ -0,0 +1,149 @@
+"""The search for the origin of a stream at nodes that have just started."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from eelgrass_node.exceptions import RequestRefused
+from eelgrass_node.process.stream_origins.stream_origins import (
+    ALL_NODES_TIMEOUT_S,
+    REPLICA_TIMEOUT_S,
+    SETTLE_S,
+)
+from eelgrass_node.request.stream_resumption import with_stream_origin
+from support import datagram_network
+from support.datagram_network import ONE_WAY_DELAY_S, run_network
+from support.origin_fleet import CALLER_TIMEOUT_S, SERVICE, V1, OriginFleet
+
+# The time that a node takes to decide once all nodes have answered.
+AT_ONCE_S = 6 * ONE_WAY_DELAY_S
+NODES = 9
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+async def restart_all_but_last(fleet):
+    """Restart all nodes but one at once; return them."""
+    restarted = range(NODES - 1)
+    for number in restarted:
+        await fleet.nodes[number].stop()
+    return [await fleet.add(number) for number in restarted]
+
+
+class TestNodesThatHaveJustStarted:
+    # Guards against a node that takes "nobody to ask" for "nobody knows".
+    @pytest.mark.parametrize("number", range(NODES))
+    def test_a_node_that_has_heard_of_nobody_finds_the_origin(self, number):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                await fleet.nodes[3].origins.record("s", V1, CALLER_TIMEOUT_S)
+                started = await fleet.restart(number)
+                assert started.membership.members.reachable() == []
+                assert await started.find("s") == V1
+                assert now() - started.started_at < SETTLE_S
+
+        run_network(main())
+
+    # Guards against a search that ends with the first nodes that are heard of.
+    @pytest.mark.parametrize("seed", range(3))
+    def test_the_first_that_are_heard_of_have_just_started_too(self, seed):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                await fleet.nodes[-1].origins.record("s", V1, CALLER_TIMEOUT_S)
+                started = await restart_all_but_last(fleet)
+                origins = await asyncio.gather(*(node.find("s") for node in started))
+                assert set(origins) == {V1}
+
+        run_network(main(), seed=seed)
+
+    # Guards against answers that are dropped because a busy node reads them late.
+    def test_answers_that_arrive_late_count(self, monkeypatch):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                await fleet.nodes[3].origins.record("s", V1, CALLER_TIMEOUT_S)
+                await asyncio.sleep(1.0)
+                started = await fleet.restart(4)
+                assert await started.find("s") == V1
+
+        late_s = REPLICA_TIMEOUT_S + ALL_NODES_TIMEOUT_S
+        monkeypatch.setattr(datagram_network, "ONE_WAY_DELAY_S", late_s / 2 + 0.02)
+        run_network(main())
+
+    # Guards against answers that the end of the wait delays.
+    def test_the_search_ends_with_the_node_that_knows(self):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                await fleet.nodes[3].origins.record("s", V1, CALLER_TIMEOUT_S)
+                started = await fleet.restart(4)
+                find = asyncio.create_task(started.find("s"))
+                while not started.membership.members.reachable():  # noqa: ASYNC110
+                    await asyncio.sleep(0.001)
+                heard_at = now()
+                assert await find == V1
+                assert now() - heard_at < 0.1
+
+        run_network(main())
+
+    def test_what_nobody_knows_is_refused_once_the_node_has_settled(self):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                started = await fleet.restart(4)
+                assert await started.find("unknown") is None
+                waited_s = now() - started.started_at
+                assert SETTLE_S <= waited_s < SETTLE_S + AT_ONCE_S
+
+        run_network(main())
+
+    def test_a_settled_node_holds_nothing_up(self):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                await asyncio.sleep(SETTLE_S)
+                asked_at = now()
+                assert await fleet.nodes[0].find("unknown") is None
+                assert now() - asked_at < AT_ONCE_S
+
+        run_network(main())
+
+
+def resumption(deadline_s):
+    """Return a request that resumes an unknown stream, as the search sees it."""
+    return SimpleNamespace(
+        resumes_stream=True,
+        route=SimpleNamespace(service_names=(SERVICE,)),
+        incoming=SimpleNamespace(resumes="unknown"),
+        caller_timeout_s=CALLER_TIMEOUT_S,
+        deadline=now() + deadline_s,
+    )
+
+
+class TestCallersOfNodesThatHaveJustStarted:
+    # Guards against refusals that arrive after their callers' deadline.
+    def test_the_search_ends_with_the_deadline(self):
+        async def main():
+            async with OriginFleet(nodes=1) as fleet:
+                started = await fleet.restart(0)
+                with pytest.raises(RequestRefused):
+                    await with_stream_origin(started.origins, resumption(0.3))
+                assert now() - started.started_at == pytest.approx(0.3, abs=0.01)
+
+        run_network(main())
+
+    # Guards against searches that go on for callers who have left.
+    def test_a_caller_who_leaves_ends_it(self):
+        async def main():
+            async with OriginFleet(nodes=1) as fleet:
+                started = await fleet.restart(0)
+                tasks = asyncio.all_tasks()
+                search = asyncio.create_task(
+                    with_stream_origin(started.origins, resumption(3.0))
+                )
+                await asyncio.sleep(0.2)
+                search.cancel()
+                await asyncio.wait({search})
+                assert search.cancelled()
+                assert asyncio.all_tasks() <= tasks
+
+        run_network(main())
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -45,6 +45,7 @@
         clock = asyncio.get_running_loop().time
         own = Member(name, data_centre, address, address, epoch)
         self.membership = Membership(own, seeds)
+        self.started_at = clock()
         self.counts = Counter()
         self.is_list_current = True
         self.backends = SimpleNamespace(by_service={})
@@ -59,7 +60,7 @@
             clock,
             lambda name: self.counts.update([name]),
         )
-        self.membership.on_change = self.origins.replication.on_members_changed
+        self.membership.on_change = self.origins.on_members_changed
         self.membership.datagrams.on_payload = self.origins.receive
 
     def list_servers(self, *versions: str) -> None:
