Bear servers that report late when a stream is resumed

Callers saw every resumed stream refused while new ones began: where all servers of a version took 0.6 s to report, 0 of 24 went on.

Cause: before a stream goes on at a server, the server's report must state the start of its entry, and a report that took longer than 0.3 s counted as a server that does not answer. Each failed check also suspected a sound server.

So that one silent server does not cost all of it, another server of the version is checked beside it after 0.1 s, and a third one after 0.2 s. The first that confirms its start gets the stream; nothing is sent before that.

Cost (worked out): nothing unless a report takes over 0.1 s; then up to two more GETs that servers answer from memory.

--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -3,26 +3,99 @@
 A server may restart under its id, with another software version, and accept requests
 before its new entry has been read. A stream that goes on there must not be sent before
 the server has said when it was started.
+
+Overloaded servers may report late, and one that has failed silently does not report at
+all. So a report may take long, and other servers are asked meanwhile.
 """
 
+import asyncio
+from collections.abc import Awaitable, Callable
+
 import aiohttp
 from multidict import CIMultiDict
 
 from eelgrass_coordination import StallAwareTimeout
 
 from ..exceptions import CallFailed
+from ..log import Part, log
 from ..process.backends import Backend
 from .engine_call import CONNECT_S
 from .incoming_request import WireCodec
 from .reasons import RetryReason
 
-__all__ = ["check_incarnation"]
+__all__ = ["check_incarnation", "first_confirmed"]
+
+# Servers report from memory, within milliseconds unless they are overloaded.
+NEXT_SERVER_DELAY_S = 0.1
+MAX_ASKED = 3
+
+
+async def first_confirmed(
+    first: Backend,
+    next_server: Callable[[list[Backend]], Awaitable[Backend | None]],
+    check: Callable[[Backend], Awaitable[None]],
+    on_failed: Callable[[Backend, CallFailed], None],
+) -> Backend:
+    """Return the first server that passes ``check``, beginning with ``first``.
+
+    While none has answered, another one is checked beside them after each
+    ``NEXT_SERVER_DELAY_S``; ``next_server`` returns one that is not in a list, or None.
+    Raises the :class:`CallFailed` of ``first`` if all checks fail. ``on_failed`` is
+    called for all other failures.
+    """
+    asked = [first]
+    failed: dict[Backend, CallFailed] = {}
+    checks = {asyncio.create_task(_outcome(check, first))}
+    try:
+        while checks:
+            delay_s = NEXT_SERVER_DELAY_S if len(asked) < MAX_ASKED else None
+            done, checks = await asyncio.wait(
+                checks, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            for server, failure in (task.result() for task in done):
+                if failure is None:
+                    _report(failed, on_failed)
+                    return server
+                failed[server] = failure
+            server = None if done else await next_server(asked)
+            if server is not None:
+                asked.append(server)
+                checks.add(asyncio.create_task(_outcome(check, server)))
+    finally:
+        for task in checks:
+            task.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
+    failure = failed.pop(first)
+    _report(failed, on_failed)
+    raise failure
+
+
+async def _outcome(
+    check: Callable[[Backend], Awaitable[None]], server: Backend
+) -> tuple[Backend, CallFailed | None]:
+    try:
+        await check(server)
+    except CallFailed as failure:
+        return server, failure
+    return server, None
+
 
-# Servers answer such calls from memory, also when they are full.
-ANSWER_TIMEOUT_S = 0.3
+def _report(
+    failed: dict[Backend, CallFailed], on_failed: Callable[[Backend, CallFailed], None]
+) -> None:
+    for server, failure in failed.items():
+        log(
+            Part.REQUESTS,
+            "A server did not confirm that it has not restarted.",
+            backend=server.entry.id,
+            reason=failure.reason.value,
+        )
+        on_failed(server, failure)
 
 
-async def check_incarnation(codec: WireCodec, server: Backend) -> None:
+async def check_incarnation(
+    codec: WireCodec, server: Backend, timeout_s: float
+) -> None:
     """Raise :class:`CallFailed` if the server has restarted since its entry.
 
     Nothing is checked if its entry does not state when it was started.
@@ -32,7 +105,7 @@
     connections = server.connections
     connections.begin_call()
     try:
-        async with StallAwareTimeout(ANSWER_TIMEOUT_S):
+        async with StallAwareTimeout(timeout_s):
             context = connections.request(
                 "GET", codec.REPORT_PATH, CIMultiDict(), b"", CONNECT_S, reuse=True
             )
--- a/packages/node/src/eelgrass_node/request/server_selection.py
+++ b/packages/node/src/eelgrass_node/request/server_selection.py
@@ -7,7 +7,7 @@
 from ..process.server_choice import ServerCriteria
 from .serving_context import ServingContext
 
-__all__ = ["select_server"]
+__all__ = ["select_other", "select_server"]
 
 # Cold servers that may deny a permit before the request is refused; asking for a permit
 # may take a call to another node.
@@ -38,3 +38,18 @@
         denied |= {server.entry.incarnation}
         retry_after_s = max(MIN_RETRY_S, min(retry_after_s, permit.after_s))
     raise RequestRefused("the servers of the service are warming up", retry_after_s)
+
+
+async def select_other(
+    context: ServingContext, criteria: ServerCriteria, servers: list[Backend]
+) -> Backend | None:
+    """Return a server that is not in a list and may receive the request now, or None.
+
+    Servers that the request has tried before are not returned either.
+    """
+    tried = criteria.tried | {server.entry.incarnation for server in servers}
+    server = context.choose(msgspec.structs.replace(criteria, tried=tried))
+    if server is None or server.entry.incarnation in tried:
+        return None
+    permit = await context.admit(server)
+    return server if permit.granted else None
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -9,7 +9,14 @@
 
 from .entry import COMPLETE_STREAM, HOST, KEY, EntryDeployment, until
 
-__all__ = ["TARGET", "StreamCaller", "VersionedDeployment", "of_several_versions"]
+__all__ = [
+    "DEADLINE_MS",
+    "SERVERS",
+    "TARGET",
+    "StreamCaller",
+    "VersionedDeployment",
+    "of_several_versions",
+]
 
 TARGET = "/stream/resumed/x"
 DEADLINE_MS = 3000
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -9,11 +9,19 @@
 from support.entry import until
 from support.host_links import Cut, LinkedDeployment
 from support.soak_deployment import SoakDeployment
-from support.streams import StreamCaller, VersionedDeployment, of_several_versions
+from support.streams import (
+    DEADLINE_MS,
+    SERVERS,
+    StreamCaller,
+    VersionedDeployment,
+    of_several_versions,
+)
 
 STREAMS = 12
 # As many streams as one node may retry at once within its share of the retry budget.
 BROKEN_STREAMS = 8
+# The pause between two events that callers of streams bear.
+FIRST_EVENT_S = 0.8
 
 
 @pytest.fixture(autouse=True)
@@ -195,6 +203,43 @@
             assert of_several_versions(callers) == []
 
 
+class TestServersThatReportLate:
+    # Guards against streams that wait for a server which has failed silently.
+    async def test_one_server_of_each_version_does_not_report(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            for engine in deployment.engines_by_service["readers"][::SERVERS]:
+                engine.report_delay_s = 10.0
+            async with asyncio.timeout(FIRST_EVENT_S):
+                statuses = await deployment.resume(callers, node=1, events=3)
+            assert set(statuses) == {200}
+            assert of_several_versions(callers) == []
+
+    # Guards against streams that are sent before a late report has come.
+    async def test_one_has_restarted_with_another_version(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            engines = deployment.engines_by_service["readers"]
+            engines[0].restart()
+            engines[0].version = "v2"
+            for engine in engines:
+                engine.report_delay_s = 0.6
+            await deployment.resume(callers, node=1)
+            assert of_several_versions(callers) == []
+            assert all(caller.complete for caller in callers)
+
+    # Guards against a request that spends all its time on servers that do not report.
+    async def test_no_server_of_the_version_reports(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            for engine in deployment.engines_by_service["readers"]:
+                engine.report_delay_s = 10.0
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                statuses = await deployment.resume(callers, node=1)
+            assert set(statuses) == {503}
+            assert all("Retry-After" in caller.refusal_headers for caller in callers)
+
+
 class TestHostsThatAreKilled:
     # Guards against the loss of the version with a process that gets a SIGKILL.
     @pytest.mark.processes
