Do not send a stream to a server that left while it was checked

Before a stream goes on, its server's report is awaited, for up to 1.5 s. The list was read before that only, so a server that was withdrawn or began to leave meanwhile got the stream all the same, in the worst case more than the time after which a leaving server may get no request.

The choice is checked again once the server has confirmed its start. A server that may no longer be used counts as a failed check, so that another one goes on; the retry needs no budget, as nothing was sent.

test_they_leave_the_list_meanwhile failed before (streams reached servers that were no longer listed) and passes now. tests/test_stream_versions.py, test_leaving.py, test_layers.py and test_reports_of_servers_take_long pass.

--- a/packages/node/src/eelgrass_node/entry_serving.py
+++ b/packages/node/src/eelgrass_node/entry_serving.py
@@ -25,6 +25,7 @@
         choose=node.server_choice.choose,
         no_server_refusal=node.server_choice.refusal,
         unavailable=node.server_choice.unavailable,
+        is_allowed=node.server_choice.is_allowed,
         admit=node.warm_up.admission.admit,
         copy_source=node.server_choice.copy_source,
         data_centre_of=node.local_queues.data_centre_of,
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -106,6 +106,10 @@
             max(MIN_RETRY_S, self._brittle_servers.opens_in_s(self._allowed(criteria))),
         )
 
+    def is_allowed(self, criteria: ServerCriteria, server: Backend) -> bool:
+        """Return whether a server that was chosen before still may be used."""
+        return server in self._allowed(criteria)
+
     def _allowed(self, criteria: ServerCriteria) -> list[Backend]:
         usable = self._backends.usable(criteria.service)
         return [
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -76,6 +76,8 @@
     TOO_SLOW = "too_slow"
     CANCELLED_BY_BACKEND = "cancelled_by_backend"
     BACKEND_REPLACED = "backend_replaced"
+    # The server was withdrawn before the request was sent to it.
+    BACKEND_WITHDRAWN = "backend_withdrawn"
     INPUT_GONE = "input_gone"
     BACKEND_ERROR = "backend_error"
     VERSION_UNCERTAIN = "version_uncertain"
@@ -105,7 +107,11 @@
     )
 )
 NOT_CONNECTED_REASONS = frozenset(
-    (RetryReason.CONNECT_FAILED, RetryReason.CONNECT_SILENT)
+    (
+        RetryReason.CONNECT_FAILED,
+        RetryReason.CONNECT_SILENT,
+        RetryReason.BACKEND_WITHDRAWN,
+    )
 )
 TIMEOUT_REASONS = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
 # These failures are explained by a network path that is lost.
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -35,7 +35,7 @@
 from .quarantine_check import QuarantineCheck
 from .reasons import POSSIBLE_CRASH_REASONS, RetryReason
 from .retry_limits import RETRY_FULL_S, RetryLimits
-from .server_selection import select_other, select_server
+from .server_selection import select_server
 from .serving_context import ServingContext
 from .stream_version import StreamVersion
 
@@ -144,7 +144,9 @@
             backend = await select_server(self._context, self._criteria())
             backend.in_flight += 1
             try:
-                backend = await self._confirmed(backend)
+                backend = await self._stream_version.confirmed_server(
+                    self._context, self._criteria(), backend
+                )
                 return await self._call(backend, inputs)
             except CallFailed as failed:
                 self._calling = False
@@ -208,21 +210,6 @@
             self._stream_version.version,
         )
 
-    async def _confirmed(self, backend: Backend) -> Backend:
-        """Return a server of the stream's version, counted as in use for ``backend``.
-
-        Raises :class:`CallFailed` if ``backend`` and others may be of another version.
-        """
-        confirmed = await self._stream_version.confirmed_server(
-            self._context.codec,
-            backend,
-            lambda asked: select_other(self._context, self._criteria(), asked),
-            lambda server, failed: record_failure(self._context, server, failed),
-        )
-        backend.in_flight -= 1
-        confirmed.in_flight += 1
-        return confirmed
-
     async def _call(
         self, backend: Backend, inputs: tuple[str, ...]
     ) -> web.StreamResponse:
--- a/packages/node/src/eelgrass_node/request/serving_context.py
+++ b/packages/node/src/eelgrass_node/request/serving_context.py
@@ -27,7 +27,8 @@
 
     ``choose`` selects a server; if there is none, ``no_server_refusal`` returns the
     refusal that says why. ``unavailable`` returns a refusal if no server of the service
-    can be reached. ``admit`` grants or denies a
+    can be reached, and ``is_allowed`` whether a server still may receive a request.
+    ``admit`` grants or denies a
     permit to send it one request, and ``copy_source`` returns another engine that
     already has a prompt prefix of so many tokens cached. ``data_centre_of`` returns the
     data centre of the result with a handle, and ``has_ended`` whether a server
@@ -40,6 +41,7 @@
     choose: Callable[[ServerCriteria], Backend | None]
     no_server_refusal: Callable[[ServerCriteria], RequestRefused]
     unavailable: Callable[[ServerCriteria], RequestRefused | None]
+    is_allowed: Callable[[ServerCriteria, Backend], bool]
     admit: Callable[[Backend], Awaitable[Permit]]
     copy_source: Callable[[Backend, str | None, int], Backend | None]
     data_centre_of: Callable[[str], str]
--- a/packages/node/src/eelgrass_node/request/stream_version.py
+++ b/packages/node/src/eelgrass_node/request/stream_version.py
@@ -1,16 +1,19 @@
 """Keeps the stream of one request at the software version that began it."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 from eelgrass_coordination.ids import SoftwareVersion
 
 from ..exceptions import CallFailed, RequestRefused
 from ..process.backends import Backend
+from ..process.server_choice import ServerCriteria
 from ..process.stream_origins import StreamOrigin, StreamOrigins
+from .call_failures import record_failure
 from .incarnation_check import check_incarnation, first_confirmed
-from .incoming_request import RoutedRequest, WireCodec
+from .incoming_request import RoutedRequest
 from .reasons import RetryReason
+from .server_selection import select_other
+from .serving_context import ServingContext
 
 __all__ = ["StreamVersion"]
 
@@ -43,26 +46,31 @@
             raise CallFailed(RetryReason.VERSION_UNCERTAIN, not_run=False)
 
     async def confirmed_server(
-        self,
-        codec: WireCodec,
-        chosen: Backend,
-        next_server: Callable[[list[Backend]], Awaitable[Backend | None]],
-        on_failed: Callable[[Backend, CallFailed], None],
+        self, context: ServingContext, criteria: ServerCriteria, chosen: Backend
     ) -> Backend:
         """Return a server that is certain to be of the version, ``chosen`` if possible.
 
-        ``next_server`` returns another one of the version that is not in a list, or
-        None. Raises :class:`CallFailed` if neither may be of the version, and calls
-        ``on_failed`` for failures of others than ``chosen``.
+        It is counted as in use instead of ``chosen``. Raises :class:`CallFailed` if
+        none is.
         """
         if self.version is None:
             return chosen
         timeout_s = self._check_timeout_s()
 
         async def check(server: Backend) -> None:
-            await check_incarnation(codec, server, timeout_s)
-
-        return await first_confirmed(chosen, next_server, check, on_failed)
+            await check_incarnation(context.codec, server, timeout_s)
+            if not context.is_allowed(criteria, server):
+                raise CallFailed(RetryReason.BACKEND_WITHDRAWN, not_run=True)
+
+        confirmed = await first_confirmed(
+            chosen,
+            lambda asked: select_other(context, criteria, asked),
+            check,
+            lambda server, failed: record_failure(context, server, failed),
+        )
+        chosen.in_flight -= 1
+        confirmed.in_flight += 1
+        return confirmed
 
     async def begin_events(self, server: Backend) -> None:
         """Note which server writes the next events, before they are sent."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -228,6 +228,21 @@
             assert of_several_versions(callers) == []
             assert all(caller.complete for caller in callers)
 
+    # Guards against requests that reach a server which has left during its report.
+    async def test_they_leave_the_list_meanwhile(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, STREAMS)
+            of_v1 = [caller for caller in callers if caller.versions() == {"v1"}]
+            assert of_v1
+            for engine in deployment.engines_by_service["readers"]:
+                engine.report_delay_s = 0.6
+            runs = len(deployment.runs("readers"))
+            resumed = asyncio.create_task(deployment.resume(of_v1, node=1))
+            await asyncio.sleep(0.3)
+            await deployment.withdraw("v1")
+            assert set(await resumed) == {503}
+            assert len(deployment.runs("readers")) == runs
+
     # Guards against a request that spends all its time on servers that do not report.
     async def test_no_server_of_the_version_reports(self):
         async with VersionedDeployment() as deployment:
