Go on with streams at the last servers of their version that begin to leave

Cause: a leaving server got nothing from the moment at which a node read its notice. The rule allows 2 s from the store's acknowledgement, and nodes cannot tell when that was, so they used none of it. Requests without a version go elsewhere at no loss; a stream cannot.

Change: nodes derive a time before which a notice was certainly not acknowledged. An answer of the store includes all that was acknowledged before the call was sent (its answers are linearizable), and if it waited for changes in vain, until the end of that wait; the rows of the next answer came after it. A relay passes that time on with its answer, relative to the arrival of the question, and the follower counts it from when it asked, which is earlier. Full reads, rows of other nodes, relays of the build before and servers that were not live just before give no such time, and their servers get nothing. Backends decides (LeavingServers, a time since which a server leaves; the earliest notice counts); only streams bound to a version use it, where no other server of the version is usable. Evacuated data centres stay closed. 0.5 s are kept for the way to the server, and the choice is checked again after its report.

Cost (worked out): one number more in an answer between nodes. Hosts of the build before ignore the field, and send none.

RecordingServerList takes the new argument.

--- a/packages/node/src/eelgrass_node/connection/table_feed.py
+++ b/packages/node/src/eelgrass_node/connection/table_feed.py
@@ -1,5 +1,6 @@
 """The call with which a node asks its data centre's relay for changes of a table."""
 
+import asyncio
 from collections.abc import Callable
 from enum import Enum
 
@@ -45,11 +46,16 @@
 
 
 class _FeedReply(msgspec.Struct, frozen=True):
-    """The changes, if the relay has them; some rows may be sent as differences."""
+    """The changes, if the relay has them; some rows may be sent as differences.
+
+    The store acknowledged all of them later than ``acknowledged_after_s`` after the
+    request arrived, which is negative in most cases; None if that is not known.
+    """
 
     knowledge: _Knowledge
     changes: TableChanges | None = None
     differences: tuple[RowDifference, ...] = ()
+    acknowledged_after_s: float | None = None
 
 
 class TableFeedClient:
@@ -94,11 +100,12 @@
             changes, _ = await self._ask(address, _FeedRequest(table, after, 0.0))
             return changes
         rows = sorted((*changes.rows, *rebuilt), key=lambda row: row.version)
-        return TableChanges(tuple(rows), changes.version)
+        return msgspec.structs.replace(changes, rows=tuple(rows))
 
     async def _ask(
         self, address: str, feed: _FeedRequest
     ) -> tuple[TableChanges, tuple[RowDifference, ...]]:
+        sent_at = asyncio.get_running_loop().time()
         try:
             reply = await self._calls.ask(
                 address,
@@ -115,7 +122,13 @@
         if reply.changes is None:
             reason = f"the relay at {address} does not read the store"
             raise StoreUnavailable(feed.table, reason)
-        return reply.changes, reply.differences
+        # The request arrived after it was sent, so the time is not too late.
+        after_s = reply.acknowledged_after_s
+        changes = msgspec.structs.replace(
+            reply.changes,
+            acknowledged_after=None if after_s is None else sent_at + after_s,
+        )
+        return changes, reply.differences
 
     def _apply_differences(
         self, table: str, differences: tuple[RowDifference, ...]
@@ -142,21 +155,28 @@
         The reply states if the history was dropped or this node cannot serve the table.
         """
         feed = self._decoder.decode(await request.read())
+        arrived_at = asyncio.get_running_loop().time()
         try:
             changes = await self._relay.changes(
                 feed.table, feed.after, min(feed.wait_s, MAX_WAIT_S)
             )
-            reply = self._reply(feed, changes)
+            reply = self._reply(feed, changes, arrived_at)
         except HistoryGone:
             reply = _FeedReply(_Knowledge.HISTORY_GONE)
         except StoreUnavailable:
             reply = _FeedReply(_Knowledge.NO_STORE)
         return peer_answer(request, reply)
 
-    def _reply(self, feed: _FeedRequest, changes: TableChanges) -> _FeedReply:
+    def _reply(
+        self, feed: _FeedRequest, changes: TableChanges, arrived_at: float
+    ) -> _FeedReply:
         """Return a reply with the changes, large rows as differences if possible."""
+        after_s = None
+        if changes.acknowledged_after is not None:
+            after_s = changes.acknowledged_after - arrived_at
+        changes = TableChanges(changes.rows, changes.version)
         if not feed.takes_differences or feed.after is None:
-            return _FeedReply(_Knowledge.KNOWN, changes)
+            return _FeedReply(_Knowledge.KNOWN, changes, acknowledged_after_s=after_s)
         rows: list[StoredRow] = []
         differences: list[RowDifference] = []
         for row in changes.rows:
@@ -166,7 +186,7 @@
             else:
                 differences.append(compute_difference(base, row))
         remaining = TableChanges(tuple(rows), changes.version)
-        return _FeedReply(_Knowledge.KNOWN, remaining, tuple(differences))
+        return _FeedReply(_Knowledge.KNOWN, remaining, tuple(differences), after_s)
 
     def add_routes(self, app: web.Application) -> None:
         """Add the route for other nodes."""
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -104,7 +104,8 @@
             STOP_NOTICE_S, bounds.stop_s - STOP_NOTICE_S - STOP_RESERVE_S
         )
         self.backends = Backends(
-            connections_to=lambda entry: self.server_links.connections_to(entry)
+            connections_to=lambda entry: self.server_links.connections_to(entry),
+            drain_s=bounds.drain_s,
         )
         self.store = RowStore(settings.store.address)
         self.deployments = DeploymentInForce(
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -9,6 +9,7 @@
 from ..connection.backend import BackendConnections
 from ..log import Part, log
 from .host_entry import BackendState, HostEntry, ServerIncarnation
+from .leaving_servers import LeavingServers
 
 __all__ = [
     "MAX_WARM_UP_S",
@@ -227,22 +228,22 @@
 class Backends:
     """All backend servers by id and by service.
 
-    A leaving server (the pair of id and start number) is remembered while an outdated
-    list may still name it as live. ``connections_to`` returns the connections to a new
-    server.
+    ``connections_to`` returns the connections to a new server. A server that leaves
+    must get no request ``drain_s`` after it said so, in seconds.
     """
 
     def __init__(
         self,
         on_change: Callable[[str], None] = lambda service: None,
         connections_to: Callable[[HostEntry], BackendConnections] | None = None,
+        drain_s: float = 0.0,
     ) -> None:
         self.on_change = on_change
         self._connections_to = connections_to
         self.by_id: dict[BackendId, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, Backend] = {}
-        self.leaving: dict[BackendId, int] = {}
+        self._leaving = LeavingServers(drain_s)
         # Whether a data centre is evacuated.
         self.is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False
         self._live_nodes = 1
@@ -253,24 +254,27 @@
         newly_leaving = [
             entry
             for entry in entries
-            if entry.state is BackendState.LEAVING and self._mark_entry_leaving(entry)
+            if entry.state is BackendState.LEAVING
+            and self.mark_leaving(entry.id, entry.started)
         ]
         for backend_id in self.by_id.keys() - listed.keys():
             self._remove(backend_id)
         is_first = not self.by_id
         for entry in entries:
             self._add_or_replace(entry, is_first)
-        for backend_id in self.leaving.keys() - listed.keys():
-            del self.leaving[backend_id]
+        self._leaving.forget_unlisted(listed.keys())
         self._rebuild()
         return newly_leaving
 
-    def mark_leaving(self, backend_id: BackendId, started: int) -> bool:
-        """Record that a server is leaving; return whether this was not known before."""
-        known = self.leaving.get(backend_id)
-        if known is not None and known >= started:
+    def mark_leaving(
+        self, backend_id: BackendId, started: int, since: float | None = None
+    ) -> bool:
+        """Record that a server is leaving; return whether this was not known before.
+
+        It said so at ``since`` or later, in seconds of the event loop.
+        """
+        if not self._leaving.add(backend_id, started, since):
             return False
-        self.leaving[backend_id] = started
         backend = self.by_id.get(backend_id)
         if backend is not None:
             self.on_change(backend.entry.service)
@@ -278,16 +282,23 @@
 
     def is_leaving(self, backend: Backend) -> bool:
         """Return whether a server is leaving and gets no new work."""
-        entry = backend.entry
-        if entry.state is BackendState.LEAVING:
-            return True
-        return self.leaving.get(entry.id, -1) >= entry.started
+        return self._leaving.is_leaving(backend.entry)
 
     def usable(self, service: str) -> list[Backend]:
         """Return the servers of a service that may get new work."""
         servers = self.by_service.get(service, ())
         return [backend for backend in servers if self._accepts_work(backend)]
 
+    def beginning_to_leave(self, service: str) -> list[Backend]:
+        """Return the leaving servers of a service that requests may still reach."""
+        now = asyncio.get_running_loop().time()
+        return [
+            backend
+            for backend in self.by_service.get(service, ())
+            if self._leaving.has_just_begun(backend.entry, now)
+            and not self.is_evacuated(backend.entry.data_centre)
+        ]
+
     def versions(self) -> set[SoftwareVersion]:
         """Return the software versions of all servers."""
         return {backend.entry.version for backend in self.by_id.values()}
@@ -336,9 +347,6 @@
             return False
         return not self.is_evacuated(backend.entry.data_centre)
 
-    def _mark_entry_leaving(self, entry: HostEntry) -> bool:
-        return self.mark_leaving(entry.id, entry.started)
-
     def _add_or_replace(self, entry: HostEntry, is_first: bool) -> None:
         backend = self.by_id.get(entry.id)
         if backend is not None and self.has_ended(entry.incarnation):
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -86,7 +86,9 @@
         self.servers = TableReplica(
             reader,
             names.servers,
-            lambda rows, source: server_list.apply_rows(rows),
+            lambda rows, source: server_list.apply_rows(
+                rows, self.servers.acknowledged_after
+            ),
             server_list.apply_snapshot,
             server_list.on_store_recovered,
             SERVERS_WAIT_S,
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -111,13 +111,12 @@
         return server in self._allowed(criteria)
 
     def _allowed(self, criteria: ServerCriteria) -> list[Backend]:
-        usable = self._backends.usable(criteria.service)
-        return [
-            server
-            for server in usable
-            if server.is_in(criteria.regions)
-            and criteria.version in (None, server.entry.version)
-        ]
+        allowed = _matching(self._backends.usable(criteria.service), criteria)
+        if allowed or criteria.version is None:
+            return allowed
+        # The stream would be lost, as no server of another version can continue it.
+        leaving = self._backends.beginning_to_leave(criteria.service)
+        return _matching(leaving, criteria)
 
     def copy_source(
         self, chosen: Backend, prefix_key: str | None, shared_tokens: int
@@ -145,3 +144,13 @@
         if self._reachability.is_suspected(source.entry.data_centre):
             return None
         return source
+
+
+def _matching(servers: list[Backend], criteria: ServerCriteria) -> list[Backend]:
+    """Return the servers of the regions and the version that a request requires."""
+    return [
+        server
+        for server in servers
+        if server.is_in(criteria.regions)
+        and criteria.version in (None, server.entry.version)
+    ]
--- a/packages/node/src/eelgrass_node/process/server_list.py
+++ b/packages/node/src/eelgrass_node/process/server_list.py
@@ -51,14 +51,16 @@
         self._remove_at: dict[BackendId, float] = {}
         self._outage_ended_at = float("-inf")
 
-    def apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Apply changed rows."""
+    def apply_rows(
+        self, rows: tuple[StoredRow, ...], acknowledged_after: float | None = None
+    ) -> None:
+        """Apply changed rows, which the store acknowledged after a time."""
         for row in rows:
             server_id = BackendId(row.key)
             if row.value is None:
                 self._on_missing(server_id)
             else:
-                self._on_listed(server_id, row.value)
+                self._on_listed(server_id, row.value, acknowledged_after)
         self._apply()
 
     def apply_snapshot(self, keys: set[str]) -> None:
@@ -83,7 +85,9 @@
             )
             self._apply()
 
-    def _on_listed(self, server_id: BackendId, value: bytes) -> None:
+    def _on_listed(
+        self, server_id: BackendId, value: bytes, acknowledged_after: float | None
+    ) -> None:
         try:
             entry = self._decode(server_id, value)
         except ServerEntryMalformed as error:
@@ -105,7 +109,7 @@
             )
             return
         self._remember(entry)
-        self._remove_at.pop(server_id, None)
+        was_missing = self._remove_at.pop(server_id, None) is not None
         known = self._entry_by_id.get(server_id)
         self._entry_by_id[server_id] = entry
         if known is None or _identity(known) != _identity(entry):
@@ -120,6 +124,15 @@
                 version=entry.version,
             )
             if entry.state is BackendState.LEAVING:
+                # A server that was not listed just before may have left earlier.
+                was_live = (
+                    known is not None
+                    and known.state is BackendState.LIVE
+                    and known.incarnation == entry.incarnation
+                    and not was_missing
+                )
+                since = acknowledged_after if was_live else None
+                self._backends.mark_leaving(server_id, entry.started, since)
                 self._on_leaving(server_id)
 
     def _remember(self, entry: HostEntry) -> None:
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -21,6 +21,9 @@
 # Size of the value, in bytes, from which a row is sent as a difference; smaller rows
 # fit into a few packets.
 LARGE_ROW_BYTES = 4096
+# Batches of changes of which it is remembered after which time they were acknowledged.
+# Followers of a relay are one or two behind.
+MAX_BATCHES = 8
 # How many removed rows are remembered for followers that are behind. The number is
 # bounded because servers come and go under new ids for as long as a node runs.
 MAX_REMOVED_ROWS = 1000
@@ -39,11 +42,24 @@
         return self.value is not None and len(self.value) >= LARGE_ROW_BYTES
 
 
-class TableChanges(msgspec.Struct, frozen=True):
-    """Changed rows, complete up to a version of the store."""
+class TableChanges(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Changed rows, complete up to a version of the store.
+
+    The store acknowledged none of the rows before ``acknowledged_after``, a time of
+    this node's event loop; None if that is not known.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    acknowledged_after: float | None = None
+
+
+class _Batch(msgspec.Struct, frozen=True):
+    """Changes that led from one version to another, as they were read."""
+
+    after: int
+    version: int
+    acknowledged_after: float | None
 
 
 class TableReader(Protocol):
@@ -94,6 +110,10 @@
         # The keys of removed rows, in the order of their removal.
         self._removed_keys: deque[str] = deque()
         self._version = -1
+        self._batches: deque[_Batch] = deque(maxlen=MAX_BATCHES)
+        # The time after which the store acknowledged the rows given to ``on_rows``,
+        # None if it is not known.
+        self.acknowledged_after: float | None = None
         self._is_complete = False
         # The version up to which removals may have been forgotten or missed.
         self._complete_from = -1
@@ -182,7 +202,20 @@
             if version < row.version <= self._version
         ]
         rows.sort(key=lambda row: row.version)
-        return TableChanges(tuple(rows), self._version)
+        return TableChanges(
+            tuple(rows), self._version, self._acknowledged_after(version)
+        )
+
+    def _acknowledged_after(self, version: int) -> float | None:
+        """Return the time after which all rows newer than a version were acknowledged.
+
+        None if it is not known.
+        """
+        batches = [batch for batch in self._batches if batch.version > version]
+        times = [batch.acknowledged_after for batch in batches]
+        if not batches or batches[0].after > version or None in times:
+            return None
+        return min(times)
 
     def _check_complete(self) -> None:
         if not self._is_complete:
@@ -216,6 +249,7 @@
             newest=max(row.version for row in applied),
             complete_to=self._version,
         )
+        self.acknowledged_after = None
         self._on_rows(applied, f"node {node}")
 
     async def _step(self) -> bool:
@@ -252,8 +286,13 @@
 
     def _apply(self, changes: TableChanges) -> None:
         applied = tuple(row for row in changes.rows if self._apply_if_newer(row))
-        self._version = max(self._version, changes.version)
+        if changes.version > self._version:
+            self._batches.append(
+                _Batch(self._version, changes.version, changes.acknowledged_after)
+            )
+            self._version = changes.version
         if applied:
+            self.acknowledged_after = changes.acknowledged_after
             self._on_rows(applied, "store")
             self._wake_waiters()
 
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -17,6 +17,8 @@
 from itertools import islice, takewhile
 from typing import Protocol
 
+import msgspec
+
 from eelgrass_coordination import Member, MemberState, ranked
 
 from ..exceptions import PeerUnreachable, StoreUnavailable
@@ -116,6 +118,8 @@
         # Tables read from the store at the start, before the first feed call.
         self._just_read_tables: set[str] = set()
         self._source_by_table: dict[str, str] = {}
+        # The rows read from the store include all that it acknowledged until this time.
+        self._complete_at_by_table: dict[str, float] = {}
 
     def reads_from_store(self, table: str) -> bool:
         """Return whether this node reads the table from the store, not from a relay."""
@@ -134,7 +138,9 @@
         changes = await self._ask_relays(table, None)
         if changes and changes.version >= self._version_by_table.get(table, -1):
             return changes
+        began = self._clock()
         changes = await self._ask_store(table, self._store.read_table(table))
+        self._complete_at_by_table[table] = began
         if table not in self._source_by_table:
             self._just_read_tables.add(table)
         self._record_store_read(table)
@@ -213,10 +219,16 @@
             # out a second earlier if it does not.
             wait_s = 0.0
         self._answering_tables.discard(table)
+        began = self._clock()
         changes = await self._ask_store(table, self._store.feed(table, after, wait_s))
         self._answering_tables.add(table)
         self._record_store_read(table)
-        return changes
+        known_until = self._complete_at_by_table.get(table)
+        if not changes.rows and self._clock() - began >= wait_s:
+            # The store would have answered sooner if there had been a change.
+            began += wait_s
+        self._complete_at_by_table[table] = began
+        return msgspec.structs.replace(changes, acknowledged_after=known_until)
 
     async def _ask_store(
         self, table: str, call: Awaitable[TableChanges]
--- a/packages/node/tests/test_store_following.py
+++ b/packages/node/tests/test_store_following.py
@@ -158,6 +158,9 @@
     )
 
 
+DRAIN_S = 2.0
+
+
 class TestServerList:
     @pytest.fixture(autouse=True)
     def short_return(self, monkeypatch):
@@ -165,12 +168,16 @@
 
     def listing(self, *keys):
         self.left = []
-        self.backends = Backends()
+        self.backends = Backends(drain_s=DRAIN_S)
         servers = ServerList(self.backends, decode, self.left.append)
         servers.apply_rows(tuple(row(key, 1, b"{}") for key in keys))
         servers.apply_snapshot(set(keys))
         return servers
 
+    def in_reach(self):
+        leaving = self.backends.beginning_to_leave("s")
+        return {backend.entry.id for backend in leaving}
+
     def usable(self):
         return {backend.entry.id for backend in self.backends.usable("s")}
 
@@ -180,6 +187,43 @@
         assert self.usable() == {"i2"}
         assert self.left == ["i1"]
 
+    async def test_a_server_that_begins_to_leave_is_in_reach_for_a_while(self):
+        servers = self.listing("i1", "i2", "i3", "i4")
+        now = asyncio.get_running_loop().time()
+        leaving = b'{"state": "leaving"}'
+        servers.apply_rows((row("i1", 2, leaving),), now - 0.5)
+        servers.apply_rows((row("i2", 3, leaving),), now - DRAIN_S)
+        servers.apply_rows((row("i3", 4, leaving),))
+        assert self.in_reach() == {"i1"}
+        assert self.usable() == {"i4"}
+        self.backends.is_evacuated = lambda data_centre: True
+        assert self.in_reach() == set()
+
+    # Guards against servers that are counted as leaving from their second notice on.
+    async def test_the_first_notice_of_a_leaving_server_counts(self):
+        servers = self.listing("i1", "i2", "i3", "i4")
+        now = asyncio.get_running_loop().time()
+        leaving = b'{"state": "leaving"}'
+        for number, key in enumerate(("i1", "i2", "i3")):
+            servers.apply_rows((row(key, 2 + number, leaving),), now - DRAIN_S)
+        servers.apply_rows((row("i2", 5, b"{}"),), now)
+        servers.apply_rows((row("i3", 6, None),), now)
+        servers.apply_rows(tuple(row(f"i{n}", 6 + n, leaving) for n in (1, 2, 3)), now)
+        assert self.in_reach() == set()
+        self.backends.mark_leaving(BackendId("i4"), 0, now)
+        assert self.in_reach() == {"i4"}
+        self.backends.mark_leaving(BackendId("i4"), 0, now - DRAIN_S)
+        assert self.in_reach() == set()
+
+    # Guards against a server whose removal was held back after an outage of the store.
+    async def test_a_server_that_was_missing_has_not_just_begun_to_leave(self):
+        servers = self.listing("i1", "i2")
+        servers.on_store_recovered()
+        servers.apply_rows((row("i1", 2, None),))
+        now = asyncio.get_running_loop().time()
+        servers.apply_rows((row("i1", 3, b'{"state": "leaving"}'),), now)
+        assert self.in_reach() == set()
+
     async def test_a_removed_server_is_dropped_at_once(self):
         servers = self.listing("i1", "i2")
         servers.apply_rows((row("i1", 2, None),))
--- a/packages/node/tests/test_table_relay.py
+++ b/packages/node/tests/test_table_relay.py
@@ -1,13 +1,23 @@
 """Relays: one node of a data centre reads the store's tables for the others."""
 
 import asyncio
+from random import Random
 
+import aiohttp
 import msgspec
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from eelgrass_coordination import MemberState
+from eelgrass_node.connection.peer_calls import PeerCalls
+from eelgrass_node.connection.table_feed import TableFeedClient, TableFeedInterface
 from eelgrass_node.exceptions import HistoryGone, PeerUnreachable, StoreUnavailable
 from eelgrass_node.process import platform_tables, table_relay
+from eelgrass_node.process.platform_tables import (
+    SERVERS_FEED_DELAY_S,
+    SERVERS_WAIT_S,
+)
 from eelgrass_node.process.store_backoff import RESPONSE_TIMEOUT_S
 from eelgrass_node.process.table_relay import (
     BACKOFF_S,
@@ -325,6 +335,81 @@
         assert run_in_simulated_time(main()) <= 39 * 2 + 9 * 3 * 2 + 25
 
 
+class TestTimeOfChanges:
+    """A change is known to be younger than a time, also at nodes that have a relay."""
+
+    def ages(self, seed, outages=(), delivery_s=0.0):
+        """Return how much older each change of servers may be than it is, by node."""
+        random = Random(seed)
+
+        async def main():
+            simulation = StoreSimulation(outages, nodes=6)
+            simulation.store.delivery_s = delivery_s
+            running = asyncio.create_task(simulation.run(12.0))
+            for number in range(12):
+                await asyncio.sleep(random.uniform(0.0, 1.4))
+                simulation.list_server(f"i{number % 3}")
+            await running
+            written_at = simulation.store.written_at
+            return {
+                node: {
+                    version: written_at[version] - after
+                    for version, after in servers.acknowledged_after
+                    if after is not None
+                }
+                for node, servers in simulation.server_list_by_node.items()
+            }
+
+        return run_in_simulated_time(main())
+
+    # Guards against servers that are taken for having begun to leave later than so.
+    @pytest.mark.parametrize("seed", range(30))
+    def test_it_is_never_taken_for_younger_than_it_is(self, seed):
+        random = Random(seed)
+        names = [f"n{number}" for number in range(6)]
+        outages = [
+            Outage(
+                begin := random.uniform(0.0, 9.0),
+                begin + random.uniform(0.0, 3.0),
+                frozenset(random.sample(names, random.randint(1, 6))),
+                refuses=random.random() < 0.5,
+            )
+            for _ in range(3)
+        ]
+        ages = self.ages(seed, outages, delivery_s=random.choice((0.0, 0.1, 0.3)))
+        assert min(a for of_node in ages.values() for a in of_node.values()) >= 0
+
+    # Guards against bounds so loose that no time is left to use them.
+    @pytest.mark.parametrize("seed", range(10))
+    def test_it_is_taken_for_little_older_than_it_is(self, seed):
+        ages = self.ages(seed)
+        # The waits of two calls of the relay, the delay between them, and some time to
+        # answer: a change may come at the end of either wait.
+        longest_s = SERVERS_FEED_DELAY_S + 2 * SERVERS_WAIT_S + 0.1
+        for of_node in ages.values():
+            assert len(of_node) >= 11
+            assert max(of_node.values()) <= longest_s
+
+    async def test_it_is_told_with_the_answer_of_a_relay(self):
+        table = table_replica(Source(changes(0)), TABLE)
+        table._apply_snapshot(changes(5, row("a", 3)))
+        app = web.Application()
+        TableFeedInterface(TableRelay({TABLE: table}, lambda name: True)).add_routes(
+            app
+        )
+        now = asyncio.get_running_loop().time()
+        news = changes(6, row("a", 6))
+        table._apply(msgspec.structs.replace(news, acknowledged_after=now - 0.7))
+        async with TestServer(app) as server, aiohttp.ClientSession() as session:
+            address = f"{server.host}:{server.port}"
+            client = TableFeedClient(PeerCalls(session), lambda table, key: None)
+            answer = await client.ask(address, TABLE, 5, 0.0)
+            assert answer.rows == (row("a", 6),)
+            assert now - 0.9 < answer.acknowledged_after <= now - 0.7
+            whole = await client.ask(address, TABLE, None, 0.0)
+            assert whole.acknowledged_after is None
+
+
 class TestRelay:
     def setup_method(self):
         self.table = table_replica(Source(changes(0)), TABLE)
--- a/tests/support/recording_server_list.py
+++ b/tests/support/recording_server_list.py
@@ -8,15 +8,23 @@
 
 
 class RecordingServerList:
-    """Calls ``record`` with the version of each applied row, or None for a removal."""
+    """Calls ``record`` with the version of each applied row, or None for a removal.
+
+    ``acknowledged_after`` holds the version of each row that changed and the time after
+    which the store acknowledged it, None if that was not known.
+    """
 
     def __init__(self, record: Callable[[str, int | None], None]) -> None:
         self._record = record
         self._listed: set[str] = set()
+        self.acknowledged_after: list[tuple[int, float | None]] = []
 
-    def apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
+    def apply_rows(
+        self, rows: tuple[StoredRow, ...], acknowledged_after: float | None = None
+    ) -> None:
         """Apply rows that changed."""
         for row in rows:
+            self.acknowledged_after.append((row.version, acknowledged_after))
             if row.value is not None:
                 self._listed.add(row.key)
                 self._record(row.key, row.version)
--- a/tests/support/store_simulation.py
+++ b/tests/support/store_simulation.py
@@ -56,11 +56,16 @@
 
 
 class Store:
-    """Simulates the store: its rows, and its answers to the nodes' calls."""
+    """Simulates the store: its rows, and its answers to the nodes' calls.
+
+    Answers hold the rows of a moment ``delivery_s`` before they arrive.
+    """
 
     def __init__(self, outages: Iterable[Outage]) -> None:
         self.outages = tuple(outages)
         self.calls = 0
+        self.written_at: dict[int, float] = {}
+        self.delivery_s = 0.0
         self._version = 0
         self._oldest = 0
         self._row_by_key: dict[tuple[str, str], StoredRow] = {}
@@ -70,6 +75,7 @@
         """Write a row, or remove it."""
         self._version += 1
         self._row_by_key[table, key] = StoredRow(key, self._version, value)
+        self.written_at[self._version] = _now()
         self._wake()
 
     def drop_history(self) -> None:
@@ -85,7 +91,7 @@
     async def read(self, node: str, table: str) -> TableChanges:
         """Answer a full read."""
         await self._answer(node, table, _now(), FULL_READ_RESPONSE_TIMEOUT_S)
-        return self._rows(table, -1)
+        return await self._deliver(self._rows(table, -1))
 
     async def feed(
         self, node: str, table: str, after: int, wait_s: float
@@ -103,7 +109,11 @@
         await self._answer(node, table, begun, wait_s + RESPONSE_TIMEOUT_S)
         if after < self._oldest:
             raise HistoryGone(table)
-        return self._rows(table, after)
+        return await self._deliver(self._rows(table, after))
+
+    async def _deliver(self, changes: TableChanges) -> TableChanges:
+        await asyncio.sleep(self.delivery_s)
+        return changes
 
     async def _answer(
         self, node: str, table: str, begun: float, within_s: float
@@ -166,6 +176,7 @@
         self._deadline_s = deadline_s
         self.applied_at: dict[tuple[str, int], float] = {}
         self.removed_at: dict[tuple[str, str], float] = {}
+        self.server_list_by_node: dict[str, RecordingServerList] = {}
         self._tables_by_node = {m.id: self._tables(m) for m in self.members}
         self._numbers = itertools.count(1)
 
@@ -217,6 +228,9 @@
             lambda raw: Deployment(int(raw), {}, {}, {}, False, CallerLimits(1, 1.0)),
             lambda number: self._record_applied(own.id, number),
         )
+        self.server_list_by_node[own.id] = RecordingServerList(
+            lambda server, version: self._record_server(own.id, server, version)
+        )
         return PlatformTables(
             TableNames(OPERATOR, SERVERS, "crashes"),
             Reader(self.store, own.id),
@@ -224,9 +238,7 @@
             lambda: own,
             lambda: self._others(own),
             deployments=deployments,
-            server_list=RecordingServerList(
-                lambda server, version: self._record_server(own.id, server, version)
-            ),
+            server_list=self.server_list_by_node[own.id],
             crashes=idle_crash_table(),
             evacuations=idle_evacuations(),
             apply_s=self._deadline_s,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,7 +6,7 @@
 
 from eelgrass_node.process import platform_tables
 from eelgrass_standins.entry_engines import EngineFault
-from support.entry import until
+from support.entry import BOUNDS, until
 from support.host_links import Cut, LinkedDeployment
 from support.soak_deployment import SoakDeployment
 from support.streams import (
@@ -22,6 +22,8 @@
 BROKEN_STREAMS = 8
 # The pause between two events that callers of streams bear.
 FIRST_EVENT_S = 0.8
+# Longer than leaving servers may get requests.
+LEAVING_S = BOUNDS.drain_s + 0.4
 
 
 @pytest.fixture(autouse=True)
@@ -48,6 +50,16 @@
     )
 
 
+def none_is_live(deployment, engines):
+    """Return whether all nodes know that servers leave."""
+    ids = {engine.server_id for engine in engines}
+    return not any(
+        backend.entry.id in ids
+        for node in deployment.nodes
+        for backend in node.backends.usable("readers")
+    )
+
+
 class TestResumingAStream:
     # Guards against a host that does not know which version began the stream.
     async def test_it_goes_on_at_the_version_that_began_it(self):
@@ -255,6 +267,37 @@
             assert all("Retry-After" in caller.refusal_headers for caller in callers)
 
 
+class TestServersThatBeginToLeave:
+    # Guards against streams that are refused while servers that can run them still
+    # serve, and against any request that reaches these later than they allow.
+    async def test_only_streams_of_their_version_go_on_there_and_in_time(self):
+        async with VersionedDeployment() as deployment:
+            callers = await deployment.begin(0, 4 * STREAMS)
+            of_v1 = [caller for caller in callers if caller.versions() == {"v1"}]
+            engines = deployment.engines_by_service["readers"]
+            leavers = [engine for engine in engines if engine.version == "v1"]
+            for engine in leavers:
+                deployment.list_engine("readers", engine, "draining")
+            began = asyncio.get_running_loop().time()
+            await until(lambda: none_is_live(deployment, leavers))
+            runs_before = {run.request_id for run in deployment.runs("readers")}
+            statuses = []
+            for number, caller in enumerate(of_v1):
+                node = number % len(deployment.nodes)
+                new = StreamCaller(deployment)
+                resumed, begun = await asyncio.gather(caller.read(node), new.read(node))
+                assert begun == 200 and new.versions() == {"v2"}
+                statuses.append(resumed)
+                await asyncio.sleep(LEAVING_S / len(of_v1))
+            assert asyncio.get_running_loop().time() - began > LEAVING_S
+            assert statuses[:2] == [200, 200] and statuses[-1] == 503
+            runs = [run for engine in leavers for run in engine.runs]
+            late = [run for run in runs if run.at > began + BOUNDS.drain_s]
+            assert late == []
+            resumed_ids = {caller.request_ids[-1] for caller in of_v1}
+            assert {r.request_id for r in runs} - runs_before <= resumed_ids
+
+
 class TestHostsThatAreKilled:
     # Guards against the loss of the version with a process that gets a SIGKILL.
     @pytest.mark.processes
