Share what tells that a node has just started

Cold servers' permits and trials of prompt parts each have a settle time of their own of 2.5 s, and a check whether a node knows any other. No change of behaviour; test_warm_up.py passes as before, with its permits built from the new class.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -45,6 +45,7 @@
 from .process.evacuation import EvacuationManager
 from .process.failure_gossip import FailureGossip
 from .process.host_settings import HostSettings
+from .process.joined import JoinState
 from .process.local_queues import LocalQueues
 from .process.loop_load import LoopLoad
 from .process.metrics import Metrics
@@ -139,6 +140,11 @@
         self.membership = Membership(
             settings.as_member(), settings.seed_gossip_addresses(), GOSSIP_INTERVAL_S
         )
+        self.join_state = JoinState(
+            settings.other_seeds(),
+            lambda: list(self.membership.members.by_id.values()),
+            loop.time,
+        )
         self.membership.on_change = self._on_members_changed
         self.membership.on_revision = self._on_revision_announced
         self.reachability_checks = ReachabilityChecks(
@@ -195,7 +201,7 @@
         )
         self.warm_up = WarmUp(
             self.membership,
-            settings.other_seeds(),
+            self.join_state,
             bounds.warm_up,
             lambda: self.deployments.current,
             WarmUpClient(self.peer_calls).ask,
--- a/packages/node/src/eelgrass_node/process/warm_up/permits.py
+++ b/packages/node/src/eelgrass_node/process/warm_up/permits.py
@@ -18,13 +18,11 @@
 from eelgrass_coordination.ids import NodeId
 
 from ..backends import ServerIncarnation
+from ..joined import JoinState
 from .rate_limit import RateLimiter, WarmUpRates
 
 __all__ = ["Permit", "WarmUpPermits", "owner_of"]
 
-# A node that has just started does not know the other nodes yet, nor the permits that
-# the previous owner has issued.
-SETTLE_S = 2.5
 # When to request a permit again if the time of the next one is unknown.
 RETRY_AFTER_S = 0.5
 # Rate limiters that are kept; a rate limiter matters for a second.
@@ -51,25 +49,24 @@
     """The permits that one node issues for the servers that it owns.
 
     ``own`` and ``members`` return the node's own record and those of all others,
-    including unreachable nodes. ``seeds`` are the other nodes that its settings name: a
-    node with seeds that has not learned of any other node issues no permits. ``rates``
-    are those of its own configuration, whatever the requesting node's are.
+    including unreachable nodes. A node that has not joined the others issues none: it
+    does not know them yet, nor the permits that the previous owner has issued.
+    ``rates`` are those of its own configuration, whatever the requesting node's are.
     """
 
     def __init__(
         self,
         own: Callable[[], Member],
         members: Callable[[], Sequence[Member]],
-        seeds: Sequence[str],
+        join_state: JoinState,
         rates: WarmUpRates,
         clock: Callable[[], float],
     ) -> None:
         self._own = own
         self._members = members
-        self._seeds = seeds
+        self._join_state = join_state
         self._rates = rates
         self._clock = clock
-        self._settled_at = clock() + SETTLE_S
         self._limiter_by_incarnation: dict[ServerIncarnation, RateLimiter] = {}
 
     def owner(self, incarnation: ServerIncarnation) -> Member:
@@ -84,15 +81,15 @@
         """Return a permit for one request to a cold server, granted or refused."""
         now = self._clock()
         per_s = self._rates.permitted_per_s(service)
-        if per_s <= 0 or now < self._settled_at or self._is_isolated():
+        if per_s <= 0 or not self._has_joined():
             return Permit(False, RETRY_AFTER_S)
         if not self.is_own(self.owner(incarnation).id):
             return Permit(False, RETRY_AFTER_S)
         after_s = self._limiter(incarnation, per_s, now).acquire(now)
         return Permit(after_s == 0.0, after_s)
 
-    def _is_isolated(self) -> bool:
-        return bool(self._seeds) and not self._members()
+    def _has_joined(self) -> bool:
+        return self._join_state.is_settled() and not self._join_state.is_isolated()
 
     def _limiter(
         self, incarnation: ServerIncarnation, per_s: float, now: float
--- a/packages/node/src/eelgrass_node/process/warm_up/warm_up.py
+++ b/packages/node/src/eelgrass_node/process/warm_up/warm_up.py
@@ -5,6 +5,7 @@
 from eelgrass_coordination import Membership
 
 from ...version.deployment import Deployment
+from ..joined import JoinState
 from .admission import AskOwner, WarmUpAdmission
 from .permits import WarmUpPermits
 from .rate_limit import WarmUpBounds, WarmUpRates
@@ -13,15 +14,12 @@
 
 
 class WarmUp:
-    """The permits that a node issues, and those that it requests.
-
-    ``other_seeds`` are the nodes that its settings name besides itself.
-    """
+    """The permits that a node issues, and those that it requests."""
 
     def __init__(
         self,
         membership: Membership,
-        other_seeds: tuple[str, ...],
+        join_state: JoinState,
         bounds: WarmUpBounds,
         deployment: Callable[[], Deployment | None],
         ask_owner: AskOwner,
@@ -32,7 +30,7 @@
         self.permits = WarmUpPermits(
             lambda: membership.own,
             lambda: list(membership.members.by_id.values()),
-            other_seeds,
+            join_state,
             rates,
             clock,
         )
--- a/packages/node/tests/test_warm_up.py
+++ b/packages/node/tests/test_warm_up.py
@@ -10,6 +10,7 @@
 from eelgrass_coordination.ids import BackendId, DataCentre, NodeId
 from eelgrass_node.exceptions import PeerUnreachable
 from eelgrass_node.process.backends import Backend, HostEntry, ServerIncarnation
+from eelgrass_node.process.joined import SETTLE_S, JoinState
 from eelgrass_node.process.warm_up import (
     RateLimiter,
     WarmUpAdmission,
@@ -18,7 +19,6 @@
     WarmUpRates,
     permitted_per_s,
 )
-from eelgrass_node.process.warm_up.permits import SETTLE_S
 from eelgrass_node.version.deployment import CallerLimits, Deployment, Service
 from support.clock import Clock
 
@@ -45,8 +45,9 @@
 
 def permits_of(number, known, clock, seeds=("seed",)):
     """Return the permits of a node that knows some members."""
+    join_state = JoinState(seeds, lambda: known, clock)
     return WarmUpPermits(
-        lambda: member(number), lambda: known, seeds, RATES, lambda: clock.now
+        lambda: member(number), lambda: known, join_state, RATES, clock
     )
 
 
@@ -161,12 +162,12 @@
         self.permits[number] = self._start(number)
 
     def _start(self, number):
+        def members():
+            return list(self.known[number].values())
+
+        join_state = JoinState(("seed",), members, self.clock)
         return WarmUpPermits(
-            lambda: member(number),
-            lambda: list(self.known[number].values()),
-            ("seed",),
-            RATES,
-            lambda: self.clock.now,
+            lambda: member(number), members, join_state, RATES, self.clock
         )
 
     def lose_updates(self, share):
@@ -242,8 +243,9 @@
     def admission(self, ask_owner=None, per_s=PER_S):
         loop = asyncio.get_running_loop()
         rates = WarmUpRates(BOUNDS, lambda: deployment(per_s))
+        join_state = JoinState(("seed",), lambda: [member(1)], loop.time)
         permits = WarmUpPermits(
-            lambda: member(0), lambda: [member(1)], ("seed",), rates, loop.time
+            lambda: member(0), lambda: [member(1)], join_state, rates, loop.time
         )
         return WarmUpAdmission(permits, rates, ask_owner, loop.time, lambda kind: None)
 
