Let nodes that have just started make no trials of prompt parts

One trial of a set of held parts may be under way over all nodes. A node that has just started issues no permits for 2.5 s, but it asked others at once, in the order of the few that it knew. Those do not check whether they are the owner, as they may stand in for one that does not answer, and permit a trial of their own: a harmful part then reaches more servers than the pauses allow. With nine settled nodes and nine that start and know one each, two trials were permitted beside the owner's.

The started node now asks nobody for the same 2.5 s. Callers get the same refusal, with 0.5 s until the next attempt, that the node's own permits gave them before.

test_part_quarantine.py::TestTrialsAfterAStart::test_they_ask_for_no_trial failed before; it and tests/test_poison_parts.py pass.

--- a/packages/node/src/eelgrass_node/process/poison_parts/trials.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/trials.py
@@ -6,7 +6,8 @@
 The answer to a trial exonerates the parts, a crash is one more piece of evidence.
 
 One node issues the permits for a set of parts. It is selected by hashing over the
-members; the next one takes its place while it does not answer.
+members; the next one takes its place while it does not answer. A node that has just
+started knows neither all members nor all crashes, and makes no trials.
 """
 
 from collections.abc import Awaitable, Callable, Sequence
@@ -19,6 +20,7 @@
 from ...exceptions import PeerUnreachable
 from ...log import Part, log
 from ..crash_subjects import PartKey
+from ..joined import SETTLE_S
 from ..warm_up import Permit
 from .part_quarantine import PartQuarantine
 
@@ -32,8 +34,6 @@
 TRIAL_TIMEOUT_S = 5.0
 # Trials without a result count as so many moments, plus one for each.
 FIRST_TRIAL_MOMENTS = 2
-# A node that has just started knows neither all crashes nor the permits of others.
-SETTLE_S = 2.5
 # When to return if a trial is under way or its owner is unreachable.
 RETRY_AFTER_S = 0.5
 # Nodes that are asked for a permit, in the order of their hashes.
@@ -62,6 +62,11 @@
         self._trials_by_parts: dict[frozenset[PartKey], _Trials] = {}
         quarantine.on_exonerated = self._forget
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the node has had the time to learn of the others and of crashes."""
+        return self._clock() >= self._settled_at
+
     def pause_s(self, parts: frozenset[PartKey], trials: int = 0) -> float:
         """Return how long to wait for the next trial; infinity if there is none."""
         moments, last_at = self._quarantine.evidence_against(parts)
@@ -75,7 +80,7 @@
     def issue(self, parts: frozenset[PartKey]) -> Permit:
         """Return a permit for one request with these held parts, granted or refused."""
         now = self._clock()
-        if now < self._settled_at:
+        if not self.is_settled:
             return Permit(False, RETRY_AFTER_S)
         trials = self._trials_by_parts.get(parts, _Trials())
         if now - trials.last_at < TRIAL_TIMEOUT_S and not self._has_crashed(
@@ -129,6 +134,8 @@
 
     async def admit(self, parts: frozenset[PartKey]) -> Permit:
         """Return a permit for one request whose held parts are ``parts``."""
+        if not self._permits.is_settled:
+            return Permit(False, RETRY_AFTER_S)
         now = self._clock()
         pause_s = max(
             self._permits.pause_s(parts),
--- a/packages/node/tests/test_part_quarantine.py
+++ b/packages/node/tests/test_part_quarantine.py
@@ -5,13 +5,16 @@
 from eelgrass_coordination.ids import BackendId, SoftwareVersion
 from eelgrass_node.process.backends import ServerIncarnation
 from eelgrass_node.process.crash_subjects import PartCrash, PartKey
+from eelgrass_node.process.joined import SETTLE_S
 from eelgrass_node.process.poison_parts import (
     PartGossip,
     PartQuarantine,
+    TrialAdmission,
     TrialPermits,
     part_quarantine as module,
 )
 from support.clock import Clock
+from support.members import member
 
 FATAL, SHARED, OTHER = PartKey("fatal"), PartKey("shared"), PartKey("other")
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
@@ -185,6 +188,51 @@
         assert not fresh.issue(held).granted
 
 
+class TestTrialsAfterAStart:
+    """Nodes that have just started know one other each, which is seldom the owner."""
+
+    NODES = 9
+
+    def admission(self, node, name, known):
+        """Return the admission of a node that starts now and knows some others."""
+        self.permits[name] = TrialPermits(node.quarantine, node.clock)
+
+        async def ask_owner(owner, parts):
+            return self.permits[owner.id].issue(parts)
+
+        return TrialAdmission(
+            self.permits[name],
+            lambda: member(name),
+            lambda: [member(other) for other in known if other != name],
+            ask_owner,
+            node.clock,
+        )
+
+    def deployment(self, node):
+        """Return the admissions of all nodes, and the parts that they hold."""
+        self.permits = {}
+        names = [f"n{number}" for number in range(self.NODES)]
+        admissions = {name: self.admission(node, name, names) for name in names}
+        node.clock.now += SETTLE_S
+        for _ in range(3):
+            node.crash(FATAL)
+        return admissions, frozenset(node.settle())
+
+    # Guards against trials beside that of the owner, from nodes that others take for
+    # the owner.
+    async def test_they_ask_for_no_trial(self, node):
+        admissions, held = self.deployment(node)
+        started = [self.admission(node, f"started {n}", [n]) for n in admissions]
+        assert (await admissions["n0"].admit(held)).granted
+        assert not any([(await admission.admit(held)).granted for admission in started])
+
+    async def test_they_ask_once_they_have_settled(self, node):
+        admissions, held = self.deployment(node)
+        started = self.admission(node, "started", admissions)
+        node.clock.now += SETTLE_S
+        assert (await started.admit(held)).granted
+
+
 class TestGossip:
     """Nodes that exchange gossip items in any order agree on the held parts."""
 
