Do not take a node that knows no other for one that nobody lends to

A node whose retry budget is exhausted asks three others for retries, and asks again after 2 s if none lends. One that has just started knew nobody, asked nobody, and paused for the same 2 s, although it knew others some tenths of a second later and was the one that needed a loan: its buckets start empty. Without members it now asks nobody and does not pause.

test_loans.py failed before (0 borrowed); it, tests/test_retry_loans.py and test_retry_budgets.py pass.

--- a/packages/node/src/eelgrass_node/process/retry_loans.py
+++ b/packages/node/src/eelgrass_node/process/retry_loans.py
@@ -56,8 +56,11 @@
         now = self._clock()
         if now < self._paused_until.get(service, float("-inf")):
             return
-        self._paused_until[service] = now + PAUSE_S
         members = list(self._members())
+        if not members:
+            # Also a node that has just started, and will know others in a moment.
+            return
+        self._paused_until[service] = now + PAUSE_S
         lenders = random.sample(members, min(LENDERS, len(members)))
         task = asyncio.create_task(self._borrow(service, lenders))
         self._tasks.add(task)
