Ask another node for the crashes if a node that starts cannot read them

What callers saw: a request that crashes its servers, and is refused by all nodes, was sent to further servers by a node that had just started.

A node is ready with a configuration and servers. It then no longer asked others for what the store had not delivered, so that one whose read of the crash table failed or was slow knew of no crash, for as long as that lasted. It now goes on asking, as it does for the other tables, 0.5 s after its start and until it has the crash table from the store or a node. Readiness is as before. What is left: a request within that half second.

test_poison_requests.py: test_a_node_that_cannot_read_the_crashes_gets_them_from_others failed before; the file's other tests (but TestConcurrentRequests, not run), test_peer_catch_up.py, test_store_following.py and test_crash_table.py pass.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -133,7 +133,7 @@
         self.peer_catch_up = PeerCatchUp(
             self._fetch_peer_state,
             lambda: self.deployments.number,
-            lambda: self.tables.is_ready,
+            lambda: self.tables.is_ready and self.tables.has_crashes,
             self._peer_addresses,
             self._is_receiving_configuration,
         )
--- a/packages/node/src/eelgrass_node/process/peer_catch_up.py
+++ b/packages/node/src/eelgrass_node/process/peer_catch_up.py
@@ -29,7 +29,7 @@
 
     ``ask`` fetches the state of the node at an address and applies it. ``number``
     returns the number of the configuration in force here, -1 before the first.
-    ``is_ready`` returns whether the node has all state that it needs to serve.
+    ``has_caught_up`` returns whether the node has all state that others have.
     ``addresses`` returns the nodes to ask at the start. ``is_receiving`` returns
     whether an answer from the store or a relay is being received.
     """
@@ -38,13 +38,13 @@
         self,
         ask: Callable[[str], Awaitable[None]],
         number: Callable[[], int],
-        is_ready: Callable[[], bool],
+        has_caught_up: Callable[[], bool],
         addresses: Callable[[], list[str]],
         is_receiving: Callable[[], bool] = lambda: False,
     ) -> None:
         self._ask = ask
         self._number = number
-        self._is_ready = is_ready
+        self._has_caught_up = has_caught_up
         self._addresses = addresses
         self._is_receiving = is_receiving
         # The version that each node announced, by address; the latest comes last.
@@ -61,13 +61,14 @@
             self._task = asyncio.create_task(self._catch_up())
 
     async def start(self) -> None:
-        """Ask random nodes until this node is ready to serve.
+        """Ask random nodes until this node has caught up with the others.
 
         A configuration alone is not enough: the relay may have lost the server table,
-        and a node with a configuration and no servers refuses every request.
+        and a node with a configuration and no servers refuses every request. One that
+        knows of no crashes serves, and sends on requests that crash servers.
         """
         await asyncio.sleep(STORE_GRACE_S)
-        while not self._is_ready():
+        while not self._has_caught_up():
             addresses = self._addresses()
             if addresses:
                 await self._fetch_from(random.choice(addresses))
--- a/packages/node/src/eelgrass_node/process/platform_tables.py
+++ b/packages/node/src/eelgrass_node/process/platform_tables.py
@@ -124,3 +124,8 @@
     def is_ready(self) -> bool:
         """Whether the node has a configuration and the list of servers."""
         return self._deployments.current is not None and self.servers.has_rows
+
+    @property
+    def has_crashes(self) -> bool:
+        """Whether the crash table was read, or another node has sent its rows."""
+        return self.crashes.was_received
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -115,6 +115,7 @@
         # None if it is not known.
         self.acknowledged_after: float | None = None
         self._is_complete = False
+        self._was_sent = False
         # The version up to which removals may have been forgotten or missed.
         self._complete_from = -1
         self._changed = asyncio.Event()
@@ -153,6 +154,11 @@
         """Whether the table was ever read, or another node has sent rows of it."""
         return self._version >= 0 or bool(self._row_by_key)
 
+    @property
+    def was_received(self) -> bool:
+        """Whether the table was ever read, or another node has sent it, maybe empty."""
+        return self._version >= 0 or self._was_sent
+
     def rows(self) -> tuple[StoredRow, ...]:
         """Return all known rows, for a node that cannot reach the store."""
         return tuple(self._row_by_key.values())
@@ -236,6 +242,7 @@
         This replica has all changes up to its version. An older row that is missing
         here was removed; if it were applied, no later change would remove it again.
         """
+        self._was_sent = True
         newer = (row for row in rows if row.version > self._version)
         applied = tuple(row for row in newer if self._apply_if_newer(row))
         if not applied:
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -6,8 +6,10 @@
 import pytest
 
 from eelgrass_coordination.ids import BackendId
+from eelgrass_node.platform.names import CRASHES_TABLE
 from eelgrass_node.process.backends import ServerIncarnation
 from eelgrass_node.process.crash_detector import Fingerprint
+from eelgrass_node.process.table_relay import STORE_READ_MAX_AGE_S
 from support.entry import COMPLETE_STREAM, until
 from support.poison import POISON, CrashingServers
 
@@ -15,6 +17,8 @@
 MAX_CRASHES = 3
 # Nodes learn of a crash within this time.
 PROPAGATION_S = 0.5
+# A node that starts has got from another one what it cannot read within this time.
+CATCH_UP_S = 1.0
 
 
 class PoisonedDeployment(CrashingServers):
@@ -96,6 +100,28 @@
         await poisoned.attempt(3)
         assert len(poisoned.crashed) == ended
 
+    # Guards against a node that serves before it has read of the crashes, and would
+    # not ask another one for them.
+    async def test_a_node_that_cannot_read_the_crashes_gets_them_from_others(
+        self, poisoned
+    ):
+        await poisoned.attempts(6)
+        poisoned.store.down_tables.add(CRASHES_TABLE)
+        await asyncio.sleep(STORE_READ_MAX_AGE_S)
+        await self.attempt_at_a_new_node(poisoned)
+
+    async def attempt_at_a_new_node(self, poisoned):
+        """Start a node, and assert that no more servers crash once it has caught up."""
+        ended = len(poisoned.crashed)
+        assert ended
+        node = await poisoned.add_node()
+        await until(lambda: node.ready)
+        await asyncio.sleep(CATCH_UP_S)
+        for _ in range(3):
+            await poisoned.attempt(3)
+            await asyncio.sleep(PROPAGATION_S)
+        assert len(poisoned.crashed) == ended
+
 
 class TestStages:
     """A batch item crashes the servers that run it, in calls with other items."""
