Tell a node that starts of crashes that the store has not accepted

What callers saw: while the store is down, a request that crashes its servers, and is refused by all nodes, was sent to one more server by each node that started.

Cause: nodes tell each other of a crash once, by gossip, and later only the crash table does. A node that starts while the store does not answer gets the tables from another node, but a crash that was noticed during the outage is in none of them.

The state that a node sends now has the last 1,000 crashes under requests and under prompt parts that it knows. It is applied until the crash table has been received; after that gossip tells of new ones and of those that no longer count. 1,000 of each make 230 KB as JSON, 61 KB compressed (computed with made-up ids), and only such nodes fetch them. Older nodes ignore the fields, and send none.

test_poison_requests.py: test_a_node_that_starts_while_the_store_is_down_refuses_it failed before (4 servers crashed, 3 are the limit). It and the file's other tests, test_told_crashes.py, test_quarantine.py, test_part_quarantine.py, test_users_platform.py and test_layers.py pass.

--- a/packages/node/src/eelgrass_node/connection/peer_state.py
+++ b/packages/node/src/eelgrass_node/connection/peer_state.py
@@ -9,6 +9,8 @@
 import msgspec
 from aiohttp import web
 
+from ..process.crash_table import Crash
+from ..process.poison_parts import PartCrashRow
 from ..process.store_tables import StoredRow
 from .peer_answers import peer_answer
 
@@ -22,13 +24,17 @@
 class PeerState(msgspec.Struct, frozen=True):
     """All rows that a node has of each table that it follows.
 
-    ``crashes`` are crashes of servers, with the requests that they were running. Nodes
-    of older releases do not send them.
+    ``crashes`` are crashes of servers, with the requests that they were running.
+    ``request_crashes`` and ``part_crashes`` are those that the node knows, also by
+    gossip alone: the store may not accept their rows. Nodes of older releases do not
+    send them.
     """
 
     operator: tuple[StoredRow, ...]
     servers: tuple[StoredRow, ...]
     crashes: tuple[StoredRow, ...] = ()
+    request_crashes: tuple[Crash, ...] = ()
+    part_crashes: tuple[PartCrashRow, ...] = ()
 
 
 class PeerStateInterface:
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -365,7 +365,11 @@
         """Return the rows of all tables that this node follows, for other nodes."""
         tables = self.tables
         return PeerState(
-            tables.operator.rows(), tables.servers.rows(), tables.crashes.rows()
+            tables.operator.rows(),
+            tables.servers.rows(),
+            tables.crashes.rows(),
+            self.poison_requests.crashes(),
+            self.poison_requests.part_crashes(),
         )
 
     async def _fetch_peer_state(self, address: str) -> None:
@@ -374,6 +378,11 @@
         )
         self.tables.operator.apply_peer_rows(state.operator, address)
         self.tables.servers.apply_peer_rows(state.servers, address)
+        if not self.tables.has_crashes:
+            # Later, gossip tells of them, and of those that do not count any more.
+            self.poison_requests.apply_peer_crashes(
+                state.request_crashes, state.part_crashes
+            )
         self.tables.crashes.apply_peer_rows(state.crashes, address)
 
     def _is_receiving_configuration(self) -> bool:
--- a/packages/node/src/eelgrass_node/process/poison_parts/part_quarantine.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/part_quarantine.py
@@ -147,6 +147,10 @@
             return frozenset()
         return parts & self.held_parts()
 
+    def suspected_parts(self) -> list[PartKey]:
+        """Return all parts that may explain a crash."""
+        return list(self._servers_by_part)
+
     def crashed_servers(self, part: PartKey) -> tuple[ServerIncarnation, ...]:
         """Return the servers whose crash a part may explain."""
         return tuple(self._servers_by_part.get(part, ()))
--- a/packages/node/src/eelgrass_node/process/poison_requests.py
+++ b/packages/node/src/eelgrass_node/process/poison_requests.py
@@ -12,12 +12,15 @@
 from .backends import Backend, Backends, ServerIncarnation
 from .crash_detector import CrashDetector, Fingerprint, Listening
 from .crash_gossip import CrashGossip
-from .crash_table import CrashTable, WriteRows
-from .poison_parts import PoisonParts
+from .crash_table import Crash, CrashTable, WriteRows
+from .poison_parts import PartCrashRow, PoisonParts
 from .quarantine import Quarantine
 
 __all__ = ["PoisonRequests"]
 
+# Crashes of each kind that a node tells another one that starts: some 115 KB.
+MAX_TOLD = 1000
+
 
 class PoisonRequests:
     """Detection, announcement and quarantine of poison requests on one node.
@@ -37,6 +40,7 @@
         write: WriteRows,
         count: Callable[[str], None],
     ) -> None:
+        self._unix_ms = unix_ms
         self._count = count
         self.quarantine = Quarantine(clock)
         self.parts = PoisonParts(announce, clock, unix_ms, backends.versions)
@@ -68,6 +72,35 @@
             self.gossip.announce_success(request)
             self.table.remove_crashes(request, incarnations)
 
+    def crashes(self) -> tuple[Crash, ...]:
+        """Return the last crashes under requests, whether or not the table has them."""
+        crashes = sorted(self.quarantine.crashes(), key=lambda crash: crash[2])
+        now_ms = self._unix_ms()
+        return tuple(
+            Crash(request, incarnation, now_ms - int(age_s * 1000))
+            for request, incarnation, age_s in crashes[:MAX_TOLD]
+        )
+
+    def part_crashes(self) -> tuple[PartCrashRow, ...]:
+        """Return the last crashes under prompt parts."""
+        parts = self.parts
+        suspected = parts.quarantine.suspected_parts()
+        rows = [row for _, row in parts.rows.rows_of(suspected, self._unix_ms())]
+        rows.sort(key=lambda row: -row.at_ms)
+        return tuple(rows[:MAX_TOLD])
+
+    def apply_peer_crashes(
+        self, crashes: Iterable[Crash], part_crashes: Iterable[PartCrashRow]
+    ) -> None:
+        """Record the crashes that another node knows."""
+        now_ms = self._unix_ms()
+        for crash in crashes:
+            age_s = max(0.0, (now_ms - crash.at_ms) / 1000)
+            self.quarantine.record_crash(crash.request, crash.server, age_s)
+        for row in part_crashes:
+            age_s = max(0.0, (now_ms - row.at_ms) / 1000)
+            self.parts.rows.record(row, age_s)
+
     def _on_crash(
         self, incarnation: ServerIncarnation, requests: list[Fingerprint]
     ) -> None:
--- a/packages/node/src/eelgrass_node/process/quarantine.py
+++ b/packages/node/src/eelgrass_node/process/quarantine.py
@@ -73,6 +73,15 @@
         suspect = self._find(request)
         return () if suspect is None else tuple(suspect.time_by_server)
 
+    def crashes(self) -> list[tuple[Fingerprint, ServerIncarnation, float]]:
+        """Return all crashes, each with its request and its age in seconds."""
+        now = self._clock()
+        return [
+            (request, incarnation, now - crashed_at)
+            for request, suspect in self._suspect_by_request.items()
+            for incarnation, crashed_at in suspect.time_by_server.items()
+        ]
+
     def quarantined_count(self) -> int:
         """Return the number of quarantined requests."""
         return sum(
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -110,6 +110,14 @@
         await asyncio.sleep(STORE_READ_MAX_AGE_S)
         await self.attempt_at_a_new_node(poisoned)
 
+    # Guards against crashes that cannot be written: nodes tell each other of them once.
+    async def test_a_node_that_starts_while_the_store_is_down_refuses_it(
+        self, poisoned
+    ):
+        poisoned.store.down = True
+        await poisoned.attempts(6)
+        await self.attempt_at_a_new_node(poisoned)
+
     async def attempt_at_a_new_node(self, poisoned):
         """Start a node, and assert that no more servers crash once it has caught up."""
         ended = len(poisoned.crashed)
