Tell a node that starts without the store of evacuations known by gossip

While the store does not answer, a node that starts gets the tables from another one. If that one has not read the row of an evacuation, but was told of it by gossip, the started node took the data centre for one in use: gossip of it had ended before, and is not repeated. It then sent requests there until the store answered.

The state that a node sends now also has the newest state of each evacuation that it knows, as gossip items, which apply as if they were received: the newest version counts, and for 6 s at most if the store can be read. Older nodes ignore the field.

test_evacuation.py: test_a_node_that_starts_without_the_store_knows_of_it failed before; it, the file's others and test_evacuations.py pass.

--- a/packages/node/src/eelgrass_node/connection/peer_state.py
+++ b/packages/node/src/eelgrass_node/connection/peer_state.py
@@ -9,6 +9,8 @@
 import msgspec
 from aiohttp import web
 
+from eelgrass_coordination import GossipItem
+
 from ..process.crash_table import Crash
 from ..process.poison_parts import PartCrashRow
 from ..process.store_tables import StoredRow
@@ -26,7 +28,8 @@
 
     ``crashes`` are crashes of servers, with the requests that they were running.
     ``request_crashes`` and ``part_crashes`` are those that the node knows, also by
-    gossip alone: the store may not accept their rows. Nodes of older releases do not
+    gossip alone: the store may not accept their rows. ``evacuations`` are gossip items
+    with the newest state of each evacuated data centre. Nodes of older releases do not
     send them.
     """
 
@@ -35,6 +38,7 @@
     crashes: tuple[StoredRow, ...] = ()
     request_crashes: tuple[Crash, ...] = ()
     part_crashes: tuple[PartCrashRow, ...] = ()
+    evacuations: tuple[GossipItem, ...] = ()
 
 
 class PeerStateInterface:
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -370,12 +370,15 @@
             tables.crashes.rows(),
             self.poison_requests.crashes(),
             self.poison_requests.part_crashes(),
+            self.evacuation.gossip.items(),
         )
 
     async def _fetch_peer_state(self, address: str) -> None:
         state = await self.peer_calls.ask(
             address, STATE_CALL, None, PeerState, PEER_STATE_TIMEOUT_S
         )
+        for item in state.evacuations:
+            self.evacuation.gossip.receive(item)
         self.tables.operator.apply_peer_rows(state.operator, address)
         self.tables.servers.apply_peer_rows(state.servers, address)
         if not self.tables.has_crashes:
--- a/packages/node/src/eelgrass_node/process/evacuation/evacuation_gossip.py
+++ b/packages/node/src/eelgrass_node/process/evacuation/evacuation_gossip.py
@@ -33,8 +33,11 @@
         self, data_centre: DataCentre, version: int, is_evacuated: bool
     ) -> None:
         """Announce the state of a data centre that was read from the store."""
-        number = version * STATES + int(is_evacuated)
-        self._announce(GossipItem(GOSSIP_KIND, data_centre, number))
+        self._announce(_item(data_centre, version, is_evacuated))
+
+    def items(self) -> tuple[GossipItem, ...]:
+        """Return what this node knows, for one that has not heard the gossip of it."""
+        return tuple(_item(*state) for state in self._evacuations.newest())
 
     def receive(self, item: GossipItem) -> None:
         """Apply a gossip item from another node; other kinds are ignored."""
@@ -52,3 +55,7 @@
         self._evacuations.apply_gossip(
             DataCentre(item.name), version, bool(is_evacuated)
         )
+
+
+def _item(data_centre: DataCentre, version: int, is_evacuated: bool) -> GossipItem:
+    return GossipItem(GOSSIP_KIND, data_centre, version * STATES + int(is_evacuated))
--- a/packages/node/src/eelgrass_node/process/evacuation/evacuations.py
+++ b/packages/node/src/eelgrass_node/process/evacuation/evacuations.py
@@ -67,6 +67,19 @@
         """Return whether the servers of a data centre get no new work."""
         return data_centre in self.since_by_data_centre
 
+    def newest(self) -> list[tuple[DataCentre, int, bool]]:
+        """Return the newest known version of each row, and whether the row exists."""
+        newest: dict[DataCentre, _RowState] = {}
+        for known in (self._read_by_data_centre, self._gossip_by_data_centre):
+            for data_centre, state in known.items():
+                other = newest.get(data_centre)
+                if other is None or other.version < state.version:
+                    newest[data_centre] = state
+        return [
+            (data_centre, state.version, state.is_evacuated)
+            for data_centre, state in newest.items()
+        ]
+
     def apply_rows(self, rows: Iterable[StoredRow]) -> None:
         """Apply rows of the operator's table; rows of other kinds are ignored.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -7,11 +7,19 @@
 
 import pytest
 
+from eelgrass_coordination import Exchange, GossipItem
 from eelgrass_coordination.ids import DataCentre
+from eelgrass_coordination.messages import BroadcastQueue
+from eelgrass_node.process.evacuation.evacuation_gossip import (
+    GOSSIP_KIND as EVACUATION_KIND,
+)
+from eelgrass_node.process.table_relay import STORE_READ_MAX_AGE_S
 from support.entry import COMPLETE_STREAM, EntryDeployment, configuration, until
 
 SERVICES = ("desk", "readers", "portal", "clerks")
 ROW = "evacuate/b"
+# Of a row that no node has read.
+NEWER_VERSION = 1000
 STAGED = {"Eelgrassward_Segments": "1,1,2", "Eelgrassward_Segment_Key": "k"}
 
 
@@ -66,6 +74,22 @@
         assert {status for status, _, _ in answers} == {200}
         assert remote_run_count(two_data_centres) == before
 
+    # Guards against a node that starts without the store, and gets the tables from one
+    # that has not read of the evacuation, but has been told of it.
+    async def test_a_node_that_starts_without_the_store_knows_of_it(
+        self, two_data_centres
+    ):
+        two_data_centres.store.down = True
+        await asyncio.sleep(STORE_READ_MAX_AGE_S)
+        told = GossipItem(EVACUATION_KIND, "b", 2 * NEWER_VERSION + 1)
+        for node in two_data_centres.nodes:
+            node.membership.apply_exchange(Exchange((), (told,)))
+            # It was sent as often as gossip items are.
+            node.membership._gossip_items._queue = BroadcastQueue()
+        started = await two_data_centres.add_node()
+        await until(lambda: started.ready)
+        assert evacuated(two_data_centres)
+
     async def test_no_new_batch_items_are_sent_there(self, two_data_centres):
         two_data_centres.store.put("op", ROW, {})
         await until(lambda: evacuated(two_data_centres), 2.0)
