Use no slack of a retry budget before a node knows the others

Each node uses its share of a budget's fixed part, by the number of nodes that it knows. One that has just started knows few at first, so that nodes that start together each take a large share: they find each other within some tenths of a second, but a share that is less than one retry is granted by chance, at once.

A node with other seeds now uses the slack once it has settled, 2.5 s after its start. The slack of that time accrues and is available then, up to what a bucket holds, so nothing is lost in the long run. A node without other seeds does not wait.

test_retry_budgets.py::TestStarts::test_all_hosts_restart_together_while_servers_fail[400] fails with the settle time taken out and passes with it. In nodes that run in the test's process, fill_retry_budgets shifts the clock of the start as well.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -45,7 +45,7 @@
 from .process.evacuation import EvacuationManager
 from .process.failure_gossip import FailureGossip
 from .process.host_settings import HostSettings
-from .process.joined import JoinState
+from .process.joined import SETTLE_S, JoinState
 from .process.local_queues import LocalQueues
 from .process.loop_load import LoopLoad
 from .process.metrics import Metrics
@@ -313,6 +313,7 @@
         await self.server_links.server.start(self.settings.gossip)
         await self.membership.start()
         self._on_members_changed()
+        asyncio.get_running_loop().call_later(SETTLE_S, self._share_retry_budgets)
         await self._listen_callers()
         await self._listen_readiness()
         for run in (
@@ -463,12 +464,18 @@
             if member.state is MemberState.SUSPECT:
                 self.reachability.record_timeout(member.data_centre, member.id)
         self.server_links.on_members_changed(members)
-        self.retry_budgets.sharing_nodes = count_sharing_nodes(
-            self.settings, self.membership.own, members
-        )
+        self._share_retry_budgets()
         self.backends.set_live_nodes(len(self.membership.members.reachable()) + 1)
         self.stream_origins.on_members_changed()
 
+    def _share_retry_budgets(self) -> None:
+        self.retry_budgets.sharing_nodes = count_sharing_nodes(
+            self.settings,
+            self.membership.own,
+            list(self.membership.members.by_id.values()),
+            self.join_state.is_settled(),
+        )
+
     def _on_servers_changed(self, service: str) -> None:
         self.version_history.servers_changed(service)
         self.local_queues.servers_changed(service)
--- a/packages/node/src/eelgrass_node/process/budget_shares.py
+++ b/packages/node/src/eelgrass_node/process/budget_shares.py
@@ -16,16 +16,17 @@
 
 
 def count_sharing_nodes(
-    settings: HostSettings, own: Member, members: Sequence[Member]
+    settings: HostSettings, own: Member, members: Sequence[Member], is_settled: bool
 ) -> int | None:
     """Return how many nodes share, including unreachable nodes and those that left.
 
     ``members`` are the records of all other nodes, in any state. A data centre without
     known nodes is assumed to have the mean number of the others, because a node that
     starts during a partition learns of no node on the other side. The result is None,
-    that is unknown, if this node has seeds but has not learned of any other node.
+    that is unknown, if this node has seeds but has not learned of any other node, or
+    has not had the time to learn of most, that is unless ``is_settled``.
     """
-    if not members and settings.other_seeds():
+    if settings.other_seeds() and not (members and is_settled):
         return None
     known = [own, *members]
     seen = {member.data_centre for member in known}
--- a/packages/node/src/eelgrass_node/process/retry_budget.py
+++ b/packages/node/src/eelgrass_node/process/retry_budget.py
@@ -51,7 +51,8 @@
     """The budgets of one process; times are of ``clock``, in seconds.
 
     ``sharing_nodes`` is the number of nodes that share the slack. While it is None
-    (unknown), no slack is used. ``draw`` returns a random number from 0 to 1.
+    (unknown), no slack is used; that of this time accrues as soon as the number is
+    known. ``draw`` returns a random number from 0 to 1.
     ``on_exhausted`` is called with a service whose bucket is empty.
     """
 
@@ -152,9 +153,11 @@
         bucket.forget_before(now - self._window_s)
         if now >= bucket.borrowed_until:
             bucket.borrowed = 0.0
-        passed = (now - bucket.refilled_at) / self._window_s
-        bucket.refilled_at = now
-        accrued = (1 - SAVED_SLACK_FRACTION) * self._slack_share() * passed
+        accrued = 0.0
+        if self.sharing_nodes is not None:
+            passed = (now - bucket.refilled_at) / self._window_s
+            bucket.refilled_at = now
+            accrued = (1 - SAVED_SLACK_FRACTION) * self._slack_share() * passed
         bucket.tokens = min(bucket.tokens + accrued, self._capacity(bucket))
         return bucket
 
--- a/packages/node/tests/test_retry_budgets.py
+++ b/packages/node/tests/test_retry_budgets.py
@@ -5,8 +5,12 @@
 
 import pytest
 
+from eelgrass_node.process.budget_shares import count_sharing_nodes
+from eelgrass_node.process.joined import SETTLE_S
 from eelgrass_node.process.retry_budget import SAVED_SLACK_FRACTION, RetryBudgets
 from support.clock import Clock
+from support.host_settings import host_settings
+from support.members import member
 from support.retry_fleet import RetryFleet
 
 HOSTS = 8
@@ -159,3 +163,53 @@
         allowed = 0.2 * hosts + 56.0
         assert fleet.excess() <= 0
         assert fleet.retries >= 0.4 * allowed
+
+
+class JoiningFleet(RetryFleet):
+    """Processes that know two nodes at their start, and more each 0.2 s."""
+
+    def _new_process(self):
+        process = super()._new_process()
+        process.began = self.clock.now
+        return process
+
+    def _retry(self, only):
+        settings = host_settings(seeds=("seed:1",), data_centres="a")
+        records = [member(f"n{number}") for number in range(1, self._hosts)]
+        for process in self._process_by_host.values():
+            age_s = self.clock.now - process.began
+            known = min(self._hosts, round(2 * 2 ** (age_s / 0.2))) - 1
+            process.sharing_nodes = count_sharing_nodes(
+                settings, member("n0"), records[:known], age_s >= SETTLE_S
+            )
+        super()._retry(only)
+
+
+class TestStarts:
+    # Guards against nodes that start together and each divide the slack by the few
+    # others that they know by then.
+    @pytest.mark.parametrize("hosts", [HOSTS, 60, 400])
+    def test_all_hosts_restart_together_while_servers_fail(self, hosts):
+        fleet = JoiningFleet(hosts, hosts / 10)
+        fleet.run(2 * WINDOW_S, failing=False)
+        for _ in range(3):
+            for host in range(hosts):
+                fleet.restart(host)
+            fleet.run(3.0, failing=True)
+        fleet.run(WINDOW_S / 2, failing=True)
+        assert fleet.excess() <= 0
+
+    # Guards against slack that is lost for good, where nodes restart now and then.
+    def test_slack_accrues_while_the_number_of_nodes_is_unknown(self):
+        used = []
+        for unknown_s in (0.0, SETTLE_S):
+            clock = Clock()
+            budgets = RetryBudgets(0.0, 56.0, WINDOW_S, clock)
+            budgets.try_spend("s", "a request")
+            clock.now += unknown_s
+            budgets.try_spend("s", "a request")
+            budgets.sharing_nodes = HOSTS
+            clock.now = WINDOW_S / 2
+            used.append(budgets.try_spend("s", "a request"))
+            used.append(budgets._bucket_by_service["s"].tokens)
+        assert used[:2] == used[2:]
--- a/tests/support/entry.py
+++ b/tests/support/entry.py
@@ -267,13 +267,15 @@
 
 
 def fill_retry_budgets(node: EntryNode) -> None:
-    """Shift the clock of a node's retry budgets by one window.
+    """Shift the clocks of a node's retry budgets and of its start by one window.
 
     The budgets then allow retries from the start, as on a node that has been up for
     that long.
     """
-    clock = node.retry_budgets._clock
-    node.retry_budgets._clock = lambda: clock() + node.settings.bounds.retry_window_s
+    window_s = node.settings.bounds.retry_window_s
+    for timed in (node.retry_budgets, node.join_state):
+        clock = timed._clock
+        timed._clock = lambda clock=clock: clock() + window_s
 
 
 @contextmanager
