Keep the origins of streams in the store while several versions serve

What callers saw: where all hosts that knew which version began a stream ended within its life, all killed or all stopped as planned, it was refused wherever its caller resumed it, also once the hosts served again.

Cause: origins were kept only in the memory of a few hosts, and copies that a leaving host handed over went to hosts that left as well.

Change: each host writes the origins of the streams that it serves to a table of the store, while several versions of their service were listed within the streams' life; those that began before follow once a second version is listed. A row states one origin as one start of one host has seen it: nothing is overwritten, also by a call that the store carries out late, and rows that differ make the stream uncertain. Uncertain origins are written at once, and what waits when a host leaves and before it ends. A host that finds no other one that knows the origin reads the store, at the same time as it waits for others after its start, for 250 ms at most. Hosts remove their rows when they expire; one of them removes rows that it has seen unchanged for 640 s.

The interval is the larger of 0.5 s and hosts / (a quarter of the store's writes a second); a full transaction is followed after the second alone, and an idle host of a site of up to 25 writes up to four times without regard to it.

--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -14,6 +14,7 @@
 from eelgrass_coordination.rendezvous import ranked
 from eelgrass_standins.ports import free_addresses
 from support.origin_fleet import CALLER_TIMEOUT_S, V1, FleetNode
+from support.origin_rows import StoredOrigins
 
 STREAMS_PER_S = 5.5
 RUN_S = 10.0
@@ -46,8 +47,11 @@
 async def run(count: int) -> None:
     """Run the nodes idle, then with streams, and print the difference."""
     addresses = free_addresses(count)
+    store = StoredOrigins()
     nodes = [
-        FleetNode(f"node-{n}", f"dc-{n % DATA_CENTRES}", address, addresses[:3], 1)
+        FleetNode(
+            f"node-{n}", f"dc-{n % DATA_CENTRES}", address, addresses[:3], 1, store
+        )
         for n, address in enumerate(addresses)
     ]
     for node in nodes:
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -31,10 +31,11 @@
 )
 from .entry_gauges import entry_gauges
 from .entry_serving import serving_context
+from .entry_stream_origins import abandoned_rows, durable_origins, stream_origins
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
-from .platform.names import CRASHES_TABLE, READY_PATH
-from .platform.store import RowStore
+from .platform.names import CRASHES_TABLE, ORIGINS_TABLE, READY_PATH
+from .platform.store import RowStore, StoredTable
 from .process.backends import Backend, Backends
 from .process.batch_items import BatchItem, ItemOutcome
 from .process.brittle_servers import BrittleServers
@@ -63,7 +64,7 @@
 from .process.server_list import ServerList
 from .process.shared_queues import SharedQueues
 from .process.stopping import Stopping
-from .process.stream_origins import ReplicaChoice, StreamOrigins, VersionHistory
+from .process.stream_origins import VersionHistory
 from .process.supervision import keep_running
 from .process.warm_up import WarmUp
 from .request.final_call_latency import FinalCallLatency
@@ -223,21 +224,10 @@
         )
         self.version_history = VersionHistory(self.backends, loop.time, unix_ms)
         self.backends.on_change = self._on_servers_changed
-        self.stream_origins = StreamOrigins(
-            ReplicaChoice(
-                settings.data_centre,
-                settings.region_by_data_centre,
-                self.membership.members.reachable,
-                lambda data_centre: not self.reachability.is_suspected(data_centre),
-                loop.time,
-            ),
-            self.membership.members.reachable,
-            self.membership.datagrams.send_payload,
-            self.version_history,
-            lambda: self.tables.servers.reachable,
-            loop.time,
-            self.counters.count,
-        )
+        self.origin_rows = StoredTable(self.store, ORIGINS_TABLE)
+        self.durable_origins = durable_origins(self)
+        self.abandoned_rows = abandoned_rows(self)
+        self.stream_origins = stream_origins(self)
         self.membership.datagrams.on_payload = self.stream_origins.receive
         self.membership.on_gossip_item = self._on_gossip_item
         self.membership.on_ack = self._on_ack
@@ -322,6 +312,8 @@
             self.tables.servers.run,
             self.tables.crashes.run,
             self.poison_requests.table.run,
+            self.durable_origins.run,
+            self.abandoned_rows.run,
             self.peer_catch_up.start,
         ):
             self._tasks.append(asyncio.create_task(keep_running(run)))
@@ -341,6 +333,7 @@
         await self.membership.leave()
         self.stream_origins.leave()
         clean = await self.stopping.finish()
+        await self.durable_origins.flush()
         log(Part.NODE, "Stopped.", clean=clean, in_flight=self.stopping.count)
         return clean
 
--- /dev/null
+++ b/packages/node/src/eelgrass_node/entry_stream_origins.py
@@ -0,0 +1,71 @@
+"""The parts of an entry node that know which version began a stream, put together."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from .process.stream_origins import (
+    AbandonedRows,
+    DurableOrigins,
+    ReplicaChoice,
+    StreamOrigins,
+    write_pace_s,
+)
+from .version.deployment import ServiceName
+
+if TYPE_CHECKING:
+    from .entry_node import EntryNode
+
+__all__ = ["abandoned_rows", "durable_origins", "stream_origins"]
+
+
+def durable_origins(node: "EntryNode") -> DurableOrigins:
+    """Return the origins that a node writes to the store."""
+    settings, members = node.settings, node.membership.members
+
+    def are_several_listed(service: ServiceName, within_s: float) -> bool:
+        return len(node.version_history.versions(service, within_s)) > 1
+
+    def pace_s() -> float:
+        nodes = len(members.reachable()) + 1
+        return write_pace_s(nodes, settings.store.writes_per_s)
+
+    return DurableOrigins(
+        f"{settings.node}/{node.membership.own.epoch}",
+        node.origin_rows,
+        are_several_listed,
+        pace_s,
+        asyncio.get_running_loop().time,
+        node.counters.count,
+    )
+
+
+def abandoned_rows(node: "EntryNode") -> AbandonedRows:
+    """Return what removes the origins of nodes that have ended from the store."""
+    return AbandonedRows(
+        lambda: node.membership.own,
+        node.membership.members.reachable,
+        node.origin_rows,
+    )
+
+
+def stream_origins(node: "EntryNode") -> StreamOrigins:
+    """Return the origins of streams as a node knows them."""
+    settings, members = node.settings, node.membership.members
+    clock = asyncio.get_running_loop().time
+    choice = ReplicaChoice(
+        settings.data_centre,
+        settings.region_by_data_centre,
+        members.reachable,
+        lambda data_centre: not node.reachability.is_suspected(data_centre),
+        clock,
+    )
+    return StreamOrigins(
+        choice,
+        members.reachable,
+        node.membership.datagrams.send_payload,
+        node.version_history,
+        lambda: node.tables.servers.reachable,
+        node.durable_origins,
+        clock,
+        node.counters.count,
+    )
--- a/packages/node/src/eelgrass_node/platform/names.py
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -15,6 +15,7 @@
     "LAST_EVENT_ID",
     "LENGTH_HINT",
     "NOT_EXECUTED",
+    "ORIGINS_TABLE",
     "PROMPT_PREFIX",
     "READY_PATH",
     "REPORT_PATH",
@@ -82,6 +83,7 @@
 
 # Written by the nodes, unlike the tables of the operator and the servers.
 CRASHES_TABLE = "crashes"
+ORIGINS_TABLE = "stream-origins"
 
 READY_PATH = "/-/readyz"
 REPORT_PATH = "/-/report"
--- a/packages/node/src/eelgrass_node/platform/settings.py
+++ b/packages/node/src/eelgrass_node/platform/settings.py
@@ -93,7 +93,7 @@
         gossip=f"{wire.bind_ip}:{wire.port_range[0]}",
         seeds=wire.seeds,
         seed_gossip_port=wire.port_range[0],
-        store=StoreSettings(wire.platform.address),
+        store=StoreSettings(wire.platform.address, wire.platform.writes_per_s),
         memory_bytes=int(wire.limits.memory_mb * 1e6),
         max_descriptors=wire.limits.max_fds,
         metrics=f"{wire.bind_ip}:{METRICS_PORT}",
--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -14,7 +14,7 @@
 from ..process.store_backoff import FULL_READ_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_S
 from ..process.store_tables import StoredRow, TableChanges
 
-__all__ = ["RowStore"]
+__all__ = ["RowStore", "StoredTable"]
 
 # A reachable store answers within milliseconds.
 CONNECT_TIMEOUT_S = 0.5
@@ -75,16 +75,27 @@
         self.calls = 0
 
     async def read_table(self, table: str) -> TableChanges:
-        """Return all rows of a table's unnamed part.
+        """Return all rows of a table's unnamed part."""
+        return await self._read_pages(table, "", {})
+
+    async def read_range(
+        self, table: str, first_key: str, end_key: str
+    ) -> tuple[StoredRow, ...]:
+        """Return the rows from ``first_key`` up to, and without, ``end_key``."""
+        return (await self._read_pages(table, first_key, {"To": end_key})).rows
+
+    async def _read_pages(
+        self, table: str, first_key: str, limits: Mapping[str, str]
+    ) -> TableChanges:
+        """Read rows of a table, page by page.
 
         The returned version is that of the first page, because rows of that page may
         change before the last page is read: the rows reflect all changes up to it.
         """
         rows: list[StoredRow] = []
         version: int | None = None
-        first_key = ""
         while True:
-            params = {"Table": table, "part": "", "FromKey": first_key}
+            params = {"Table": table, "part": "", "FromKey": first_key, **limits}
             page = await self._get("/-/rows-get", params, FULL_READ_RESPONSE_TIMEOUT_S)
             rows += [_decode_row(row) for row in page.rows]
             version = page.ver if version is None else version
@@ -186,6 +197,22 @@
             self._response_started_at_by_table.pop(table, None)
 
 
+class StoredTable:
+    """One table of a store, for code that knows only its rows."""
+
+    def __init__(self, store: RowStore, table: str) -> None:
+        self._store = store
+        self._table = table
+
+    async def read(self, first_key: str, end_key: str) -> tuple[StoredRow, ...]:
+        """Return the rows from ``first_key`` up to, and without, ``end_key``."""
+        return await self._store.read_range(self._table, first_key, end_key)
+
+    async def write(self, puts: Mapping[str, bytes], removes: Sequence[str]) -> None:
+        """Write rows by key and remove others, in one atomic transaction."""
+        await self._store.write(self._table, puts, removes)
+
+
 def _decode_row(row: _Row) -> StoredRow:
     if row.deleted or row.value is None:
         return StoredRow(row.key, row.ver, None)
--- a/packages/node/src/eelgrass_node/process/host_settings.py
+++ b/packages/node/src/eelgrass_node/process/host_settings.py
@@ -17,9 +17,10 @@
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
-    """The IP address and port of the platform's store."""
+    """The IP address and port of the platform's store, and its limit for all nodes."""
 
     address: str
+    writes_per_s: float = 100.0
 
 
 class ServingBounds(msgspec.Struct, frozen=True):
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -11,7 +11,8 @@
     origin = await origins.find("9c41d07b", service, max_age_s=8.0)
 """
 
-from collections.abc import Callable, Sequence
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
 
 import msgspec
 
@@ -19,6 +20,7 @@
 
 from ...log import Part, log
 from ...version.deployment import ServiceName
+from .durable_origins import DurableOrigins
 from .messages import Answer, Ask, Confirm, Store, decode, encode
 from .origin_queries import OriginQueries, OriginSearch
 from .origin_replication import OriginReplication
@@ -46,7 +48,8 @@
 
     ``members`` returns the other live nodes, and ``send`` sends a payload to one's
     address. ``list_is_current`` returns whether the node is in touch with the list of
-    servers, from which ``history`` knows their versions.
+    servers, from which ``history`` knows their versions. ``durable`` are the origins in
+    the store.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         send: Callable[[str, bytes], None],
         history: VersionHistory,
         list_is_current: Callable[[], bool],
+        durable: DurableOrigins,
         clock: Callable[[], float],
         count: Callable[[str], None],
     ) -> None:
@@ -64,8 +68,10 @@
         self._send_payload = send
         self._history = history
         self._list_is_current = list_is_current
+        self._durable = durable
         self._clock = clock
         self._started_at = clock()
+        self._settled_at = self._started_at + SETTLE_S
         self._count = count
         self._queries = OriginQueries(self._send)
         self._leaving = False
@@ -80,6 +86,7 @@
         ttl_s += EXPIRY_SLACK_S
         self.table.put(stream, origin, ttl_s)
         known = self.table.get(stream) or origin
+        self._durable.add(stream, known, ttl_s)
         confirmed = self.replication.replicate(stream, known, ttl_s)
         if not await stall_aware_wait(confirmed, CONFIRM_TIMEOUT_S):
             self._count("stream.origin-unconfirmed")
@@ -100,9 +107,9 @@
     ) -> StreamOrigin | None:
         """Return the origin of a stream that began within ``max_age_s`` seconds.
 
-        None if no node knows it, unless all agree that a single version of ``service``
-        can have begun it. ``service`` is None if several can have. A node that has just
-        started waits until it has heard of the others.
+        None if neither a node nor the store knows it, unless all nodes agree that a
+        single version of ``service`` can have begun it. ``service`` is None if several
+        can have. A node that has just started waits until it has heard of the others.
         """
         known = self.table.get(stream) if stream else None
         if known is not None:
@@ -112,7 +119,11 @@
         with self._queries.search(ask) as search:
             origin = await self._queries.ask(search, replicas, REPLICA_TIMEOUT_S)
             if origin is None:
-                origin = await self._ask_all(search)
+                origin = await self._ask_others(search)
+            if origin is None:
+                lookups = [self._ask_newcomers(search)]
+                lookups += [self._durable.find(stream)] if stream else []
+                origin = await _first_found(lookups) or search.origin
         if origin is None:
             self._log_unknown(search)
         return origin
@@ -142,6 +153,7 @@
     def leave(self) -> None:
         """Hand all origins over to other nodes, because this node is leaving."""
         self._leaving = True
+        self._durable.leave()
         self.replication.hand_over(list(self.table.items()))
 
     def _on_store(self, message: Store, address: str) -> None:
@@ -161,17 +173,23 @@
             ask.number, None, tuple(versions), covers and self._list_is_current()
         )
 
-    async def _ask_all(self, search: OriginSearch) -> StreamOrigin | None:
-        """Ask all nodes, also those that become known until this one has settled."""
-        while True:
-            search.news.clear()
-            others = search.not_asked(self._members())
-            origin = await self._queries.ask(search, others, ALL_NODES_TIMEOUT_S)
-            origin = origin or self._only_possible(search)
-            unsettled_s = self._started_at + SETTLE_S - self._clock()
-            if origin is not None or unsettled_s <= 0:
-                return origin
-            await search.wait_for_news(unsettled_s)
+    async def _ask_others(self, search: OriginSearch) -> StreamOrigin | None:
+        """Ask the nodes that were not asked yet."""
+        search.news.clear()
+        others = search.not_asked(self._members())
+        origin = await self._queries.ask(search, others, ALL_NODES_TIMEOUT_S)
+        return origin or self._only_possible(search)
+
+    async def _ask_newcomers(self, search: OriginSearch) -> StreamOrigin | None:
+        """Ask nodes as they become known, until this one has settled."""
+        origin = None
+        while origin is None and not self._is_settled():
+            await search.wait_for_news(self._settled_at - self._clock())
+            origin = await self._ask_others(search)
+        return origin
+
+    def _is_settled(self) -> bool:
+        return self._clock() >= self._settled_at
 
     def _only_possible(self, search: OriginSearch) -> StreamOrigin | None:
         """Return the origin if a single version can have begun a stream, else None."""
@@ -206,3 +224,20 @@
 
     def _send(self, address: str, message: Store | Confirm | Ask | Answer) -> None:
         self._send_payload(address, encode(message))
+
+
+async def _first_found(
+    lookups: Sequence[Coroutine[None, None, StreamOrigin | None]],
+) -> StreamOrigin | None:
+    """Run lookups at the same time until one finds an origin."""
+    tasks = [asyncio.create_task(lookup) for lookup in lookups]
+    try:
+        for next_result in asyncio.as_completed(tasks):
+            origin = await next_result
+            if origin is not None:
+                return origin
+        return None
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/node/tests/test_row_store.py
+++ b/packages/node/tests/test_row_store.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from eelgrass_node.exceptions import StoreUnavailable
-from eelgrass_node.platform.store import RowStore
+from eelgrass_node.platform.store import RowStore, StoredTable
 from eelgrass_standins.row_store import RowStoreStandIn
 from support.fault_proxy import FaultProxy
 from support.serving import served
@@ -57,6 +57,18 @@
         assert table.version == 2
 
 
+class TestRangesOfRows:
+    async def test_they_do_not_include_the_key_at_their_end(self):
+        stand_in = RowStoreStandIn()
+        async with served(stand_in.add_routes) as address:
+            store = RowStore(address)
+            table = StoredTable(store, "origins")
+            await table.write({"a-1": b"1", "a-2": b"2", "a.": b"3", "b": b"4"}, [])
+            rows = await table.read("a-", "a.")
+            await store.close()
+        assert [(row.key, row.value) for row in rows] == [("a-1", b"1"), ("a-2", b"2")]
+
+
 class TestSilentConnections:
     async def test_only_one_call_fails_on_silent_connections(self):
         """After a timeout, the next call must not use another pooled connection.
