Move the state that nodes send each other out of the composition root

entry_node.py had grown by it. No change of behaviour; test_layers.py and the tests of starts in test_poison_requests.py and test_evacuation.py pass.

--- a/packages/node/src/eelgrass_node/entry_applications.py
+++ b/packages/node/src/eelgrass_node/entry_applications.py
@@ -1,5 +1,6 @@
 """An entry node's HTTP applications for nodes, the load balancer and metrics."""
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -10,6 +11,7 @@
 from .connection.table_feed import TableFeedInterface
 from .connection.trial_calls import TrialInterface
 from .connection.warm_up_calls import WarmUpInterface
+from .entry_peer_state import peer_state
 
 if TYPE_CHECKING:
     from .entry_node import EntryNode
@@ -28,7 +30,7 @@
     """Return the application that serves other nodes."""
     app = web.Application(client_max_size=MAX_BODY_BYTES)
     handoff.add_routes(app)
-    PeerStateInterface(node.peer_state).add_routes(app)
+    PeerStateInterface(partial(peer_state, node)).add_routes(app)
     TableFeedInterface(node.tables.relay).add_routes(app)
     WarmUpInterface(node.warm_up.permits).add_routes(app)
     LoanInterface(node.retry_budgets).add_routes(app)
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -17,7 +17,6 @@
 from .connection.listeners import Listeners
 from .connection.loan_calls import LoanClient
 from .connection.peer_calls import PeerCalls
-from .connection.peer_state import STATE_CALL, PeerState
 from .connection.server_links import ServerLinks
 from .connection.sockets import new_session
 from .connection.table_feed import TableFeedClient
@@ -30,6 +29,7 @@
     readiness_application,
 )
 from .entry_gauges import entry_gauges
+from .entry_peer_state import fetch_peer_state
 from .entry_serving import serving_context
 from .entry_stream_origins import abandoned_rows, durable_origins, stream_origins
 from .log import Part, log
@@ -82,9 +82,6 @@
 # Timeout for the header of a connection's first request while no configuration, which
 # sets this timeout, is in force yet.
 DEFAULT_HEADER_TIMEOUT_S = 10.0
-# A node answers from memory; one that has not answered by then is taken to be frozen
-# and the next one is asked.
-PEER_STATE_TIMEOUT_S = 0.8
 # How long idle connections between nodes are kept open; longer than callers' idle
 # connections.
 PEER_IDLE_S = 90.0
@@ -132,7 +129,7 @@
         self.peer_session = new_session(PEER_IDLE_S / 2)
         self.peer_calls = PeerCalls(self.peer_session)
         self.peer_catch_up = PeerCatchUp(
-            self._fetch_peer_state,
+            partial(fetch_peer_state, self),
             lambda: self.deployments.number,
             lambda: self.tables.is_ready and self.tables.has_crashes,
             self._peer_addresses,
@@ -355,33 +352,6 @@
         await self.peer_session.close()
         await self.store.close()
 
-    def peer_state(self) -> PeerState:
-        """Return the rows of all tables that this node follows, for other nodes."""
-        tables = self.tables
-        return PeerState(
-            tables.operator.rows(),
-            tables.servers.rows(),
-            tables.crashes.rows(),
-            self.poison_requests.crashes(),
-            self.poison_requests.part_crashes(),
-            self.evacuation.gossip.items(),
-        )
-
-    async def _fetch_peer_state(self, address: str) -> None:
-        state = await self.peer_calls.ask(
-            address, STATE_CALL, None, PeerState, PEER_STATE_TIMEOUT_S
-        )
-        for item in state.evacuations:
-            self.evacuation.gossip.receive(item)
-        self.tables.operator.apply_peer_rows(state.operator, address)
-        self.tables.servers.apply_peer_rows(state.servers, address)
-        if not self.tables.has_crashes:
-            # Later, gossip tells of them, and of those that do not count any more.
-            self.poison_requests.apply_peer_crashes(
-                state.request_crashes, state.part_crashes
-            )
-        self.tables.crashes.apply_peer_rows(state.crashes, address)
-
     def _is_receiving_configuration(self) -> bool:
         table = configuration.OPERATOR_TABLE
         since = self.store.response_started_at(table)
