Stand-in servers: say that they leave, ask for rest, record what reaches them

A server with `says_leaving` has `Server-Leaving: 1` in all its answers: streams, stage calls, frees, reports, refusals. One with `rest_s` refuses requests and stage calls with 503, `Eelgrassward-Not-Executed` and `Retry-After`, until `rests_until` if that is given. `arrivals` has all calls with their time, kind, the address that they came from, the server's incarnation, the request ids and the notice in the answer. Nothing changes for servers without either.

--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -1,13 +1,22 @@
 """Stand-in for the backend servers of entry nodes: plain, streaming and staged."""
 
 import asyncio
-from collections.abc import Callable
+import math
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 import msgspec
 from aiohttp import web
 
-__all__ = ["EVENTS", "STARTED_MS", "EngineFault", "EngineStandIn", "Run"]
+__all__ = [
+    "EVENTS",
+    "STARTED_MS",
+    "Arrival",
+    "CallKind",
+    "EngineFault",
+    "EngineStandIn",
+    "Run",
+]
 
 EVENTS = 6
 # Unix time, in milliseconds, of the first start of each server.
@@ -44,6 +53,40 @@
     version: str = ""
 
 
+class CallKind(Enum):
+    """Kinds of calls that a server distinguishes."""
+
+    REQUEST = "request"
+    STAGE_CALL = "stage_call"
+    FREE = "free"
+    REPORT = "report"
+
+
+_KIND_BY_PATH = {
+    "/-/stage-run": CallKind.STAGE_CALL,
+    "/-/stage-free": CallKind.FREE,
+    "/-/report": CallKind.REPORT,
+}
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A call that reached the server, refused or not.
+
+    ``at`` is its time on the event loop's clock, ``peer`` the IP address that it came
+    from, and ``started`` identifies the server's incarnation. A stage call has the
+    request ids of its items. ``leaving`` tells whether the answer said that the server
+    leaves, ``rest_s`` how long a rest the answer asked for, None for none.
+    """
+
+    at: float
+    kind: CallKind
+    peer: str
+    started: int
+    request_ids: tuple[str, ...] = ()
+    leaving: bool = False
+    rest_s: float | None = None
+
+
 class EngineStandIn:
     """A backend server; ``server_id`` and ``started`` identify its incarnation.
 
@@ -58,6 +101,11 @@
     ``crash_delay_s``. With ``writes_before_crash`` the server writes the first event
     that long after the head, in seconds, and then crashes. Reports take
     ``report_delay_s``.
+
+    With ``says_leaving`` each answer says that the server leaves. With ``rest_s`` the
+    server refuses requests and stage calls until ``rests_until``, a time of the event
+    loop, and asks each caller for a rest of that length. ``arrivals`` records all calls
+    that reached it.
     """
 
     def __init__(self, server_id: str, address: str, event_s: float = 0.0) -> None:
@@ -80,17 +128,59 @@
         self.crash_delay_s = 0.0
         self.writes_before_crash: float | None = None
         self.crash: Callable[[], None] = lambda: None
+        self.says_leaving = False
+        self.rest_s: float | None = None
+        self.rests_until = math.inf
+        self.arrivals: list[Arrival] = []
         self._last_handle_number = 0
 
     def application(self) -> web.Application:
         """Return the web application of the server."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._record_and_rest])
+        app.on_response_prepare.append(self._add_notice)
         app.router.add_post("/-/stage-run", self._handle_items)
         app.router.add_post("/-/stage-free", self._handle_free)
         app.router.add_get("/-/report", self._handle_report)
         app.router.add_route("*", "/{path:.*}", self._handle)
         return app
 
+    @web.middleware
+    async def _record_and_rest(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        at = asyncio.get_running_loop().time()
+        kind = _KIND_BY_PATH.get(request.path, CallKind.REQUEST)
+        request_ids = await _request_ids(request, kind)
+        rests = kind in (CallKind.REQUEST, CallKind.STAGE_CALL) and (
+            self.rest_s is not None
+            and at < self.rests_until
+            and not self._expects_other(request)
+        )
+        rest_s = self.rest_s if rests else None
+        self.arrivals.append(
+            Arrival(
+                at,
+                kind,
+                request.remote or "",
+                self.started,
+                request_ids,
+                self.says_leaving,
+                rest_s,
+            )
+        )
+        if rest_s is None:
+            return await handler(request)
+        headers = {"Eelgrassward-Not-Executed": "1", "Retry-After": f"{rest_s:g}"}
+        return web.Response(status=HTTP_UNAVAILABLE, headers=headers)
+
+    async def _add_notice(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.says_leaving:
+            response.headers["Server-Leaving"] = "1"
+
     async def _handle_report(self, request: web.Request) -> web.Response:
         await asyncio.sleep(self.report_delay_s)
         return web.json_response({"Phase": "both", "born": self.started})
@@ -230,3 +320,11 @@
     async def _handle_free(self, request: web.Request) -> web.Response:
         self.results -= set(msgspec.json.decode(await request.read())["Handles"])
         return web.Response()
+
+
+async def _request_ids(request: web.Request, kind: CallKind) -> tuple[str, ...]:
+    if kind is CallKind.STAGE_CALL:
+        items = msgspec.json.decode(await request.read())["Items"]
+        return tuple(item["Id"] for item in items)
+    request_id = request.headers.get("Eelgrassward-Attempt-Id")
+    return () if request_id is None else (request_id,)
