--- a/tests/support/connections.py
+++ b/tests/support/connections.py
@@ -17,7 +17,10 @@
     return server, f"{host}:{port}"
 
 
-async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Open a connection to an address."""
+async def connect(
+    address: str, source_ip: str | None = None
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to an address, from a given one if ``source_ip`` is set."""
     host, _, port = address.rpartition(":")
-    return await asyncio.open_connection(host, int(port))
+    source = None if source_ip is None else (source_ip, 0)
+    return await asyncio.open_connection(host, int(port), local_addr=source)
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -52,7 +52,8 @@
 
     ``delay_s`` delays each block of bytes. Bytes in a direction of ``blocked`` are held
     back until the direction is removed from the set. ``link`` and ``link_to_server``,
-    if given, limit the bandwidth to clients and to the server.
+    if given, limit the bandwidth to clients and to the server. With ``keeps_source``
+    the server sees the IP addresses of the clients as those of its peers.
     """
 
     def __init__(
@@ -60,8 +61,10 @@
         target: str,
         link: Link | None = None,
         link_to_server: Link | None = None,
+        keeps_source: bool = False,
     ) -> None:
         self._target = target
+        self._keeps_source = keeps_source
         self.link = link
         self._link_by_direction = {
             Direction.TO_CLIENT: link,
@@ -112,8 +115,9 @@
         self.blocked.clear()
 
     async def _accept(self, reader, writer) -> None:
+        source_ip = writer.get_extra_info("peername")[0] if self._keeps_source else None
         try:
-            server_reader, server_writer = await connect(self._target)
+            server_reader, server_writer = await connect(self._target, source_ip)
         except OSError:
             writer.transport.abort()
             return
--- a/tests/support/host_links.py
+++ b/tests/support/host_links.py
@@ -11,10 +11,12 @@
 from enum import Enum
 from typing import Any
 
+from eelgrass_node.process.server_paths import Path
+
 from .entry import EntryDeployment
 from .fault_proxy import FaultProxy
 
-__all__ = ["Cut", "LinkedDeployment"]
+__all__ = ["Cut", "LinkedDeployment", "cut_off", "source_ip"]
 
 _node_number: ContextVar[int | None] = ContextVar("node_number", default=None)
 
@@ -31,8 +33,16 @@
     REFUSED = "refused"
 
 
+def source_ip(node: int) -> str:
+    """Return the address from which servers see the connections of a node come."""
+    return f"127.0.0.{node + 2}"
+
+
 class LinkedDeployment(EntryDeployment):
-    """A deployment in which tests cut the links of nodes to all servers."""
+    """A deployment in which tests cut the links of nodes to all servers.
+
+    Servers see the connections of each node come from an address of its own.
+    """
 
     async def __aenter__(self) -> "LinkedDeployment":
         """Start the deployment, with a proxy for each pair of node and server."""
@@ -90,6 +100,7 @@
         elif cut is not None:
             raise ConnectionRefusedError(f"{server} is cut off from node {node}")
         host, _, port = (await self._proxy_address(node, server)).rpartition(":")
+        sock.bind((source_ip(node), 0))
         await self._sock_connect(sock, (host, int(port)))
 
     def _server_addresses(self) -> set[str]:
@@ -99,10 +110,20 @@
     async def _proxy_address(self, node: int, server: str) -> str:
         link = (node, server)
         if link not in self._proxy_by_link:
-            proxy = self._proxy_by_link[link] = FaultProxy(server)
+            proxy = self._proxy_by_link[link] = FaultProxy(server, keeps_source=True)
             # Not in the node's context: the proxy's own connections are never cut.
             start = asyncio.create_task(proxy.start(), context=Context())
             self._proxy_address_by_link[link] = await start
         while link not in self._proxy_address_by_link:  # noqa: ASYNC110
             await asyncio.sleep(0)
         return self._proxy_address_by_link[link]
+
+
+async def cut_off(deployment: LinkedDeployment, node: int = 0) -> None:
+    """Cut a node off from all servers, and wait until it knows."""
+    deployment.cut(node, Cut.REFUSED)
+    paths = deployment.nodes[node].server_links.paths
+    for engines in deployment.engines_by_service.values():
+        for engine in engines:
+            await deployment.run_as(node, paths.check(engine.address))
+            assert paths.path(engine.address) is Path.RELAYED
--- a/tests/test_relayed_connections.py
+++ b/tests/test_relayed_connections.py
@@ -6,20 +6,9 @@
 
 import pytest
 
-from eelgrass_node.process.server_paths import Path
 from support.connections import connect, listen
 from support.entry import COMPLETE_STREAM, EntryDeployment, until
-from support.host_links import Cut, LinkedDeployment
-
-
-async def cut_off(deployment, node=0):
-    """Cut a node off from all servers, and wait until it knows."""
-    deployment.cut(node, Cut.REFUSED)
-    paths = deployment.nodes[node].server_links.paths
-    for engines in deployment.engines_by_service.values():
-        for engine in engines:
-            await deployment.run_as(node, paths.check(engine.address))
-            assert paths.path(engine.address) is Path.RELAYED
+from support.host_links import LinkedDeployment, cut_off
 
 
 def relayed_connections(deployment):
