Decode what servers say of themselves from every answer, at one place

Cause: the head of an answer was looked at by each kind of call for itself: request calls and batch calls decoded a brittle server's limit each, calls for reports nothing, and nobody reads Server-Leaving or the Retry-After of a 503.

Change: BackendConnections reports the head of each answer, whatever the call, its status and its connection, through a callback that the client library calls before the caller of the request goes on. The platform adapter decodes it to a ServerNotice (leaving, rest in seconds, refusal limit); answers with 421 come from another server and tell nothing. ServerNotices applies it to the incarnation that answered. Malformed values are ignored, counted, and logged once for each server. Only the refusal limit has an effect yet. It is now also taken from answers to reports and to calls that free results.

The tests of the refusal limit's two decoders became those of the one that is left, with the same values.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from .server_connector import ServerLink
 
-__all__ = ["BackendConnections", "has_length"]
+__all__ = ["BackendConnections", "OnAnswer", "has_length"]
 
 CONNECT_S = 1.0
 KEEP_ALIVE_S = 15.0
@@ -32,15 +32,27 @@
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+# Called with the status and the headers of an answer.
+OnAnswer = Callable[[int, Mapping[str, str]], None]
+
+
 class BackendConnections:
     """Opens and keeps connections to ``address``, an IP address and port.
 
     With a ``link``, connections are opened through other nodes if necessary.
+    ``on_answer`` is called with the head of each answer, before who made the call sees
+    it.
     """
 
-    def __init__(self, address: str, link: "ServerLink | None" = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        link: "ServerLink | None" = None,
+        on_answer: OnAnswer = lambda status, headers: None,
+    ) -> None:
         self.address = address
         self._link = link
+        self._on_answer = on_answer
         self._session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
@@ -183,7 +195,7 @@
             self._session = new_session(
                 KEEP_ALIVE_S,
                 new_connector=self._new_connector,
-                trace_configs=[_trace_sent_requests()],
+                trace_configs=[self._new_trace()],
                 **SESSION_OPTIONS,
             )
             # On a dropped connection the library would repeat a GET by itself, but
@@ -197,7 +209,7 @@
             self._single_use_session = aiohttp.ClientSession(
                 connector=self._new_connector(force_close=True),
                 cookie_jar=aiohttp.DummyCookieJar(),
-                trace_configs=[_trace_sent_requests()],
+                trace_configs=[self._new_trace()],
                 **SESSION_OPTIONS,
             )
         return self._single_use_session
@@ -207,6 +219,22 @@
             return Connector(**options)
         return self._link.connector(**options)
 
+    def _new_trace(self) -> aiohttp.TraceConfig:
+        """Return callbacks for each request that is sent and each answer."""
+
+        async def sent(session, context, parameters) -> None:
+            if context.trace_request_ctx is not None:
+                context.trace_request_ctx()
+
+        async def answered(session, context, parameters) -> None:
+            response = parameters.response
+            self._on_answer(response.status, response.headers)
+
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(sent)
+        trace.on_request_end.append(answered)
+        return trace
+
     def _check_acknowledged(self) -> None:
         for session in (self._session, self._single_use_session):
             if session is None or session.connector is None:
@@ -228,18 +256,6 @@
         self._retired = []
 
 
-def _trace_sent_requests() -> aiohttp.TraceConfig:
-    """Return a trace configuration that calls each request's ``on_sent``."""
-
-    async def sent(session, context, parameters) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx()
-
-    trace = aiohttp.TraceConfig()
-    trace.on_request_headers_sent.append(sent)
-    return trace
-
-
 def has_length(response: aiohttp.ClientResponse) -> bool:
     """Return whether a body says where it ends, and does not end by a close."""
     headers = response.headers
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -1,7 +1,7 @@
 """Calls to backend servers that run batch items or free results."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Protocol
 
 import aiohttp
@@ -36,9 +36,6 @@
     def decode_outcomes(self, body: bytes, count: int) -> list[ItemOutcome]:
         """Decode the answer; raises :class:`BatchAnswerMalformed`."""
 
-    def decode_refusal_limit(self, headers: Mapping[str, str]) -> int | None:
-        """Return how many refusals per second the server bears; None if not brittle."""
-
     def encode_free(self, handles: list[str]) -> bytes:
         """Return the body of a call that frees results."""
 
@@ -137,8 +134,6 @@
                 "POST", path, headers, body, CONNECT_TIMEOUT_S, reuse=True
             ) as response:
                 connections.track(response)
-                limit = self._codec.decode_refusal_limit(response.headers)
-                backend.refusal_limit = limit
                 body = await response.read()
                 return _Answer(response.status, body, has_length(response))
         finally:
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -1,12 +1,13 @@
 """The links of one node to the servers: their paths, relays and connections."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 from eelgrass_coordination import Member, Membership, MemberState
 from eelgrass_coordination.ids import NodeId
 
-from ..process.backends import Backends, HostEntry
+from ..process.backends import Backends, HostEntry, ServerIncarnation
 from ..process.crash_detector import Listening
 from ..process.host_settings import HostSettings
 from ..process.relay_choice import RelayChoice
@@ -24,6 +25,7 @@
     """The links of a node: ``paths`` to servers, and the ``server`` for other nodes.
 
     ``backends`` must open the connections to its servers by :meth:`connections_to`.
+    ``on_answer`` is called with the status and the headers of each answer of a server.
     """
 
     def __init__(
@@ -33,7 +35,9 @@
         membership: Membership,
         stopping: Stopping,
         count: Callable[[str], None],
+        on_answer: Callable[[ServerIncarnation, int, Mapping[str, str]], None],
     ) -> None:
+        self._on_answer = on_answer
         clock = asyncio.get_running_loop().time
         self._backends = backends
         self._left: set[NodeId] = set()
@@ -59,7 +63,8 @@
     def connections_to(self, entry: HostEntry) -> BackendConnections:
         """Return the connections to a server, which use its path."""
         link = ServerLink(self.paths, self._client, entry.address, entry.data_centre)
-        return BackendConnections(entry.address, link)
+        on_answer = partial(self._on_answer, entry.incarnation)
+        return BackendConnections(entry.address, link, on_answer)
 
     def on_members_changed(self, members: Iterable[Member]) -> None:
         """Replace connections through relays if a node has begun to leave."""
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 from functools import partial
 
 from eelgrass_coordination import GossipItem, Member, Membership, MemberState
@@ -35,8 +36,9 @@
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
 from .platform.names import CRASHES_TABLE, ORIGINS_TABLE, READY_PATH
+from .platform.notices import decode_notice
 from .platform.store import RowStore, StoredTable
-from .process.backends import Backend, Backends
+from .process.backends import Backend, Backends, ServerIncarnation
 from .process.batch_items import BatchItem, ItemOutcome
 from .process.brittle_servers import BrittleServers
 from .process.budget_shares import count_sharing_nodes
@@ -62,6 +64,7 @@
 from .process.retry_loans import RetryLoans
 from .process.server_choice import ServerChoice
 from .process.server_list import ServerList
+from .process.server_notices import ServerNotices
 from .process.shared_queues import SharedQueues
 from .process.stopping import Stopping
 from .process.stream_origins import VersionHistory
@@ -157,7 +160,9 @@
             self.membership,
             self.stopping,
             self.counters.count,
+            self._on_server_answer,
         )
+        self.server_notices = ServerNotices(self.backends, self.counters.count)
         self.brittle_servers = BrittleServers(
             self.backends,
             self.membership.announce_gossip_item,
@@ -462,6 +467,13 @@
     def _on_configuration_advanced(self, number: int) -> None:
         self.membership.announce_revision(Revision(number))
 
+    def _on_server_answer(
+        self, server: ServerIncarnation, status: int, headers: Mapping[str, str]
+    ) -> None:
+        notice = decode_notice(status, headers)
+        if notice is not None:
+            self.server_notices.receive(server, notice)
+
     def on_server_replaced(self, backend: Backend) -> None:
         """Forget a server after another one has answered at its address."""
         self.server_list.forget(backend.entry.incarnation)
--- a/packages/node/src/eelgrass_node/platform/names.py
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -13,6 +13,7 @@
     "INPUTS",
     "KV_FETCH",
     "LAST_EVENT_ID",
+    "LEAVING",
     "LENGTH_HINT",
     "NOT_EXECUTED",
     "ORIGINS_TABLE",
@@ -48,6 +49,8 @@
 # of the prompt that it lacks.
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
+# "1" in all answers of a server that leaves.
+LEAVING = "Server-Leaving"
 LENGTH_HINT = "Eelgrassward-Length-Hint"
 NOT_EXECUTED = "Eelgrassward-Not-Executed"
 PROMPT_PREFIX = "Eelgrassward-Prompt-Prefix"
@@ -55,6 +58,7 @@
 # The attempt id of the attempt that brought the first event of a stream that the caller
 # resumes.
 RESUMES = "Resumes"
+# In a server's 503: for how many seconds it wants no requests from the host.
 RETRY_AFTER = "Retry-After"
 SEGMENTS = "Eelgrassward-Segments"
 SEGMENT_KEY = "Eelgrassward-Segment-Key"
--- a/packages/node/src/eelgrass_node/platform/requests.py
+++ b/packages/node/src/eelgrass_node/platform/requests.py
@@ -22,7 +22,6 @@
     "decode_request",
     "decode_start",
     "encode_request",
-    "parse_refusal_limit",
 ]
 
 # These apply to a single connection and are never forwarded (RFC 9110, 7.6.1).
@@ -128,7 +127,6 @@
         not_run=names.NOT_EXECUTED in by_name or status == HTTP_MISDIRECTED,
         closes="close" in connection,
         load=_parse_load(by_name.get(names.ENGINE_LOAD)),
-        refusal_limit=parse_refusal_limit(by_name.get(names.BRITTLE)),
         headers=CIMultiDict(passed),
     )
 
@@ -147,17 +145,6 @@
         return None
 
 
-def parse_refusal_limit(value: str | None) -> int | None:
-    """Decode how many refusals per second a server bears; None if it is not brittle."""
-    if value is None:
-        return None
-    try:
-        return max(0, int(value))
-    except ValueError:
-        # A server that says that it is brittle is treated so.
-        return 0
-
-
 def _decode_headers(raw: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
     return [
         (name.decode(_HEADER_ENCODING), value.decode(_HEADER_ENCODING))
--- a/packages/node/src/eelgrass_node/platform/stage_calls.py
+++ b/packages/node/src/eelgrass_node/platform/stage_calls.py
@@ -1,21 +1,17 @@
 """Codec for the calls that run batch items of stages and free their results."""
 
-from collections.abc import Mapping
-
 import msgspec
 from multidict import CIMultiDict
 
 from ..exceptions import BatchAnswerMalformed
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
 from . import names
-from .requests import parse_refusal_limit
 
 __all__ = [
     "FREE_PATH",
     "RUN_PATH",
     "call_headers",
     "decode_outcomes",
-    "decode_refusal_limit",
     "encode_free",
     "encode_items",
     "producer_of",
@@ -85,11 +81,6 @@
     return msgspec.json.encode(_Free(handles))
 
 
-def decode_refusal_limit(headers: Mapping[str, str]) -> int | None:
-    """Return how many refusals per second the server bears; None if not brittle."""
-    return parse_refusal_limit(headers.get(names.BRITTLE))
-
-
 def producer_of(handle: str) -> str:
     """Return the address of the backend server that holds a result."""
     return handle.partition("/")[0]
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/server_notices.py
@@ -0,0 +1,69 @@
+"""Applies what backend servers say of themselves in their answers."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from eelgrass_coordination.ids import BackendId
+
+from ..log import Part, log
+from .backends import Backend, Backends, ServerIncarnation
+
+__all__ = ["ServerNotice", "ServerNotices"]
+
+
+class ServerNotice(msgspec.Struct, frozen=True):
+    """What a server says of itself in the head of one answer.
+
+    ``server_id`` is the id that it gives, if any. ``is_leaving`` says that it gets no
+    new requests, and ``rest_s`` for how many seconds this node is not to send it any;
+    None if it does not ask for that. A brittle server says how many refusals per second
+    it bears, its ``refusal_limit``. ``malformed`` names headers that were ignored.
+    """
+
+    server_id: str | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
+    refusal_limit: int | None = None
+    malformed: tuple[str, ...] = ()
+
+
+class ServerNotices:
+    """Applies the notices of all servers; ``count`` counts them by kind."""
+
+    def __init__(self, backends: Backends, count: Callable[[str], None]) -> None:
+        self._backends = backends
+        self._count = count
+        self._malformed_from: set[BackendId] = set()
+
+    def receive(self, server: ServerIncarnation, notice: ServerNotice) -> None:
+        """Apply a notice in an answer from the address of a server."""
+        if notice.server_id not in (None, server.id):
+            # Another server has taken over the address.
+            return
+        if notice.malformed:
+            self._report_malformed(server, notice)
+        backend = self._listed(server)
+        if backend is not None:
+            backend.refusal_limit = notice.refusal_limit
+
+    def _listed(self, server: ServerIncarnation) -> Backend | None:
+        backend = self._backends.by_id.get(server.id)
+        if backend is None or backend.entry.incarnation != server:
+            return None
+        return backend
+
+    def _report_malformed(
+        self, server: ServerIncarnation, notice: ServerNotice
+    ) -> None:
+        self._count("notice.malformed")
+        self._malformed_from &= self._backends.by_id.keys()
+        if server.id in self._malformed_from:
+            return
+        self._malformed_from.add(server.id)
+        log(
+            Part.HOSTS,
+            "A server's answer has malformed headers; they are ignored.",
+            backend=server.id,
+            headers=notice.malformed,
+        )
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -83,7 +83,6 @@
             # check_complete() handles it.
             self._closed.add_done_callback(_retrieve_exception)
         head = self._codec.decode_head(response.status, response.raw_headers)
-        self._backend.refusal_limit = head.refusal_limit
         self._check_head(head)
         return head
 
--- a/packages/node/src/eelgrass_node/request/incoming_request.py
+++ b/packages/node/src/eelgrass_node/request/incoming_request.py
@@ -162,8 +162,7 @@
 
     ``not_run`` is the server's guarantee that it did not run the request; ``closes``
     means that it will close the connection. ``load`` is the numbers of running
-    requests, waiting requests and slots, if the server reports them, and
-    ``refusal_limit`` how many refusals per second a brittle server bears.
+    requests, waiting requests and slots, if the server reports them.
     """
 
     status: int
@@ -174,7 +173,6 @@
     closes: bool
     load: tuple[int, int, int] | None
     headers: CIMultiDict[str]
-    refusal_limit: int | None = None
 
 
 class WireCodec(Protocol):
--- a/packages/node/tests/test_brittle_servers.py
+++ b/packages/node/tests/test_brittle_servers.py
@@ -4,9 +4,10 @@
 import random
 
 import pytest
+from multidict import CIMultiDict
 
 from eelgrass_coordination.ids import BackendId, DataCentre
-from eelgrass_node.platform import requests, stage_calls
+from eelgrass_node.platform.notices import decode_notice
 from eelgrass_node.process.backends import Backends, HostEntry
 from eelgrass_node.process.brittle_servers import BrittleServers
 
@@ -171,9 +172,5 @@
         ("value", "limit"), [(None, None), ("3", 3), ("0", 0), ("many", 0)]
     )
     def test_refusal_limit_of_an_answer(self, value, limit):
-        raw = () if value is None else ((b"Server-Brittle", value.encode()),)
-        assert requests.decode_head(200, raw).refusal_limit == limit
-
-    def test_refusal_limit_of_a_batch_call(self):
-        assert stage_calls.decode_refusal_limit({"Server-Brittle": "4"}) == 4
-        assert stage_calls.decode_refusal_limit({}) is None
+        headers = CIMultiDict({} if value is None else {"server-brittle": value})
+        assert decode_notice(200, headers).refusal_limit == limit
