Send nothing new to a server that says that it leaves (DRAIN)

What callers saw: nothing, as such a server still answers; but requests went on to a server that had told the host some seconds before that it leaves, and were lost with it if it ended.

Cause: a server left only by the store's list. What it said in its answers was not read, so that nothing kept requests from it while the list was old, or the store silent.

Change: a notice in any answer marks the incarnation as leaving, the same mark that the list sets, on which every choice of a server already depends (requests, batch queues, relays). A mark now survives the removal of the entry from the list, which may come back after an outage of the store as it was; it ends with the incarnation. Servers without a start number get a new id with each start, so theirs stay, too. At most 4,096 marks are kept (worked out: some 0.4 MB).

A request that was chosen before the notice goes on: its client sent it before, and connecting takes 0.3 s at most.

TestLeaving in packages/node/tests/test_server_notices.py passes.

--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -162,7 +162,11 @@
             self.counters.count,
             self._on_server_answer,
         )
-        self.server_notices = ServerNotices(self.backends, self.counters.count)
+        self.server_notices = ServerNotices(
+            self.backends,
+            self.membership.announce_gossip_item,
+            self.counters.count,
+        )
         self.brittle_servers = BrittleServers(
             self.backends,
             self.membership.announce_gossip_item,
@@ -456,6 +460,7 @@
 
     def _on_gossip_item(self, item: GossipItem) -> None:
         self.failure_gossip.receive(item)
+        self.server_notices.receive_gossip(item)
         self.brittle_servers.receive(item)
         self.poison_requests.receive(item)
         self.evacuation.gossip.receive(item)
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -262,7 +262,6 @@
         is_first = not self.by_id
         for entry in entries:
             self._add_or_replace(entry, is_first)
-        self._leaving.forget_unlisted(listed.keys())
         self._rebuild()
         return newly_leaving
 
--- a/packages/node/src/eelgrass_node/process/leaving_servers.py
+++ b/packages/node/src/eelgrass_node/process/leaving_servers.py
@@ -16,6 +16,8 @@
 # A request reaches its server within this time of the choice: connecting takes 0.3 s at
 # most, and the rest is for a busy node.
 SEND_RESERVE_S = 0.5
+# Servers that are remembered, some 100 bytes each; beyond that the oldest is dropped.
+MAX_SERVERS = 4096
 
 
 class _Announcement(msgspec.Struct, frozen=True):
@@ -28,9 +30,9 @@
 class LeavingServers:
     """The leaving servers by id; a start number identifies the incarnation.
 
-    One is remembered while an outdated list may still name it as live. A server must
-    get no request ``drain_s`` after its announcement, in seconds; 0 if it must get none
-    at all.
+    They are remembered also when they are no longer listed: a list may name one as live
+    again after an outage of the store. A server must get no request ``drain_s`` after
+    its announcement, in seconds; 0 if it must get none at all.
     """
 
     def __init__(self, drain_s: float) -> None:
@@ -49,16 +51,14 @@
         is_new = known is None or known.started < started
         if is_new:
             earliest = float("-inf") if since is None else since
+            self._by_id.pop(server_id, None)
             self._by_id[server_id] = _Announcement(started, earliest)
+            if len(self._by_id) > MAX_SERVERS:
+                del self._by_id[next(iter(self._by_id))]
         elif since is not None and since < known.since:
             self._by_id[server_id] = _Announcement(started, since)
         return is_new
 
-    def forget_unlisted(self, listed: set[BackendId]) -> None:
-        """Forget the servers that are not in the list any more."""
-        for server_id in self._by_id.keys() - listed:
-            del self._by_id[server_id]
-
     def is_leaving(self, entry: HostEntry) -> bool:
         """Return whether the server of an entry is leaving."""
         if entry.state is BackendState.LEAVING:
--- a/packages/node/src/eelgrass_node/process/server_notices.py
+++ b/packages/node/src/eelgrass_node/process/server_notices.py
@@ -1,9 +1,14 @@
-"""Applies what backend servers say of themselves in their answers."""
+"""Applies what backend servers say of themselves in their answers.
+
+A server that says that it leaves gets no new requests, whatever the list of servers
+says. The node that hears it first tells the others by gossip.
+"""
 
 from collections.abc import Callable
 
 import msgspec
 
+from eelgrass_coordination import GossipItem
 from eelgrass_coordination.ids import BackendId
 
 from ..log import Part, log
@@ -12,6 +17,9 @@
 __all__ = ["ServerNotice", "ServerNotices"]
 
 
+GOSSIP_KIND = "leaving"
+
+
 class ServerNotice(msgspec.Struct, frozen=True):
     """What a server says of itself in the head of one answer.
 
@@ -29,10 +37,19 @@
 
 
 class ServerNotices:
-    """Applies the notices of all servers; ``count`` counts them by kind."""
+    """Applies the notices of all servers.
 
-    def __init__(self, backends: Backends, count: Callable[[str], None]) -> None:
+    ``announce`` spreads a gossip item, and ``count`` counts events by kind.
+    """
+
+    def __init__(
+        self,
+        backends: Backends,
+        announce: Callable[[GossipItem], object],
+        count: Callable[[str], None],
+    ) -> None:
         self._backends = backends
+        self._announce = announce
         self._count = count
         self._malformed_from: set[BackendId] = set()
 
@@ -46,6 +63,28 @@
         backend = self._listed(server)
         if backend is not None:
             backend.refusal_limit = notice.refusal_limit
+        if notice.is_leaving and self._mark_leaving(server, "answer"):
+            self._announce(GossipItem(GOSSIP_KIND, server.id, server.started))
+
+    def receive_gossip(self, item: GossipItem) -> None:
+        """Apply a gossip item from another node; other kinds are ignored."""
+        if item.kind == GOSSIP_KIND:
+            server = ServerIncarnation(BackendId(item.name), item.number)
+            self._mark_leaving(server, "another node")
+
+    def _mark_leaving(self, server: ServerIncarnation, source: str) -> bool:
+        """Have a server get no new requests; return whether it got any before."""
+        if not self._backends.mark_leaving(server.id, server.started):
+            return False
+        self._count("notice.leaving")
+        log(
+            Part.HOSTS,
+            "A server says that it leaves; it gets no new requests.",
+            backend=server.id,
+            started=server.started,
+            source=source,
+        )
+        return True
 
     def _listed(self, server: ServerIncarnation) -> Backend | None:
         backend = self._backends.by_id.get(server.id)
--- a/packages/node/tests/test_server_notices.py
+++ b/packages/node/tests/test_server_notices.py
@@ -23,10 +23,15 @@
     """The part of a node that applies notices, with the servers of a list."""
 
     def __init__(self, *entries):
-        self.counted = []
+        self.counted, self.announced = [], []
         self.backends = Backends()
         self.backends.update(list(entries) or [entry()])
-        self.notices = ServerNotices(self.backends, self.counted.append)
+        self.notices = ServerNotices(
+            self.backends, self.announced.append, self.counted.append
+        )
+
+    def usable(self):
+        return [server.entry.id for server in self.backends.usable("desk")]
 
 
 class TestDecoding:
@@ -98,3 +103,36 @@
         node.notices.receive(SERVER, other)
         node.notices.receive(ServerIncarnation("s1", 3), ServerNotice(refusal_limit=9))
         assert server.refusal_limit == 4
+
+
+class TestLeaving:
+    # Guards against requests to a server that has said that it leaves, as a list from
+    # before, or the store's after an outage, still names it as live.
+    async def test_a_list_does_not_undo_it(self):
+        node = Node(entry(), entry("s2"))
+        node.notices.receive(SERVER, ServerNotice(is_leaving=True))
+        for listed in ([entry(), entry("s2")], [entry("s2")], [entry(), entry("s2")]):
+            node.backends.update(listed)
+            assert node.usable() == ["s2"]
+
+    async def test_it_ends_with_the_incarnation(self):
+        node = Node()
+        node.notices.receive(SERVER, ServerNotice(is_leaving=True))
+        node.backends.update([entry(started=6)])
+        assert node.usable() == ["s1"]
+
+    async def test_an_address_that_has_changed_hands_says_nothing(self):
+        node = Node()
+        notice = ServerNotice(server_id="s2", is_leaving=True)
+        node.notices.receive(SERVER, notice)
+        assert node.usable() == ["s1"]
+
+    async def test_other_nodes_are_told_once(self):
+        node, other = Node(), Node()
+        for _ in range(3):
+            node.notices.receive(SERVER, ServerNotice(is_leaving=True))
+        assert node.counted == ["notice.leaving"]
+        [item] = node.announced
+        other.notices.receive_gossip(item)
+        assert other.usable() == []
+        assert other.announced == []
