--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from .server_connector import ServerLink
 
-__all__ = ["BackendConnections", "OnAnswer", "has_length"]
+__all__ = ["BackendConnections", "OnAnswer", "ServerResting", "has_length"]
 
 CONNECT_S = 1.0
 KEEP_ALIVE_S = 15.0
@@ -32,6 +32,10 @@
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+class ServerResting(aiohttp.ClientConnectionError):
+    """A request is not sent, because its server has asked this node for rest."""
+
+
 # Called with the status and the headers of an answer.
 OnAnswer = Callable[[int, Mapping[str, str]], None]
 
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -13,7 +13,7 @@
 from ..exceptions import BatchAnswerMalformed
 from ..process.backends import Backend
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
-from .backend import has_length
+from .backend import ServerResting, has_length
 
 __all__ = ["BatchCalls", "BatchCodec"]
 
@@ -88,6 +88,8 @@
             return _all_failed(items, ItemFailure.TIMED_OUT)
         except aiohttp.ClientConnectorError:
             return _all_failed(items, ItemFailure.CONNECT_FAILED)
+        except ServerResting:
+            return _all_failed(items, ItemFailure.RESTING)
         except (ValueError, BatchAnswerMalformed):
             return _all_failed(items, ItemFailure.UNREACHABLE)
         except (aiohttp.ClientError, OSError):
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -13,6 +13,7 @@
 
 from ..exceptions import RelayUnavailable
 from ..process.server_paths import Path, ServerPaths
+from .backend import ServerResting
 from .races import first_success
 from .relays import RelayClient
 from .sockets import Connector
@@ -26,16 +27,23 @@
 class ServerLink:
     """How connections to a server at ``address`` in ``data_centre`` are opened.
 
-    ``relayed`` holds the connections that pass through another node.
+    ``relayed`` holds the connections that pass through another node. ``is_resting``
+    returns whether the server has asked this node for rest.
     """
 
     def __init__(
-        self, paths: ServerPaths, relays: RelayClient, address: str, data_centre: str
+        self,
+        paths: ServerPaths,
+        relays: RelayClient,
+        address: str,
+        data_centre: str,
+        is_resting: Callable[[], bool],
     ) -> None:
         self.paths = paths
         self.relays = relays
         self.address = address
         self.data_centre = data_centre
+        self.is_resting = is_resting
         self.relayed: weakref.WeakSet[ResponseHandler] = weakref.WeakSet()
 
     def connector(self, **options: Any) -> "ServerConnector":
@@ -54,6 +62,23 @@
         super().__init__(**options)
         self._link = link
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Get a connection; raises :class:`ServerResting` if nothing may be sent.
+
+        The library sends the request as soon as it has the connection. The server may
+        have asked for rest since it was chosen.
+        """
+        connection = await super().connect(req, traces, timeout)
+        if self._link.is_resting():
+            connection.release()
+            raise ServerResting(f"{self._link.address} has asked for rest")
+        return connection
+
     def abort_direct(self) -> None:
         """Abort the direct connections that are in use."""
         for protocol in self._direct_in_use():
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -62,8 +62,15 @@
 
     def connections_to(self, entry: HostEntry) -> BackendConnections:
         """Return the connections to a server, which use its path."""
-        link = ServerLink(self.paths, self._client, entry.address, entry.data_centre)
-        on_answer = partial(self._on_answer, entry.incarnation)
+        rests, server = self._backends.rests, entry.incarnation
+        link = ServerLink(
+            self.paths,
+            self._client,
+            entry.address,
+            entry.data_centre,
+            lambda: rests.left_s(server) > 0,
+        )
+        on_answer = partial(self._on_answer, server)
         return BackendConnections(entry.address, link, on_answer)
 
     def on_members_changed(self, members: Iterable[Member]) -> None:
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -19,6 +19,7 @@
     "RequestQuarantined",
     "RequestRefused",
     "ServerEntryMalformed",
+    "ServersResting",
     "SettingsError",
     "StagesFailed",
     "StoreUnavailable",
@@ -180,16 +181,20 @@
 class StagesFailed(NodeError):
     """The stages that a request needs could not be run.
 
-    ``failure`` is the reason and ``retry_after_s`` when to retry, in seconds.
+    ``failure`` is the reason and ``retry_after_s`` when to retry, in seconds. With
+    ``is_resting`` that is when the first server of a stage has rested.
     """
 
-    def __init__(self, failure: ItemFailure, retry_after_s: float) -> None:
+    def __init__(
+        self, failure: ItemFailure, retry_after_s: float, is_resting: bool = False
+    ) -> None:
         super().__init__(
             f"A stage failed without a result ({failure.value}). Retry the request in "
             f"{retry_after_s:.1f} s."
         )
         self.failure = failure
         self.retry_after_s = retry_after_s
+        self.is_resting = is_resting
 
 
 class CallFailed(NodeError):
@@ -219,6 +224,13 @@
         self.retry_after_s = retry_after_s
 
 
+class ServersResting(RequestRefused):
+    """All servers that a request could go to have asked this node for rest."""
+
+    def __init__(self, retry_after_s: float) -> None:
+        super().__init__("the servers of the service ask for rest", retry_after_s)
+
+
 class PromptPartQuarantined(RequestRefused):
     """A request's prompt has a part in quarantine, since servers crashed under it."""
 
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -10,6 +10,7 @@
 from ..log import Part, log
 from .host_entry import BackendState, HostEntry, ServerIncarnation
 from .leaving_servers import LeavingServers
+from .server_rests import ServerRests
 
 __all__ = [
     "MAX_WARM_UP_S",
@@ -244,6 +245,7 @@
         self.by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, Backend] = {}
         self._leaving = LeavingServers(drain_s)
+        self.rests = ServerRests()
         # Whether a data centre is evacuated.
         self.is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False
         self._live_nodes = 1
@@ -285,8 +287,15 @@
 
     def usable(self, service: str) -> list[Backend]:
         """Return the servers of a service that may get new work."""
-        servers = self.by_service.get(service, ())
-        return [backend for backend in servers if self._accepts_work(backend)]
+        return [b for b in self._accepting(service) if not self.is_resting(b)]
+
+    def resting(self, service: str) -> list[Backend]:
+        """Return the servers of a service that may get new work after a rest."""
+        return [b for b in self._accepting(service) if self.is_resting(b)]
+
+    def is_resting(self, backend: Backend) -> bool:
+        """Return whether a server has asked this node to send it nothing for now."""
+        return self.rests.left_s(backend.entry.incarnation) > 0
 
     def beginning_to_leave(self, service: str) -> list[Backend]:
         """Return the leaving servers of a service that requests may still reach."""
@@ -296,6 +305,7 @@
             for backend in self.by_service.get(service, ())
             if self._leaving.has_just_begun(backend.entry, now)
             and not self.is_evacuated(backend.entry.data_centre)
+            and not self.is_resting(backend)
         ]
 
     def versions(self) -> set[SoftwareVersion]:
@@ -341,6 +351,10 @@
         for backend in self.by_id.values():
             await backend.connections.close()
 
+    def _accepting(self, service: str) -> list[Backend]:
+        servers = self.by_service.get(service, ())
+        return [backend for backend in servers if self._accepts_work(backend)]
+
     def _accepts_work(self, backend: Backend) -> bool:
         if self.is_leaving(backend):
             return False
@@ -351,13 +365,15 @@
         if backend is not None and self.has_ended(entry.incarnation):
             # The entry is outdated: the server has restarted since.
             return
-        if backend is not None and _is_successor(entry, backend.entry):
+        if backend is not None and entry.succeeds(backend.entry):
             ended = backend.entry.started < entry.started
             backend.is_version_uncertain = backend.entry.version != entry.version
             self._remove(entry.id)
             if ended:
                 # Calls that wait for the earlier incarnation would get no answer.
                 backend.connections.abort()
+            else:
+                self.rests.forget(entry.incarnation)
             backend = None
         is_new = backend is None
         if backend is None:
@@ -382,13 +398,3 @@
         self._by_address = {b.entry.address: b for b in self.by_id.values()}
         for service in by_service:
             self.on_change(service)
-
-
-def _is_successor(entry: HostEntry, known: HostEntry) -> bool:
-    """Return whether an entry is for another server or incarnation of a known id.
-
-    A server that does not report its start is known to have restarted if its software
-    has another version.
-    """
-    identity = (entry.address, entry.started, entry.version)
-    return identity != (known.address, known.started, known.version)
--- a/packages/node/src/eelgrass_node/process/batch_items.py
+++ b/packages/node/src/eelgrass_node/process/batch_items.py
@@ -9,7 +9,13 @@
 from .backends import ServerIncarnation
 from .crash_subjects import Fingerprint
 
-__all__ = ["NOT_CONNECTED_FAILURES", "BatchItem", "ItemFailure", "ItemOutcome"]
+__all__ = [
+    "NOT_CONNECTED_FAILURES",
+    "NOT_RUN_FAILURES",
+    "BatchItem",
+    "ItemFailure",
+    "ItemOutcome",
+]
 
 
 class ItemFailure(Enum):
@@ -18,6 +24,7 @@
     ``CONNECT_TIMED_OUT`` and ``CONNECT_FAILED`` mean that no connection to the server
     was established, ``UNREACHABLE`` that the call did not reach it, ``TIMED_OUT`` that
     no answer came in time, ``LOST`` that the connection broke during the call,
+    ``RESTING`` that it was not sent because the server has asked for rest,
     ``FAILED`` that the server reported an error, and ``NO_ROOM`` that it had no memory
     for the result. ``OVERLOADED`` is a refusal by the queue, ``LATE`` an item
     that could not finish before its deadline, and ``INPUT_GONE`` one whose inputs are
@@ -28,9 +35,10 @@
     INPUT_GONE = "input_gone"
     NO_ROOM = "no_room"
     FAILED = "failed"
-    # These two do not leave a queue: nodes of older releases do not know them.
+    # These three do not leave a queue: nodes of older releases do not know them.
     CONNECT_TIMED_OUT = "connect_silent"
     CONNECT_FAILED = "connect_failed"
+    RESTING = "resting"
     UNREACHABLE = "unreached"
     LOST = "lost"
     TIMED_OUT = "silent"
@@ -39,8 +47,14 @@
 
 # A call that reached no server puts no load on one, so that its retry needs no budget.
 NOT_CONNECTED_FAILURES = frozenset(
-    (ItemFailure.CONNECT_TIMED_OUT, ItemFailure.CONNECT_FAILED)
+    (
+        ItemFailure.CONNECT_TIMED_OUT,
+        ItemFailure.CONNECT_FAILED,
+        ItemFailure.RESTING,
+    )
 )
+# The server was reached, or could have been, and has certainly not run the item.
+NOT_RUN_FAILURES = frozenset((ItemFailure.NO_ROOM, ItemFailure.RESTING))
 
 
 class BatchItem(msgspec.Struct, eq=False):
@@ -89,9 +103,10 @@
 class ItemOutcome(msgspec.Struct, frozen=True, omit_defaults=True):
     """The handle of an item's result, or the reason why there is none.
 
-    ``retry_after_s`` tells a refused caller when to retry, ``producer`` is the server
-    incarnation that holds the result, and ``owner`` the other node, if any, whose queue
-    accounts for the memory that the result takes up.
+    ``retry_after_s`` tells a refused caller when to retry; with ``is_resting`` all
+    servers have asked for rest until then. ``producer`` is the server incarnation that
+    holds the result, and ``owner`` the other node, if any, whose queue accounts for the
+    memory that the result takes up.
     """
 
     handle: str | None = None
@@ -99,6 +114,7 @@
     retry_after_s: float = 0.0
     producer: ServerIncarnation | None = msgspec.field(name="maker", default=None)
     owner: NodeId | None = None
+    is_resting: bool = False
 
     @property
     def connected(self) -> bool:
--- a/packages/node/src/eelgrass_node/process/batch_queue.py
+++ b/packages/node/src/eelgrass_node/process/batch_queue.py
@@ -21,7 +21,7 @@
 from ..version.deployment import BatchLimits
 from .account_shares import AccountShares
 from .backends import Backend, ServerIncarnation
-from .batch_items import BatchItem, ItemFailure, ItemOutcome
+from .batch_items import NOT_RUN_FAILURES, BatchItem, ItemFailure, ItemOutcome
 from .batch_selection import select_batch
 from .item_order import ItemOrder, rank
 from .overload import Overload
@@ -32,6 +32,7 @@
 
 __all__ = ["BatchQueue", "RunCall"]
 
+RestRefusal = Callable[[frozenset[str] | None], ItemOutcome | None]
 RunCall = Callable[[Backend, list[BatchItem], float], Awaitable[list[ItemOutcome]]]
 
 # An item is run at most this often; the second and third time only after a failure.
@@ -61,7 +62,8 @@
     centre that holds a result, and ``has_ended`` whether a server incarnation is over.
     ``may_retry`` asks the retry budget for one more call of an item, ``record_wait``
     records how long items waited, and ``free_results`` frees results that no request
-    waits for any more.
+    waits for any more. ``rest_refusal`` returns a refusal if all servers in some
+    regions have asked for rest.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         may_retry: Callable[[BatchItem], bool],
         record_wait: Callable[[str, float], None],
         free_results: Callable[[list[str]], None],
+        rest_refusal: RestRefusal = lambda regions: None,
     ) -> None:
         self.service = service
         self._limits = limits
@@ -87,6 +90,7 @@
         self._may_retry = may_retry
         self._record_wait = record_wait
         self._free_results = free_results
+        self._rest_refusal = rest_refusal
         self._waiting = WaitingSets()
         self._overload = Overload()
         self._shares = AccountShares()
@@ -243,15 +247,14 @@
 
     def _drop_infeasible(self, now: float) -> None:
         shortest = self._servers.call_s(1)
+        refusals = {r: self._rest_refusal(r) for r in self._waiting.regions()}
         for items in self._waiting:
-            if items[0].deadline - now < shortest:
-                self._overload.record_refusal(now)
-                outcome = ItemOutcome(
-                    failure=ItemFailure.LATE,
-                    retry_after_s=self._overload.duration_s(now),
-                )
+            refusal = refusals[items[0].regions]
+            if refusal is not None:
+                self._settle_all(items, refusal)
+            elif items[0].deadline - now < shortest:
                 self._log_late(items, now)
-                self._settle_all(items, outcome)
+                self._settle_all(items, self._overload.refuse_late(now))
             elif self._servers.inputs_unavailable(items[0]):
                 # The request then reruns the earlier stages to replace the inputs.
                 self._settle_all(items, ItemOutcome(failure=ItemFailure.INPUT_GONE))
@@ -276,7 +279,7 @@
 
     def _select_batch(self, server: Backend, now: float) -> list[BatchItem]:
         limits = self._limits()
-        regions = {items[0].regions for items in self._waiting}
+        regions = self._waiting.regions()
         useful = self._servers.useful_for(server, regions, len(self._waiting), now)
         allowed = (items for items in self._waiting if items[0].regions in useful)
         sets = [
@@ -374,8 +377,8 @@
     def _finish(
         self, item: BatchItem, future: asyncio.Future[ItemOutcome], outcome: ItemOutcome
     ) -> None:
-        # A server without memory has not run the item, which is called again later.
-        item.tries += outcome.failure is not ItemFailure.NO_ROOM
+        # The item has not run, and is called again later.
+        item.tries += outcome.failure not in NOT_RUN_FAILURES
         is_retryable = outcome.failure in SERVER_FAILURES | {ItemFailure.NO_ROOM}
         if is_retryable and item.tries < MAX_TRIES and not future.done():
             if not outcome.connected or self._may_retry(item):
--- a/packages/node/src/eelgrass_node/process/host_entry.py
+++ b/packages/node/src/eelgrass_node/process/host_entry.py
@@ -54,3 +54,12 @@
     def incarnation(self) -> ServerIncarnation:
         """The incarnation of the server that the entry describes."""
         return ServerIncarnation(self.id, self.started)
+
+    def succeeds(self, known: "HostEntry") -> bool:
+        """Return whether this is another server or incarnation of a known id.
+
+        A server that does not report its start is known to have restarted if its
+        software has another version.
+        """
+        identity = (self.address, self.started, self.version)
+        return identity != (known.address, known.started, known.version)
--- a/packages/node/src/eelgrass_node/process/local_queues.py
+++ b/packages/node/src/eelgrass_node/process/local_queues.py
@@ -72,8 +72,11 @@
     ) -> list[ItemOutcome]:
         """Run items of one stage and return their outcomes, in order."""
         self._retries.record_requests(service, len(items))
-        if not self._usable(service, items[0].regions):
-            return [ItemOutcome(failure=ItemFailure.UNREACHABLE)] * len(items)
+        refusal = self._rest_refusal(service, items[0].regions)
+        if refusal is None and not self._usable(service, items[0].regions):
+            refusal = ItemOutcome(failure=ItemFailure.UNREACHABLE)
+        if refusal is not None:
+            return [refusal] * len(items)
         return await self.queue(service).run(items)
 
     def has_servers(self, service: ServiceName) -> bool:
@@ -98,9 +101,7 @@
                 continue
             # Nothing is sent to an evacuated data centre; its results expire.
             if not self._backends.is_evacuated(backend.entry.data_centre):
-                task = asyncio.create_task(self._free(service, backend, held))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._free_after_rest(service, backend, held)
 
     def result_life_s(self, service: ServiceName) -> float:
         """Return the seconds after which a result that is not freed expires."""
@@ -126,6 +127,7 @@
                 lambda item: self._may_retry(service, item),
                 self._record_wait,
                 lambda handles: self.free(service, handles),
+                lambda regions: self._rest_refusal(service, regions),
             )
         return found
 
@@ -147,6 +149,38 @@
             and self._brittle_servers.accepts(server)
         ]
 
+    def _rest_refusal(
+        self, service: ServiceName, regions: frozenset[str] | None
+    ) -> ItemOutcome | None:
+        """Return a refusal if all servers that may get items have asked for rest."""
+        resting = [
+            server
+            for server in self._backends.resting(service)
+            if server.is_in(regions) and not server.is_unreachable
+        ]
+        usable = self._usable(service, regions) if resting else []
+        if not resting or any(not server.is_unreachable for server in usable):
+            return None
+        left_s = self._backends.rests.least_left_s(server.entry for server in resting)
+        return ItemOutcome(
+            failure=ItemFailure.OVERLOADED, retry_after_s=left_s, is_resting=True
+        )
+
+    def _free_after_rest(
+        self, service: ServiceName, backend: Backend, handles: list[str]
+    ) -> None:
+        """Free results once their server wants calls, unless they expire before."""
+        rest_s = self._backends.rests.left_s(backend.entry.incarnation)
+        if self._backends.by_id.get(backend.entry.id) is not backend:
+            return
+        if not rest_s:
+            task = asyncio.create_task(self._free(service, backend, handles))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif rest_s < self.result_life_s(service):
+            loop = asyncio.get_running_loop()
+            loop.call_later(rest_s, self._free_after_rest, service, backend, handles)
+
     async def _call(
         self, backend: Backend, items: list[BatchItem], timeout_s: float
     ) -> list[ItemOutcome]:
--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -166,6 +166,8 @@
     ) -> None:
         """Record how a call ended and how long it took, in seconds."""
         failures = {outcome.failure for outcome in outcomes}
+        if ItemFailure.RESTING in failures:
+            return
         use = self.use(server)
         if ItemFailure.TIMED_OUT in failures:
             self._on_timeout(server, batch)
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -7,7 +7,7 @@
 
 from eelgrass_coordination.ids import DataCentre, SoftwareVersion
 
-from ..exceptions import RequestRefused
+from ..exceptions import RequestRefused, ServersResting
 from ..version.deployment import Deployment, ServiceName
 from .backends import Backend, Backends, ServerIncarnation
 from .brittle_servers import BrittleServers
@@ -41,6 +41,12 @@
     regions: frozenset[str] | None = None
     version: SoftwareVersion | None = None
 
+    def allows(self, server: Backend) -> bool:
+        """Return whether a server is in the regions and of the version."""
+        if not server.is_in(self.regions):
+            return False
+        return self.version in (None, server.entry.version)
+
 
 class ServerChoice:
     """Chooses servers for a node in ``data_centre``.
@@ -89,6 +95,11 @@
     def unavailable(self, criteria: ServerCriteria) -> RequestRefused | None:
         """Return a refusal if the service has no server that can be reached."""
         allowed = self._allowed(criteria)
+        if all(server.is_unreachable for server in allowed):
+            resting = self._resting(criteria)
+            if resting:
+                left_s = self._backends.rests.least_left_s(s.entry for s in resting)
+                return ServersResting(left_s)
         if not allowed:
             reason = "the service has no usable server"
             if criteria.version is not None:
@@ -111,12 +122,18 @@
         return server in self._allowed(criteria)
 
     def _allowed(self, criteria: ServerCriteria) -> list[Backend]:
-        allowed = _matching(self._backends.usable(criteria.service), criteria)
+        usable = self._backends.usable(criteria.service)
+        allowed = [server for server in usable if criteria.allows(server)]
         if allowed or criteria.version is None:
             return allowed
         # The stream would be lost, as no server of another version can continue it.
         leaving = self._backends.beginning_to_leave(criteria.service)
-        return _matching(leaving, criteria)
+        return [server for server in leaving if criteria.allows(server)]
+
+    def _resting(self, criteria: ServerCriteria) -> list[Backend]:
+        """Return the servers that could get the request after their rest."""
+        resting = self._backends.resting(criteria.service)
+        return [s for s in resting if criteria.allows(s) and not s.is_unreachable]
 
     def copy_source(
         self, chosen: Backend, prefix_key: str | None, shared_tokens: int
@@ -144,13 +161,3 @@
         if self._reachability.is_suspected(source.entry.data_centre):
             return None
         return source
-
-
-def _matching(servers: list[Backend], criteria: ServerCriteria) -> list[Backend]:
-    """Return the servers of the regions and the version that a request requires."""
-    return [
-        server
-        for server in servers
-        if server.is_in(criteria.regions)
-        and criteria.version in (None, server.entry.version)
-    ]
--- a/packages/node/src/eelgrass_node/process/server_notices.py
+++ b/packages/node/src/eelgrass_node/process/server_notices.py
@@ -1,7 +1,8 @@
 """Applies what backend servers say of themselves in their answers.
 
 A server that says that it leaves gets no new requests, whatever the list of servers
-says. The node that hears it first tells the others by gossip.
+says. The node that hears it first tells the others by gossip. One that asks for rest
+gets no requests from this node until the rest ends.
 """
 
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 
 from ..log import Part, log
 from .backends import Backend, Backends, ServerIncarnation
+from .server_rests import MAX_REST_S
 
 __all__ = ["ServerNotice", "ServerNotices"]
 
@@ -66,6 +68,26 @@
         if notice.is_leaving and self._mark_leaving(server, "answer"):
             self._announce(GossipItem(GOSSIP_KIND, server.id, server.started))
 
+        if notice.rest_s is not None:
+            self.begin_rest(server, notice.rest_s, "answer")
+
+    def begin_rest(self, server: ServerIncarnation, for_s: float, source: str) -> None:
+        """Send a server nothing for some seconds."""
+        if not self._backends.rests.begin(server, for_s):
+            return
+        self._count("notice.rest")
+        log(
+            Part.HOSTS,
+            "A server asks for rest; this node sends it no requests until then.",
+            backend=server.id,
+            for_s=round(min(for_s, MAX_REST_S), 2),
+            asked_s=round(for_s, 2),
+            source=source,
+        )
+        backend = self._listed(server)
+        if backend is not None:
+            self._backends.on_change(backend.entry.service)
+
     def receive_gossip(self, item: GossipItem) -> None:
         """Apply a gossip item from another node; other kinds are ignored."""
         if item.kind == GOSSIP_KIND:
--- a/packages/node/src/eelgrass_node/process/waiting_sets.py
+++ b/packages/node/src/eelgrass_node/process/waiting_sets.py
@@ -44,6 +44,10 @@
             if waiting:
                 yield tuple(waiting)
 
+    def regions(self) -> set[frozenset[str] | None]:
+        """Return the regions to which the sets are bound; None stands for all."""
+        return {items[0].regions for items in self}
+
     def add(self, item: BatchItem, future: Outcome) -> None:
         """Add an item that waits, for the first time or for a retry."""
         self._sets.setdefault(_key(item), {})[item] = future
--- a/packages/node/src/eelgrass_node/request/graph.py
+++ b/packages/node/src/eelgrass_node/request/graph.py
@@ -194,7 +194,7 @@
         if any(o.failure is ItemFailure.INPUT_GONE for o in failures):
             raise _ResultsLost
         first = failures[0]
-        raise StagesFailed(first.failure, first.retry_after_s)
+        raise StagesFailed(first.failure, first.retry_after_s, first.is_resting)
 
     def _items(
         self, number: int, stage: BatchStage, numbers: list[int]
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -16,10 +16,11 @@
 
 from eelgrass_coordination import StallAwareTimeout
 
+from ..connection.backend import ServerResting
 from ..exceptions import CallFailed
 from ..log import Part, log
 from ..process.backends import Backend
-from .engine_call import CONNECT_S
+from .engine_call import CONNECT_S, call_failure
 from .incoming_request import WireCodec
 from .reasons import RetryReason
 
@@ -113,6 +114,8 @@
                 started = codec.decode_start(await response.read())
     except TimeoutError as error:
         raise CallFailed(RetryReason.CONNECT_SILENT, not_run=True) from error
+    except ServerResting as error:
+        raise call_failure(error) from error
     except (aiohttp.ClientError, OSError) as error:
         # Not a lost connection: the request was not running there.
         raise CallFailed(RetryReason.CONNECT_FAILED, not_run=True) from error
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -5,6 +5,7 @@
 import msgspec
 
 __all__ = [
+    "FREE_RETRY_REASONS",
     "NOT_CONNECTED_REASONS",
     "PATH_FAILURE_REASONS",
     "POSSIBLE_CRASH_REASONS",
@@ -70,6 +71,7 @@
     BACKEND_LEAVING = "backend_leaving"
     BACKEND_OVERLOADED = "backend_overloaded"
     BACKEND_REFUSED = "backend_refused"
+    BACKEND_RESTING = "backend_resting"
     WRONG_ATTEMPT = "wrong_attempt"
     BAD_ANSWER = "bad_answer"
     STREAM_CUT = "stream_cut"
@@ -113,6 +115,8 @@
         RetryReason.BACKEND_WITHDRAWN,
     )
 )
+# After these failures a retry puts no additional load on any server.
+FREE_RETRY_REASONS = NOT_CONNECTED_REASONS | {RetryReason.BACKEND_RESTING}
 TIMEOUT_REASONS = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
 # These failures are explained by a network path that is lost.
 PATH_FAILURE_REASONS = (
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -18,6 +18,7 @@
     PromptPartQuarantined,
     RequestQuarantined,
     RequestRefused,
+    ServersResting,
     StagesFailed,
 )
 from ..log import Part, log
@@ -152,8 +153,7 @@
                 self._calling = False
                 self._record_failure(backend, failed)
                 await self._stream_version.check_continuation(backend)
-                if self._stream_version.version is not None:
-                    self._check_available()
+                self._check_available()
                 self._limits.check_retry(failed)
                 self._context.count(f"retry.{failed.reason.value}")
                 await self._context.poison_requests.crash_detector.wait_for_check(
@@ -177,6 +177,8 @@
         try:
             return await self._graph.run()
         except StagesFailed as failed:
+            if failed.is_resting:
+                raise ServersResting(failed.retry_after_s) from failed
             raise RequestRefused(
                 f"a stage failed: {failed.failure.value}",
                 max(failed.retry_after_s, RETRY_FULL_S),
@@ -340,6 +342,11 @@
             return self._answer.refusal(
                 HTTP_UNAVAILABLE, refused.reason, refused.retry_after_s
             )
+        if isinstance(refused, ServersResting):
+            self._context.count("refusal.servers-resting")
+            return self._answer.refusal(
+                HTTP_UNAVAILABLE, refused.reason, refused.retry_after_s
+            )
         self._context.count("refusal.not-run")
         # A caller that retries later than this has too little time left to be served.
         latest_s = RETRY_FRACTION * (self._routed.deadline - _now())
--- a/packages/node/src/eelgrass_node/request/retry_limits.py
+++ b/packages/node/src/eelgrass_node/request/retry_limits.py
@@ -4,7 +4,7 @@
 from ..process.retry_budget import RetryBudgets
 from ..version.deployment import RouteKind
 from .incoming_request import RoutedRequest
-from .reasons import NOT_CONNECTED_REASONS
+from .reasons import FREE_RETRY_REASONS
 
 __all__ = ["RETRY_FULL_S", "RetryLimits"]
 
@@ -61,7 +61,7 @@
             )
         # A call that reached no server puts no load on one, so that its retry needs no
         # budget.
-        reached = failed.reason not in NOT_CONNECTED_REASONS
+        reached = failed.reason not in FREE_RETRY_REASONS
         if reached and not self._budgets.try_spend(
             self._routed.service, self._routed.incoming.request_id
         ):
--- a/packages/node/tests/test_server_notices.py
+++ b/packages/node/tests/test_server_notices.py
@@ -1,13 +1,23 @@
 """Tests of what servers say of themselves in their answers."""
 
+import asyncio
+
 import pytest
 from multidict import CIMultiDict
 
 from eelgrass_coordination.ids import BackendId, DataCentre
-from eelgrass_node.connection.backend import BackendConnections
+from eelgrass_node.connection.backend import BackendConnections, ServerResting
+from eelgrass_node.connection.server_connector import ServerLink
+from eelgrass_node.exceptions import ServersResting
 from eelgrass_node.platform.notices import decode_notice
 from eelgrass_node.process.backends import Backends, HostEntry, ServerIncarnation
+from eelgrass_node.process.batch_items import ItemFailure, ItemOutcome
+from eelgrass_node.process.local_queues import LocalQueues
+from eelgrass_node.process.reachability import DataCentreReachability
+from eelgrass_node.process.server_choice import ServerChoice, ServerCriteria
 from eelgrass_node.process.server_notices import ServerNotice, ServerNotices
+from eelgrass_node.process.server_paths import Path
+from support.batching import items
 from support.connections import listen
 
 SERVER = ServerIncarnation(BackendId("s1"), 5)
@@ -136,3 +146,173 @@
         other.notices.receive_gossip(item)
         assert other.usable() == []
         assert other.announced == []
+
+
+class TestRest:
+    # Guards against requests to a server that has asked this node for rest, and against
+    # servers that get none after it.
+    async def test_it_gets_requests_again_when_it_ends(self):
+        node = Node(entry(), entry("s2"))
+        node.notices.receive(SERVER, ServerNotice(rest_s=0.1))
+        node.notices.receive(SERVER, ServerNotice(rest_s=0.02))
+        node.backends.update([entry(), entry("s2")])
+        assert node.usable() == ["s2"]
+        assert node.counted == ["notice.rest"]
+        assert node.announced == []
+        await asyncio.sleep(0.06)
+        assert node.usable() == ["s2"]
+        await asyncio.sleep(0.06)
+        assert node.usable() == ["s1", "s2"]
+
+    @pytest.mark.parametrize(
+        ("before", "after"),
+        [
+            (entry(), entry(started=6)),
+            (entry(started=0, version="1"), entry(started=0, version="2")),
+        ],
+    )
+    async def test_another_incarnation_gets_requests_at_once(self, before, after):
+        node = Node(before)
+        node.notices.receive(before.incarnation, ServerNotice(rest_s=9.0))
+        node.backends.update([after])
+        assert node.usable() == ["s1"]
+
+    async def test_an_absurd_time_is_limited(self):
+        node = Node()
+        node.notices.receive(SERVER, ServerNotice(rest_s=1e9))
+        assert 599 < node.backends.rests.left_s(SERVER) <= 600
+
+    # Guards against requests that were chosen a server before it asked for rest, and
+    # reach it in that time.
+    async def test_a_request_that_waits_for_its_connection_is_not_sent(self):
+        async def serve(reader, writer):
+            arrived.append(await reader.read(100))
+
+        arrived, is_resting = [], asyncio.Event()
+        server, address = await listen(serve)
+        paths = FreePaths(is_resting.set)
+        link = ServerLink(paths, None, address, "a", is_resting.is_set)
+        connections = BackendConnections(address, link)
+        with pytest.raises(ServerResting):
+            await connections.request("GET", "/", CIMultiDict(), b"", 1.0, True)
+        await connections.close()
+        server.close()
+        assert not any(arrived)
+
+
+class FreePaths:
+    """Direct paths; ``connected`` is called with each new connection."""
+
+    def __init__(self, connected):
+        self.on_connected = lambda address: connected()
+
+    def path(self, address):
+        return Path.DIRECT
+
+    def is_doubted(self, address):
+        return False
+
+
+class OpenServers:
+    """No server is brittle."""
+
+    def accepts(self, server):
+        return True
+
+
+class TestRefusals:
+    """Who has only resting servers is told at once when the first has rested."""
+
+    def choice(self, node):
+        now = asyncio.get_running_loop().time
+        reachability = DataCentreReachability(DataCentre("a"), now)
+        return ServerChoice(
+            node.backends, DataCentre("a"), reachability, lambda: None, OpenServers()
+        )
+
+    def refused(self, node, **criteria):
+        wanted = ServerCriteria("desk", **criteria)
+        choice = self.choice(node)
+        assert (choice.choose(wanted) is None) == bool(choice.unavailable(wanted))
+        return choice.unavailable(wanted)
+
+    async def test_only_servers_that_may_be_used_count(self):
+        node = Node(
+            entry(version="1"), entry("s2", version="1"), entry("s3", version="2")
+        )
+        for name, rest_s in (("s1", 5.0), ("s2", 3.0)):
+            server = ServerIncarnation(BackendId(name), 5)
+            node.notices.receive(server, ServerNotice(rest_s=rest_s))
+        assert self.refused(node) is None
+        refusal = self.refused(node, version="1")
+        assert isinstance(refusal, ServersResting)
+        assert refusal.retry_after_s == pytest.approx(3.0, abs=0.1)
+        node.backends.by_id["s2"].is_unreachable = True
+        left_s = self.refused(node, version="1").retry_after_s
+        assert left_s == pytest.approx(5.0, abs=0.1)
+        assert not isinstance(self.refused(node, version="3"), ServersResting)
+
+
+class UnlimitedRetries:
+    """A retry budget that is never exhausted."""
+
+    def record_requests(self, service, count=1):
+        pass
+
+
+class TestBatchQueues:
+    def queues(self, node):
+        self.run, self.freed = [], []
+
+        async def run(server, items, timeout_s):
+            self.run.append(server.entry.id)
+            await asyncio.sleep(0.05)
+            node.notices.receive(SERVER, ServerNotice(rest_s=0.2))
+            return [ItemOutcome(failure=ItemFailure.RESTING)] * len(items)
+
+        async def free(server, handles):
+            self.freed += handles
+            return True
+
+        now = asyncio.get_running_loop().time
+        return LocalQueues(
+            node.backends,
+            lambda: None,
+            UnlimitedRetries(),
+            DataCentreReachability(DataCentre("a"), now),
+            run,
+            free,
+            lambda handle: handle.partition("/")[0],
+            lambda service, wait_s: None,
+            None,
+            lambda server: False,
+            OpenServers(),
+        )
+
+    # Guards against items that wait for their deadline where all servers rest.
+    async def test_items_that_wait_fail_when_the_last_server_rests(self):
+        node = Node()
+        queues = self.queues(node)
+        node.backends.on_change = queues.servers_changed
+        first, second = (
+            asyncio.create_task(queues.run("desk", items(name))) for name in ("a", "b")
+        )
+        for outcomes in await asyncio.wait_for(asyncio.gather(first, second), 0.2):
+            assert outcomes[0].is_resting
+            assert outcomes[0].retry_after_s == pytest.approx(0.2, abs=0.1)
+        assert self.run == ["s1"]
+        [refused] = await queues.run("desk", items("c"))
+        assert refused.is_resting
+
+    # Guards against calls that free results reaching a server that rests.
+    async def test_results_are_freed_after_the_rest(self):
+        node = Node(entry(), entry("s2"))
+        queues = self.queues(node)
+        for name, rest_s in (("s1", 0.05), ("s2", 9.0)):
+            server = ServerIncarnation(BackendId(name), 5)
+            node.notices.receive(server, ServerNotice(rest_s=rest_s))
+        queues.free("desk", ["s1:1/a", "s2:1/b"])
+        await asyncio.sleep(0.02)
+        assert self.freed == []
+        await asyncio.sleep(0.08)
+        assert self.freed == ["s1:1/a"]
