--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -18,6 +18,8 @@
 from contextlib import contextmanager
 from functools import partial
 
+import msgspec
+
 from eelgrass_coordination import Member, StallAwareTimeout
 
 from ..exceptions import RelayUnavailable
@@ -29,7 +31,7 @@
 from .races import first_success
 from .sockets import open_socket, set_timeouts
 
-__all__ = ["RelayClient", "RelayServer"]
+__all__ = ["RelayClient", "RelayServer", "RelayedSocket"]
 
 # A relay has to connect to the server as well. If it cannot, its answer comes before
 # the client's timeout.
@@ -54,13 +56,24 @@
 TIMED_OUT_STATUS = 504
 
 
+class RelayedSocket(msgspec.Struct, frozen=True):
+    """A socket that is connected to a server through ``relay``."""
+
+    socket: socket.socket
+    relay: Member
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
+
+
 class RelayClient:
     """Opens connections to servers through other nodes."""
 
     def __init__(self, choice: RelayChoice) -> None:
         self._choice = choice
 
-    async def open(self, address: str, data_centre: str) -> socket.socket:
+    async def open(self, address: str, data_centre: str) -> RelayedSocket:
         """Return a connected socket to a server in a data centre, through a relay.
 
         Raises :class:`RelayUnavailable` if no relay has connected to the server.
@@ -71,16 +84,17 @@
 
         found: list[Listening | None] = []
 
-        async def attempt(member: Member) -> socket.socket:
+        async def attempt(member: Member) -> RelayedSocket:
             try:
-                return await self._open_through(member, address)
+                opened = await self._open_through(member, address)
+                return RelayedSocket(opened, member)
             except RelayUnavailable as error:
                 found.append(error.listening)
                 raise
 
         attempts = [partial(attempt, member) for member in members]
         try:
-            return await first_success(attempts, STAGGER_S, socket.socket.close)
+            return await first_success(attempts, STAGGER_S, RelayedSocket.close)
         except RelayUnavailable as error:
             raise RelayUnavailable(address, _combined(found)) from error
 
@@ -155,19 +169,24 @@
     """Relays connections of other nodes to servers, at the address of this node.
 
     ``accepts_work`` returns whether an address is that of a server that may get new
-    work. A planned stop, by ``stopping``, waits for the connections that are open.
+    work, and ``is_resting`` whether that server wants nothing from this node for now.
+    What this node relays reaches servers from its own host. So no connection is opened
+    to a server that rests, and one that is open is closed when another request begins
+    on it. A planned stop, by ``stopping``, waits for the connections that are open.
     """
 
     def __init__(
         self,
         paths: ServerPaths,
         accepts_work: Callable[[str], bool],
+        is_resting: Callable[[str], bool],
         stopping: Stopping,
         max_descriptors: int,
         count: Callable[[str], None],
     ) -> None:
         self._paths = paths
         self._accepts_work = accepts_work
+        self._is_resting = is_resting
         self._stopping = stopping
         self._max_connections = int(max_descriptors * DESCRIPTOR_FRACTION / 2)
         self._count = count
@@ -230,6 +249,10 @@
         if method != "CONNECT" or not self._may_connect(address):
             self._refuse(writer, UNAVAILABLE_STATUS)
             return
+        if self._is_resting(address):
+            # Not as refused or unknown: the server may well be running.
+            self._refuse(writer, TIMED_OUT_STATUS)
+            return
         with self._stopping.in_flight(), self._counted():
             try:
                 upstream_reader, upstream = await _connect(address)
@@ -241,7 +264,8 @@
                 return
             try:
                 writer.write(OPENED)
-                await _splice(reader, writer, upstream_reader, upstream)
+                exchange = _Exchange(lambda: not self._is_resting(address))
+                await _splice(reader, writer, upstream_reader, upstream, exchange)
             finally:
                 upstream.close()
 
@@ -277,15 +301,40 @@
     return reader, writer
 
 
+class _Exchange:
+    """The turns on one connection, on which requests and answers alternate.
+
+    ``may_begin`` returns whether another request may be sent; the first one was checked
+    when the connection was opened.
+    """
+
+    def __init__(self, may_begin: Callable[[], bool]) -> None:
+        self._may_begin = may_begin
+        self._is_answered = False
+
+    def on_sent(self) -> None:
+        """Raise :class:`ConnectionAbortedError` if bytes begin a request too many."""
+        if self._is_answered and not self._may_begin():
+            raise ConnectionAbortedError("the server has asked for rest")
+        self._is_answered = False
+
+    def on_received(self) -> None:
+        """Note that the server has begun to answer."""
+        self._is_answered = True
+
+
 async def _splice(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     upstream_reader: asyncio.StreamReader,
     upstream: asyncio.StreamWriter,
+    exchange: _Exchange,
 ) -> None:
     """Pass bytes on in both directions until one of the connections ends."""
-    to_server = asyncio.create_task(_copy(reader, upstream))
-    to_client = asyncio.create_task(_copy(upstream_reader, writer))
+    to_server = asyncio.create_task(_copy(reader, upstream, exchange.on_sent))
+    to_client = asyncio.create_task(
+        _copy(upstream_reader, writer, exchange.on_received)
+    )
     try:
         await asyncio.wait({to_server, to_client}, return_when=asyncio.FIRST_COMPLETED)
         if to_client.done() and to_client.exception() is not None:
@@ -297,9 +346,17 @@
         await asyncio.gather(to_server, to_client, return_exceptions=True)
 
 
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Pass bytes on until the end of the connection; raises :class:`OSError`."""
+async def _copy(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    on_bytes: Callable[[], None],
+) -> None:
+    """Pass bytes on until the end of the connection; raises :class:`OSError`.
+
+    ``on_bytes`` is called before some are passed on.
+    """
     while data := await reader.read(BLOCK_BYTES):
+        on_bytes()
         writer.write(data)
         await writer.drain()
 
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -11,6 +11,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from eelgrass_coordination import Member
+
 from ..exceptions import RelayUnavailable
 from ..process.server_paths import Path, ServerPaths
 from .backend import ServerResting
@@ -27,8 +29,8 @@
 class ServerLink:
     """How connections to a server at ``address`` in ``data_centre`` are opened.
 
-    ``relayed`` holds the connections that pass through another node. ``is_resting``
-    returns whether the server has asked this node for rest.
+    ``relayed`` holds the connections that pass through another node, with that node's
+    record. ``is_resting`` returns whether the server has asked this node for rest.
     """
 
     def __init__(
@@ -44,12 +46,18 @@
         self.address = address
         self.data_centre = data_centre
         self.is_resting = is_resting
-        self.relayed: weakref.WeakSet[ResponseHandler] = weakref.WeakSet()
+        self.relayed: weakref.WeakKeyDictionary[ResponseHandler, Member] = (
+            weakref.WeakKeyDictionary()
+        )
 
     def connector(self, **options: Any) -> "ServerConnector":
         """Return a new connector; ``options`` are those of the library."""
         return ServerConnector(self, **options)
 
+    def open_relays(self) -> list[Member]:
+        """Return the nodes through which connections are open."""
+        return list({relay.id: relay for relay in self.relayed.values()}.values())
+
     def suspect(self) -> None:
         """Check the path to the server after a sign that it may be lost."""
         self.paths.suspect(self.address)
@@ -132,8 +140,10 @@
     async def _connect_relayed(self) -> ResponseHandler:
         link = self._link
         opened = await link.relays.open(link.address, link.data_centre)
-        _, protocol = await self._loop.create_connection(self._factory, sock=opened)
-        link.relayed.add(protocol)
+        _, protocol = await self._loop.create_connection(
+            self._factory, sock=opened.socket
+        )
+        link.relayed[protocol] = opened.relay
         return protocol
 
     def _direct_in_use(self) -> list[ResponseHandler]:
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -15,6 +15,7 @@
 from ..process.stopping import Stopping
 from .backend import BackendConnections
 from .listen_probe import probe_listening
+from .relay_rests import RelayRests, TellRelay
 from .relays import RelayClient, RelayServer
 from .server_connector import ServerLink
 
@@ -25,7 +26,8 @@
     """The links of a node: ``paths`` to servers, and the ``server`` for other nodes.
 
     ``backends`` must open the connections to its servers by :meth:`connections_to`.
-    ``on_answer`` is called with the status and the headers of each answer of a server.
+    ``on_answer`` is called with the status and the headers of each answer of a server,
+    and ``tell_relay`` tells another node for how long a server rests.
     """
 
     def __init__(
@@ -36,8 +38,10 @@
         stopping: Stopping,
         count: Callable[[str], None],
         on_answer: Callable[[ServerIncarnation, int, Mapping[str, str]], None],
+        tell_relay: TellRelay,
     ) -> None:
         self._on_answer = on_answer
+        self._relay_rests = RelayRests(tell_relay)
         clock = asyncio.get_running_loop().time
         self._backends = backends
         self._left: set[NodeId] = set()
@@ -55,6 +59,7 @@
         self.server = RelayServer(
             self.paths,
             backends.accepts_work_at,
+            self._is_resting_at,
             stopping,
             settings.max_descriptors,
             count,
@@ -70,7 +75,7 @@
             entry.data_centre,
             lambda: rests.left_s(server) > 0,
         )
-        on_answer = partial(self._on_answer, server)
+        on_answer = partial(self._receive, link, server)
         return BackendConnections(entry.address, link, on_answer)
 
     def on_members_changed(self, members: Iterable[Member]) -> None:
@@ -83,8 +88,25 @@
     async def close(self) -> None:
         """Stop all checks, and close the connections that are relayed."""
         self.paths.stop()
+        self._relay_rests.stop()
         await self.server.close()
 
+    def _receive(
+        self,
+        link: ServerLink,
+        server: ServerIncarnation,
+        status: int,
+        headers: Mapping[str, str],
+    ) -> None:
+        self._on_answer(server, status, headers)
+        left_s = self._backends.rests.left_s(server)
+        if left_s:
+            self._relay_rests.tell(link.open_relays(), server, left_s)
+
+    def _is_resting_at(self, address: str) -> bool:
+        backend = self._backends.at_address(address)
+        return backend is not None and self._backends.is_resting(backend)
+
     async def _probe_relayed(self, address: str) -> Listening | None:
         backend = self._backends.at_address(address)
         if backend is None:
--- a/packages/node/src/eelgrass_node/entry_applications.py
+++ b/packages/node/src/eelgrass_node/entry_applications.py
@@ -8,6 +8,7 @@
 from .connection.batch_handoff import HandoffInterface
 from .connection.loan_calls import LoanInterface
 from .connection.peer_state import PeerStateInterface
+from .connection.rest_calls import RestInterface
 from .connection.table_feed import TableFeedInterface
 from .connection.trial_calls import TrialInterface
 from .connection.warm_up_calls import WarmUpInterface
@@ -34,6 +35,7 @@
     TableFeedInterface(node.tables.relay).add_routes(app)
     WarmUpInterface(node.warm_up.permits).add_routes(app)
     LoanInterface(node.retry_budgets).add_routes(app)
+    RestInterface(node.server_notices).add_routes(app)
     TrialInterface(node.poison_requests.parts.permits).add_routes(app)
     return app
 
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -18,6 +18,7 @@
 from .connection.listeners import Listeners
 from .connection.loan_calls import LoanClient
 from .connection.peer_calls import PeerCalls
+from .connection.rest_calls import RestClient
 from .connection.server_links import ServerLinks
 from .connection.sockets import new_session
 from .connection.table_feed import TableFeedClient
@@ -161,6 +162,7 @@
             self.stopping,
             self.counters.count,
             self._on_server_answer,
+            RestClient(self.peer_calls).tell,
         )
         self.server_notices = ServerNotices(
             self.backends,
