--- a/packages/node/src/eelgrass_node/entry_serving.py
+++ b/packages/node/src/eelgrass_node/entry_serving.py
@@ -32,6 +32,7 @@
         has_ended=node.backends.has_ended,
         plan=planner.plan,
         infeasible_retry_after_s=planner.infeasible_retry_after_s,
+        stages_rest_s=planner.rest_left_s,
         run_items=node.shared_queues.run,
         free_results=node.shared_queues.results.free,
         final_call_latency=node.final_call_latency,
--- a/packages/node/src/eelgrass_node/process/local_queues.py
+++ b/packages/node/src/eelgrass_node/process/local_queues.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from ..version.deployment import BatchLimits, Deployment, ServiceName
 from .backends import Backend, Backends
 from .batch_items import BatchItem, ItemFailure, ItemOutcome
@@ -88,7 +90,11 @@
 
     def load(self, service: ServiceName) -> QueueLoad:
         """Return the load of a service's queue, as reported to other nodes."""
-        return self.queue(service).load()
+        load = self.queue(service).load()
+        refusal = self._rest_refusal(service, None)
+        if refusal is None:
+            return load
+        return msgspec.structs.replace(load, rest_s=refusal.retry_after_s)
 
     def free(self, service: ServiceName, handles: list[str]) -> None:
         """Free results at the servers that hold them, without waiting."""
--- a/packages/node/src/eelgrass_node/process/queue_load.py
+++ b/packages/node/src/eelgrass_node/process/queue_load.py
@@ -17,6 +17,9 @@
 # The weight of a report falls linearly from 1 to 0 in this time, because bursts and
 # queues change within a second or two.
 MAX_AGE_S = 2.0
+# A report that all servers rest counts for this long: another one may have been listed
+# since, or one have been restarted.
+REST_MAX_AGE_S = 0.5
 
 
 class QueueLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -26,7 +29,8 @@
     in ascending order of the priority number. ``late_s`` is the work of waiting items
     that are late already, and ``overload_s`` how long the queue has refused requests
     without a break. New items of ``over_share_accounts``, which ask for more than their
-    share, wait for ``over_share_wait_s``.
+    share, wait for ``over_share_wait_s``. If all servers have asked for rest, the first
+    one has rested after ``rest_s``.
     """
 
     wait_by_priority: tuple[tuple[int, float], ...] = ()
@@ -34,6 +38,7 @@
     overload_s: float = 0.0
     over_share_accounts: tuple[str, ...] = ()
     over_share_wait_s: float = 0.0
+    rest_s: float = 0.0
 
     def wait_s(self, priority: int, account: str | None = None) -> float:
         """Return the wait of a new item of that priority and account."""
@@ -71,6 +76,18 @@
         weighted = (self._weighted_load(service) for service in services)
         return max((load.overload_s * weight for load, weight in weighted), default=0.0)
 
+    def rest_left_s(self, services: Iterable[ServiceName]) -> float:
+        """Return until when some service's servers all rest, in seconds; 0 if none."""
+        return max((self._rest_left_s(service) for service in services), default=0.0)
+
+    def _rest_left_s(self, service: ServiceName) -> float:
+        report = self._report_by_service.get(service)
+        if report is None:
+            return 0.0
+        at, load = report
+        age_s = self._clock() - at
+        return max(0.0, load.rest_s - age_s) if age_s <= REST_MAX_AGE_S else 0.0
+
     def _weighted_load(self, service: ServiceName) -> tuple[QueueLoad, float]:
         report = self._report_by_service.get(service)
         if report is None:
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -119,6 +119,9 @@
 
     async def _serve(self) -> web.StreamResponse:
         await self._quarantine.check()
+        rest_s = self._context.stages_rest_s(self._routed)
+        if rest_s:
+            raise ServersResting(rest_s)
         retry_after_s = self._context.infeasible_retry_after_s(self._routed)
         if retry_after_s is not None:
             raise RequestRefused(
--- a/packages/node/src/eelgrass_node/request/serving_context.py
+++ b/packages/node/src/eelgrass_node/request/serving_context.py
@@ -34,7 +34,8 @@
     data centre of the result with a handle, and ``has_ended`` whether a server
     incarnation has ended. ``plan`` returns when the stages of a request should be
     complete, and ``infeasible_retry_after_s`` a Retry-After in seconds if they cannot
-    be in time.
+    be in time. ``stages_rest_s`` returns for how many seconds a stage has no server
+    that wants requests.
     """
 
     codec: WireCodec
@@ -48,6 +49,7 @@
     has_ended: Callable[[ServerIncarnation], bool]
     plan: Callable[[RoutedRequest], StagePlan]
     infeasible_retry_after_s: Callable[[RoutedRequest], float | None]
+    stages_rest_s: Callable[[RoutedRequest], float]
     run_items: RunItems
     free_results: FreeResults
     final_call_latency: FinalCallLatency
--- a/packages/node/src/eelgrass_node/request/stage_planner.py
+++ b/packages/node/src/eelgrass_node/request/stage_planner.py
@@ -57,6 +57,14 @@
             routed, self._deployment(), self._queue_loads, self._final_call_s(routed)
         )
 
+    def rest_left_s(self, routed: RoutedRequest) -> float:
+        """Return for how many seconds all servers of one of the stages rest."""
+        return self._queue_loads.rest_left_s(
+            stage.service
+            for number, stage in enumerate(routed.route.stages)
+            if routed.incoming.item_count(number)
+        )
+
     def _final_call_s(self, routed: RoutedRequest) -> float:
         """Return the expected time from the end of the stages to the response."""
         return self._final_call_latency.expected_s(routed.route.name)
--- a/packages/node/tests/test_server_notices.py
+++ b/packages/node/tests/test_server_notices.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from multidict import CIMultiDict
 
@@ -13,6 +14,7 @@
 from eelgrass_node.process.backends import Backends, HostEntry, ServerIncarnation
 from eelgrass_node.process.batch_items import ItemFailure, ItemOutcome
 from eelgrass_node.process.local_queues import LocalQueues
+from eelgrass_node.process.queue_load import QueueLoad, QueueLoads
 from eelgrass_node.process.reachability import DataCentreReachability
 from eelgrass_node.process.server_choice import ServerChoice, ServerCriteria
 from eelgrass_node.process.server_notices import ServerNotice, ServerNotices
@@ -316,3 +318,24 @@
         assert self.freed == []
         await asyncio.sleep(0.08)
         assert self.freed == ["s1:1/a"]
+
+    # Guards against stages whose results are wasted, as a later stage has no server
+    # that wants calls.
+    async def test_other_nodes_know_that_all_servers_rest(self):
+        node = Node(entry(), entry("s2"))
+        queues = self.queues(node)
+        node.notices.receive(SERVER, ServerNotice(rest_s=0.4))
+        assert queues.load("desk").rest_s == 0
+        second = ServerIncarnation(BackendId("s2"), 5)
+        node.notices.receive(second, ServerNotice(rest_s=3.0))
+        sent = msgspec.json.encode(queues.load("desk"))
+        received = msgspec.json.decode(sent, type=QueueLoad)
+        at = 0.0
+        loads = QueueLoads(lambda: at)
+        loads.receive("desk", received)
+        assert loads.rest_left_s(["pool", "desk"]) == pytest.approx(0.4, abs=0.05)
+        at = 0.3
+        assert loads.rest_left_s(["desk"]) == pytest.approx(0.1, abs=0.05)
+        assert loads.rest_left_s(["pool"]) == 0
+        at = 0.6
+        assert loads.rest_left_s(["desk"]) == 0
