Do not guess a stream's version from the list of a node that has just started

What callers could see: a stream of v2 that went on with events of v1. All servers of v2 had been withdrawn, not replaced, before a host started; those of v1 state that they have run for long. Asked for the stream by its caller, the host took v1 for the only version that can have begun it, although other hosts, or the store, told v2.

Cause: the one of the refusals, "nobody to ask" taken for "nobody knows", with the other outcome. That all servers have run for long does not rule out a version that was withdrawn. The conclusion was drawn before other hosts were known, and before the store was read.

A host that has not settled no longer counts as one that knows all versions, neither to itself nor in its answers, and the conclusion comes last, after the hosts and the store.

Left: every host that listed v2 has ended and the store does not answer.

--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -124,6 +124,8 @@
                 lookups = [self._ask_newcomers(search)]
                 lookups += [self._durable.find(stream)] if stream else []
                 origin = await _first_found(lookups) or search.origin
+            if origin is None:
+                origin = self._only_possible(search)
         if origin is None:
             self._log_unknown(search)
         return origin
@@ -168,22 +170,31 @@
         if origin is not None:
             return Answer(ask.number, origin)
         versions = self._history.versions(ask.service, ask.max_age_s)
-        covers = self._history.covers(ask.service, ask.max_age_s)
-        return Answer(
-            ask.number, None, tuple(versions), covers and self._list_is_current()
-        )
+        covers = self._covers(ask) and self._list_is_current()
+        return Answer(ask.number, None, tuple(versions), covers)
+
+    def _covers(self, ask: Ask) -> bool:
+        """Return whether this node knows all versions that can have begun a stream.
+
+        One that has just started may not have heard of a version that was withdrawn.
+        """
+        return self._is_settled() and self._history.covers(ask.service, ask.max_age_s)
 
     async def _ask_others(self, search: OriginSearch) -> StreamOrigin | None:
         """Ask the nodes that were not asked yet."""
         search.news.clear()
         others = search.not_asked(self._members())
-        origin = await self._queries.ask(search, others, ALL_NODES_TIMEOUT_S)
-        return origin or self._only_possible(search)
+        return await self._queries.ask(search, others, ALL_NODES_TIMEOUT_S)
 
     async def _ask_newcomers(self, search: OriginSearch) -> StreamOrigin | None:
-        """Ask nodes as they become known, until this one has settled."""
+        """Ask nodes as they become known, until this one has settled.
+
+        A single version that can have begun the stream ends it, too.
+        """
         origin = None
         while origin is None and not self._is_settled():
+            if self._only_possible(search) is not None:
+                break
             await search.wait_for_news(self._settled_at - self._clock())
             origin = await self._ask_others(search)
         return origin
@@ -201,7 +212,7 @@
             return None
         # Without the store no node lists a new version, if all of them are in reach.
         all_answered = not search.unanswered
-        covers = self._history.covers(ask.service, ask.max_age_s) and all_answered
+        covers = self._covers(ask) and all_answered
         if not covers and not any(answer.covers for answer in answers):
             return None
         return StreamOrigin(ask.service, versions.pop())
--- a/packages/node/tests/test_origin_search.py
+++ b/packages/node/tests/test_origin_search.py
@@ -14,11 +14,22 @@
 from eelgrass_node.request.stream_resumption import with_stream_origin
 from support import datagram_network
 from support.datagram_network import ONE_WAY_DELAY_S, run_network
-from support.origin_fleet import CALLER_TIMEOUT_S, SERVICE, V1, OriginFleet
+from support.origin_fleet import (
+    CALLER_TIMEOUT_S,
+    SERVICE,
+    UNIX_MS,
+    V1,
+    V2,
+    OriginFleet,
+)
 
 # The time that a node takes to decide once all nodes have answered.
 AT_ONCE_S = 6 * ONE_WAY_DELAY_S
 NODES = 9
+# For how long servers have run that were there before any stream of a test.
+LONG_MS = 600_000
+# Time in which the origin of a stream is written to the store.
+WRITTEN_S = 2.0
 
 
 def now():
@@ -87,6 +98,41 @@
 
         run_network(main())
 
+    # Guards against a version that is guessed: the servers of the one that began the
+    # stream were withdrawn before the node started, and all others have run for long.
+    @pytest.mark.parametrize("restarted", [1, NODES - 1])
+    def test_the_only_version_listed_is_not_taken_for_the_only_one(self, restarted):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                await fleet.nodes[-1].origins.record("s", V2, CALLER_TIMEOUT_S)
+                for number in range(restarted):
+                    await fleet.nodes[number].stop()
+                started = [
+                    await fleet.add(number, ("v1",), UNIX_MS - LONG_MS)
+                    for number in range(restarted)
+                ]
+                origins = await asyncio.gather(*(node.find("s") for node in started))
+                assert set(origins) == {V2}
+
+        run_network(main())
+
+    # Guards against a version that is guessed although the store tells another one.
+    @pytest.mark.parametrize("up_s", [0.0, SETTLE_S])
+    def test_the_store_counts_more_than_the_only_version_listed(self, up_s):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                fleet.store.is_reachable = True
+                await fleet.nodes[0].origins.record("s", V2, CALLER_TIMEOUT_S)
+                await asyncio.sleep(WRITTEN_S)
+                for node in fleet.nodes:
+                    await node.stop()
+                for number in range(NODES):
+                    await fleet.add(number, ("v1",), UNIX_MS - LONG_MS)
+                await asyncio.sleep(up_s)
+                assert await fleet.nodes[0].find("s") == V2
+
+        run_network(main())
+
     def test_what_nobody_knows_is_refused_once_the_node_has_settled(self):
         async def main():
             async with OriginFleet(NODES) as fleet:
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -85,9 +85,9 @@
         self.membership.datagrams.on_payload = self.origins.receive
         self._writing = asyncio.create_task(self.durable.run())
 
-    def list_servers(self, *versions: str) -> None:
+    def list_servers(self, *versions: str, started: int = 0) -> None:
         """Replace the list of servers by one of each version."""
-        self.backends.by_service = {SERVICE: [server(v) for v in versions]}
+        self.backends.by_service = {SERVICE: [server(v, started) for v in versions]}
         self.history.servers_changed(SERVICE)
 
     async def find(self, stream: str) -> StreamOrigin | None:
@@ -133,7 +133,9 @@
         for node in self.nodes:
             await node.stop()
 
-    async def add(self, number: int) -> FleetNode:
+    async def add(
+        self, number: int, versions: tuple[str, ...] = ("v1", "v2"), started: int = 0
+    ) -> FleetNode:
         """Start a node, in place of one that has ended if there is one."""
         self._epoch += 1
         data_centre = number % self._data_centres
@@ -144,7 +146,7 @@
             name, f"dc-{data_centre}", f"{host}:1", seeds, self._epoch, self.store
         )
         self.nodes[number : number + 1] = [node]
-        node.list_servers("v1", "v2")
+        node.list_servers(*versions, started=started)
         await node.membership.start()
         return node
 
