Check another server at once if one has restarted since its entry

What callers could see: a stream resumed at a host that had just started was refused because the retry budget is exhausted, though another server of its version was there. A failed check of a server (it has restarted, its new entry is not read yet) ended the checks, and the next attempt needed the budget, which has no slack for 2.5 s after a start; nothing had been sent but the check.

The next server of the version is now checked as soon as one fails, three in all as before for silent ones. Only if all fail is it a failed attempt. Cost (worked out): up to two more GETs where a server has restarted unnoticed.

test_a_failed_check_is_followed_by_another_one_at_once and test_few_are_asked failed before (one server asked) and pass; the third guards silent ones.

--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -39,8 +39,9 @@
 ) -> Backend:
     """Return the first server that passes ``check``, beginning with ``first``.
 
-    While none has answered, another one is checked beside them after each
-    ``NEXT_SERVER_DELAY_S``; ``next_server`` returns one that is not in a list, or None.
+    While none has passed, another one is checked beside them after each
+    ``NEXT_SERVER_DELAY_S``, or as soon as a check fails; ``next_server`` returns one
+    that is not in a list, or None.
     Raises the :class:`CallFailed` of ``first`` if all checks fail. ``on_failed`` is
     called for all other failures.
     """
@@ -58,7 +59,9 @@
                     _report(failed, on_failed)
                     return server
                 failed[server] = failure
-            server = None if done else await next_server(asked)
+            server = None
+            if len(asked) < MAX_ASKED:
+                server = await next_server(asked)
             if server is not None:
                 asked.append(server)
                 checks.add(asyncio.create_task(_outcome(check, server)))
