Keep the refusal limit of a brittle server if an answer does not state it

All answers of a server are read now, reports among them. One without the limit cleared it, so that a brittle server was taken for a sound one until its next refusal.

test_an_answer_without_the_limit_does_not_clear_it failed before.

--- a/packages/node/src/eelgrass_node/process/server_notices.py
+++ b/packages/node/src/eelgrass_node/process/server_notices.py
@@ -63,11 +63,11 @@
         if notice.malformed:
             self._report_malformed(server, notice)
         backend = self._listed(server)
-        if backend is not None:
+        if backend is not None and notice.refusal_limit is not None:
+            # Answers to other calls, such as reports, may not state it.
             backend.refusal_limit = notice.refusal_limit
         if notice.is_leaving and self._mark_leaving(server, "answer"):
             self._announce(GossipItem(GOSSIP_KIND, server.id, server.started))
-
         if notice.rest_s is not None:
             self.begin_rest(server, notice.rest_s, "answer")
 
--- a/packages/node/tests/test_server_notices.py
+++ b/packages/node/tests/test_server_notices.py
@@ -46,6 +46,16 @@
         return [server.entry.id for server in self.backends.usable("desk")]
 
 
+class TestBrittleServers:
+    # Guards against reports of servers, which do not state the limit, that make hosts
+    # forget it.
+    def test_an_answer_without_the_limit_does_not_clear_it(self):
+        node = Node()
+        node.notices.receive(SERVER, ServerNotice(refusal_limit=4))
+        node.notices.receive(SERVER, ServerNotice())
+        assert node.backends.by_id[SERVER.id].refusal_limit == 4
+
+
 class TestDecoding:
     @pytest.mark.parametrize(
         ("status", "headers", "notice"),
