Answer batch items of a service without limits after a refusal

A server that refused a call for lack of memory counts as full by what is left of its configured memory. Without limits that is infinite, and its conversion to a whole number raised OverflowError in the queue: the items of the call were never answered, and their requests waited for their deadlines.

Such a server is not counted as full, as nothing is known of its memory. test_a_server_without_a_known_limit_has_no_memory failed before with the time limit of one second.

--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -255,6 +255,9 @@
         owner, which says nothing about the size of results.
         """
         now = _now()
+        if math.isinf(self._limits().memory_bytes):
+            # No limit is configured, so that nothing is known of its memory.
+            return
         if now - use.used_since > self._limits().result_life_s:
             self._size_factor = min(MAX_SIZE_FACTOR, self._size_factor * SIZE_GROWTH)
         remaining = self._limits().memory_bytes - use.held_bytes(now)
--- a/packages/node/tests/test_batch_queue.py
+++ b/packages/node/tests/test_batch_queue.py
@@ -124,6 +124,20 @@
         full_calls = [at for at, (_, batch) in service.timed_calls if len(batch) > 3]
         assert all(at - began >= LIMITS.result_life_s for at in full_calls[1:])
 
+    # Guards against items that are never answered after a server of a service without
+    # configured limits had no memory.
+    async def test_a_server_without_a_known_limit_has_no_memory(self):
+        async def refuse_first_call(backend, batch):
+            if len(service.calls) > 1:
+                return None
+            return [ItemOutcome(failure=ItemFailure.NO_ROOM)] * len(batch)
+
+        unlimited = msgspec.structs.replace(LIMITS, memory_bytes=float("inf"))
+        service = Service(server("s1"), behave=refuse_first_call, limits=unlimited)
+        async with asyncio.timeout(1.0):
+            outcomes = await service.queue.run(items("r", 2))
+        assert all(outcome.handle for outcome in outcomes)
+
 
 class TestStalls:
     # Guards against a stall of the queue's process that is attributed to a server, so
