--- a/packages/coordination/src/eelgrass_coordination/absent_members.py
+++ b/packages/coordination/src/eelgrass_coordination/absent_members.py
@@ -23,7 +23,7 @@
 ROUNDS_PER_INTERVAL = 5
 PROBES_PER_ROUND = 2
 # Limits the messages of one member after many others have ended at once.
-MAX_PROBES_PER_ROUND = 2
+MAX_PROBES_PER_ROUND = 1
 # Periods for which a member counts as just gone. A planned stop and the start that
 # follows it take some ten seconds.
 RECENT_PERIODS = 60
