--- a/packages/node/src/eelgrass_node/connection/relay_rests.py
+++ b/packages/node/src/eelgrass_node/connection/relay_rests.py
@@ -15,7 +15,7 @@
 
 __all__ = ["RelayRests"]
 
-# A rest that ends this much later than the one before is told, too.
+# Relays are told again if a rest ends later than they know by more than this.
 LONGER_S = 0.1
 
 TellRelay = Callable[[Member, ServerIncarnation, float], Awaitable[None]]
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -21,8 +21,8 @@
 # Size of the value, in bytes, from which a row is sent as a difference; smaller rows
 # fit into a few packets.
 LARGE_ROW_BYTES = 4096
-# Batches of changes of which it is remembered after which time they were acknowledged.
-# Followers of a relay are one or two behind.
+# Recent batches of changes whose acknowledgement times are kept. Followers of a relay
+# are one or two batches behind.
 MAX_BATCHES = 8
 # How many removed rows are remembered for followers that are behind. The number is
 # bounded because servers come and go under new ids for as long as a node runs.
--- a/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
@@ -26,8 +26,8 @@
 
 # The shortest regular interval between two writes that are not full.
 MIN_INTERVAL_S = 0.5
-# After a pause a node writes so often without regard to the interval, unless all nodes
-# together would use more than their part of the store's rate within this time.
+# Writes that a node may make after a pause without waiting for the interval, unless all
+# nodes together would exceed their part of the store's rate within BURST_S.
 MAX_BURST = 4
 BURST_S = 1.0
 # Rows of streams that begin within this time are written together.
