Failing tests: servers that name a request limit (LIMIT)

Three or ten hosts as processes, three servers of each service, 50 requests a second. The check is the users' rule: from 3 s after a server first named its limit, at most 1.5 times what it allows in 4 s and 5 more, of hosts told half a second before.

What passes guards against a limit that outlives its cause: answers that stop naming it, another incarnation, and values that are no number.

--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -75,7 +75,8 @@
     ``at`` is its time on the event loop's clock, ``peer`` the IP address that it came
     from, and ``started`` identifies the server's incarnation. A stage call has the
     request ids of its items. ``leaving`` tells whether the answer said that the server
-    leaves, ``rest_s`` how long a rest the answer asked for, None for none.
+    leaves, ``rest_s`` how long a rest the answer asked for, None for none, and
+    ``limit`` which request limit it named.
     """
 
     at: float
@@ -85,6 +86,7 @@
     request_ids: tuple[str, ...] = ()
     leaving: bool = False
     rest_s: float | None = None
+    limit: str | None = None
 
 
 class EngineStandIn:
@@ -104,8 +106,9 @@
 
     With ``says_leaving`` each answer says that the server leaves. With ``rest_s`` the
     server refuses requests and stage calls until ``rests_until``, a time of the event
-    loop, and asks each caller for a rest of that length. ``arrivals`` records all calls
-    that reached it.
+    loop, and asks each caller for a rest of that length. Each answer names ``limit`` as
+    its request limit, unless that is None. ``arrivals`` records all calls that reached
+    the server.
     """
 
     def __init__(self, server_id: str, address: str, event_s: float = 0.0) -> None:
@@ -131,6 +134,7 @@
         self.says_leaving = False
         self.rest_s: float | None = None
         self.rests_until = math.inf
+        self.limit: str | None = None
         self.arrivals: list[Arrival] = []
         self._last_handle_number = 0
 
@@ -168,6 +172,7 @@
                 request_ids,
                 self.says_leaving,
                 rest_s,
+                self.limit,
             )
         )
         if rest_s is None:
@@ -180,6 +185,8 @@
     ) -> None:
         if self.says_leaving:
             response.headers["Server-Leaving"] = "1"
+        if self.limit is not None:
+            response.headers["Server-Limit"] = self.limit
 
     async def _handle_report(self, request: web.Request) -> web.Response:
         await asyncio.sleep(self.report_delay_s)
--- a/tests/support/notices.py
+++ b/tests/support/notices.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from eelgrass_standins.entry_engines import Arrival, CallKind, EngineStandIn
@@ -41,8 +41,8 @@
     node_program = "support.bound_node"
     node_environment = {"PYTHONPATH": str(Path(__file__).parents[1])}
 
-    def __init__(self, folder, seed: int) -> None:
-        super().__init__(folder, seed, HOSTS, SERVERS)
+    def __init__(self, folder, seed: int, hosts: int = HOSTS) -> None:
+        super().__init__(folder, seed, hosts, SERVERS)
         self.calls: list[Call] = []
         self.control_s: dict[str, float] = {}
 
@@ -52,11 +52,16 @@
         self.engine_proxies[advertised] = proxy
         return advertised
 
-    async def load(self, kind: str, for_s: float) -> list[Call]:
-        """Send calls at a steady rate to all hosts in turn; return them once ended."""
+    async def load(
+        self, kind: str, for_s: float, hosts: Sequence[int] | None = None
+    ) -> list[Call]:
+        """Send calls at a steady rate to hosts in turn; return them once ended.
+
+        All hosts get calls unless ``hosts`` names some by their numbers.
+        """
         loop = asyncio.get_running_loop()
         began, sending = loop.time(), []
-        hosts = itertools.cycle(range(HOSTS))
+        hosts = itertools.cycle(hosts or range(len(self.soak_nodes)))
         for number in range(int(for_s * CALLS_PER_S)):
             await asyncio.sleep(began + number / CALLS_PER_S - loop.time())
             sending.append(asyncio.create_task(self._call_beside(next(hosts), kind)))
