Decode the request limits that servers name; tell all nodes and log them (LIMIT)

The hosts' logs could not tell a header that nobody reads from calls that do not show. Now a line says when a server names a limit, changes it or names none any more, with the answer or the node that said so; a gauge counts the servers, and Answered names the server from which a cached prompt was copied. Nothing keeps to the limit yet.

An answer without the header ends a limit only if its request was sent after the limit was last named to this node: heads of answers may overtake each other. Answers to reports and to calls that free results do not end it, as they may leave it out.

The hook of answers gets one value, a head with path and time of sending; its test checks what it did.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -7,19 +7,20 @@
 
 import asyncio
 import weakref
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from .answer_head import AnswerHead, OnAnswer
 from .sockets import Connector, new_session
 
 if TYPE_CHECKING:
     from .server_connector import ServerLink
 
-__all__ = ["BackendConnections", "OnAnswer", "ServerResting", "has_length"]
+__all__ = ["BackendConnections", "ServerResting", "has_length"]
 
 CONNECT_S = 1.0
 KEEP_ALIVE_S = 15.0
@@ -36,10 +37,6 @@
     """A request is not sent, because its server has asked this node for rest."""
 
 
-# Called with the status and the headers of an answer.
-OnAnswer = Callable[[int, Mapping[str, str]], None]
-
-
 class BackendConnections:
     """Opens and keeps connections to ``address``, an IP address and port.
 
@@ -52,7 +49,7 @@
         self,
         address: str,
         link: "ServerLink | None" = None,
-        on_answer: OnAnswer = lambda status, headers: None,
+        on_answer: OnAnswer = lambda answer: None,
     ) -> None:
         self.address = address
         self._link = link
@@ -227,12 +224,20 @@
         """Return callbacks for each request that is sent and each answer."""
 
         async def sent(session, context, parameters) -> None:
+            context.sent_at = asyncio.get_running_loop().time()
             if context.trace_request_ctx is not None:
                 context.trace_request_ctx()
 
         async def answered(session, context, parameters) -> None:
             response = parameters.response
-            self._on_answer(response.status, response.headers)
+            self._on_answer(
+                AnswerHead(
+                    response.status,
+                    response.headers,
+                    parameters.url.path,
+                    context.sent_at,
+                )
+            )
 
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(sent)
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -1,7 +1,7 @@
 """The links of one node to the servers: their paths, relays and connections."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from eelgrass_coordination import Member, Membership, MemberState
@@ -13,6 +13,7 @@
 from ..process.relay_choice import RelayChoice
 from ..process.server_paths import ServerPaths
 from ..process.stopping import Stopping
+from .answer_head import AnswerHead
 from .backend import BackendConnections
 from .listen_probe import probe_listening
 from .relay_rests import RelayRests, TellRelay
@@ -26,8 +27,8 @@
     """The links of a node: ``paths`` to servers, and the ``server`` for other nodes.
 
     ``backends`` must open the connections to its servers by :meth:`connections_to`.
-    ``on_answer`` is called with the status and the headers of each answer of a server,
-    and ``tell_relay`` tells another node for how long a server rests.
+    ``on_answer`` is called with the head of each answer of a server, and ``tell_relay``
+    tells another node for how long a server rests.
     """
 
     def __init__(
@@ -37,7 +38,7 @@
         membership: Membership,
         stopping: Stopping,
         count: Callable[[str], None],
-        on_answer: Callable[[ServerIncarnation, int, Mapping[str, str]], None],
+        on_answer: Callable[[ServerIncarnation, AnswerHead], None],
         tell_relay: TellRelay,
     ) -> None:
         self._on_answer = on_answer
@@ -95,10 +96,9 @@
         self,
         link: ServerLink,
         server: ServerIncarnation,
-        status: int,
-        headers: Mapping[str, str],
+        answer: AnswerHead,
     ) -> None:
-        self._on_answer(server, status, headers)
+        self._on_answer(server, answer)
         left_s = self._backends.rests.left_s(server)
         if left_s:
             self._relay_rests.tell(link.open_relays(), server, left_s)
--- a/packages/node/src/eelgrass_node/entry_gauges.py
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -51,6 +51,11 @@
         "Quarantined prompt parts; requests with them are tried one at a time.",
         len(parts.held_parts()),
     )
+    yield Gauge(
+        "limited_servers",
+        "Backend servers that name a request limit in their answers.",
+        node.backends.limits.count(),
+    )
     yield Gauge("store_calls", "Calls made to the store.", float(node.store.calls))
     for name, table in (
         ("operator", node.tables.operator),
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -5,13 +5,13 @@
 """
 
 import asyncio
-from collections.abc import Mapping
 from functools import partial
 
 from eelgrass_coordination import GossipItem, Member, Membership, MemberState
 from eelgrass_coordination.ids import Revision
 
 from .boot_clock import unix_ms
+from .connection.answer_head import AnswerHead
 from .connection.batch_calls import BatchCalls
 from .connection.batch_handoff import HandoffClient, HandoffInterface
 from .connection.caller_server import CallerServer
@@ -474,12 +474,10 @@
     def _on_configuration_advanced(self, number: int) -> None:
         self.membership.announce_revision(Revision(number))
 
-    def _on_server_answer(
-        self, server: ServerIncarnation, status: int, headers: Mapping[str, str]
-    ) -> None:
-        notice = decode_notice(status, headers)
+    def _on_server_answer(self, server: ServerIncarnation, answer: AnswerHead) -> None:
+        notice = decode_notice(answer.status, answer.headers, answer.path)
         if notice is not None:
-            self.server_notices.receive(server, notice)
+            self.server_notices.receive(server, notice, answer.sent_at)
 
     def on_server_replaced(self, backend: Backend) -> None:
         """Forget a server after another one has answered at its address."""
--- a/packages/node/src/eelgrass_node/platform/names.py
+++ b/packages/node/src/eelgrass_node/platform/names.py
@@ -15,6 +15,7 @@
     "LAST_EVENT_ID",
     "LEAVING",
     "LENGTH_HINT",
+    "LIMIT",
     "NOT_EXECUTED",
     "ORIGINS_TABLE",
     "PROMPT_PREFIX",
@@ -52,6 +53,8 @@
 # "1" in all answers of a server that leaves.
 LEAVING = "Server-Leaving"
 LENGTH_HINT = "Eelgrassward-Length-Hint"
+# How many requests a second a server takes from all hosts together.
+LIMIT = "Server-Limit"
 NOT_EXECUTED = "Eelgrassward-Not-Executed"
 PROMPT_PREFIX = "Eelgrassward-Prompt-Prefix"
 REQUEST_PRIORITY = "Eelgrassward-Request-Priority"
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -7,9 +7,10 @@
 from eelgrass_coordination.ids import BackendId, DataCentre, SoftwareVersion
 
 from ..connection.backend import BackendConnections
-from ..log import Part, log
+from .cold_state import MAX_WARM_UP_S, ColdState
 from .host_entry import BackendState, HostEntry, ServerIncarnation
 from .leaving_servers import LeavingServers
+from .request_limits import NamedLimits
 from .server_rests import ServerRests
 
 __all__ = [
@@ -39,9 +40,6 @@
 # Single successes do not reset it: a server that fails part of its calls succeeds in
 # between.
 FAILURE_RESET_S = 10.0
-# A longer reported warm-up time is taken for an error: it would keep a warm server out
-# of normal use.
-MAX_WARM_UP_S = 60.0
 # A load that the server reported takes precedence over this node's own counts for this
 # long. A typical request takes about half of it.
 REPORTED_LOAD_MAX_AGE_S = 1.5
@@ -87,7 +85,7 @@
         self._failures = 0
         self.call_s = MovingAverage(0.0)
         self._called_at = 0.0
-        self._reported_cold_until = self._assumed_cold_until = float("-inf")
+        self._cold = ColdState()
         self._reported_load: tuple[int, int] = (0, 0)
         self._reported_at = float("-inf")
         self._in_flight_at_report = 0
@@ -95,25 +93,15 @@
     def apply_entry(self, entry: HostEntry) -> None:
         """Apply a new version of the server's entry."""
         self.entry = entry
-        if entry.warm_up_s > MAX_WARM_UP_S:
-            log(
-                Part.HOSTS,
-                "A server reports too long a warm-up time; the maximum is used.",
-                backend=entry.id,
-                warm_up_s=entry.warm_up_s,
-            )
-        self._reported_cold_until = float("-inf")
-        if entry.warm_up_s > 0:
-            now = asyncio.get_running_loop().time()
-            self._reported_cold_until = now + min(entry.warm_up_s, MAX_WARM_UP_S)
+        self._cold.apply_entry(entry)
 
     def mark_cold(self, for_s: float) -> None:
         """Treat the server as cold for ``for_s`` seconds, whatever its entry says."""
-        self._assumed_cold_until = asyncio.get_running_loop().time() + for_s
+        self._cold.assume(for_s)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server can take only few new requests per second."""
-        return now < max(self._reported_cold_until, self._assumed_cold_until)
+        return self._cold.is_cold(now)
 
     def is_in(self, regions: frozenset[str] | None) -> bool:
         """Return whether the server is in one of ``regions``; None stands for all."""
@@ -246,6 +234,7 @@
         self._by_address: dict[str, Backend] = {}
         self._leaving = LeavingServers(drain_s)
         self.rests = ServerRests()
+        self.limits = NamedLimits()
         # Whether a data centre is evacuated.
         self.is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False
         self._live_nodes = 1
@@ -374,6 +363,7 @@
                 backend.connections.abort()
             else:
                 self.rests.forget(entry.incarnation)
+                self.limits.forget(entry.incarnation)
             backend = None
         is_new = backend is None
         if backend is None:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/process/request_limits/__init__.py
@@ -0,0 +1,5 @@
+"""Keeps to the request limits that servers name, over all nodes together."""
+
+from .named_limits import NamedLimit, NamedLimits
+
+__all__ = ["NamedLimit", "NamedLimits"]
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from eelgrass_coordination import deadline_timeout, running_time
+from eelgrass_coordination.ids import BackendId
 
 from ..exceptions import (
     CallerGone,
@@ -86,6 +87,7 @@
         self._step = Step.ADMISSION
         self._staged_at = self._staged_running_s = 0.0
         self._headed_at = 0.0
+        self._copied_from: BackendId | None = None
         self._release_timer: asyncio.TimerHandle | None = None
         self._last_reply: Reply | None = None
         self._events = EventSplitter(routed.incoming.last_event_id)
@@ -260,6 +262,7 @@
         source = self._context.copy_source(
             backend, prompt.prefix_key(), prompt.shared_tokens()
         )
+        self._copied_from = None if source is None else source.entry.id
         return None if source is None else source.entry.address
 
     def _on_sent(self) -> None:
@@ -365,6 +368,7 @@
             version=backend.entry.version,
             status=head.status,
             load=head.load,
+            copied_from=self._copied_from,
             staged_s=round(self._staged_at - arrived_at, 3),
             headed_s=round(self._headed_at - arrived_at, 3),
         )
--- a/packages/node/tests/test_server_notices.py
+++ b/packages/node/tests/test_server_notices.py
@@ -103,8 +103,8 @@
         server, address = await listen(serve)
         connections = BackendConnections(
             address,
-            on_answer=lambda status, headers: seen.append(
-                (status, headers["server-leaving"])
+            on_answer=lambda answer: seen.append(
+                (answer.status, answer.headers["server-leaving"])
             ),
         )
         async with connections.request("GET", "/", CIMultiDict(), b"", 1.0, reuse):
