--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -20,7 +20,13 @@
 if TYPE_CHECKING:
     from .server_connector import ServerLink
 
-__all__ = ["BackendConnections", "ServerResting", "has_length"]
+__all__ = [
+    "BackendConnections",
+    "RequestWithheld",
+    "ServerLimited",
+    "ServerResting",
+    "has_length",
+]
 
 CONNECT_S = 1.0
 KEEP_ALIVE_S = 15.0
@@ -33,8 +39,16 @@
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
-class ServerResting(aiohttp.ClientConnectionError):
-    """A request is not sent, because its server has asked this node for rest."""
+class RequestWithheld(aiohttp.ClientConnectionError):
+    """A request is not sent, because its server wants none from this node now."""
+
+
+class ServerResting(RequestWithheld):
+    """The server has asked this node for rest."""
+
+
+class ServerLimited(RequestWithheld):
+    """The server names a request limit, and this node has no permit."""
 
 
 class BackendConnections:
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -13,7 +13,7 @@
 from ..exceptions import BatchAnswerMalformed
 from ..process.backends import Backend
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
-from .backend import ServerResting, has_length
+from .backend import RequestWithheld, has_length
 
 __all__ = ["BatchCalls", "BatchCodec"]
 
@@ -88,7 +88,7 @@
             return _all_failed(items, ItemFailure.TIMED_OUT)
         except aiohttp.ClientConnectorError:
             return _all_failed(items, ItemFailure.CONNECT_FAILED)
-        except ServerResting:
+        except RequestWithheld:
             return _all_failed(items, ItemFailure.RESTING)
         except (ValueError, BatchAnswerMalformed):
             return _all_failed(items, ItemFailure.UNREACHABLE)
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -15,7 +15,7 @@
 
 from ..exceptions import RelayUnavailable
 from ..process.server_paths import Path, ServerPaths
-from .backend import ServerResting
+from .backend import ServerLimited, ServerResting
 from .races import first_success
 from .relays import RelayClient
 from .sockets import Connector
@@ -26,11 +26,17 @@
 RELAY_DELAY_S = 0.06
 
 
+async def always_permitted() -> bool:
+    """Permit a request to a server without a limit."""
+    return True
+
+
 class ServerLink:
     """How connections to a server at ``address`` in ``data_centre`` are opened.
 
     ``relayed`` holds the connections that pass through another node, with that node's
-    record. ``is_resting`` returns whether the server has asked this node for rest.
+    record. ``is_resting`` returns whether the server has asked this node for rest, and
+    ``take_permit`` whether it may get one more request now.
     """
 
     def __init__(
@@ -40,12 +46,14 @@
         address: str,
         data_centre: str,
         is_resting: Callable[[], bool],
+        take_permit: Callable[[], Awaitable[bool]] = always_permitted,
     ) -> None:
         self.paths = paths
         self.relays = relays
         self.address = address
         self.data_centre = data_centre
         self.is_resting = is_resting
+        self.take_permit = take_permit
         self.relayed: weakref.WeakKeyDictionary[ResponseHandler, Member] = (
             weakref.WeakKeyDictionary()
         )
@@ -76,15 +84,21 @@
         traces: list[aiohttp.tracing.Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> aiohttp.connector.Connection:
-        """Get a connection; raises :class:`ServerResting` if nothing may be sent.
+        """Get a connection; raises :class:`RequestWithheld` if nothing may be sent.
 
         The library sends the request as soon as it has the connection. The server may
-        have asked for rest since it was chosen.
+        have asked for rest since it was chosen, or have named a limit. Calls of all
+        kinds pass here.
         """
         connection = await super().connect(req, traces, timeout)
-        if self._link.is_resting():
+        try:
+            if self._link.is_resting():
+                raise ServerResting(f"{self._link.address} has asked for rest")
+            if not await self._link.take_permit():
+                raise ServerLimited(f"no permit for {self._link.address}")
+        except BaseException:
             connection.release()
-            raise ServerResting(f"{self._link.address} has asked for rest")
+            raise
         return connection
 
     def abort_direct(self) -> None:
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -1,7 +1,7 @@
 """The links of one node to the servers: their paths, relays and connections."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 
 from eelgrass_coordination import Member, Membership, MemberState
@@ -28,7 +28,8 @@
 
     ``backends`` must open the connections to its servers by :meth:`connections_to`.
     ``on_answer`` is called with the head of each answer of a server, and ``tell_relay``
-    tells another node for how long a server rests.
+    tells another node for how long a server rests. ``take_permit`` returns whether one
+    more request may be sent to a server now.
     """
 
     def __init__(
@@ -40,8 +41,10 @@
         count: Callable[[str], None],
         on_answer: Callable[[ServerIncarnation, AnswerHead], None],
         tell_relay: TellRelay,
+        take_permit: Callable[[ServerIncarnation], Awaitable[bool]],
     ) -> None:
         self._on_answer = on_answer
+        self._take_permit = take_permit
         self._relay_rests = RelayRests(tell_relay)
         clock = asyncio.get_running_loop().time
         self._backends = backends
@@ -75,6 +78,7 @@
             entry.address,
             entry.data_centre,
             lambda: rests.left_s(server) > 0,
+            partial(self._take_permit, server),
         )
         on_answer = partial(self._receive, link, server)
         return BackendConnections(entry.address, link, on_answer)
--- a/packages/node/src/eelgrass_node/entry_applications.py
+++ b/packages/node/src/eelgrass_node/entry_applications.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from .connection.batch_handoff import HandoffInterface
+from .connection.limit_calls import LimitInterface
 from .connection.loan_calls import LoanInterface
 from .connection.peer_state import PeerStateInterface
 from .connection.rest_calls import RestInterface
@@ -33,6 +34,7 @@
     handoff.add_routes(app)
     PeerStateInterface(partial(peer_state, node)).add_routes(app)
     TableFeedInterface(node.tables.relay).add_routes(app)
+    LimitInterface(node.request_limits.permits).add_routes(app)
     WarmUpInterface(node.warm_up.permits).add_routes(app)
     LoanInterface(node.retry_budgets).add_routes(app)
     RestInterface(node.server_notices).add_routes(app)
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -15,6 +15,7 @@
 from .connection.batch_calls import BatchCalls
 from .connection.batch_handoff import HandoffClient, HandoffInterface
 from .connection.caller_server import CallerServer
+from .connection.limit_calls import LimitClient
 from .connection.listeners import Listeners
 from .connection.loan_calls import LoanClient
 from .connection.peer_calls import PeerCalls
@@ -54,6 +55,7 @@
 from .process.loop_load import LoopLoad
 from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
+from .process.permit_owners import PermitOwners
 from .process.platform_tables import PlatformTables, TableNames
 from .process.poison_parts import TrialAdmission
 from .process.poison_requests import PoisonRequests
@@ -61,6 +63,8 @@
 from .process.queue_owners import QueueOwners
 from .process.reachability import DataCentreReachability
 from .process.reachability_checks import ReachabilityChecks
+from .process.request_admission import RequestAdmission
+from .process.request_limits import RequestLimits
 from .process.retry_budget import RetryBudgets
 from .process.retry_loans import RetryLoans
 from .process.server_choice import ServerChoice
@@ -163,6 +167,7 @@
             self.counters.count,
             self._on_server_answer,
             RestClient(self.peer_calls).tell,
+            lambda server: self.request_limits.admission.take(server),
         )
         self.server_notices = ServerNotices(
             self.backends,
@@ -217,6 +222,21 @@
             loop.time,
             self.counters.count,
         )
+        self.request_limits = RequestLimits(
+            PermitOwners(
+                lambda: self.membership.own,
+                lambda: list(self.membership.members.by_id.values()),
+                self.join_state,
+                lambda: self.membership.members.changes,
+            ),
+            self.backends.limits,
+            LimitClient(self.peer_calls).ask,
+            loop.time,
+            self.counters.count,
+        )
+        self.request_admission = RequestAdmission(
+            self.warm_up.admission, self.request_limits.admission
+        )
         self.local_queues = LocalQueues(
             self.backends,
             lambda: self.deployments.current,
--- a/packages/node/src/eelgrass_node/entry_serving.py
+++ b/packages/node/src/eelgrass_node/entry_serving.py
@@ -26,7 +26,7 @@
         no_server_refusal=node.server_choice.refusal,
         unavailable=node.server_choice.unavailable,
         is_allowed=node.server_choice.is_allowed,
-        admit=node.warm_up.admission.admit,
+        admit=node.request_admission.admit,
         copy_source=node.server_choice.copy_source,
         data_centre_of=node.local_queues.data_centre_of,
         has_ended=node.backends.has_ended,
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -1,7 +1,7 @@
 """The exceptions that the node raises; every message names a remedy."""
 
 from .process.batch_items import ItemFailure
-from .process.crash_detector import Listening
+from .process.listening import Listening
 from .request.reasons import Outcome, RefusalReason, RetryReason, refusal_kind
 
 __all__ = [
@@ -19,6 +19,7 @@
     "RequestQuarantined",
     "RequestRefused",
     "ServerEntryMalformed",
+    "ServersLimited",
     "ServersResting",
     "SettingsError",
     "StagesFailed",
@@ -224,6 +225,20 @@
         self.retry_after_s = retry_after_s
 
 
+class ServersLimited(RequestRefused):
+    """All servers that a request could go to have reached their request limits.
+
+    The next request may be sent after ``wait_s`` seconds.
+    """
+
+    def __init__(self, wait_s: float, retry_after_s: float) -> None:
+        super().__init__(
+            "the servers of the service have reached their request limits",
+            retry_after_s,
+        )
+        self.wait_s = wait_s
+
+
 class ServersResting(RequestRefused):
     """All servers that a request could go to have asked this node for rest."""
 
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -1,6 +1,7 @@
 """The backend servers that this node knows, and the state it keeps for each."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from eelgrass_coordination import MovingAverage, share_of_limit
@@ -57,9 +58,13 @@
     """
 
     def __init__(
-        self, entry: HostEntry, connections: BackendConnections | None = None
+        self,
+        entry: HostEntry,
+        connections: BackendConnections | None = None,
+        limits: NamedLimits | None = None,
     ) -> None:
         self.entry = entry
+        self._limits = NamedLimits() if limits is None else limits
         self.connections = connections or BackendConnections(entry.address)
         self.in_flight = 0
         # When the server was first listed. Servers in the first list that the node
@@ -103,6 +108,15 @@
         """Return whether the server can take only few new requests per second."""
         return self._cold.is_cold(now)
 
+    def permit_wait_s(self) -> float:
+        """Return after how many seconds there may be a permit for a request."""
+        return self._limits.wait_s(self.entry.incarnation)
+
+    def permits_per_s(self) -> float:
+        """Return how many permits are issued per second; infinite if none is needed."""
+        rate = self._limits.permit_rate(self.entry.incarnation)
+        return math.inf if rate is None else rate.per_s
+
     def is_in(self, regions: frozenset[str] | None) -> bool:
         """Return whether the server is in one of ``regions``; None stands for all."""
         return regions is None or self.entry.region in regions
@@ -275,9 +289,22 @@
         return self._leaving.is_leaving(backend.entry)
 
     def usable(self, service: str) -> list[Backend]:
-        """Return the servers of a service that may get new work."""
+        """Return the servers of a service that may get new work now."""
+        return [b for b in self.accepting(service) if not b.permit_wait_s()]
+
+    def accepting(self, service: str) -> list[Backend]:
+        """Return those that may get new work now, or once there is a permit for it."""
         return [b for b in self._accepting(service) if not self.is_resting(b)]
 
+    def deferred(self, service: str) -> list[Backend]:
+        """Return the servers of a service that may get new work after some time."""
+        return [b for b in self._accepting(service) if self.wait_s(b) > 0]
+
+    def wait_s(self, backend: Backend) -> float:
+        """Return after how many seconds a server may get a request of this node."""
+        rest_s = self.rests.left_s(backend.entry.incarnation)
+        return max(rest_s, backend.permit_wait_s())
+
     def resting(self, service: str) -> list[Backend]:
         """Return the servers of a service that may get new work after a rest."""
         return [b for b in self._accepting(service) if self.is_resting(b)]
@@ -368,7 +395,7 @@
         is_new = backend is None
         if backend is None:
             connections = self._connections_to and self._connections_to(entry)
-            backend = Backend(entry, connections)
+            backend = Backend(entry, connections, self.limits)
             backend.window = float(share_of_limit(entry.limit, self._live_nodes))
             if not is_first:
                 backend.first_listed_at = asyncio.get_running_loop().time()
--- a/packages/node/src/eelgrass_node/process/batch_items.py
+++ b/packages/node/src/eelgrass_node/process/batch_items.py
@@ -6,8 +6,8 @@
 
 from eelgrass_coordination.ids import NodeId
 
-from .backends import ServerIncarnation
 from .crash_subjects import Fingerprint
+from .host_entry import ServerIncarnation
 
 __all__ = [
     "NOT_CONNECTED_FAILURES",
@@ -24,7 +24,8 @@
     ``CONNECT_TIMED_OUT`` and ``CONNECT_FAILED`` mean that no connection to the server
     was established, ``UNREACHABLE`` that the call did not reach it, ``TIMED_OUT`` that
     no answer came in time, ``LOST`` that the connection broke during the call,
-    ``RESTING`` that it was not sent because the server has asked for rest,
+    ``RESTING`` that it was not sent because the server has asked for rest, or has
+    reached its request limit,
     ``FAILED`` that the server reported an error, and ``NO_ROOM`` that it had no memory
     for the result. ``OVERLOADED`` is a refusal by the queue, ``LATE`` an item
     that could not finish before its deadline, and ``INPUT_GONE`` one whose inputs are
--- a/packages/node/src/eelgrass_node/process/crash_detector.py
+++ b/packages/node/src/eelgrass_node/process/crash_detector.py
@@ -7,13 +7,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from enum import Enum
 
 import msgspec
 
 from ..log import Part, log
 from .backends import Backend, Backends, ServerIncarnation
 from .crash_subjects import Fingerprint, PartCrash, PartKey
+from .listening import Listening
 
 __all__ = ["CrashDetector", "Fingerprint", "Listening"]
 
@@ -29,14 +29,6 @@
 MAX_REMEMBERED = 1024
 
 
-class Listening(Enum):
-    """Whether anything listens at an address."""
-
-    YES = "yes"
-    NO = "no"
-    UNKNOWN = "unknown"
-
-
 class _LostRequest(msgspec.Struct, frozen=True):
     """A request that lost its server, and the shared parts of its prompt."""
 
--- a/packages/node/src/eelgrass_node/process/local_queues.py
+++ b/packages/node/src/eelgrass_node/process/local_queues.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..version.deployment import BatchLimits, Deployment, ServiceName
-from .backends import Backend, Backends
+from .backends import Backend, Backends, ServerIncarnation
 from .batch_items import BatchItem, ItemFailure, ItemOutcome
 from .batch_queue import BatchQueue, RunCall
 from .brittle_servers import BrittleServers
@@ -28,6 +28,11 @@
     result_life_s=1.0,
 )
 
+# Calls that free results use up permits of a limited server. They are made together,
+# so that most of the permits are left for work.
+FREE_INTERVAL_S = 1.0
+PERMITS_PER_FREE = 4
+
 FreeCall = Callable[[Backend, list[str]], Awaitable[bool]]
 
 
@@ -67,6 +72,7 @@
         self._is_rate_limited = is_rate_limited
         self._brittle_servers = brittle_servers
         self._tasks: set[asyncio.Task] = set()
+        self._unfreed: dict[ServerIncarnation, list[str]] = {}
         self.by_service: dict[ServiceName, BatchQueue] = {}
 
     async def run(
@@ -107,7 +113,7 @@
                 continue
             # Nothing is sent to an evacuated data centre; its results expire.
             if not self._backends.is_evacuated(backend.entry.data_centre):
-                self._free_after_rest(service, backend, held)
+                self._free_when_wanted(service, backend, held)
 
     def result_life_s(self, service: ServiceName) -> float:
         """Return the seconds after which a result that is not freed expires."""
@@ -149,7 +155,7 @@
         """Return the servers of a service in some regions that may get items."""
         return [
             server
-            for server in self._backends.usable(service)
+            for server in self._backends.accepting(service)
             if server.is_in(regions)
             and not self._is_rate_limited(server)
             and self._brittle_servers.accepts(server)
@@ -172,20 +178,44 @@
             failure=ItemFailure.OVERLOADED, retry_after_s=left_s, is_resting=True
         )
 
-    def _free_after_rest(
+    def _free_when_wanted(
+        self, service: ServiceName, backend: Backend, handles: list[str]
+    ) -> None:
+        """Free results once their server wants calls, unless they expire before.
+
+        Those of a limited server are freed together.
+        """
+        server = backend.entry.incarnation
+        if not self._backends.limits.is_limited(server):
+            self._free_after_wait(service, backend, handles)
+        elif server in self._unfreed:
+            self._unfreed[server] += handles
+        else:
+            self._unfreed[server] = list(handles)
+            permits_s = PERMITS_PER_FREE / backend.permits_per_s()
+            delay_s = min(
+                max(FREE_INTERVAL_S, permits_s), self.result_life_s(service) / 2
+            )
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._free_together, service, backend)
+
+    def _free_together(self, service: ServiceName, backend: Backend) -> None:
+        handles = self._unfreed.pop(backend.entry.incarnation)
+        self._free_after_wait(service, backend, handles)
+
+    def _free_after_wait(
         self, service: ServiceName, backend: Backend, handles: list[str]
     ) -> None:
-        """Free results once their server wants calls, unless they expire before."""
-        rest_s = self._backends.rests.left_s(backend.entry.incarnation)
+        wait_s = self._backends.wait_s(backend)
         if self._backends.by_id.get(backend.entry.id) is not backend:
             return
-        if not rest_s:
+        if not wait_s:
             task = asyncio.create_task(self._free(service, backend, handles))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        elif rest_s < self.result_life_s(service):
+        elif wait_s < self.result_life_s(service):
             loop = asyncio.get_running_loop()
-            loop.call_later(rest_s, self._free_after_rest, service, backend, handles)
+            loop.call_later(wait_s, self._free_after_wait, service, backend, handles)
 
     async def _call(
         self, backend: Backend, items: list[BatchItem], timeout_s: float
--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -120,15 +120,22 @@
         servers = self.healthy()
         if not servers:
             return math.inf
-        batch = self._limits().batch
-        free_at = min(self.use(server).free_at for server in servers)
-        rounds = ahead / (batch * self.slots())
-        return max(0.0, free_at - now) + rounds * self.call_s(batch)
+        limits = self._limits()
+        calls_per_s = sum(
+            min(limits.slots / self.call_s(limits.batch), server.permits_per_s())
+            for server in servers
+        )
+        first_s = min(self._free_in_s(server, now) for server in servers)
+        return first_s + ahead / (limits.batch * calls_per_s)
 
     def idle(self, now: float) -> list[Backend]:
         """Return the idle servers, fastest first."""
         slots = self._limits().slots
-        idle = [s for s in self.healthy() if self.use(s).calls < slots]
+        idle = [
+            server
+            for server in self.healthy()
+            if self.use(server).calls < slots and not server.permit_wait_s()
+        ]
         return sorted(idle, key=lambda server: self.use(server).slowness(now))
 
     def wait_at(self, data_centre: str, size: float, now: float) -> float:
@@ -144,10 +151,14 @@
 
     def _wait_for(self, server: Backend, size: float, now: float) -> float:
         use = self.use(server)
-        if use.calls >= self._limits().slots:
-            return max(0.0, use.free_at - now)
+        if use.calls >= self._limits().slots or server.permit_wait_s():
+            return self._free_in_s(server, now)
         return 0.0 if self.free_bytes(server, now) >= size else math.inf
 
+    def _free_in_s(self, server: Backend, now: float) -> float:
+        """Return the seconds until a server is free and may get a call."""
+        return max(0.0, self.use(server).free_at - now, server.permit_wait_s())
+
     def inputs_unavailable(self, item: BatchItem) -> bool:
         """Return whether inputs of an item are lost, or probably unreachable."""
         if any(self._has_ended(producer) for producer in item.producers):
--- a/packages/node/src/eelgrass_node/process/request_limits/named_limits.py
+++ b/packages/node/src/eelgrass_node/process/request_limits/named_limits.py
@@ -13,6 +13,7 @@
 from ...boot_clock import unix_ms as boot_unix_ms
 from ...log import Part, log
 from ..host_entry import ServerIncarnation
+from .rates import PermitRate, permit_rate
 
 __all__ = ["NamedLimit", "NamedLimits"]
 
@@ -24,6 +25,12 @@
 # A limit is raised once within this time at most, so that one that varies with every
 # answer does not keep all nodes busy. It is lowered at once.
 RAISE_INTERVAL_S = 1.0
+# After the end of a limit the rate begins at this many requests per second, and doubles
+# in each interval. The next answers may name a limit again, and there are few of them
+# until then.
+RAMP_FROM_PER_S = 2.0
+RAMP_DOUBLING_S = 0.2
+RAMP_S = 1.2
 
 
 class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
@@ -40,11 +47,13 @@
     """A limit, and when this node learnt of it, in seconds of the event loop.
 
     Answers to requests that were sent before ``confirmed_at`` may be older than it.
+    There is no permit for this node before ``next_permit_at``.
     """
 
     limit: NamedLimit
     changed_at: float
     confirmed_at: float
+    next_permit_at: float = float("-inf")
 
 
 class NamedLimits:
@@ -62,6 +71,35 @@
         known = self._known_by_incarnation.get(server)
         return None if known is None else known.limit
 
+    def permit_rate(self, server: ServerIncarnation) -> PermitRate | None:
+        """Return how many permits are issued for a server; None if it needs none."""
+        known = self._known_by_incarnation.get(server)
+        if known is None:
+            return None
+        if known.limit.per_s is not None:
+            return permit_rate(known.limit.per_s)
+        age_s = _now() - known.changed_at
+        if age_s >= RAMP_S:
+            return None
+        return PermitRate(RAMP_FROM_PER_S * 2 ** (age_s / RAMP_DOUBLING_S))
+
+    def is_limited(self, server: ServerIncarnation) -> bool:
+        """Return whether requests to a server need permits."""
+        return self.permit_rate(server) is not None
+
+    def defer(self, server: ServerIncarnation, for_s: float) -> None:
+        """Record that there is no permit for this node for some seconds."""
+        known = self._known_by_incarnation.get(server)
+        if known is not None:
+            known.next_permit_at = _now() + for_s
+
+    def wait_s(self, server: ServerIncarnation) -> float:
+        """Return after how many seconds a server may get a request of this node."""
+        known = self._known_by_incarnation.get(server)
+        if known is None or not self.is_limited(server):
+            return 0.0
+        return max(0.0, known.next_permit_at - _now())
+
     def count(self) -> int:
         """Return how many servers name a limit."""
         known = self._known_by_incarnation.values()
--- a/packages/node/src/eelgrass_node/process/server_choice.py
+++ b/packages/node/src/eelgrass_node/process/server_choice.py
@@ -7,10 +7,11 @@
 
 from eelgrass_coordination.ids import DataCentre, SoftwareVersion
 
-from ..exceptions import RequestRefused, ServersResting
+from ..exceptions import RequestRefused, ServersLimited, ServersResting
 from ..version.deployment import Deployment, ServiceName
 from .backends import Backend, Backends, ServerIncarnation
 from .brittle_servers import BrittleServers
+from .overload import Overload
 from .placement import copy_source, place_plain, place_prompt
 from .reachability import DataCentreReachability
 
@@ -67,6 +68,8 @@
         self._data_centre = data_centre
         self._reachability = reachability
         self._deployment = deployment
+        # Overloads of services whose servers have reached their request limits.
+        self._overload_by_service: dict[ServiceName, Overload] = {}
 
     def choose(self, criteria: ServerCriteria) -> Backend | None:
         """Return a server, or None if there is none that the request may go to now."""
@@ -96,10 +99,9 @@
         """Return a refusal if the service has no server that can be reached."""
         allowed = self._allowed(criteria)
         if all(server.is_unreachable for server in allowed):
-            resting = self._resting(criteria)
-            if resting:
-                left_s = self._backends.rests.least_left_s(s.entry for s in resting)
-                return ServersResting(left_s)
+            deferred = self._deferred(criteria)
+            if deferred:
+                return self._deferred_refusal(criteria, deferred)
         if not allowed:
             reason = "the service has no usable server"
             if criteria.version is not None:
@@ -119,6 +121,9 @@
 
     def is_allowed(self, criteria: ServerCriteria, server: Backend) -> bool:
         """Return whether a server that was chosen before still may be used."""
+        if server.permit_wait_s():
+            accepting = self._backends.accepting(criteria.service)
+            return server in accepting and criteria.allows(server)
         return server in self._allowed(criteria)
 
     def _allowed(self, criteria: ServerCriteria) -> list[Backend]:
@@ -130,10 +135,22 @@
         leaving = self._backends.beginning_to_leave(criteria.service)
         return [server for server in leaving if criteria.allows(server)]
 
-    def _resting(self, criteria: ServerCriteria) -> list[Backend]:
-        """Return the servers that could get the request after their rest."""
-        resting = self._backends.resting(criteria.service)
-        return [s for s in resting if criteria.allows(s) and not s.is_unreachable]
+    def _deferred(self, criteria: ServerCriteria) -> list[Backend]:
+        """Return the servers that could get the request after some time."""
+        deferred = self._backends.deferred(criteria.service)
+        return [s for s in deferred if criteria.allows(s) and not s.is_unreachable]
+
+    def _deferred_refusal(
+        self, criteria: ServerCriteria, deferred: list[Backend]
+    ) -> RequestRefused:
+        wait_s = min(self._backends.wait_s(server) for server in deferred)
+        if all(self._backends.is_resting(server) for server in deferred):
+            return ServersResting(wait_s)
+        overload = self._overload_by_service.setdefault(criteria.service, Overload())
+        now = asyncio.get_running_loop().time()
+        overload.record_refusal(now)
+        after_s = max(MIN_RETRY_S, wait_s, overload.duration_s(now))
+        return ServersLimited(wait_s, after_s)
 
     def copy_source(
         self, chosen: Backend, prefix_key: str | None, shared_tokens: int
@@ -160,4 +177,7 @@
             return None
         if self._reachability.is_suspected(source.entry.data_centre):
             return None
+        if self._backends.limits.is_limited(source.entry.incarnation):
+            # It may count a copy as a request.
+            return None
         return source
--- a/packages/node/src/eelgrass_node/process/warm_up/__init__.py
+++ b/packages/node/src/eelgrass_node/process/warm_up/__init__.py
@@ -4,9 +4,10 @@
 under many more. The limit applies to all nodes together.
 """
 
+from ..rate_limiter import RateLimiter
 from .admission import WarmUpAdmission
 from .permits import Permit, WarmUpPermits
-from .rate_limit import RateLimiter, WarmUpBounds, WarmUpRates, permitted_per_s
+from .rate_limit import WarmUpBounds, WarmUpRates, permitted_per_s
 from .warm_up import WarmUp
 
 __all__ = [
--- a/packages/node/src/eelgrass_node/process/warm_up/permits.py
+++ b/packages/node/src/eelgrass_node/process/warm_up/permits.py
@@ -1,10 +1,5 @@
 """Permits for requests to cold servers, issued by one node for each server.
 
-With 65 nodes, each sees a few requests per second, and a cold engine can take nine per
-second over all of them. An equal share for each node would be less than one request in
-three seconds, and a request cannot be divided. One node, selected by hashing over the
-members, therefore counts for all.
-
 Unreachable members keep their place in the hash, because a partition must not create
 owners on both of its sides. The servers that they own get no requests until they are
 warm, a few seconds later.
@@ -14,14 +9,16 @@
 
 import msgspec
 
-from eelgrass_coordination import Member, MemberState, ranked
+from eelgrass_coordination import Member
 from eelgrass_coordination.ids import NodeId
 
-from ..backends import ServerIncarnation
+from ..host_entry import ServerIncarnation
 from ..joined import JoinState
-from .rate_limit import RateLimiter, WarmUpRates
+from ..permit_owners import PermitOwners
+from ..rate_limiter import RateLimiter
+from .rate_limit import WarmUpRates
 
-__all__ = ["Permit", "WarmUpPermits", "owner_of"]
+__all__ = ["Permit", "WarmUpPermits"]
 
 # When to request a permit again if the time of the next one is unknown.
 RETRY_AFTER_S = 0.5
@@ -36,15 +33,6 @@
     after_s: float = 0.0
 
 
-def owner_of(
-    incarnation: ServerIncarnation, own: Member, members: Sequence[Member]
-) -> Member:
-    """Return the node that issues the permits of a server."""
-    staying = [m for m in members if m.state is not MemberState.LEFT]
-    key = f"warm-up/{incarnation.id}"
-    return ranked([*staying, own], key, name=lambda member: member.id)[0]
-
-
 class WarmUpPermits:
     """The permits that one node issues for the servers that it owns.
 
@@ -62,35 +50,30 @@
         rates: WarmUpRates,
         clock: Callable[[], float],
     ) -> None:
-        self._own = own
-        self._members = members
-        self._join_state = join_state
+        self._owners = PermitOwners(own, members, join_state)
         self._rates = rates
         self._clock = clock
         self._limiter_by_incarnation: dict[ServerIncarnation, RateLimiter] = {}
 
     def owner(self, incarnation: ServerIncarnation) -> Member:
         """Return the node that issues the permits of a server."""
-        return owner_of(incarnation, self._own(), self._members())
+        return self._owners.first(incarnation)
 
     def is_own(self, node: NodeId) -> bool:
         """Return whether a node is this one."""
-        return node == self._own().id
+        return self._owners.is_own(node)
 
     def issue(self, incarnation: ServerIncarnation, service: str) -> Permit:
         """Return a permit for one request to a cold server, granted or refused."""
         now = self._clock()
         per_s = self._rates.permitted_per_s(service)
-        if per_s <= 0 or not self._has_joined():
+        if per_s <= 0 or not self._owners.has_joined():
             return Permit(False, RETRY_AFTER_S)
         if not self.is_own(self.owner(incarnation).id):
             return Permit(False, RETRY_AFTER_S)
         after_s = self._limiter(incarnation, per_s, now).acquire(now)
         return Permit(after_s == 0.0, after_s)
 
-    def _has_joined(self) -> bool:
-        return self._join_state.is_settled() and not self._join_state.is_isolated()
-
     def _limiter(
         self, incarnation: ServerIncarnation, per_s: float, now: float
     ) -> RateLimiter:
--- a/packages/node/src/eelgrass_node/process/warm_up/rate_limit.py
+++ b/packages/node/src/eelgrass_node/process/warm_up/rate_limit.py
@@ -1,19 +1,15 @@
-"""Rate limits of requests to cold servers."""
+"""The rates of requests to cold servers."""
 
 from collections.abc import Callable
 
 import msgspec
 
 from ...version.deployment import Deployment, ServiceName
+from .. import rate_limiter
 
-__all__ = ["RateLimiter", "WarmUpBounds", "WarmUpRates", "permitted_per_s"]
+__all__ = ["WarmUpBounds", "WarmUpRates", "permitted_per_s"]
 
-# Nodes may disagree for a moment on which node issues the permits of a server: after a
-# partition, or while a node joins or leaves.
-MAX_CONCURRENT_OWNERS = 2
-# Requests that are sent within this many seconds may arrive within one: the first ones
-# on new connections, the last ones on reused connections.
-ARRIVAL_SPREAD_S = 1.35
+WINDOW_S = 1.0
 
 
 class WarmUpBounds(msgspec.Struct, frozen=True):
@@ -34,10 +30,10 @@
 def permitted_per_s(per_s: float, bounds: WarmUpBounds) -> float:
     """Return how many permits per second one owner may issue; 0 for none at all.
 
-    In any interval a rate limiter passes one request more than its rate.
+    At most the permitted number of requests then arrives in any second.
     """
-    max_requests = bounds.max_per_s(per_s) / MAX_CONCURRENT_OWNERS - 1
-    return max(0.0, min(per_s, max_requests / ARRIVAL_SPREAD_S))
+    max_requests = bounds.max_per_s(per_s)
+    return min(per_s, rate_limiter.permitted_per_s(max_requests, WINDOW_S))
 
 
 class WarmUpRates:
@@ -63,18 +59,3 @@
             ServiceName(service)
         )
         return service_config.warm_up_per_s if service_config else 0.0
-
-
-class RateLimiter:
-    """Passes ``per_s`` requests per second, evenly spaced; times are in seconds."""
-
-    def __init__(self, per_s: float, now: float) -> None:
-        self._interval_s = 1 / per_s
-        self._next_at = now
-
-    def acquire(self, now: float) -> float:
-        """Pass one request and return 0, or return the seconds until the next."""
-        if now < self._next_at:
-            return self._next_at - now
-        self._next_at = now + self._interval_s
-        return 0.0
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -13,7 +13,7 @@
 
 from eelgrass_coordination import StallAwareTimeout, send_allowance_s
 
-from ..connection.backend import ServerResting, has_length
+from ..connection.backend import ServerLimited, ServerResting, has_length
 from ..exceptions import CallFailed
 from ..process.backends import Backend
 from .incoming_request import ResponseHead, RoutedRequest, WireCodec
@@ -184,6 +184,8 @@
     """Convert an exception of the client library to a :class:`CallFailed`."""
     if isinstance(error, ServerResting):
         return CallFailed(RetryReason.BACKEND_RESTING, not_run=True)
+    if isinstance(error, ServerLimited):
+        return CallFailed(RetryReason.BACKEND_LIMITED, not_run=True)
     if isinstance(error, aiohttp.ConnectionTimeoutError):
         return CallFailed(RetryReason.CONNECT_SILENT, not_run=True)
     if isinstance(error, aiohttp.ClientConnectorError):
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -16,7 +16,7 @@
 
 from eelgrass_coordination import StallAwareTimeout
 
-from ..connection.backend import ServerResting
+from ..connection.backend import RequestWithheld
 from ..exceptions import CallFailed
 from ..log import Part, log
 from ..process.backends import Backend
@@ -117,7 +117,7 @@
                 started = codec.decode_start(await response.read())
     except TimeoutError as error:
         raise CallFailed(RetryReason.CONNECT_SILENT, not_run=True) from error
-    except ServerResting as error:
+    except RequestWithheld as error:
         raise call_failure(error) from error
     except (aiohttp.ClientError, OSError) as error:
         # Not a lost connection: the request was not running there.
--- a/packages/node/src/eelgrass_node/request/reasons.py
+++ b/packages/node/src/eelgrass_node/request/reasons.py
@@ -72,6 +72,7 @@
     BACKEND_OVERLOADED = "backend_overloaded"
     BACKEND_REFUSED = "backend_refused"
     BACKEND_RESTING = "backend_resting"
+    BACKEND_LIMITED = "backend_limited"
     WRONG_ATTEMPT = "wrong_attempt"
     BAD_ANSWER = "bad_answer"
     STREAM_CUT = "stream_cut"
@@ -116,7 +117,10 @@
     )
 )
 # After these failures a retry puts no additional load on any server.
-FREE_RETRY_REASONS = NOT_CONNECTED_REASONS | {RetryReason.BACKEND_RESTING}
+FREE_RETRY_REASONS = NOT_CONNECTED_REASONS | {
+    RetryReason.BACKEND_RESTING,
+    RetryReason.BACKEND_LIMITED,
+}
 TIMEOUT_REASONS = frozenset((RetryReason.CONNECT_SILENT, RetryReason.CONNECTION_SILENT))
 # These failures are explained by a network path that is lost.
 PATH_FAILURE_REASONS = (
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -19,6 +19,7 @@
     PromptPartQuarantined,
     RequestQuarantined,
     RequestRefused,
+    ServersLimited,
     ServersResting,
     StagesFailed,
 )
@@ -56,6 +57,9 @@
 # By the callers' protocol, callers wait for at most a third of the time that they have
 # left, and Retry-After is lengthened at random by up to a third.
 RETRY_FRACTION = 0.25
+# How long a stream that has begun, or a request whose stages have run, waits for a
+# server that has reached its request limit. Callers leave after 2 s without an event.
+MAX_PERMIT_WAIT_S = 1.0
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -147,7 +151,7 @@
             if self._graph.released:
                 inputs = await self._run_stages()
             await self._quarantine.check()
-            backend = await select_server(self._context, self._criteria())
+            backend = await self._select_server()
             backend.in_flight += 1
             try:
                 backend = await self._stream_version.confirmed_server(
@@ -172,8 +176,27 @@
     def _check_available(self) -> None:
         """Refuse the request before its stages do work that would be wasted."""
         refusal = self._context.unavailable(self._criteria())
-        if refusal is not None:
-            raise refusal
+        if refusal is None:
+            return
+        if isinstance(refusal, ServersLimited) and self._has_work_to_lose():
+            return
+        raise refusal
+
+    def _has_work_to_lose(self) -> bool:
+        """Return whether stages or events were made that a refusal would waste."""
+        return self._answer.has_begun or self._step is Step.STAGES
+
+    async def _select_server(self) -> Backend:
+        """Return a server; wait for a permit if a refusal would waste work."""
+        latest = _now() + MAX_PERMIT_WAIT_S
+        while True:
+            try:
+                return await select_server(self._context, self._criteria())
+            except ServersLimited as limited:
+                wait_s = limited.wait_s
+                if not self._has_work_to_lose() or _now() + wait_s > latest:
+                    raise
+            await asyncio.sleep(wait_s)
 
     async def _run_stages(self) -> tuple[str, ...]:
         if not self._routed.route.stages:
@@ -348,6 +371,8 @@
             return self._answer.refusal(
                 HTTP_UNAVAILABLE, refused.reason, refused.retry_after_s
             )
+        if isinstance(refused, ServersLimited):
+            self._context.count("refusal.servers-limited")
         if isinstance(refused, ServersResting):
             self._context.count("refusal.servers-resting")
             return self._answer.refusal(
--- a/packages/node/src/eelgrass_node/request/server_selection.py
+++ b/packages/node/src/eelgrass_node/request/server_selection.py
@@ -1,4 +1,4 @@
-"""Selects a server for a request, within the warm-up limits of cold servers."""
+"""Selects a server for a request, within the limits of cold and limited servers."""
 
 import msgspec
 
@@ -9,7 +9,7 @@
 
 __all__ = ["select_other", "select_server"]
 
-# Cold servers that may deny a permit before the request is refused; asking for a permit
+# Servers that may deny a permit before the request is refused; asking for a permit
 # may take a call to another node.
 MAX_DENIED = 4
 # Values of Retry-After, in seconds; a cold server takes a few requests a second.
@@ -21,7 +21,7 @@
     """Return a server that may receive the request now.
 
     Raises :class:`RequestRefused` if no server may receive it, or if the only ones left
-    are cold and have reached their warm-up limits.
+    are cold or limited and take no more requests for now.
     """
     denied: frozenset[ServerIncarnation] = frozenset()
     retry_after_s = WARM_UP_RETRY_S
@@ -37,7 +37,9 @@
             return server
         denied |= {server.entry.incarnation}
         retry_after_s = max(MIN_RETRY_S, min(retry_after_s, permit.after_s))
-    raise RequestRefused("the servers of the service are warming up", retry_after_s)
+    raise RequestRefused(
+        "the servers of the service are warming up or limited", retry_after_s
+    )
 
 
 async def select_other(
