--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -13,6 +13,7 @@
 from .leaving_servers import LeavingServers
 from .request_limits import NamedLimits
 from .server_rests import ServerRests
+from .server_suspicion import ServerSuspicion
 
 __all__ = [
     "MAX_WARM_UP_S",
@@ -32,15 +33,6 @@
 MAX_FULL_BACKOFF_S = 0.1
 # Each refusal as full reduces the concurrency window by a tenth.
 WINDOW_DECREASE = 0.9
-# A failing server is suspected for about the time of a restart at first, and for twice
-# as long after each further failure. The maximum keeps a server that has recovered from
-# staying unused for long.
-FIRST_SUSPICION_S = 1.0
-MAX_SUSPICION_S = 16.0
-# After this long without a failure, suspicion starts from its first duration again.
-# Single successes do not reset it: a server that fails part of its calls succeeds in
-# between.
-FAILURE_RESET_S = 10.0
 # A load that the server reported takes precedence over this node's own counts for this
 # long. A typical request takes about half of it.
 REPORTED_LOAD_MAX_AGE_S = 1.5
@@ -48,7 +40,7 @@
 OWN_PART_OF_FREE = 0.5
 
 
-class Backend:
+class Backend(ServerSuspicion):
     """One backend server: its entry, this node's calls to it, and its failures.
 
     ``window`` is the number of concurrent calls that this node may have there. It
@@ -63,6 +55,7 @@
         connections: BackendConnections | None = None,
         limits: NamedLimits | None = None,
     ) -> None:
+        super().__init__()
         self.entry = entry
         self._limits = NamedLimits() if limits is None else limits
         self.connections = connections or BackendConnections(entry.address)
@@ -76,7 +69,6 @@
         self.is_relayed = False
         # Whether neither this node nor the relays that it asked reach the server.
         self.is_unreachable = False
-        self.suspect_until = 0.0
         # Whether the server was found to have restarted with another software version.
         # Calls that were under way then may have run at either of the two.
         self.is_version_uncertain = False
@@ -85,9 +77,7 @@
         self.refusal_limit: int | None = None
         self.closed_until = float("-inf")
         self.closed_s = 0.0
-        self._suspected_at = float("-inf")
         self._full_until = 0.0
-        self._failures = 0
         self.call_s = MovingAverage(0.0)
         self._called_at = 0.0
         self._cold = ColdState()
@@ -121,32 +111,6 @@
         """Return whether the server is in one of ``regions``; None stands for all."""
         return regions is None or self.entry.region in regions
 
-    def suspect(self) -> None:
-        """Prefer other servers for a while, twice as long after each failure.
-
-        Calls that fail at the same time, as when the server crashes, count as one
-        failure.
-        """
-        now = asyncio.get_running_loop().time()
-        if now < self.suspect_until:
-            return
-        if now - self._suspected_at > FAILURE_RESET_S:
-            self._failures = 0
-        suspicion_s = min(MAX_SUSPICION_S, FIRST_SUSPICION_S * 2**self._failures)
-        self._failures += 1
-        self._suspected_at = now
-        self.suspect_until = now + suspicion_s
-
-    def extend_suspicion(self, for_s: float) -> None:
-        """Prefer other servers for at least ``for_s`` more seconds."""
-        now = asyncio.get_running_loop().time()
-        self.suspect_until = max(self.suspect_until, now + for_s)
-
-    def clear_suspicion(self) -> None:
-        """End a suspicion, because it was the network path that failed."""
-        self.suspect_until = 0.0
-        self._failures = 0
-
     def record_call(self, took_s: float) -> None:
         """Record the duration of a call, in seconds."""
         self.call_s.record(took_s)
@@ -222,9 +186,7 @@
 
         A call that began before the suspicion, ``took_s`` seconds ago, does not end it.
         """
-        now = asyncio.get_running_loop().time()
-        if now - took_s >= self._suspected_at:
-            self.suspect_until = 0.0
+        self.end_suspicion(took_s)
         self.window = min(float(self.entry.limit), self.window + 1 / self.window)
 
 
--- a/packages/node/tests/test_failure_gossip.py
+++ b/packages/node/tests/test_failure_gossip.py
@@ -7,7 +7,7 @@
 
 from eelgrass_coordination import GossipItem
 from eelgrass_coordination.ids import BackendId, DataCentre
-from eelgrass_node.process import backends as backends_module
+from eelgrass_node.process import server_suspicion
 from eelgrass_node.process.backends import Backends, HostEntry
 from eelgrass_node.process.failure_gossip import GOSSIP_KIND, FailureGossip
 
@@ -20,7 +20,7 @@
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
-    monkeypatch.setattr(backends_module, "FIRST_SUSPICION_S", FIRST_S)
+    monkeypatch.setattr(server_suspicion, "FIRST_SUSPICION_S", FIRST_S)
 
 
 def known(*names):
@@ -66,7 +66,7 @@
     async def test_a_long_time_without_failures_resets_the_suspicion_time(
         self, monkeypatch
     ):
-        monkeypatch.setattr(backends_module, "FAILURE_RESET_S", 0.05)
+        monkeypatch.setattr(server_suspicion, "FAILURE_RESET_S", 0.05)
         [backend] = known("e1").by_id.values()
         for _ in range(3):
             backend.suspect()
