Bound what a server may send as one answer, and count endless ones as failures

Interim answers were read for 4 s and 18 MB a call; a body after an answer that is no answer was dropped at once and the server, which looked least loaded, got the next request; the body of a stage answer was read until its time-out.

Cause: only heads were bounded, by the library. And an answer without the request's id was taken for a late answer to another request, which says nothing about the server.

Now a connection is closed after 64 KB or 8 interim answers without a head, and after 64 KB of framing that brings no data; a body may have 16 MB, that of a report or stage call 1 MB, an event 256 KB. The body of an answer that is dropped has to end within 64 KB and 0.1 s. A whole body has to end within half of the time left if the request may run elsewhere. An answer without an id is one of these: servers state it in all answers.

Refusals name their counter and whether their time is fixed themselves.

--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/answer_bounds.py
@@ -0,0 +1,127 @@
+"""Bounds of what a server may send as one answer.
+
+A server in trouble may send bytes that are no answer, without end. A call to it ends
+with an error as soon as they exceed what an answer can be, and its connection is
+closed.
+"""
+
+import asyncio
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError
+
+from eelgrass_coordination import StallAwareTimeout
+
+from ..exceptions import AnswerTooLong
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_REPORT_BYTES",
+    "BoundedResponseHandler",
+    "ends_soon",
+    "read_bounded",
+]
+
+# All bytes up to the end of the head, with interim answers.
+MAX_HEAD_BYTES = 1 << 16
+# Servers send one interim answer, if any.
+MAX_INTERIM_ANSWERS = 8
+# A complete body is kept in memory until it is forwarded.
+MAX_BODY_BYTES = 16 << 20
+# Bytes of a body's framing, such as the sizes of chunks, that bring no data.
+MAX_FRAMING_BYTES = 1 << 16
+# Reports and the outcomes of stage calls have some hundred bytes for each item.
+MAX_REPORT_BYTES = 1 << 20
+# The body of a refusal or an error, which is dropped, comes together with its head.
+MAX_DROPPED_BYTES = 1 << 16
+DROPPED_BODY_S = 0.1
+HTTP_SWITCHING_PROTOCOLS = 101
+HTTP_FIRST_FINAL = 200
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """A connection that is closed if a head, or the framing of a body, does not end."""
+
+    def set_response_params(self, **parameters) -> None:
+        """Begin a call; the library passes how to parse its answer."""
+        self._unanswered_bytes = 0
+        self._interim_answers = 0
+        self._is_answered = False
+        self._framing_bytes = self._body_bytes = 0
+        super().set_response_params(**parameters)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on bytes of the server."""
+        super().data_received(data)
+        if self._parser is None:
+            return
+        if self._is_answered:
+            self._check_body(len(data))
+            return
+        self._unanswered_bytes += len(data)
+        if (
+            self._unanswered_bytes > MAX_HEAD_BYTES
+            or self._interim_answers > MAX_INTERIM_ANSWERS
+        ):
+            self._reject()
+
+    def feed_data(self, data: tuple, size: int = 0) -> None:
+        """Pass on the head of an answer, and the reader of its body."""
+        status = data[0].code
+        if status >= HTTP_FIRST_FINAL or status == HTTP_SWITCHING_PROTOCOLS:
+            self._is_answered = True
+        else:
+            self._interim_answers += 1
+        super().feed_data(data, size)
+
+    def _check_body(self, received: int) -> None:
+        body = self._payload
+        if body is None or body.is_eof() or body.exception() is not None:
+            return
+        if body.total_raw_bytes > self._body_bytes:
+            self._body_bytes = body.total_raw_bytes
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += received
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            body.set_exception(AnswerTooLong(MAX_FRAMING_BYTES))
+            self.transport.abort()
+
+    def _reject(self) -> None:
+        message = (
+            f"no answer in {self._unanswered_bytes} bytes and "
+            f"{self._interim_answers} interim answers"
+        )
+        self._is_answered = True
+        self.set_exception(HttpProcessingError(code=502, message=message))
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the complete body; raises :class:`AnswerTooLong` if it is too long."""
+    parts: list[bytes] = []
+    left = max_bytes
+    async for part in response.content.iter_any():
+        left -= len(part)
+        if left < 0:
+            response.close()
+            raise AnswerTooLong(max_bytes)
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def ends_soon(response: aiohttp.ClientResponse) -> bool:
+    """Read a body that is dropped; return whether it ends as one of its kind does.
+
+    A body that is cut off has ended.
+    """
+    try:
+        async with StallAwareTimeout(DROPPED_BODY_S):
+            await read_bounded(response, MAX_DROPPED_BYTES)
+    except (TimeoutError, AnswerTooLong, aiohttp.ClientPayloadError) as error:
+        return isinstance(error, aiohttp.ClientPayloadError)
+    except (aiohttp.ClientError, OSError, asyncio.IncompleteReadError):
+        return True
+    return True
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -10,9 +10,10 @@
 
 from eelgrass_coordination import StallAwareTimeout
 
-from ..exceptions import BatchAnswerMalformed
+from ..exceptions import AnswerTooLong, BatchAnswerMalformed
 from ..process.backends import Backend
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
+from .answer_bounds import MAX_REPORT_BYTES, read_bounded
 from .backend import RequestWithheld, has_length
 
 __all__ = ["BatchCalls", "BatchCodec"]
@@ -90,7 +91,7 @@
             return _all_failed(items, ItemFailure.CONNECT_FAILED)
         except RequestWithheld:
             return _all_failed(items, ItemFailure.RESTING)
-        except (ValueError, BatchAnswerMalformed):
+        except (ValueError, AnswerTooLong, BatchAnswerMalformed):
             return _all_failed(items, ItemFailure.UNREACHABLE)
         except (aiohttp.ClientError, OSError):
             backend.connections.suspect_path()
@@ -112,7 +113,13 @@
         try:
             async with StallAwareTimeout(FREE_TIMEOUT_S):
                 answer = await self._post(backend, self._codec.FREE_PATH, body)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+            AnswerTooLong,
+        ):
             return False
         return answer.status == HTTP_OK
 
@@ -136,7 +143,7 @@
                 "POST", path, headers, body, CONNECT_TIMEOUT_S, reuse=True
             ) as response:
                 connections.track(response)
-                body = await response.read()
+                body = await read_bounded(response, MAX_REPORT_BYTES)
                 return _Answer(response.status, body, has_length(response))
         finally:
             connections.end_call()
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -6,6 +6,7 @@
 import termios
 import weakref
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -15,6 +16,7 @@
 
 from ..exceptions import RelayUnavailable
 from ..process.server_paths import Path, ServerPaths
+from .answer_bounds import BoundedResponseHandler
 from .backend import ServerLimited, ServerResting
 from .races import first_success
 from .relays import RelayClient
@@ -77,6 +79,8 @@
     def __init__(self, link: ServerLink, **options: Any) -> None:
         super().__init__(**options)
         self._link = link
+        # The library has no public option for the class of its connections.
+        self._factory = partial(BoundedResponseHandler, loop=self._loop)
 
     async def connect(
         self,
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -5,6 +5,7 @@
 from .request.reasons import Outcome, RefusalReason, RetryReason, refusal_kind
 
 __all__ = [
+    "AnswerTooLong",
     "CallFailed",
     "CallerGone",
     "ConfigurationMalformed",
@@ -213,12 +214,26 @@
         self.not_run = not_run
 
 
+class AnswerTooLong(NodeError):
+    """A server's answer is longer than one to its call may be, or has no end."""
+
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(
+            f"The answer has over {max_bytes} bytes where it may not. Check the server."
+        )
+
+
 class RequestRefused(NodeError):
     """A routed request is refused; callers get ``reason``.
 
-    ``retry_after_s`` is in seconds, None if no time can be given.
+    ``retry_after_s`` is in seconds, None if no time can be given. With
+    ``is_time_fixed`` an earlier retry is refused for certain. ``counter`` names the
+    event counter of such refusals.
     """
 
+    counter = "not-run"
+    is_time_fixed = False
+
     def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
         super().__init__(f"The request is refused ({reason}). Retry it later.")
         self.reason = reason
@@ -231,6 +246,8 @@
     The next request may be sent after ``wait_s`` seconds.
     """
 
+    counter = "servers-limited"
+
     def __init__(self, wait_s: float, retry_after_s: float) -> None:
         super().__init__(
             "the servers of the service have reached their request limits",
@@ -242,6 +259,9 @@
 class ServersResting(RequestRefused):
     """All servers that a request could go to have asked this node for rest."""
 
+    counter = "servers-resting"
+    is_time_fixed = True
+
     def __init__(self, retry_after_s: float) -> None:
         super().__init__("the servers of the service ask for rest", retry_after_s)
 
@@ -249,6 +269,9 @@
 class PromptPartQuarantined(RequestRefused):
     """A request's prompt has a part in quarantine, since servers crashed under it."""
 
+    counter = "quarantined"
+    is_time_fixed = True
+
     def __init__(self, retry_after_s: float) -> None:
         super().__init__(
             "servers crashed while running requests with a part of this prompt; "
@@ -260,6 +283,9 @@
 class RequestQuarantined(RequestRefused):
     """A request is in quarantine, since servers crashed while they were running it."""
 
+    counter = "quarantined"
+    is_time_fixed = True
+
     def __init__(self, request: str, retry_after_s: float) -> None:
         super().__init__(
             f"servers crashed while running this request ({request}); change it",
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -13,8 +13,9 @@
 
 from eelgrass_coordination import StallAwareTimeout, send_allowance_s
 
+from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon, read_bounded
 from ..connection.backend import ServerLimited, ServerResting, has_length
-from ..exceptions import CallFailed
+from ..exceptions import AnswerTooLong, CallFailed
 from ..process.backends import Backend
 from .incoming_request import ResponseHead, RoutedRequest, WireCodec
 from .reasons import RetryReason
@@ -39,7 +40,8 @@
     """A call in progress; :meth:`close` must be called whatever its outcome.
 
     ``head_timeout_s`` bounds the wait for the head of the response, in seconds, once
-    the body has had time to be sent. The user of this class enforces the request's
+    the body has had time to be sent, and ``body_timeout_s`` that for the end of a
+    complete body. The user of this class enforces the request's
     deadline, because its expiry says nothing about the server. ``on_sent`` is called
     when the request is sent. ``copy_from`` is the address of an engine that has the
     prompt prefix cached.
@@ -52,6 +54,7 @@
         backend: Backend,
         inputs: tuple[str, ...],
         head_timeout_s: float,
+        body_timeout_s: float,
         on_sent: Callable[[], None],
         copy_from: str | None = None,
     ) -> None:
@@ -60,6 +63,7 @@
         self._backend = backend
         self._inputs = inputs
         self._head_timeout_s = head_timeout_s
+        self._body_timeout_s = body_timeout_s
         self._on_sent = on_sent
         self._copy_from = copy_from
         self._response: aiohttp.ClientResponse | None = None
@@ -83,14 +87,27 @@
             # check_complete() handles it.
             self._closed.add_done_callback(_retrieve_exception)
         head = self._codec.decode_head(response.status, response.raw_headers)
-        self._check_head(head)
+        try:
+            self._check_head(head)
+        except CallFailed as failed:
+            if await ends_soon(response):
+                raise
+            raise CallFailed(RetryReason.BAD_ANSWER, failed.not_run) from failed
         return head
 
     async def read(self) -> bytes:
-        """Read the complete body; raises :class:`CallFailed` if it is cut off."""
+        """Read the complete body.
+
+        Raises :class:`CallFailed` if it is cut off, or is too long. One that does not
+        end within the body timeout may be the server's trouble, if another server can
+        be tried.
+        """
         try:
-            body = await self._response.read()
-        except (aiohttp.ClientError, OSError) as error:
+            async with StallAwareTimeout(self._before_deadline(self._body_timeout_s)):
+                body = await read_bounded(self._response, MAX_BODY_BYTES)
+        except TimeoutError as error:
+            raise CallFailed(RetryReason.BAD_ANSWER, not_run=False) from error
+        except (aiohttp.ClientError, OSError, AnswerTooLong) as error:
             raise call_failure(error) from error
         self.check_complete()
         return body
@@ -104,7 +121,7 @@
         try:
             async with StallAwareTimeout(self._before_deadline(within_s)):
                 data = await self._response.content.readany()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, AnswerTooLong) as error:
             raise call_failure(error) from error
         if not data:
             self.check_complete()
@@ -158,6 +175,9 @@
     def _check_head(self, head: ResponseHead) -> None:
         if head.request_id is None and head.not_run:
             raise CallFailed(_refusal_reason(head), not_run=True)
+        if head.request_id is None:
+            # Servers state the id in all answers, those to other requests as well.
+            raise CallFailed(RetryReason.BAD_ANSWER, not_run=False)
         if head.request_id != self._routed.incoming.request_id:
             raise CallFailed(RetryReason.WRONG_ATTEMPT, not_run=False)
         if head.not_run:
@@ -192,7 +212,7 @@
         return CallFailed(RetryReason.CONNECT_FAILED, not_run=True)
     if isinstance(error, TimeoutError):
         return CallFailed(RetryReason.CONNECTION_SILENT, not_run=False)
-    if isinstance(error, (aiohttp.ClientResponseError, ValueError)):
+    if isinstance(error, (aiohttp.ClientResponseError, AnswerTooLong, ValueError)):
         return CallFailed(RetryReason.BAD_ANSWER, not_run=False)
     return CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
 
--- a/packages/node/src/eelgrass_node/request/events.py
+++ b/packages/node/src/eelgrass_node/request/events.py
@@ -2,8 +2,13 @@
 
 import re
 
+from ..exceptions import CallFailed
+from .reasons import RetryReason
+
 __all__ = ["EventSplitter"]
 
+# An event has the text of some tokens; one that does not end is no event.
+MAX_EVENT_BYTES = 1 << 18
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"(?:^|\n)id:[ \t]?([^\r\n]*)")
 
@@ -32,7 +37,10 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that ``data`` completes, without duplicates."""
+        """Return the events that ``data`` completes, without duplicates.
+
+        Raises :class:`CallFailed` if an event is longer than any, and has no end.
+        """
         self._buffer += data
         complete: list[bytes] = []
         begin = 0
@@ -42,6 +50,8 @@
             if self._is_new(event):
                 complete.append(event)
         self._buffer = self._buffer[begin:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise CallFailed(RetryReason.BAD_ANSWER, not_run=False)
         return b"".join(complete)
 
     def restart(self) -> None:
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -16,8 +16,9 @@
 
 from eelgrass_coordination import StallAwareTimeout
 
+from ..connection.answer_bounds import MAX_REPORT_BYTES, read_bounded
 from ..connection.backend import RequestWithheld
-from ..exceptions import CallFailed
+from ..exceptions import AnswerTooLong, CallFailed
 from ..log import Part, log
 from ..process.backends import Backend
 from .engine_call import CONNECT_S, call_failure
@@ -114,11 +115,13 @@
                 "GET", codec.REPORT_PATH, CIMultiDict(), b"", CONNECT_S, reuse=True
             )
             async with context as response:
-                started = codec.decode_start(await response.read())
+                started = codec.decode_start(
+                    await read_bounded(response, MAX_REPORT_BYTES)
+                )
     except TimeoutError as error:
         raise CallFailed(RetryReason.CONNECT_SILENT, not_run=True) from error
-    except RequestWithheld as error:
-        raise call_failure(error) from error
+    except (RequestWithheld, AnswerTooLong, aiohttp.ClientResponseError) as error:
+        raise CallFailed(call_failure(error).reason, not_run=True) from error
     except (aiohttp.ClientError, OSError) as error:
         # Not a lost connection: the request was not running there.
         raise CallFailed(RetryReason.CONNECT_FAILED, not_run=True) from error
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -16,8 +16,6 @@
 from ..exceptions import (
     CallerGone,
     CallFailed,
-    PromptPartQuarantined,
-    RequestQuarantined,
     RequestRefused,
     ServersLimited,
     ServersResting,
@@ -57,9 +55,6 @@
 # By the callers' protocol, callers wait for at most a third of the time that they have
 # left, and Retry-After is lengthened at random by up to a third.
 RETRY_FRACTION = 0.25
-# How long a stream that has begun, or a request whose stages have run, waits for a
-# server that has reached its request limit. Callers leave after 2 s without an event.
-MAX_PERMIT_WAIT_S = 1.0
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -151,7 +146,9 @@
             if self._graph.released:
                 inputs = await self._run_stages()
             await self._quarantine.check()
-            backend = await self._select_server()
+            backend = await select_server(
+                self._context, self._criteria(), may_wait=self._has_work_to_lose()
+            )
             backend.in_flight += 1
             try:
                 backend = await self._stream_version.confirmed_server(
@@ -176,27 +173,14 @@
     def _check_available(self) -> None:
         """Refuse the request before its stages do work that would be wasted."""
         refusal = self._context.unavailable(self._criteria())
-        if refusal is None:
-            return
-        if isinstance(refusal, ServersLimited) and self._has_work_to_lose():
-            return
-        raise refusal
+        may_wait = isinstance(refusal, ServersLimited) and self._has_work_to_lose()
+        if refusal is not None and not may_wait:
+            raise refusal
 
     def _has_work_to_lose(self) -> bool:
-        """Return whether stages or events were made that a refusal would waste."""
-        return self._answer.has_begun or self._step is Step.STAGES
-
-    async def _select_server(self) -> Backend:
-        """Return a server; wait for a permit if a refusal would waste work."""
-        latest = _now() + MAX_PERMIT_WAIT_S
-        while True:
-            try:
-                return await select_server(self._context, self._criteria())
-            except ServersLimited as limited:
-                wait_s = limited.wait_s
-                if not self._has_work_to_lose() or _now() + wait_s > latest:
-                    raise
-            await asyncio.sleep(wait_s)
+        """Return whether a refusal would waste events, or the results of stages."""
+        has_results = bool(self._routed.route.stages) and self._staged_at > 0
+        return self._answer.has_begun or (has_results and not self._graph.released)
 
     async def _run_stages(self) -> tuple[str, ...]:
         if not self._routed.route.stages:
@@ -251,6 +235,7 @@
             backend,
             inputs,
             self._limits.head_timeout_s(),
+            self._limits.body_timeout_s(),
             self._on_sent,
             self._copy_from(backend),
         )
@@ -366,22 +351,12 @@
         if self._limits.may_have_run:
             self._context.count("refusal.may-have-run")
             return self._answer.refusal(HTTP_BAD_GATEWAY, refused.reason)
-        if isinstance(refused, (RequestQuarantined, PromptPartQuarantined)):
-            self._context.count("refusal.quarantined")
-            return self._answer.refusal(
-                HTTP_UNAVAILABLE, refused.reason, refused.retry_after_s
-            )
-        if isinstance(refused, ServersLimited):
-            self._context.count("refusal.servers-limited")
-        if isinstance(refused, ServersResting):
-            self._context.count("refusal.servers-resting")
-            return self._answer.refusal(
-                HTTP_UNAVAILABLE, refused.reason, refused.retry_after_s
-            )
-        self._context.count("refusal.not-run")
-        # A caller that retries later than this has too little time left to be served.
-        latest_s = RETRY_FRACTION * (self._routed.deadline - _now())
-        retry_after_s = min(refused.retry_after_s or RETRY_FULL_S, max(0.0, latest_s))
+        self._context.count(f"refusal.{refused.counter}")
+        retry_after_s = refused.retry_after_s
+        if not refused.is_time_fixed:
+            # Callers that retry later than this have too little time left to be served.
+            latest_s = RETRY_FRACTION * (self._routed.deadline - _now())
+            retry_after_s = min(retry_after_s or RETRY_FULL_S, max(0.0, latest_s))
         return self._answer.refusal(HTTP_UNAVAILABLE, refused.reason, retry_after_s)
 
     def _log_answered(self, backend: Backend, head: ResponseHead) -> None:
--- a/packages/node/src/eelgrass_node/request/retry_limits.py
+++ b/packages/node/src/eelgrass_node/request/retry_limits.py
@@ -1,5 +1,7 @@
 """Counts the failed calls of one request, and limits how often it is retried."""
 
+import asyncio
+
 from ..exceptions import CallFailed, RequestRefused
 from ..process.retry_budget import RetryBudgets
 from ..version.deployment import RouteKind
@@ -14,6 +16,8 @@
 # above what queueing and reading a long prompt take in normal operation.
 STREAM_HEAD_TIMEOUT_S = 2.5
 PLAIN_HEAD_TIMEOUT_S = 1.2
+# The part of the time left in which a body has to end if another server can be tried.
+BODY_FRACTION = 0.5
 # Retry-After in seconds if the servers are full: a slot becomes free within a call or
 # two.
 RETRY_FULL_S = 0.4
@@ -69,11 +73,23 @@
                 f"the retry budget is exhausted: {reason}", RETRY_FULL_S
             )
 
+    def body_timeout_s(self) -> float:
+        """Return how long to wait for the end of a body before another server."""
+        if not self._may_run_again():
+            return float("inf")
+        left_s = self._routed.deadline - asyncio.get_running_loop().time()
+        return max(PLAIN_HEAD_TIMEOUT_S, BODY_FRACTION * left_s)
+
     def head_timeout_s(self) -> float:
         """Return how long to wait for a response head before trying another server."""
         route = self._routed.route
-        if not route.repeatable or self.runs + 1 >= route.max_attempts:
+        if not self._may_run_again():
             return float("inf")
         if route.kind is RouteKind.STREAM:
             return STREAM_HEAD_TIMEOUT_S
         return PLAIN_HEAD_TIMEOUT_S
+
+    def _may_run_again(self) -> bool:
+        """Return whether a request that has run once more may go to another server."""
+        route = self._routed.route
+        return route.repeatable and self.runs + 1 < route.max_attempts
--- a/packages/node/src/eelgrass_node/request/server_selection.py
+++ b/packages/node/src/eelgrass_node/request/server_selection.py
@@ -1,8 +1,10 @@
 """Selects a server for a request, within the limits of cold and limited servers."""
 
+import asyncio
+
 import msgspec
 
-from ..exceptions import RequestRefused
+from ..exceptions import RequestRefused, ServersLimited
 from ..process.backends import Backend, ServerIncarnation
 from ..process.server_choice import ServerCriteria
 from .serving_context import ServingContext
@@ -15,9 +17,31 @@
 # Values of Retry-After, in seconds; a cold server takes a few requests a second.
 WARM_UP_RETRY_S = 0.4
 MIN_RETRY_S = 0.1
+# How long a stream that has begun, or a request whose stages have run, waits for a
+# server that has reached its request limit. Callers leave after 2 s without an event.
+MAX_PERMIT_WAIT_S = 1.0
+
+
+async def select_server(
+    context: ServingContext, criteria: ServerCriteria, may_wait: bool = False
+) -> Backend:
+    """Return a server that may receive the request now.
+
+    With ``may_wait`` the request waits for a server that has reached its limit.
+    Raises :class:`RequestRefused` as :func:`_select_now` does.
+    """
+    loop = asyncio.get_running_loop()
+    latest = loop.time() + MAX_PERMIT_WAIT_S
+    while True:
+        try:
+            return await _select_now(context, criteria)
+        except ServersLimited as limited:
+            if not may_wait or loop.time() + limited.wait_s > latest:
+                raise
+            await asyncio.sleep(limited.wait_s)
 
 
-async def select_server(context: ServingContext, criteria: ServerCriteria) -> Backend:
+async def _select_now(context: ServingContext, criteria: ServerCriteria) -> Backend:
     """Return a server that may receive the request now.
 
     Raises :class:`RequestRefused` if no server may receive it, or if the only ones left
