--- a/packages/node/src/eelgrass_node/connection/answer_bounds.py
+++ b/packages/node/src/eelgrass_node/connection/answer_bounds.py
@@ -5,8 +5,6 @@
 closed.
 """
 
-import asyncio
-
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError
@@ -120,8 +118,8 @@
     try:
         async with StallAwareTimeout(DROPPED_BODY_S):
             await read_bounded(response, MAX_DROPPED_BYTES)
-    except (TimeoutError, AnswerTooLong, aiohttp.ClientPayloadError) as error:
-        return isinstance(error, aiohttp.ClientPayloadError)
-    except (aiohttp.ClientError, OSError, asyncio.IncompleteReadError):
+    except (TimeoutError, AnswerTooLong):
+        return False
+    except (aiohttp.ClientError, OSError):
         return True
     return True
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -100,6 +100,8 @@
 
     def permit_wait_s(self) -> float:
         """Return after how many seconds there may be a permit for a request."""
+        if not self._limits:
+            return 0.0
         return self._limits.wait_s(self.entry.incarnation)
 
     def permits_per_s(self) -> float:
--- a/packages/node/src/eelgrass_node/process/request_limits/admission.py
+++ b/packages/node/src/eelgrass_node/process/request_limits/admission.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-from collections import defaultdict
 from collections.abc import Awaitable, Callable
 
 from eelgrass_coordination import Member
@@ -55,7 +54,7 @@
         self._count = count
         self._silent_until: dict[NodeId, float] = {}
         # When unused permits expire.
-        self._expiries: defaultdict[ServerIncarnation, list[float]] = defaultdict(list)
+        self._expiries: dict[ServerIncarnation, list[float]] = {}
         # A node asks for one permit at a time, so that after a refusal the requests
         # that wait do not ask in vain.
         self._locks: dict[ServerIncarnation, asyncio.Lock] = {}
@@ -69,7 +68,8 @@
             return True
         granted = await self._obtain(server)
         if granted and self._limits.is_limited(server):
-            self._expiries[server].append(self._clock() + MAX_PERMIT_AGE_S)
+            expiry = self._clock() + MAX_PERMIT_AGE_S
+            self._expiries.setdefault(server, []).append(expiry)
         return granted
 
     async def take(self, server: ServerIncarnation) -> bool:
@@ -77,11 +77,13 @@
         if not self._limits.is_limited(server):
             self._expiries.pop(server, None)
             return True
-        expiries = self._expiries[server]
-        while expiries:
-            if expiries.pop(0) > self._clock():
-                return True
-        return await self._obtain(server)
+        now = self._clock()
+        unused = [until for until in self._expiries.pop(server, ()) if until > now]
+        if not unused:
+            return await self._obtain(server)
+        if len(unused) > 1:
+            self._expiries[server] = unused[1:]
+        return True
 
     async def _obtain(self, server: ServerIncarnation) -> bool:
         lock = self._locks.setdefault(server, asyncio.Lock())
--- a/packages/node/src/eelgrass_node/process/request_limits/named_limits.py
+++ b/packages/node/src/eelgrass_node/process/request_limits/named_limits.py
@@ -66,6 +66,10 @@
         self._unix_ms = unix_ms
         self._known_by_incarnation: dict[ServerIncarnation, _Known] = {}
 
+    def __bool__(self) -> bool:
+        """Return whether any server has named a limit."""
+        return bool(self._known_by_incarnation)
+
     def limit(self, server: ServerIncarnation) -> NamedLimit | None:
         """Return what a server has last named; None if it never named a limit."""
         known = self._known_by_incarnation.get(server)
