Let a stream wait for the permit of its request after the check of its server (LIMIT)

The check whether a server is still the incarnation of its entry uses a permit as any call. At a server that takes a few requests a second the request itself had none then, each of its four tries spent the next permit on the check, and the stream broke off.

--- a/packages/node/src/eelgrass_node/process/permit_owners.py
+++ b/packages/node/src/eelgrass_node/process/permit_owners.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from itertools import islice
 
 from eelgrass_coordination import Member, MemberState, ranked
 from eelgrass_coordination.ids import NodeId
@@ -53,9 +54,10 @@
 
         A node that leaves is its own owner only if it knows no other.
         """
-        alive = [m for m in self._ranked(server) if m.state is not MemberState.DEAD]
-        staying = [m for m in alive if m.state is not MemberState.LEFT]
-        return (staying or alive)[:most]
+        ranked = self._ranked(server)
+        gone = (MemberState.DEAD, MemberState.LEFT)
+        owners = list(islice((m for m in ranked if m.state not in gone), most))
+        return owners or [self._own()]
 
     def is_own(self, node: NodeId) -> bool:
         """Return whether a node is this one."""
--- a/packages/node/src/eelgrass_node/request/server_selection.py
+++ b/packages/node/src/eelgrass_node/request/server_selection.py
@@ -4,12 +4,13 @@
 
 import msgspec
 
-from ..exceptions import RequestRefused, ServersLimited
+from ..exceptions import CallFailed, RequestRefused, ServersLimited
 from ..process.backends import Backend, ServerIncarnation
 from ..process.server_choice import ServerCriteria
+from .reasons import RetryReason
 from .serving_context import ServingContext
 
-__all__ = ["select_other", "select_server"]
+__all__ = ["await_permit", "select_other", "select_server"]
 
 # Servers that may deny a permit before the request is refused; asking for a permit
 # may take a call to another node.
@@ -66,6 +67,19 @@
     )
 
 
+async def await_permit(context: ServingContext, server: Backend) -> None:
+    """Wait for a permit for one more request to a chosen server.
+
+    Raises :class:`CallFailed` if there is none in time.
+    """
+    loop = asyncio.get_running_loop()
+    latest = loop.time() + MAX_PERMIT_WAIT_S
+    while not (permit := await context.admit(server)).granted:
+        if loop.time() + permit.after_s > latest:
+            raise CallFailed(RetryReason.BACKEND_LIMITED, not_run=True)
+        await asyncio.sleep(permit.after_s)
+
+
 async def select_other(
     context: ServingContext, criteria: ServerCriteria, servers: list[Backend]
 ) -> Backend | None:
--- a/packages/node/src/eelgrass_node/request/stream_version.py
+++ b/packages/node/src/eelgrass_node/request/stream_version.py
@@ -12,7 +12,7 @@
 from .incarnation_check import check_incarnation, first_confirmed
 from .incoming_request import RoutedRequest
 from .reasons import RetryReason
-from .server_selection import select_other
+from .server_selection import await_permit, select_other
 from .serving_context import ServingContext
 
 __all__ = ["StreamVersion"]
@@ -68,6 +68,9 @@
             check,
             lambda server, failed: record_failure(context, server, failed),
         )
+        if confirmed.permit_wait_s():
+            # The check has used the permit that there was.
+            await await_permit(context, confirmed)
         chosen.in_flight -= 1
         confirmed.in_flight += 1
         return confirmed
