Queues of stages count with the rate of servers that name limits (LIMIT)

Where all servers of a stage named limits, their queue estimated its late backlog with their usual speed, so that items waited 2.1 s to be dropped at their deadlines, and calls that free results lost their permits to stage calls and were not repeated.

--- a/packages/node/src/eelgrass_node/process/batch_queue.py
+++ b/packages/node/src/eelgrass_node/process/batch_queue.py
@@ -35,7 +35,7 @@
 RestRefusal = Callable[[frozenset[str] | None], ItemOutcome | None]
 RunCall = Callable[[Backend, list[BatchItem], float], Awaitable[list[ItemOutcome]]]
 
-# An item is run at most this often; the second and third time only after a failure.
+# An item is run again only after a failure.
 MAX_TRIES = 3
 # A call times out after its expected time multiplied by the factor, plus the slack:
 # slow servers take 4 to 8 times as long, and unreachable ones never answer.
@@ -44,14 +44,15 @@
 # The shortest retry delay for refused callers. Replies add a random part in proportion
 # to the delay, so that callers do not retry all at once.
 MIN_RETRY_AFTER_S = 0.2
-# Late items are refused if the late items that wait already amount to this many seconds
-# of work of all servers. After a burst such a backlog is served within about three
-# times as long, and callers still wait that long.
+# Late items are refused if those that wait already are this many seconds of work of all
+# servers. After a burst such a backlog is served within three times as long.
 LATE_BACKLOG_S = 1.0
+# With request limits at all servers, longer waits are refused: a limit may last.
+MAX_LIMITED_WAIT_S = 0.5
 # The longest wait reported to other nodes. It is longer than any caller waits, and
 # finite because a queue without servers has an infinite wait, which JSON cannot encode.
 MAX_REPORTED_WAIT_S = 60.0
-# When waiting items are rechecked if no other event triggers it.
+# Waiting items are rechecked after this time.
 RECHECK_AFTER_S = 0.05
 
 
@@ -138,9 +139,7 @@
         """Return the load of the queue, as reported to other nodes."""
         now = _now()
         self._update_shares(now)
-        limits = self._limits()
-        capacity = limits.batch * self._servers.slots()
-        item_s = self._servers.call_s(limits.batch) / capacity
+        item_s = self._servers.item_s()
         late = over_share = 0
         priorities: Counter[int] = Counter()
         for items in self._waiting:
@@ -218,13 +217,14 @@
         end = now + wait_s + self._servers.call_s(len(items))
         if first.inputs and end <= first.deadline:
             return None
-        if end <= first.due:
+        may_wait = wait_s <= MAX_LIMITED_WAIT_S or not self._servers.are_limited()
+        if end <= first.due and may_wait:
             return None
         # The items would be late, and late items only get the capacity that is left.
         # If many of them wait already, an immediate refusal is better than a wait that
         # ends without a result.
         late_s = self.load().late_s
-        if end <= first.deadline and late_s < LATE_BACKLOG_S:
+        if end <= first.deadline and late_s < LATE_BACKLOG_S and may_wait:
             return None
         self._overload.record_refusal(now)
         wait_s = max(wait_s, late_s)
--- a/packages/node/src/eelgrass_node/process/local_queues.py
+++ b/packages/node/src/eelgrass_node/process/local_queues.py
@@ -32,6 +32,8 @@
 # so that most of the permits are left for work.
 FREE_INTERVAL_S = 1.0
 PERMITS_PER_FREE = 4
+# Calls that free results of a limited server are repeated after this time at least.
+FREE_RETRY_S = 0.1
 
 FreeCall = Callable[[Backend, list[str]], Awaitable[bool]]
 
@@ -187,7 +189,7 @@
         """
         server = backend.entry.incarnation
         if not self._backends.limits.is_limited(server):
-            self._free_after_wait(service, backend, handles)
+            self._free_after_wait(service, backend, handles, self._expiry(service))
         elif server in self._unfreed:
             self._unfreed[server] += handles
         else:
@@ -201,21 +203,32 @@
 
     def _free_together(self, service: ServiceName, backend: Backend) -> None:
         handles = self._unfreed.pop(backend.entry.incarnation)
-        self._free_after_wait(service, backend, handles)
+        self._free_after_wait(service, backend, handles, self._expiry(service))
 
     def _free_after_wait(
-        self, service: ServiceName, backend: Backend, handles: list[str]
+        self,
+        service: ServiceName,
+        backend: Backend,
+        handles: list[str],
+        expiry: float,
+        least_wait_s: float = 0.0,
     ) -> None:
-        wait_s = self._backends.wait_s(backend)
+        """Free results as soon as their server wants calls, before ``expiry``."""
+        wait_s = max(least_wait_s, self._backends.wait_s(backend))
         if self._backends.by_id.get(backend.entry.id) is not backend:
             return
+        loop = asyncio.get_running_loop()
         if not wait_s:
-            task = asyncio.create_task(self._free(service, backend, handles))
+            task = asyncio.create_task(self._free(service, backend, handles, expiry))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        elif wait_s < self.result_life_s(service):
-            loop = asyncio.get_running_loop()
-            loop.call_later(wait_s, self._free_after_wait, service, backend, handles)
+        elif loop.time() + wait_s < expiry:
+            loop.call_later(
+                wait_s, self._free_after_wait, service, backend, handles, expiry
+            )
+
+    def _expiry(self, service: ServiceName) -> float:
+        return asyncio.get_running_loop().time() + self.result_life_s(service)
 
     async def _call(
         self, backend: Backend, items: list[BatchItem], timeout_s: float
@@ -242,10 +255,14 @@
         return self._retries.try_spend(service, item.request_id)
 
     async def _free(
-        self, service: ServiceName, backend: Backend, handles: list[str]
+        self, service: ServiceName, backend: Backend, handles: list[str], expiry: float
     ) -> None:
+        server = backend.entry.incarnation
         if await self._free_call(backend, handles):
-            self.queue(service).free(backend.entry.incarnation, handles)
+            self.queue(service).free(server, handles)
+        elif self._backends.limits.is_limited(server):
+            # Other calls have used the permit.
+            self._free_after_wait(service, backend, handles, expiry, FREE_RETRY_S)
 
     def _limits(self, service: ServiceName) -> BatchLimits:
         deployment = self._deployment()
--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -115,18 +115,27 @@
         """Return how many calls the healthy servers run at a time, at least 1."""
         return max(1, len(self.healthy()) * self._limits().slots)
 
+    def are_limited(self) -> bool:
+        """Return whether all healthy servers name a request limit."""
+        return all(math.isfinite(s.permits_per_s()) for s in self.healthy())
+
+    def item_s(self) -> float:
+        """Return the time for an item in full calls at all healthy servers."""
+        limits = self._limits()
+        call_s = self.call_s(limits.batch)
+        calls_per_s = sum(
+            min(limits.slots / call_s, server.permits_per_s())
+            for server in self.healthy()
+        )
+        return 1 / (limits.batch * (calls_per_s or limits.slots / call_s))
+
     def expected_wait(self, ahead: int, now: float) -> float:
         """Return the seconds until an item behind ``ahead`` others starts to run."""
         servers = self.healthy()
         if not servers:
             return math.inf
-        limits = self._limits()
-        calls_per_s = sum(
-            min(limits.slots / self.call_s(limits.batch), server.permits_per_s())
-            for server in servers
-        )
         first_s = min(self._free_in_s(server, now) for server in servers)
-        return first_s + ahead / (limits.batch * calls_per_s)
+        return first_s + ahead * self.item_s()
 
     def idle(self, now: float) -> list[Backend]:
         """Return the idle servers, fastest first."""
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -134,6 +134,18 @@
             settled = [c for c in calls if c.sent_at > began + SETTLED_S]
             self.check_refusals(deployment, settled)
 
+    # Guards against queues of stages that count with the usual speed of their servers,
+    # and against results that are never freed.
+    async def test_stage_calls(self, tmp_path):
+        async with LimitDeployment(tmp_path, seed=81) as deployment:
+            engines = deployment.engines_by_service["portal"]
+            name_limit(engines, "4")
+            began = now()
+            await deployment.load("stream/staged", LOAD_S)
+            self.check_use(deployment, engines, 4, began + SETTLED_S)
+            await asyncio.sleep(2.0)
+            assert sum(len(engine.results) for engine in engines) <= 12
+
     # Guards against a server that nobody may use while the host that counts for it
     # stands still.
     async def test_a_host_stands_still(self, tmp_path):
