Bound whole answers at 4 MB, so that an endless one is noticed sooner

While the first bodies were read, which took long on the busy loop, more requests were sent there: some 200 MB a host. Bodies are bounded at 4 MB now, a thousand times the usual answer, and so is the test, whose other checks are as they were.

The bound of waits for limited servers moves to them, and the two comments of the queue that were shortened for it are whole again.

--- a/packages/node/src/eelgrass_node/connection/answer_bounds.py
+++ b/packages/node/src/eelgrass_node/connection/answer_bounds.py
@@ -26,7 +26,7 @@
 # Servers send one interim answer, if any.
 MAX_INTERIM_ANSWERS = 8
 # A complete body is kept in memory until it is forwarded.
-MAX_BODY_BYTES = 16 << 20
+MAX_BODY_BYTES = 4 << 20
 # Bytes of a body's framing, such as the sizes of chunks, that bring no data.
 MAX_FRAMING_BYTES = 1 << 16
 # Reports and the outcomes of stage calls have some hundred bytes for each item.
--- a/packages/node/src/eelgrass_node/process/batch_queue.py
+++ b/packages/node/src/eelgrass_node/process/batch_queue.py
@@ -35,7 +35,7 @@
 RestRefusal = Callable[[frozenset[str] | None], ItemOutcome | None]
 RunCall = Callable[[Backend, list[BatchItem], float], Awaitable[list[ItemOutcome]]]
 
-# An item is run again only after a failure.
+# An item is run at most this often; the second and third time only after a failure.
 MAX_TRIES = 3
 # A call times out after its expected time multiplied by the factor, plus the slack:
 # slow servers take 4 to 8 times as long, and unreachable ones never answer.
@@ -45,10 +45,9 @@
 # to the delay, so that callers do not retry all at once.
 MIN_RETRY_AFTER_S = 0.2
 # Late items are refused if those that wait already are this many seconds of work of all
-# servers. After a burst such a backlog is served within three times as long.
+# servers. After a burst such a backlog is served within three times as long, and
+# callers still wait that long.
 LATE_BACKLOG_S = 1.0
-# With request limits at all servers, longer waits are refused: a limit may last.
-MAX_LIMITED_WAIT_S = 0.5
 # The longest wait reported to other nodes. It is longer than any caller waits, and
 # finite because a queue without servers has an infinite wait, which JSON cannot encode.
 MAX_REPORTED_WAIT_S = 60.0
@@ -217,7 +216,7 @@
         end = now + wait_s + self._servers.call_s(len(items))
         if first.inputs and end <= first.deadline:
             return None
-        may_wait = wait_s <= MAX_LIMITED_WAIT_S or not self._servers.are_limited()
+        may_wait = self._servers.may_wait(wait_s)
         if end <= first.due and may_wait:
             return None
         # The items would be late, and late items only get the capacity that is left.
--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -36,6 +36,8 @@
 UNKNOWN_RESULTS_S = 0.25
 UNKNOWN_RESULTS = "unknown"
 LOST_RESULT = "lost"
+# The longest wait if all servers name request limits: unlike a burst, a limit may last.
+MAX_LIMITED_WAIT_S = 0.5
 # If there are records of more than this many times the listed servers, the records of
 # servers that are no longer listed are dropped.
 MAX_REMEMBERED_FACTOR = 4
@@ -115,9 +117,11 @@
         """Return how many calls the healthy servers run at a time, at least 1."""
         return max(1, len(self.healthy()) * self._limits().slots)
 
-    def are_limited(self) -> bool:
-        """Return whether all healthy servers name a request limit."""
-        return all(math.isfinite(s.permits_per_s()) for s in self.healthy())
+    def may_wait(self, wait_s: float) -> bool:
+        """Return whether items may wait that long for the servers."""
+        if wait_s <= MAX_LIMITED_WAIT_S:
+            return True
+        return any(math.isinf(s.permits_per_s()) for s in self.healthy())
 
     def item_s(self) -> float:
         """Return the time for an item in full calls at all healthy servers."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -21,7 +21,7 @@
 MOST_CALLS = 10
 # What may be on its way when a node closes the connection: buffers of both sides.
 IN_TRANSIT_BYTES = 6 << 20
-MOST_BODY_BYTES = (16 << 20) + IN_TRANSIT_BYTES
+MOST_BODY_BYTES = (4 << 20) + IN_TRANSIT_BYTES
 MOST_OTHER_BYTES = (1 << 20) + IN_TRANSIT_BYTES
 WHOLE_BODIES = {Endless.SIGNED_BODY, Endless.SIGNED_CHUNKS, Endless.SIGNED_ERROR}
 STAGED = {"Eelgrassward_Segments": "2,1,5", "Eelgrassward_Segment_Key": "key"}
