--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import aiohttp
@@ -54,9 +55,9 @@
         backend: Backend,
         inputs: tuple[str, ...],
         head_timeout_s: float,
-        body_timeout_s: float,
         on_sent: Callable[[], None],
         copy_from: str | None = None,
+        body_timeout_s: float = math.inf,
     ) -> None:
         self._codec = codec
         self._routed = routed
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -235,9 +235,9 @@
             backend,
             inputs,
             self._limits.head_timeout_s(),
-            self._limits.body_timeout_s(),
             self._on_sent,
             self._copy_from(backend),
+            self._limits.body_timeout_s(),
         )
         began, began_running_s = _now(), running_time()
         try:
