Tests of probes of a data centre: simulated time

Cause: the file ran in real time with probes of 20 and 30 ms. A suspicion is renewed every 30 ms for 60 ms; a process that does not get its turn for as long finds it expired, and samples that follow a timer by 10 ms come before the check has gone on.

Change: the file runs in simulated time, in which nothing but the code decides.

--- a/packages/node/tests/test_reachability_checks.py
+++ b/packages/node/tests/test_reachability_checks.py
@@ -9,6 +9,7 @@
 from eelgrass_node.process.reachability import FIRST_SUSPICION_S, DataCentreReachability
 from eelgrass_node.process.reachability_checks import ReachabilityChecks
 from support.members import member
+from support.simulated_time import in_simulated_time
 
 NODES = {"a": ("a1", "a2"), "b": ("b1", "b2", "b3"), "c": ("c1", "c2"), "d": ("d1",)}
 
@@ -43,6 +44,7 @@
 
 
 class TestReachChecks:
+    @in_simulated_time
     async def test_one_timeout_suspects_nothing_if_nodes_answer(self):
         network = Network()
         network.reachability.record_timeout("b", "server")
@@ -50,6 +52,7 @@
         assert network.suspected() == set()
         assert len(network.probed) <= reachability_checks.MAX_PROBED
 
+    @in_simulated_time
     async def test_one_timeout_is_enough_if_no_node_answers(self):
         """Each call that finds out for itself takes up to a second and an attempt."""
         network = Network()
@@ -58,6 +61,7 @@
         await asyncio.sleep(0.03)
         assert network.suspected() == {"b"}
 
+    @in_simulated_time
     async def test_a_node_that_is_cut_off_itself_suspects_all_others(self):
         network = Network()
         network.cut = {"b", "c", "d"}
@@ -65,13 +69,15 @@
         await asyncio.sleep(0.05)
         assert network.suspected() >= {"b", "c"}
 
+    @in_simulated_time
     async def test_the_suspicion_lasts_until_a_node_answers(self):
         """A suspicion that expired earlier caused the same timeouts again."""
         network = Network()
         network.cut = {"b"}
         network.reachability.record_timeout("b", "server")
-        for _ in range(20):
-            await asyncio.sleep(0.03)
+        await asyncio.sleep(0.03)
+        for _ in range(80):
+            await asyncio.sleep(0.007)
             assert network.suspected() == {"b"}
         network.cut = set()
         await asyncio.sleep(0.07)
@@ -80,6 +86,7 @@
         await asyncio.sleep(0.1)
         assert len(network.probed) == probed
 
+    @in_simulated_time
     async def test_one_node_is_too_few_to_tell(self):
         """It may be down or suspended while the servers beside it are healthy."""
         network = Network()
@@ -91,6 +98,7 @@
         assert network.suspected() == {"d"}
         assert FIRST_SUSPICION_S < 2.0
 
+    @in_simulated_time
     async def test_servers_are_tried_again_if_the_nodes_never_answer(self, monkeypatch):
         """The nodes of a data centre may be gone for good, but its servers running."""
         monkeypatch.setattr(reachability_checks, "MAX_SUSPICION_S", 0.15)
@@ -100,6 +108,7 @@
         await asyncio.sleep(0.4)
         assert network.suspected() == set()
 
+    @in_simulated_time
     async def test_the_own_data_centre_is_not_checked(self):
         network = Network()
         network.checks.check("a")
--- a/tests/support/simulated_time.py
+++ b/tests/support/simulated_time.py
@@ -1,10 +1,11 @@
 """An event loop whose clock jumps to the next timer instead of waiting for it."""
 
 import asyncio
-from collections.abc import Coroutine
+import functools
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
-__all__ = ["run_in_simulated_time"]
+__all__ = ["in_simulated_time", "run_in_simulated_time"]
 
 T = TypeVar("T")
 
@@ -30,3 +31,15 @@
     """Run ``main`` to completion in simulated time."""
     with asyncio.Runner(loop_factory=SimulatedTimeLoop) as runner:
         return runner.run(main)
+
+
+def in_simulated_time(
+    test: Callable[..., Coroutine[Any, Any, None]],
+) -> Callable[..., None]:
+    """Make a test function of a coroutine function, run in simulated time."""
+
+    @functools.wraps(test)
+    def run(*args: Any, **kwargs: Any) -> None:
+        run_in_simulated_time(test(*args, **kwargs))
+
+    return run
