Tests of processes: a failed start shows what the process wrote

Cause: set-up of six tests failed once in seven runs of pytest at a time, with a refused connection after 20 s; what the process had written was not shown, so that the cause stays unknown. A set-up that failed also left its processes running.

Change: the failure names the process that has ended or does not listen, with the end of its output; an ended process is reported at once. All processes are then killed.

--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -21,6 +21,8 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
+# Characters at the end of a process's output that a failure shows.
+LOG_TAIL = 2000
 
 
 class Process:
@@ -106,12 +108,21 @@
         self.client = Client()
 
     async def __aenter__(self) -> "ProcessDeployment":
-        """Start all processes and apply the configuration."""
+        """Start all processes and apply the configuration; on failure kill them."""
         await self.client.__aenter__()
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         for process in (self.platform, *self.backends.values()):
             process.start()
-        for address in self._stand_in_addresses():
-            await self._until_listening(address)
+        await self._until_listening(self.spec.platform.address, self.platform)
+        for backend in self.spec.backends:
+            await self._until_listening(backend.address, self._process_of(backend.id))
         for node in self.nodes:
             node.start()
         for number in range(len(self.nodes)):
@@ -119,7 +130,6 @@
         report = await self.client.configure(self.internal(0), self._configuration)
         assert report["result"]["outcome"] == "accepted", report
         assert report["not_yet"] == [], report
-        return self
 
     async def __aexit__(self, *exc: object) -> None:
         """Kill all processes."""
@@ -142,21 +152,31 @@
 
     async def until_ready(self, number: int) -> None:
         """Wait until a node listens, which it does once it has the platform's data."""
-        await self._until_listening(self.internal(number))
-
-    def _stand_in_addresses(self) -> list[str]:
-        return [self.spec.platform.address, *(b.address for b in self.spec.backends)]
-
-    async def _until_listening(self, address: str) -> None:
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while True:
-                try:
-                    _, writer = await connect(address)
-                except OSError:
-                    await asyncio.sleep(0.05)
-                    continue
-                writer.close()
-                return
+        await self._until_listening(self.internal(number), self.nodes[number])
+
+    def _process_of(self, backend_id: str) -> Process:
+        return self.backends.get(backend_id) or self.backends["backends"]
+
+    async def _until_listening(self, address: str, process: Process) -> None:
+        """Wait until a process listens at an address.
+
+        Fails with what the process has written if it ends, or if it takes too long.
+        """
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while process.running():
+                    try:
+                        _, writer = await connect(address)
+                    except OSError:
+                        await asyncio.sleep(0.05)
+                        continue
+                    writer.close()
+                    return
+        except TimeoutError:
+            pass
+        what = "does not listen" if process.running() else "has ended"
+        written = process.log_text()[-LOG_TAIL:]
+        raise AssertionError(f"{address}: the process {what}; it wrote: {written}")
 
     def _node_process(self, settings: dict[str, Any]) -> Process:
         name = settings["node"]
