Show answers that are cut, and calls that are aborted, in logs and counters

`Refused.` and `The deadline passed.` say whether the answer had begun, which the counter answer.cut counts. Calls that a lost path or a server's restart aborts are logged with their number, and callers that close their side during a request are counted. The line with which a request ends moves to request_log.py. No change of behaviour.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -151,16 +151,20 @@
         if self._link is not None:
             self._link.suspect()
 
-    def abort_direct(self) -> None:
+    def abort_direct(self) -> int:
         """Abort calls on direct connections, because the network path is lost.
 
         Calls that must not be repeated continue, since a caller could not retry them.
+        Returns how many calls are aborted.
         """
         if self._link is None:
-            return
-        for session in (self._session, *self._retired):
-            if session is not None and session.connector is not None:
-                session.connector.abort_direct()
+            return 0
+        sessions = (self._session, *self._retired)
+        return sum(
+            session.connector.abort_direct()
+            for session in sessions
+            if session is not None and session.connector is not None
+        )
 
     def begin_call(self) -> None:
         """Count a call that starts; its connections stay open until it ends."""
@@ -182,12 +186,13 @@
         """Register a response whose body is being read, so that it can be aborted."""
         self._responses.add(response)
 
-    def abort(self) -> None:
+    def abort(self) -> int:
         """Abort all calls, because the server is known to have terminated.
 
         To its reader a body without a length then looks complete; ``aborted`` says
-        that it was truncated.
+        that it was truncated. Returns how many calls were in flight.
         """
+        in_flight = self._calls_in_flight
         self.aborted = True
         self._closing = True
         for response in self._responses:
@@ -195,6 +200,7 @@
             if response.connection is not None and response.connection.transport:
                 response.connection.transport.abort()
         self._close_retired()
+        return in_flight
 
     async def close(self) -> None:
         """Close all connections immediately."""
--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -35,9 +35,16 @@
 class _CallerConnection(RequestHandler):
     """A connection whose first header must be complete in ``header_timeout_s``."""
 
-    def __init__(self, server: web.Server, header_timeout_s: float, **options) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        header_timeout_s: float,
+        count: Callable[[str], None],
+        **options,
+    ) -> None:
         super().__init__(server, **options)
         self._header_timeout_s = header_timeout_s
+        self._count = count
         self._header_timer: asyncio.TimerHandle | None = None
         self._header_done = False
 
@@ -50,6 +57,12 @@
             )
         super().data_received(data)
 
+    def eof_received(self) -> None:
+        """Count a caller that closes its side during a request; it may still read."""
+        if self._request_in_progress:
+            self._count("caller.closed-its-side")
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the header timeout of a closed connection."""
         self.on_header_complete()
@@ -113,6 +126,7 @@
         return _CallerConnection(
             self,
             self._header_timeout_s(),
+            self._count,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=CALLER_IDLE_S,
             max_line_size=MAX_LINE_BYTES,
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -8,6 +8,7 @@
 from eelgrass_coordination.ids import BackendId, DataCentre, SoftwareVersion
 
 from ..connection.backend import BackendConnections
+from ..log import Part, log
 from .cold_state import MAX_WARM_UP_S, ColdState
 from .host_entry import BackendState, HostEntry, ServerIncarnation
 from .leaving_servers import LeavingServers
@@ -351,7 +352,14 @@
             self._remove(entry.id)
             if ended:
                 # Calls that wait for the earlier incarnation would get no answer.
-                backend.connections.abort()
+                log(
+                    Part.HOSTS,
+                    "A server has restarted; calls to its earlier run are aborted.",
+                    backend=entry.id,
+                    started=entry.started,
+                    before=backend.entry.started,
+                    calls=backend.connections.abort(),
+                )
             else:
                 self.rests.forget(entry.incarnation)
                 self.limits.forget(entry.incarnation)
--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -237,7 +237,13 @@
         """Deal with open connections, and with the other servers' paths."""
         if direct is Listening.UNKNOWN:
             # Packets are dropped, so that those of open connections are, too.
-            backend.connections.abort_direct()
+            log(
+                Part.HOSTS,
+                "Calls on a lost network path to a server are aborted.",
+                backend=backend.entry.id,
+                service=backend.entry.service,
+                calls=backend.connections.abort_direct(),
+            )
         now = self._clock()
         if now < self._doubt_began + DOUBT_S:
             return
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -35,6 +35,7 @@
 from .incoming_request import ResponseHead, RoutedRequest
 from .quarantine_check import QuarantineCheck
 from .reasons import POSSIBLE_CRASH_REASONS, RetryReason
+from .request_log import RequestLog
 from .retry_limits import RETRY_FULL_S, RetryLimits
 from .server_selection import select_server
 from .serving_context import ServingContext
@@ -81,6 +82,7 @@
         self._answer = answer
         self._tried: frozenset[ServerIncarnation] = frozenset()
         self._limits = RetryLimits(routed, context.retries)
+        self._log = RequestLog(context, routed, self._limits)
         self._quarantine = QuarantineCheck(context, routed)
         self._calling = False
         self._step = Step.ADMISSION
@@ -112,7 +114,7 @@
         except RequestRefused as refused:
             return self._refuse(refused)
         except (CallerGone, asyncio.CancelledError):
-            self._log_end("The caller left.", at=self._step.value)
+            self._log.end("The caller left.", at=self._step.value)
             raise
         finally:
             self._graph.release()
@@ -134,7 +136,7 @@
         self._staged_at, self._staged_running_s = _now(), running_time()
         if self._routed.route.stages:
             self._context.metrics.record_stages(
-                self._routed.route.name, self._elapsed_s()
+                self._routed.route.name, self._log.elapsed_s()
             )
         while True:
             inputs_unreachable = self._context.reachability.is_suspected(
@@ -333,7 +335,7 @@
         self._quarantine.end_trial()
 
     def _timed_out(self) -> web.StreamResponse:
-        self._log_end("The deadline passed.")
+        self._log.end_without_answer("The deadline passed.", self._answer.has_begun)
         self._context.count("refusal.deadline-passed")
         if self._limits.may_have_run or self._calling:
             return self._answer.refusal(HTTP_GATEWAY_TIMEOUT, "the deadline passed")
@@ -344,7 +346,9 @@
         )
 
     def _refuse(self, refused: RequestRefused) -> web.StreamResponse:
-        self._log_end("Refused.", reason=refused.reason)
+        self._log.end_without_answer(
+            "Refused.", self._answer.has_begun, reason=refused.reason
+        )
         if self._last_reply is not None and not self._answer.has_begun:
             # A server's error response says more than a refusal by the node.
             return self._answer.complete(self._last_reply)
@@ -362,7 +366,7 @@
     def _log_answered(self, backend: Backend, head: ResponseHead) -> None:
         self._quarantine.record_answered(backend, head, self._headed_at)
         arrived_at = self._routed.incoming.arrived_at
-        self._log_end(
+        self._log.end(
             "Answered.",
             backend=backend.entry.id,
             version=backend.entry.version,
@@ -373,28 +377,6 @@
             headed_s=round(self._headed_at - arrived_at, 3),
         )
 
-    def _elapsed_s(self) -> float:
-        return _now() - self._routed.incoming.arrived_at
-
-    def _log_end(self, sentence: str, **fields: object) -> None:
-        routed = self._routed
-        log(
-            Part.REQUESTS,
-            sentence,
-            id=routed.incoming.request_id,
-            route=routed.route.name,
-            account=routed.account_name,
-            resumes=routed.incoming.resumes,
-            runs=self._limits.runs,
-            refused_calls=self._limits.refused_calls,
-            may_have_run=self._limits.may_have_run,
-            took_s=round(self._elapsed_s(), 3),
-            **fields,
-        )
-        # The sentence becomes a label value of the request_seconds metric.
-        outcome = sentence.rstrip(".").lower().replace(" ", "_")
-        self._context.metrics.record_request(outcome, self._elapsed_s())
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
