Close a call to a silent server only once another one takes over (LOST)

Callers saw streams that broke off: while their server was silent for longer than the idle timeout, the host closed the call and only then asked whether the stream may go on elsewhere. Where the retry budget was spent, the last attempt was used up, or no server of the version answered, nothing was left of either.

Cause: silence was taken for a failure, and a decision that cannot be undone came before what it depends on.

Now request/failover.py alone decides: the request may run again, a server that has just reported has a place for it, the results of its stages are there, and the budget has granted the retry. Until then the call goes on, and what comes is passed on. A lost path makes its calls look for another server at once instead of aborting them; calls of stages are still given up, as they can be made again.

--- a/packages/node/src/eelgrass_node/connection/answer_bounds.py
+++ b/packages/node/src/eelgrass_node/connection/answer_bounds.py
@@ -97,10 +97,15 @@
             self.transport.abort()
 
 
-async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return the complete body; raises :class:`AnswerTooLong` if it is too long."""
-    parts: list[bytes] = []
-    left = max_bytes
+async def read_bounded(
+    response: aiohttp.ClientResponse, max_bytes: int, parts: list[bytes] | None = None
+) -> bytes:
+    """Return the complete body; raises :class:`AnswerTooLong` if it is too long.
+
+    A read that was cancelled can be continued with the same ``parts``.
+    """
+    parts = [] if parts is None else parts
+    left = max_bytes - sum(map(len, parts))
     async for part in response.content.iter_any():
         left -= len(part)
         if left < 0:
--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -72,6 +72,7 @@
         self._single_use_session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
         self._calls_in_flight = 0
+        self._on_path_lost: list[Callable[[], None]] = []
         self._closing = False
         self._responses: weakref.WeakSet[aiohttp.ClientResponse] = weakref.WeakSet()
         self.aborted = False
@@ -151,27 +152,34 @@
         if self._link is not None:
             self._link.suspect()
 
-    def abort_direct(self) -> int:
-        """Abort calls on direct connections, because the network path is lost.
+    def on_path_lost(self) -> int:
+        """Tell the calls in flight that the network path is lost; return their number.
 
-        Calls that must not be repeated continue, since a caller could not retry them.
-        Returns how many calls are aborted.
+        Each decides by itself whether it is given up.
         """
-        if self._link is None:
-            return 0
-        sessions = (self._session, *self._retired)
-        return sum(
-            session.connector.abort_direct()
-            for session in sessions
-            if session is not None and session.connector is not None
-        )
+        for on_path_lost in list(self._on_path_lost):
+            on_path_lost()
+        return len(self._on_path_lost)
+
+    def is_relayed(self, response: aiohttp.ClientResponse) -> bool:
+        """Return whether a response comes through another node."""
+        if self._link is None or response.connection is None:
+            return False
+        return response.connection.protocol in self._link.relayed
 
-    def begin_call(self) -> None:
-        """Count a call that starts; its connections stay open until it ends."""
+    def begin_call(self, on_path_lost: Callable[[], None] | None = None) -> None:
+        """Count a call that starts; its connections stay open until it ends.
+
+        ``on_path_lost`` is called if the network path to the server is lost meanwhile.
+        """
         self._calls_in_flight += 1
+        if on_path_lost is not None:
+            self._on_path_lost.append(on_path_lost)
 
-    def end_call(self) -> None:
+    def end_call(self, on_path_lost: Callable[[], None] | None = None) -> None:
         """Count a call that has ended, and close retired sessions after the last."""
+        if on_path_lost is not None:
+            self._on_path_lost.remove(on_path_lost)
         self._calls_in_flight -= 1
         if self._calls_in_flight == 0:
             self._close_retired()
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -75,14 +75,26 @@
         """Run items in one call; if it fails, every outcome has a failure."""
         now = asyncio.get_running_loop().time()
         body = self._codec.encode_items(items, now)
+        timeout = StallAwareTimeout(timeout_s)
+        is_path_lost = False
+
+        def on_path_lost() -> None:
+            nonlocal is_path_lost
+            is_path_lost = True
+            timeout.restart(0.0)
+
         try:
-            async with StallAwareTimeout(timeout_s):
-                answer = await self._post(backend, self._codec.RUN_PATH, body)
+            async with timeout:
+                answer = await self._post(
+                    backend, self._codec.RUN_PATH, body, on_path_lost
+                )
             if answer.status == HTTP_OK:
                 return self._decode(answer, len(items))
         except aiohttp.ConnectionTimeoutError:
             return _all_failed(items, ItemFailure.CONNECT_TIMED_OUT)
         except TimeoutError:
+            if is_path_lost:
+                return _all_failed(items, ItemFailure.LOST)
             backend.connections.suspect_path()
             # Other connections to this server may be dead as well.
             backend.connections.replace()
@@ -133,11 +145,17 @@
             # The connection ended inside the answer, as if the server had crashed.
             return [ItemOutcome(failure=ItemFailure.LOST)] * count
 
-    async def _post(self, backend: Backend, path: str, body: bytes) -> _Answer:
+    async def _post(
+        self,
+        backend: Backend,
+        path: str,
+        body: bytes,
+        on_path_lost: Callable[[], None] | None = None,
+    ) -> _Answer:
         headers = self._codec.call_headers(backend.entry.id)
         headers["Content-Type"] = "application/json"
         connections = backend.connections
-        connections.begin_call()
+        connections.begin_call(on_path_lost)
         try:
             async with connections.request(
                 "POST", path, headers, body, CONNECT_TIMEOUT_S, reuse=True
@@ -146,7 +164,7 @@
                 body = await read_bounded(response, MAX_REPORT_BYTES)
                 return _Answer(response.status, body, has_length(response))
         finally:
-            connections.end_call()
+            connections.end_call(on_path_lost)
 
 
 def _all_failed(items: list[BatchItem], failure: ItemFailure) -> list[ItemOutcome]:
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -105,13 +105,6 @@
             raise
         return connection
 
-    def abort_direct(self) -> int:
-        """Abort the direct connections that are in use; return how many there were."""
-        in_use = self._direct_in_use()
-        for protocol in in_use:
-            protocol.transport.abort()
-        return len(in_use)
-
     def is_unacknowledged(self) -> bool:
         """Return whether bytes that were sent directly are not acknowledged yet."""
         return any(
--- a/packages/node/src/eelgrass_node/entry_serving.py
+++ b/packages/node/src/eelgrass_node/entry_serving.py
@@ -1,8 +1,10 @@
 """The parts of an entry node that serve callers' requests, put together."""
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from .request.incoming_request import WireCodec
+from .request.server_checks import ServerChecks
 from .request.serving_context import ServingContext
 from .request.stage_planner import StagePlanner
 
@@ -40,6 +42,7 @@
         reachability=node.reachability,
         brittle_servers=node.brittle_servers,
         origins=node.stream_origins,
+        server_checks=ServerChecks(codec, asyncio.get_running_loop().time),
         on_server_replaced=node.on_server_replaced,
         on_server_failing=node.failure_gossip.announce_failure,
         poison_requests=node.poison_requests,
--- a/packages/node/src/eelgrass_node/process/retry_budget.py
+++ b/packages/node/src/eelgrass_node/process/retry_budget.py
@@ -102,6 +102,20 @@
             self.on_exhausted(service)
         return granted
 
+    def has_tokens(self, service: str) -> bool:
+        """Return whether a retry may be allowed now; without tokens some are asked for.
+
+        Nothing is spent, so another request may take the token first.
+        """
+        bucket = self._refilled(service, self._clock())
+        has_tokens = bucket.borrowed >= 1 or bucket.tokens >= min(
+            1.0, self._capacity(bucket)
+        )
+        if not has_tokens:
+            bucket.exhausted_at = self._clock()
+            self.on_exhausted(service)
+        return has_tokens
+
     def requested(self, service: str) -> int:
         """Return the number of requests for a service in the last window."""
         return self._refilled(service, self._clock()).requested
--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -239,10 +239,10 @@
             # Packets are dropped, so that those of open connections are, too.
             log(
                 Part.HOSTS,
-                "Calls on a lost network path to a server are aborted.",
+                "The network path to a server is lost under calls in flight.",
                 backend=backend.entry.id,
                 service=backend.entry.service,
-                calls=backend.connections.abort_direct(),
+                calls=backend.connections.on_path_lost(),
             )
         now = self._clock()
         if now < self._doubt_began + DOUBT_S:
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -7,17 +7,18 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import StallAwareTimeout, send_allowance_s
+from eelgrass_coordination import send_allowance_s
 
 from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon, read_bounded
 from ..connection.backend import ServerLimited, ServerResting, has_length
 from ..exceptions import AnswerTooLong, CallFailed
 from ..process.backends import Backend
+from .answer_wait import AnswerWait
 from .incoming_request import ResponseHead, RoutedRequest, WireCodec
 from .reasons import RetryReason
 
@@ -40,12 +41,12 @@
 class EngineCall:
     """A call in progress; :meth:`close` must be called whatever its outcome.
 
-    ``head_timeout_s`` bounds the wait for the head of the response, in seconds, once
-    the body has had time to be sent, and ``body_timeout_s`` that for the end of a
-    complete body. The user of this class enforces the request's
-    deadline, because its expiry says nothing about the server. ``on_sent`` is called
-    when the request is sent. ``copy_from`` is the address of an engine that has the
-    prompt prefix cached.
+    ``head_timeout_s`` is how long the head of the response may take, in seconds, once
+    the body has had time to be sent, and ``body_timeout_s`` the end of a complete
+    body. After that ``wait`` decides whether the call is given up; without it, it is.
+    The user of this class enforces the request's deadline, because its expiry says
+    nothing about the server. ``on_sent`` is called when the request is sent.
+    ``copy_from`` is the address of an engine that has the prompt prefix cached.
     """
 
     def __init__(
@@ -58,11 +59,13 @@
         on_sent: Callable[[], None],
         copy_from: str | None = None,
         body_timeout_s: float = math.inf,
+        wait: AnswerWait | None = None,
     ) -> None:
         self._codec = codec
         self._routed = routed
         self._backend = backend
         self._inputs = inputs
+        self._wait = wait or AnswerWait(_always, lambda: None)
         self._head_timeout_s = head_timeout_s
         self._body_timeout_s = body_timeout_s
         self._on_sent = on_sent
@@ -70,7 +73,7 @@
         self._response: aiohttp.ClientResponse | None = None
         # Keeps the server's connections open until close(), even if the server is
         # removed from the list of servers meanwhile.
-        backend.connections.begin_call()
+        backend.connections.begin_call(self._on_path_lost)
         self._closed: asyncio.Future | None = None
 
     async def open(self, last_event_id: str | None = None) -> ResponseHead:
@@ -103,9 +106,12 @@
         end within the body timeout may be the server's trouble, if another server can
         be tried.
         """
+        parts: list[bytes] = []
         try:
-            async with StallAwareTimeout(self._before_deadline(self._body_timeout_s)):
-                body = await read_bounded(self._response, MAX_BODY_BYTES)
+            body = await self._wait.read(
+                lambda: read_bounded(self._response, MAX_BODY_BYTES, parts),
+                self._before_deadline(self._body_timeout_s),
+            )
         except TimeoutError as error:
             raise CallFailed(RetryReason.BAD_ANSWER, not_run=False) from error
         except (aiohttp.ClientError, OSError, AnswerTooLong) as error:
@@ -116,12 +122,13 @@
     async def read_some(self, within_s: float) -> bytes:
         """Return the next bytes of the body; empty at its end.
 
-        Raises :class:`CallFailed` if it is cut off, or if no data arrives within
-        ``within_s`` seconds.
+        Raises :class:`CallFailed` if it is cut off, or if it is given up after no data
+        has arrived within ``within_s`` seconds.
         """
         try:
-            async with StallAwareTimeout(self._before_deadline(within_s)):
-                data = await self._response.content.readany()
+            data = await self._wait.read(
+                self._response.content.readany, self._before_deadline(within_s)
+            )
         except (aiohttp.ClientError, OSError, TimeoutError, AnswerTooLong) as error:
             raise call_failure(error) from error
         if not data:
@@ -143,7 +150,7 @@
         """Return the connection to the pool; close it if unread data is left."""
         if self._response is not None:
             self._response.close()
-        self._backend.connections.end_call()
+        self._backend.connections.end_call(self._on_path_lost)
 
     async def _send(self, last_event_id: str | None) -> aiohttp.ClientResponse:
         routed = self._routed
@@ -167,11 +174,22 @@
             on_sent=self._on_sent,
         )
         timeout_s = self._head_timeout_s + send_allowance_s(len(incoming.body))
+        sending = asyncio.ensure_future(_response_of(context))
         try:
-            async with StallAwareTimeout(self._before_deadline(timeout_s)):
-                return await context
+            return await self._wait.read(
+                lambda: asyncio.shield(sending), self._before_deadline(timeout_s)
+            )
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise call_failure(error) from error
+        finally:
+            if not sending.done():
+                sending.cancel()
+                await asyncio.gather(sending, return_exceptions=True)
+
+    def _on_path_lost(self) -> None:
+        response = self._response
+        if response is None or not self._backend.connections.is_relayed(response):
+            self._wait.on_path_lost()
 
     def _check_head(self, head: ResponseHead) -> None:
         if head.request_id is None and head.not_run:
@@ -218,6 +236,16 @@
     return CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
 
 
+async def _always() -> bool:
+    return True
+
+
+async def _response_of(
+    context: Awaitable[aiohttp.ClientResponse],
+) -> aiohttp.ClientResponse:
+    return await context
+
+
 def _retrieve_exception(closed: asyncio.Future) -> None:
     if not closed.cancelled():
         closed.exception()
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -25,7 +25,7 @@
 from .incoming_request import WireCodec
 from .reasons import RetryReason
 
-__all__ = ["check_incarnation", "first_confirmed"]
+__all__ = ["check_incarnation", "confirm_incarnation", "first_confirmed"]
 
 # Servers report from memory, within milliseconds unless they are overloaded.
 NEXT_SERVER_DELAY_S = 0.1
@@ -105,14 +105,30 @@
 
     Nothing is checked if its entry does not state when it was started.
     """
-    if not server.entry.started:
-        return
+    if server.entry.started:
+        await _ask_start(codec, server, timeout_s, reuse=True)
+
+
+async def confirm_incarnation(
+    codec: WireCodec, server: Backend, timeout_s: float
+) -> None:
+    """Raise :class:`CallFailed` unless the server answers, and has not restarted.
+
+    It is asked on a connection of its own, because open ones may have been dropped on
+    the path.
+    """
+    await _ask_start(codec, server, timeout_s, reuse=False)
+
+
+async def _ask_start(
+    codec: WireCodec, server: Backend, timeout_s: float, reuse: bool
+) -> None:
     connections = server.connections
     connections.begin_call()
     try:
         async with StallAwareTimeout(timeout_s):
             context = connections.request(
-                "GET", codec.REPORT_PATH, CIMultiDict(), b"", CONNECT_S, reuse=True
+                "GET", codec.REPORT_PATH, CIMultiDict(), b"", CONNECT_S, reuse
             )
             async with context as response:
                 started = codec.decode_start(
@@ -127,5 +143,5 @@
         raise CallFailed(RetryReason.CONNECT_FAILED, not_run=True) from error
     finally:
         connections.end_call()
-    if started not in (None, server.entry.started):
+    if server.entry.started and started not in (None, server.entry.started):
         raise CallFailed(RetryReason.BACKEND_REPLACED, not_run=True)
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -31,6 +31,7 @@
 from .caller_response import CallerResponse
 from .engine_call import EngineCall, Reply
 from .events import EventSplitter
+from .failover import Failover
 from .graph import StageGraph
 from .incoming_request import ResponseHead, RoutedRequest
 from .quarantine_check import QuarantineCheck
@@ -43,7 +44,7 @@
 
 __all__ = ["ANSWER_MARGIN_S", "RequestExecution"]
 
-# A stream that can be resumed at another server is given up after this gap, in seconds:
+# After this gap, in seconds, a stream that can be resumed looks for another server:
 # callers leave after 2 s or more, and a gap of over 0.8 s already misses its target.
 STREAM_IDLE_TIMEOUT_S = 1.8
 # Time reserved so that the response reaches the caller before its deadline.
@@ -102,6 +103,14 @@
             context.has_ended,
             self._quarantine.fingerprint if routed.route.stages else Fingerprint(""),
         )
+        self._failover = Failover(
+            context,
+            routed,
+            self._limits,
+            self._graph,
+            self._stream_version,
+            self._criteria,
+        )
 
     async def serve(self) -> web.StreamResponse:
         """Serve the request; raises :class:`CallerGone` if the caller has left."""
@@ -145,23 +154,26 @@
             if inputs_unreachable or self._graph.has_lost_results():
                 # No server could fetch the results, so they are recomputed.
                 self._graph.release()
-            if self._graph.released:
+            if self._graph.released or self._failover.is_secured:
                 inputs = await self._run_stages()
             await self._quarantine.check()
-            backend = await select_server(
+            secured = self._failover.take()
+            backend = secured or await select_server(
                 self._context, self._criteria(), may_wait=self._has_work_to_lose()
             )
             backend.in_flight += 1
             try:
-                backend = await self._stream_version.confirmed_server(
-                    self._context, self._criteria(), backend
-                )
+                if secured is None:
+                    backend = await self._stream_version.confirmed_server(
+                        self._context, self._criteria(), backend
+                    )
                 return await self._call(backend, inputs)
             except CallFailed as failed:
                 self._calling = False
                 self._record_failure(backend, failed)
                 await self._stream_version.check_continuation(backend)
-                self._check_available()
+                if not self._failover.is_secured:
+                    self._check_available()
                 self._limits.check_retry(failed)
                 self._context.count(f"retry.{failed.reason.value}")
                 await self._context.poison_requests.crash_detector.wait_for_check(
@@ -240,6 +252,7 @@
             self._on_sent,
             self._copy_from(backend),
             self._limits.body_timeout_s(),
+            self._failover.wait_for(backend),
         )
         began, began_running_s = _now(), running_time()
         try:
--- a/packages/node/src/eelgrass_node/request/retry_limits.py
+++ b/packages/node/src/eelgrass_node/request/retry_limits.py
@@ -35,6 +35,8 @@
         self._budgets = budgets
         self.runs = 0
         self.refused_calls = 0
+        # Whether the budget has granted the next retry while the call before goes on.
+        self._is_paid_ahead = False
 
     @property
     def may_have_run(self) -> bool:
@@ -65,17 +67,15 @@
             )
         # A call that reached no server puts no load on one, so that its retry needs no
         # budget.
-        reached = failed.reason not in FREE_RETRY_REASONS
-        if reached and not self._budgets.try_spend(
-            self._routed.service, self._routed.incoming.request_id
-        ):
+        is_free = failed.reason in FREE_RETRY_REASONS
+        if not is_free and not self._take_paid() and not self._try_spend():
             raise RequestRefused(
                 f"the retry budget is exhausted: {reason}", RETRY_FULL_S
             )
 
     def body_timeout_s(self) -> float:
         """Return how long to wait for the end of a body before another server."""
-        if not self._may_run_again():
+        if not self.may_run_again():
             return float("inf")
         left_s = self._routed.deadline - asyncio.get_running_loop().time()
         return max(PLAIN_HEAD_TIMEOUT_S, BODY_FRACTION * left_s)
@@ -83,13 +83,31 @@
     def head_timeout_s(self) -> float:
         """Return how long to wait for a response head before trying another server."""
         route = self._routed.route
-        if not self._may_run_again():
+        if not self.may_run_again():
             return float("inf")
         if route.kind is RouteKind.STREAM:
             return STREAM_HEAD_TIMEOUT_S
         return PLAIN_HEAD_TIMEOUT_S
 
-    def _may_run_again(self) -> bool:
+    def may_run_again(self) -> bool:
         """Return whether a request that has run once more may go to another server."""
         route = self._routed.route
         return route.repeatable and self.runs + 1 < route.max_attempts
+
+    def can_pay(self) -> bool:
+        """Return whether the budget may allow a retry."""
+        return self._is_paid_ahead or self._budgets.has_tokens(self._routed.service)
+
+    def pay_ahead(self) -> bool:
+        """Spend the budget's token for the next retry while a call still goes on."""
+        self._is_paid_ahead = self._is_paid_ahead or self._try_spend()
+        return self._is_paid_ahead
+
+    def _take_paid(self) -> bool:
+        is_paid, self._is_paid_ahead = self._is_paid_ahead, False
+        return is_paid
+
+    def _try_spend(self) -> bool:
+        return self._budgets.try_spend(
+            self._routed.service, self._routed.incoming.request_id
+        )
--- a/packages/node/src/eelgrass_node/request/serving_context.py
+++ b/packages/node/src/eelgrass_node/request/serving_context.py
@@ -18,6 +18,7 @@
 from .final_call_latency import FinalCallLatency
 from .graph import FreeResults, RunItems, StagePlan
 from .incoming_request import RoutedRequest, WireCodec
+from .server_checks import ServerChecks
 
 __all__ = ["ServingContext"]
 
@@ -57,6 +58,7 @@
     reachability: DataCentreReachability
     brittle_servers: BrittleServers
     origins: StreamOrigins
+    server_checks: ServerChecks
     on_server_replaced: Callable[[Backend], None]
     on_server_failing: Callable[[Backend], None]
     poison_requests: PoisonRequests
--- a/packages/node/src/eelgrass_node/request/stream_version.py
+++ b/packages/node/src/eelgrass_node/request/stream_version.py
@@ -92,6 +92,12 @@
             await self._record(None)
             raise RequestRefused("the software version of the stream is not certain")
 
+    def may_leave(self, server: Backend) -> bool:
+        """Return whether another server could continue what this one has written."""
+        if self.version is None or self._writer is not server:
+            return True
+        return not server.is_version_uncertain
+
     def release(self) -> None:
         """Stop renewing the copies of the origin, because the request has ended."""
         self._origins.release(self._routed.stream_id)
