--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -1,6 +1,7 @@
 """Answers of sound servers that fall silent for a moment, beside changes."""
 
 import asyncio
+from collections import Counter
 
 import aiohttp
 import pytest
@@ -10,6 +11,8 @@
 from support.silent_servers import SilentServersDeployment
 
 STREAMS = 120
+FEW = 12
+MAX_ATTEMPTS = 2
 # Between two events; a stream then lasts long enough to meet the silence.
 EVENT_S = 0.4
 # After this time all streams have begun.
@@ -67,3 +70,61 @@
         answers = await asking
         whole = answers.count((200, COMPLETE_STREAM))
         assert whole == STREAMS, [a for a in answers if a != (200, COMPLETE_STREAM)][:3]
+
+    # Guards against streams that are lost when some servers are silent, whether or not
+    # the retry budget lets them go on at the others.
+    @pytest.mark.parametrize("servers", [1, 2])
+    async def test_no_stream_is_cut_if_some_are_silent(self, silent, servers):
+        asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x"))
+        await asyncio.sleep(BEGUN_S)
+        await silent.silence("readers", 2.6, servers)
+        answers = await asking
+        assert answers.count((200, COMPLETE_STREAM)) == STREAMS
+        runs = Counter(run.request_id for run in silent.runs("readers"))
+        assert max(runs.values()) <= MAX_ATTEMPTS
+
+    # Guards against streams that wait for what will never come: their connections are
+    # dropped on the path, while new ones work.
+    async def test_streams_go_on_if_their_connections_are_dropped(self, silent):
+        asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x", FEW))
+        await asyncio.sleep(BEGUN_S)
+        silent.drop_connections("readers")
+        answers = await asking
+        assert answers.count((200, COMPLETE_STREAM)) == FEW
+
+    # Guards against requests that are refused although their silent server answers
+    # later: nothing was left of the retry budget when their calls were closed.
+    async def test_plain_requests_wait_without_a_retry_budget(self, silent):
+        for node in silent.nodes:
+            node.retry_budgets.has_tokens = lambda service: False
+            node.retry_budgets.try_spend = lambda service, request_id: False
+        asking = asyncio.create_task(silent.silence("desk", 1.6))
+        await asyncio.sleep(0.1)
+        answers = await outcomes(silent, "/safe/x", FEW)
+        await asking
+        assert answers == [(200, b"answer of body")] * FEW
+
+
+class TestLostPaths:
+    # Guards against answers that are cut by an abort of all calls to a server, because
+    # probes of its path found it silent.
+    async def test_calls_that_cannot_move_go_on(self, silent):
+        for node in silent.nodes:
+            node.retry_budgets.has_tokens = lambda service: False
+        asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x", FEW))
+        await asyncio.sleep(BEGUN_S)
+        for node in silent.nodes:
+            for backend in node.backends.by_service["readers"]:
+                backend.connections.on_path_lost()
+        assert await asking == [(200, COMPLETE_STREAM)] * FEW
+
+    # Guards against callers that wait for a server that their host has lost its path
+    # to, while others could go on with the stream.
+    async def test_calls_that_can_move_do_so_at_once(self, silent):
+        asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x", 3))
+        await asyncio.sleep(BEGUN_S)
+        for node in silent.nodes:
+            for backend in node.backends.by_service["readers"]:
+                backend.connections.on_path_lost()
+        assert await asking == [(200, COMPLETE_STREAM)] * 3
+        assert len(silent.runs("readers")) == 6
