Close a response that arrives as its call is cancelled

The head of an answer is read by a task of its own since calls wait for a silent server. If the caller left in the moment in which the head arrived, the connection stayed open until the garbage collector found the response.

--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -175,16 +175,17 @@
         )
         timeout_s = self._head_timeout_s + send_allowance_s(len(incoming.body))
         sending = asyncio.ensure_future(_response_of(context))
+        response = None
         try:
-            return await self._wait.read(
+            response = await self._wait.read(
                 lambda: asyncio.shield(sending), self._before_deadline(timeout_s)
             )
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise call_failure(error) from error
         finally:
-            if not sending.done():
-                sending.cancel()
-                await asyncio.gather(sending, return_exceptions=True)
+            if response is None:
+                await _discard(sending)
+        return response
 
     def _on_path_lost(self) -> None:
         response = self._response
@@ -246,6 +247,14 @@
     return await context
 
 
+async def _discard(sending: asyncio.Future[aiohttp.ClientResponse]) -> None:
+    """Cancel a call, and close its response if it has arrived meanwhile."""
+    sending.cancel()
+    [result] = await asyncio.gather(sending, return_exceptions=True)
+    if isinstance(result, aiohttp.ClientResponse):
+        result.close()
+
+
 def _retrieve_exception(closed: asyncio.Future) -> None:
     if not closed.cancelled():
         closed.exception()
