Failover: withdraw a server once data comes, hold its place, take its permit last

Data that came in the moment after a server was secured left it secured, for a later failure to use it unchecked; many requests chose one server because none counted as in use during the checks; the check of a limited server used up the permit of the request; stages ran again before the budget had granted the retry; and a server that had begun to leave during that time still got plain requests.

--- a/packages/node/src/eelgrass_node/process/retry_budget.py
+++ b/packages/node/src/eelgrass_node/process/retry_budget.py
@@ -108,9 +108,8 @@
         Nothing is spent, so another request may take the token first.
         """
         bucket = self._refilled(service, self._clock())
-        has_tokens = bucket.borrowed >= 1 or bucket.tokens >= min(
-            1.0, self._capacity(bucket)
-        )
+        is_drawn = self._capacity(bucket) < 1 and bucket.tokens > 0
+        has_tokens = is_drawn or bucket.tokens >= 1 or bucket.borrowed >= 1
         if not has_tokens:
             bucket.exhausted_at = self._clock()
             self.on_exhausted(service)
--- a/packages/node/src/eelgrass_node/request/answer_wait.py
+++ b/packages/node/src/eelgrass_node/request/answer_wait.py
@@ -77,10 +77,11 @@
         securing = asyncio.create_task(self._secure())
         try:
             await asyncio.wait({reading, securing}, return_when=asyncio.FIRST_COMPLETED)
-            if not reading.done():
-                return securing.result()
         finally:
             await _cancel(securing)
+        if not reading.done():
+            return securing.result()
+        # Also if it came just after a server was secured.
         self._withdraw()
         return True
 
--- a/packages/node/src/eelgrass_node/request/failover.py
+++ b/packages/node/src/eelgrass_node/request/failover.py
@@ -21,7 +21,7 @@
 from .incoming_request import RoutedRequest
 from .reasons import RetryReason
 from .retry_limits import RetryLimits
-from .server_selection import select_other
+from .server_selection import await_permit, select_other
 from .serving_context import ServingContext
 from .stream_version import StreamVersion
 
@@ -49,17 +49,25 @@
         self._silent: Backend | None = None
         # Whether the stages ran again for the call to a server to be secured.
         self._has_rerun = False
-        self._secured: Backend | None = None
+        # The server that is to take over, once it is secured.
+        self._held: Backend | None = None
+        self._is_secured = False
 
     @property
     def is_secured(self) -> bool:
         """Whether a server has been secured and not been taken yet."""
-        return self._secured is not None
+        return self._is_secured
 
     def take(self) -> Backend | None:
-        """Return the server that was secured, for the next call, or None."""
-        secured, self._secured = self._secured, None
+        """Return the server that was secured, for the next call.
+
+        None if there is none, or if it may not get the request any more.
+        """
+        secured = self._held if self._is_secured else None
+        self._hold(None)
         self._has_rerun = False
+        if secured is None or not self._is_allowed(secured):
+            return None
         return secured
 
     def wait_for(self, server: Backend) -> AnswerWait:
@@ -68,46 +76,71 @@
 
     def withdraw(self) -> None:
         """Give up the server that was secured, as the present one goes on."""
-        self._secured = None
-        self._release_rerun()
+        self._hold(None)
+        if self._has_rerun:
+            self._has_rerun = False
+            self._graph.release()
 
     async def secure(self, silent: Backend) -> bool:
         """Return whether the request is certain of another server than ``silent``."""
-        self._secured = None
         if not self._limits.may_run_again():
             return False
         self._record_silence(silent)
-        if not self._stream_version.may_leave(silent) or not self._limits.can_pay():
+        if not self._limits.can_pay():
             return False
         try:
-            server = await self._find(silent)
-            if server and self._routed.route.stages and self._graph.released:
-                self._has_rerun = True
-                await self._graph.run()
-                await self._confirm(server)
+            self._is_secured = await self._secure(silent)
         except (CallFailed, RequestRefused, StagesFailed) as failure:
             self._log_kept(silent, str(failure))
-            server = None
-        except BaseException:
-            self._release_rerun()
-            raise
+        finally:
+            if not self._is_secured:
+                self.withdraw()
+        return self._is_secured
+
+    async def _secure(self, silent: Backend) -> bool:
+        server = await self._find(silent)
         if server is None or not self._limits.pay_ahead():
-            self._release_rerun()
             return False
-        self._secured = server
-        return True
+        if self._routed.route.stages and self._graph.released:
+            self._has_rerun = True
+            await self._graph.run()
+            await self._confirm(server)
+        if server.permit_wait_s():
+            # The check has used the permit that there was.
+            await await_permit(self._context, server)
+        return self._stream_version.may_leave(silent) and self._is_allowed(server)
 
     async def _find(self, silent: Backend) -> Backend | None:
+        """Return a server that is counted as in use from now on."""
         criteria = self._criteria()
         first = await select_other(self._context, criteria, [silent])
         if first is None:
             return None
-        return await first_confirmed(
-            first,
-            lambda asked: select_other(self._context, criteria, [silent, *asked]),
-            self._confirm,
-            partial(record_failure, self._context),
-        )
+        self._hold(first)
+        try:
+            server = await first_confirmed(
+                first,
+                lambda asked: select_other(self._context, criteria, [silent, *asked]),
+                self._confirm,
+                partial(record_failure, self._context),
+            )
+        except CallFailed as failed:
+            record_failure(self._context, first, failed)
+            raise
+        self._hold(server)
+        return server
+
+    def _hold(self, server: Backend | None) -> None:
+        """Count a server as in use, in place of the one before, until it is taken."""
+        if self._held is not None:
+            self._held.in_flight -= 1
+        if server is not None:
+            server.in_flight += 1
+        self._held = server
+        self._is_secured = False
+
+    def _is_allowed(self, server: Backend) -> bool:
+        return self._context.is_allowed(self._criteria(), server)
 
     async def _confirm(self, server: Backend) -> None:
         """Raise :class:`CallFailed` if a server cannot continue a stream now.
@@ -118,15 +151,9 @@
         if self._routed.route.kind is not RouteKind.STREAM:
             return
         await self._context.server_checks.confirm(server)
-        if not self._context.is_allowed(self._criteria(), server):
+        if not self._is_allowed(server):
             raise CallFailed(RetryReason.BACKEND_WITHDRAWN, not_run=True)
 
-    def _release_rerun(self) -> None:
-        """Free the results of stages that ran for a call that is not made."""
-        if self._has_rerun:
-            self._has_rerun = False
-            self._graph.release()
-
     def _record_silence(self, silent: Backend) -> None:
         """Prefer other servers for new requests, and check the path to this one."""
         if self._silent is silent:
