Answer whole requests of callers that end their own direction (LOST)

A caller that had sent its whole request and then ended its own direction got nothing: the connection was closed and the server's work cancelled, at any time and so beside a change of the configuration, too. Seen with a raw socket: empty answers to plain requests, streams and pipelined requests.

Cause: eof_received let asyncio close the transport, which cancels the handler.

Now the connection stays open for writing if it has requests that were read whole. They have a grace period of 0.3 s. After it, work is stopped and the caller gets 502, or 503 if the request was not yet with its execution, or its stream is closed. A caller that has left looks the same at first, so the grace period ends before the half second in which work for it must stop (GONE); a reset cancels the handler as before. A request that is still without its whole body is never run. After the last answer the connection is closed, as no further request can come.

--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -6,12 +6,16 @@
 
 A connection that the host could not serve in time is closed before anything is read
 from it, so that its caller can try another host at once.
+
+A caller may end its own direction after its requests and still wait for the answers. It
+looks like one that has left, so its requests get a short grace period.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
 __all__ = ["CallerServer"]
@@ -25,6 +29,9 @@
 # Bytes that have arrived when the header timeout expires are still read in this time:
 # after a suspension of the host both happen at once.
 PENDING_READ_S = 0.5
+# Requests of a caller that has ended its direction are answered within this time. If it
+# has left, servers must stop their work for it within half a second.
+HALF_CLOSE_GRACE_S = 0.3
 # Sent to a caller whose first request header was not complete in time. The request has
 # not run.
 TIMEOUT_RESPONSE = (
@@ -47,6 +54,12 @@
         self._count = count
         self._header_timer: asyncio.TimerHandle | None = None
         self._header_done = False
+        # The body of the request that is being served, None between two requests.
+        self._body: StreamReader | None = None
+        self._on_half_close: Callable[[float], None] | None = None
+        # The time, on the event loop's clock, by which requests must be answered; None
+        # until the caller ends its direction.
+        self.answer_by: float | None = None
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes; the first ones start the header timeout."""
@@ -57,17 +70,52 @@
             )
         super().data_received(data)
 
-    def eof_received(self) -> None:
-        """Count a caller that closes its side during a request; it may still read."""
-        if self._request_in_progress:
-            self._count("caller.closed-its-side")
-        super().eof_received()
+    def eof_received(self) -> bool:
+        """Keep the connection open if there are whole requests to be answered."""
+        if self.answer_by is not None:
+            return True
+        if not self._has_whole_requests():
+            return False
+        self._count("caller.closed-its-side")
+        loop = asyncio.get_running_loop()
+        self.answer_by = loop.time() + HALF_CLOSE_GRACE_S
+        if self._on_half_close is not None:
+            self._on_half_close(self.answer_by)
+        return True
+
+    @contextmanager
+    def calling_on_half_close(self, callback: Callable[[float], None]) -> Iterator:
+        """Call ``callback`` with ``answer_by`` if it is set during the context."""
+        self._on_half_close = callback
+        try:
+            yield
+        finally:
+            self._on_half_close = None
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response; after the last one to a half-closed caller, close."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self._body = None
+            if self.answer_by is not None and not self._messages:
+                self.close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the header timeout of a closed connection."""
         self.on_header_complete()
         super().connection_lost(exc)
 
+    def begin_request(self, body: StreamReader) -> None:
+        """Record that a request with this body is being served."""
+        self._body = body
+        self.on_header_complete()
+
     def on_header_complete(self) -> None:
         """Cancel the header timeout, as the first header is complete."""
         self._header_done = True
@@ -75,6 +123,17 @@
             self._header_timer.cancel()
             self._header_timer = None
 
+    def _has_whole_requests(self) -> bool:
+        """Return whether whole requests wait; drop one behind them that is not."""
+        if self._body is not None and not self._body.is_eof():
+            return False
+        is_last_partial = bool(self._messages) and not self._messages[-1][1].is_eof()
+        if self._body is None and len(self._messages) == is_last_partial:
+            return False
+        if is_last_partial:
+            self._messages.pop()
+        return True
+
     def _allow_pending_reads(self) -> None:
         loop = asyncio.get_running_loop()
         self._header_timer = loop.call_later(PENDING_READ_S, self._time_out)
@@ -138,7 +197,7 @@
     def _build_request(
         self, message, payload, protocol, writer, task
     ) -> web.BaseRequest:
-        protocol.on_header_complete()
+        protocol.begin_request(payload)
         return web.BaseRequest(
             message,
             payload,
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -27,6 +27,8 @@
 # A node with an outdated configuration asks other nodes for the newer one after 0.5 s;
 # the node that the caller reaches after this time most likely has it.
 OUTDATED_RETRY_S = 0.5
+# A request that has not run can be sent again at once.
+EARLY_END_RETRY_S = 0.1
 # Used if the caller states no deadline; the route's timeout is shorter.
 DEFAULT_DEADLINE_S = 30.0
 HTTP_BAD_REQUEST = 400
@@ -35,6 +37,7 @@
 HTTP_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
 HTTP_HEADER_TOO_LARGE = 431
+HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_INTERNAL_ERROR = 500
 
@@ -64,7 +67,7 @@
         answer = CallerResponse(request, self._stopping.stopping)
         with self._stopping.in_flight():
             try:
-                return await self._handle(request, answer, arrived_at)
+                return await self._handle_in_time(request, answer, arrived_at)
             except CallerGone:
                 self._count("caller.gone")
                 return answer.no_response()
@@ -81,6 +84,37 @@
                 self._count("refusal.internal-error")
                 return answer.refusal(HTTP_INTERNAL_ERROR, "internal error of the node")
 
+    async def _handle_in_time(
+        self, request: web.BaseRequest, answer: CallerResponse, arrived_at: float
+    ) -> web.StreamResponse:
+        """Handle a request; refuse it when a half-closed caller's grace period ends."""
+        connection = request.protocol
+        if connection.answer_by is not None and connection.answer_by <= arrived_at:
+            return self._end_early(answer)
+        try:
+            async with asyncio.timeout_at(connection.answer_by) as limit:
+                with connection.calling_on_half_close(limit.reschedule):
+                    return await self._handle(request, answer, arrived_at)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return self._end_early(answer)
+
+    def _end_early(self, answer: CallerResponse) -> web.StreamResponse:
+        """Refuse a request whose work was stopped, or break off its stream."""
+        reason = "the caller ended its direction and the answer took too long"
+        log(
+            Part.CALLERS,
+            "A request was ended before it had its answer.",
+            reason=reason,
+            may_have_run=answer.may_run,
+            is_cut=answer.has_begun,
+        )
+        self._count("refusal.half-closed")
+        if answer.may_run:
+            return answer.refusal(HTTP_BAD_GATEWAY, reason)
+        return answer.refusal(HTTP_UNAVAILABLE, reason, EARLY_END_RETRY_S)
+
     async def _handle(
         self, request: web.BaseRequest, answer: CallerResponse, arrived_at: float
     ) -> web.StreamResponse:
@@ -143,6 +177,7 @@
             routed = await with_stream_origin(self._context.origins, routed)
         except RequestRefused as refused:
             return self._refuse_resumption(routed, answer, refused)
+        answer.may_run = True
         return await RequestExecution(self._context, routed, answer).serve()
 
     def _new_routed_request(
