--- a/packages/node/src/eelgrass_node/process/stopping.py
+++ b/packages/node/src/eelgrass_node/process/stopping.py
@@ -2,15 +2,21 @@
 
 A stop has three steps. First the health check fails while requests are still accepted,
 because the load balancer takes a moment to notice. Then new requests are refused. The
-process ends once the last request in flight has its answer.
+process ends once the last request in flight has its answer. Requests that take too long
+are ended with a refusal before that.
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from ..log import Part, log
+
 __all__ = ["Stopping"]
 
+# How long a stop that is at its limit still waits until callers have their refusals.
+CUT_OFF_S = 0.2
+
 
 class Stopping:
     """Counts the requests in flight and carries out the planned stop.
@@ -26,9 +32,11 @@
         self._idle.set()
         self._requested = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
+        self._cut_offs: set[Callable[[float], None]] = set()
         self.count = 0
         self.stopping = False
         self.refusing = False
+        self.is_at_limit = False
 
     @contextmanager
     def in_flight(self) -> Iterator[None]:
@@ -42,6 +50,18 @@
             if self.count == 0:
                 self._idle.set()
 
+    @contextmanager
+    def calling_at_limit(self, cut_off: Callable[[float], None]) -> Iterator[None]:
+        """Call ``cut_off`` with the time if the limit passes during the context.
+
+        It has to end the request in flight with a refusal.
+        """
+        self._cut_offs.add(cut_off)
+        try:
+            yield
+        finally:
+            self._cut_offs.discard(cut_off)
+
     def track(self, task: asyncio.Task) -> asyncio.Task:
         """Hold a reference to a task until it ends, and retrieve its exception.
 
@@ -61,16 +81,30 @@
         await self._requested.wait()
 
     async def finish(self) -> bool:
-        """Carry out the stop; return True if no request was left in flight."""
+        """Carry out the stop; return True if all requests ended within the limit."""
         await asyncio.sleep(self._notice_s)
         self.refusing = True
         try:
             async with asyncio.timeout(self._limit_s):
                 await self._idle.wait()
         except TimeoutError:
+            await self._cut_off()
             return False
         return True
 
+    async def _cut_off(self) -> None:
+        """End the requests in flight, and wait until they have ended."""
+        self.is_at_limit = True
+        log(Part.NODE, "Ending the requests in flight.", in_flight=self.count)
+        now = asyncio.get_running_loop().time()
+        for cut_off in tuple(self._cut_offs):
+            cut_off(now)
+        try:
+            async with asyncio.timeout(CUT_OFF_S):
+                await self._idle.wait()
+        except TimeoutError:
+            log(Part.NODE, "Requests are still in flight.", in_flight=self.count)
+
     def _done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled():
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -87,13 +87,21 @@
     async def _handle_in_time(
         self, request: web.BaseRequest, answer: CallerResponse, arrived_at: float
     ) -> web.StreamResponse:
-        """Handle a request; refuse it when a half-closed caller's grace period ends."""
+        """Handle a request; refuse it if it must end before it has its answer.
+
+        That is when the grace period of a half-closed caller or the time of a planned
+        stop is over.
+        """
         connection = request.protocol
         if connection.answer_by is not None and connection.answer_by <= arrived_at:
             return self._end_early(answer)
         try:
             async with asyncio.timeout_at(connection.answer_by) as limit:
-                with connection.calling_on_half_close(limit.reschedule):
+                end_at = _bringing_forward(limit)
+                with (
+                    connection.calling_on_half_close(end_at),
+                    self._stopping.calling_at_limit(end_at),
+                ):
                     return await self._handle(request, answer, arrived_at)
         except TimeoutError:
             if not limit.expired():
@@ -102,7 +110,11 @@
 
     def _end_early(self, answer: CallerResponse) -> web.StreamResponse:
         """Refuse a request whose work was stopped, or break off its stream."""
-        reason = "the caller ended its direction and the answer took too long"
+        if self._stopping.is_at_limit:
+            reason, counter = "the node has stopped", "refusal.stop-limit"
+        else:
+            reason = "the caller ended its direction and the answer took too long"
+            counter = "refusal.half-closed"
         log(
             Part.CALLERS,
             "A request was ended before it had its answer.",
@@ -110,7 +122,7 @@
             may_have_run=answer.may_run,
             is_cut=answer.has_begun,
         )
-        self._count("refusal.half-closed")
+        self._count(counter)
         if answer.may_run:
             return answer.refusal(HTTP_BAD_GATEWAY, reason)
         return answer.refusal(HTTP_UNAVAILABLE, reason, EARLY_END_RETRY_S)
@@ -242,6 +254,17 @@
         return answer.refusal(status, reason)
 
 
+def _bringing_forward(limit: asyncio.Timeout) -> Callable[[float], None]:
+    """Return a function that brings a timeout forward to a time, if that is earlier."""
+
+    def end_at(when: float) -> None:
+        is_earlier = limit.when() is None or when < limit.when()
+        if is_earlier and not limit.expired():
+            limit.reschedule(when)
+
+    return end_at
+
+
 def _header_bytes(request: web.BaseRequest) -> int:
     return sum(len(name) + len(value) for name, value in request.raw_headers)
 
--- /dev/null
+++ b/tests/test_stop_limit.py
@@ -0,0 +1,92 @@
+"""Requests that are still in flight when the time of a planned stop is over."""
+
+import asyncio
+import re
+
+import pytest
+
+from eelgrass_node.entry_node import STOP_RESERVE_S
+from eelgrass_node.process import stopping
+from eelgrass_standins.entry_engines import EngineFault
+from support.connections import connect
+from support.entry import HOST, KEY, EntryDeployment, until
+
+pytestmark = pytest.mark.asyncio
+
+LIMIT_S = 0.3
+
+
+def request_bytes(target, body=b"body", length=4):
+    return (
+        f"POST {target} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+        "Eelgrassward-Attempt-Id: one\r\nEelgrassward-Deadline-Ms: 9000\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    ).encode() + body
+
+
+async def answer_of_stopping_node(entry, request, is_in_flight):
+    """Send a request, stop its node, and return the answer and whether it is clean."""
+    node = entry.nodes[0]
+    node.stopping._notice_s, node.stopping._limit_s = 0.0, LIMIT_S
+    reader, writer = await connect(node.settings.callers)
+    try:
+        writer.write(request)
+        await until(is_in_flight)
+        node.stopping.request()
+        clean = await node.run_until_stopped()
+        # The process closes the node and ends as soon as the stop is over.
+        await node.close()
+        return await asyncio.wait_for(reader.read(), 2.0), clean
+    finally:
+        writer.close()
+
+
+class TestRequestsAtServers:
+    # A caller whose server hung beyond the time of the stop saw a closed connection.
+    async def test_a_request_that_may_have_run_is_refused_with_502(self):
+        async with EntryDeployment(nodes=1) as entry:
+            for engine in entry.engines_by_service["desk"]:
+                engine.faults = [EngineFault.HANG]
+            answer, clean = await answer_of_stopping_node(
+                entry, request_bytes("/once/x"), lambda: entry.runs("desk")
+            )
+            assert answer.startswith(b"HTTP/1.1 502 ")
+            [length] = re.findall(rb"Content-Length: (\d+)", answer)
+            assert len(answer.partition(b"\r\n\r\n")[2]) == int(length)
+            assert clean is False
+            servers = entry.nodes[0].backends.by_id.values()
+            assert [server.in_flight for server in servers if server.in_flight] == []
+
+
+class TestRequestsThatHaveNotRun:
+    # A request that no server had got was closed without a word that it had not run.
+    async def test_they_are_refused_with_503(self):
+        async with EntryDeployment(nodes=1) as entry:
+            node = entry.nodes[0]
+            answer, clean = await answer_of_stopping_node(
+                entry, request_bytes("/once/x", b"bo"), lambda: node.stopping.count
+            )
+            assert answer.startswith(b"HTTP/1.1 503 ")
+            assert b"Retry-After: " in answer
+            assert clean is False
+            assert entry.runs("desk") == []
+
+
+class TestStreams:
+    # A stream that a stop broke off looked complete.
+    async def test_a_begun_stream_is_closed(self):
+        async with EntryDeployment(nodes=1, event_s=0.5) as entry:
+            answer, clean = await answer_of_stopping_node(
+                entry, request_bytes("/stream/single/x"), lambda: entry.runs("readers")
+            )
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert not answer.endswith(b"\r\n0\r\n\r\n")
+            assert clean is False
+            engines = entry.engines_by_service["readers"]
+            await until(lambda: sum(engine.cancelled for engine in engines) == 1, 0.5)
+
+
+class TestTime:
+    # Answers that are written after the limit took time that the stop does not have.
+    async def test_it_is_within_the_reserve_of_the_stop(self):
+        assert stopping.CUT_OFF_S < STOP_RESERVE_S / 2
