Release a resumable stream at once when its caller ends its direction (LOST)

With the grace period of half-closed callers, a stream that a caller had left was still held for 0.3 s.

A begun stream that can be resumed now ends at once, as before the grace period, and its caller can go on elsewhere. The grace period still holds for all other requests.

--- a/packages/node/src/eelgrass_node/request/caller_response.py
+++ b/packages/node/src/eelgrass_node/request/caller_response.py
@@ -34,13 +34,14 @@
     """Sends the response to one caller and tracks what has been sent.
 
     ``closing`` asks the caller to open a new connection for its next request.
-    ``may_run`` is set once the request could be sent to a server.
+    ``may_run`` is set once the request could be sent to a server, ``resumable`` if its
+    stream can be resumed.
     """
 
     def __init__(self, request: web.BaseRequest, closing: bool) -> None:
         self._request = request
         self._closing = closing
-        self.may_run = False
+        self.may_run = self.resumable = False
         self._stream: web.StreamResponse | None = None
 
     @property
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -98,8 +98,15 @@
         try:
             async with asyncio.timeout_at(connection.answer_by) as limit:
                 end_at = _bringing_forward(limit)
+
+                def on_half_close(when: float) -> None:
+                    # Its caller can resume such a stream elsewhere at once, if this
+                    # host releases it.
+                    is_left = answer.has_begun and answer.resumable
+                    end_at(_now() if is_left else when)
+
                 with (
-                    connection.calling_on_half_close(end_at),
+                    connection.calling_on_half_close(on_half_close),
                     self._stopping.calling_at_limit(end_at),
                 ):
                     return await self._handle(request, answer, arrived_at)
@@ -189,7 +196,7 @@
             routed = await with_stream_origin(self._context.origins, routed)
         except RequestRefused as refused:
             return self._refuse_resumption(routed, answer, refused)
-        answer.may_run = True
+        answer.may_run, answer.resumable = True, route.resumable
         return await RequestExecution(self._context, routed, answer).serve()
 
     def _new_routed_request(
