Test of crashes in batch answers: the servers end by themselves

The test stopped the servers 0.02 s after its start, at a time that the call need not have reached them. The call then finds nothing that listens and fails without having run, so that rightly no crash is reported, and the test waits in vain.

The product was ruled out: a call that a server receives is reported.

A server now stops listening in the middle of its answer, and resets the connection then. The test is as strict or stricter: some server must have received the call, and the servers that did must be exactly those reported as crashed. It fails if the loss of a batch call is not passed on to the crash detector.

--- a/tests/support/closing_engine.py
+++ b/tests/support/closing_engine.py
@@ -22,13 +22,15 @@
 class Ending(Enum):
     """How an answer ends.
 
-    ``CLOSE_EARLY`` and ``RESET`` end it after about half of its bytes, inside an event.
+    ``CLOSE_EARLY``, ``RESET`` and ``CRASH`` end it after about half of its bytes,
+    inside an event. With ``CRASH`` the server has stopped listening by then.
     """
 
     CLOSE = "close"
     CLOSE_EARLY = "close_early"
     RESET = "reset"
     RESET_AFTER_ALL = "reset_after_all"
+    CRASH = "crash"
 
 
 class ClosingEngine:
@@ -71,7 +73,7 @@
         self.answered.append(path)
         answer = self._answer(path, body)
         ending = self.endings.pop(0) if self.endings else Ending.CLOSE
-        if ending in (Ending.CLOSE_EARLY, Ending.RESET):
+        if ending in (Ending.CLOSE_EARLY, Ending.RESET, Ending.CRASH):
             answer = answer[: len(answer) // 2 + INSIDE_EVENT_BYTES]
         writer.write(
             b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
@@ -83,7 +85,9 @@
             + answer
         )
         await writer.drain()
-        if ending in (Ending.RESET, Ending.RESET_AFTER_ALL):
+        if ending is Ending.CRASH:
+            await self.stop()
+        if ending in (Ending.RESET, Ending.RESET_AFTER_ALL, Ending.CRASH):
             # Let the answer arrive before the reset discards what is buffered.
             await asyncio.sleep(0.05)
             raw = writer.get_extra_info("socket")
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -1,6 +1,5 @@
 """Answers with neither a length nor chunks, which end with their connection."""
 
-import asyncio
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -122,13 +121,16 @@
     # recognized as crashed, so that an item that crashes servers is not either.
     async def test_a_server_that_crashed_in_a_batch_answer_is_reported(self):
         async with deployed() as deployment:
-            for engine in deployment.engines_by_service["portal"]:
-                engine.endings = [Ending.RESET] * 3
-                stop = engine.stop
-                asyncio.get_running_loop().call_later(0.02, lambda s=stop: run(s))
+            deployment.end("portal", Ending.CRASH)
             await answer(deployment, "/stream/staged/x", **SEGMENTS)
+            crashed = {
+                engine.server_id
+                for engine in deployment.engines_by_service["portal"]
+                if engine.answered
+            }
+            assert crashed
             quarantine = deployment.nodes[0].poison_requests.quarantine
-            await until(lambda: len(quarantine) > 0)
+            await until(lambda: {s.id for _, s, _ in quarantine.crashes()} == crashed)
 
 
 class TestStreamEndsInsideAnEvent:
@@ -148,13 +150,3 @@
             deployment.end("readers", Ending.CLOSE_EARLY)
             status, _ = await answer(deployment, "/stream/single/x")
             assert status == 0
-
-
-_running = set()
-
-
-def run(coroutine_function):
-    """Start a coroutine function in a task."""
-    task = asyncio.ensure_future(coroutine_function())
-    _running.add(task)
-    task.add_done_callback(_running.discard)
