Keep calls to a server whose entry only gains its start time

An entry without a start time counts as started at 0. When the start appeared, at the same address and with the same version, the server counted as restarted: all calls to it were aborted, and streams and requests that may not be repeated were lost although the server went on. A node meets this if it first lists a server while another writer has left the start time out of its entry.

The calls now go on. The server still counts as another incarnation, so that results of the unknown one are made again as before: it may have restarted in between. An abort needs two known starts, the later one greater, or another address or version. Rests and limits of the new incarnation are kept, as they were.

Ruled out: a node that knows the start already.

The test of a call that goes on failed before (connection_lost after half of the answer); the other new tests pass before and after and guard what must stay.

Run: packages/node/tests/test_server_lives.py, 16 passed (before: 1 failed, 15 passed).

--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -309,7 +309,11 @@
             self.on_change(service)
 
     def has_ended(self, incarnation: ServerIncarnation) -> bool:
-        """Return whether a server is known to have restarted since an incarnation."""
+        """Return whether a server may have restarted since an incarnation.
+
+        One whose start was unknown counts as ended once a start is known: the server
+        may have restarted in between, and then has none of its earlier results.
+        """
         backend = self.by_id.get(incarnation.id)
         return backend is not None and backend.entry.started > incarnation.started
 
@@ -347,7 +351,7 @@
             # The entry is outdated: the server has restarted since.
             return
         if backend is not None and entry.succeeds(backend.entry):
-            ended = backend.entry.started < entry.started
+            ended = entry.has_restarted_since(backend.entry)
             backend.is_version_uncertain = backend.entry.version != entry.version
             self._remove(entry.id)
             if ended:
@@ -360,7 +364,7 @@
                     before=backend.entry.started,
                     calls=backend.connections.abort(),
                 )
-            else:
+            elif backend.entry.started == entry.started:
                 self.rests.forget(entry.incarnation)
                 self.limits.forget(entry.incarnation)
             backend = None
--- a/packages/node/src/eelgrass_node/process/host_entry.py
+++ b/packages/node/src/eelgrass_node/process/host_entry.py
@@ -63,3 +63,15 @@
         """
         identity = (self.address, self.started, self.version)
         return identity != (known.address, known.started, known.version)
+
+    def has_restarted_since(self, known: "HostEntry") -> bool:
+        """Return whether the server of a known entry has ended, by this newer one.
+
+        An entry that only gains its start time tells nothing: another writer may have
+        omitted it before.
+        """
+        if self.started <= known.started:
+            return False
+        if known.started:
+            return True
+        return (self.address, self.version) != (known.address, known.version)
--- a/packages/node/tests/test_server_lives.py
+++ b/packages/node/tests/test_server_lives.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from eelgrass_coordination.ids import BackendId, DataCentre
+from eelgrass_coordination.ids import BackendId, DataCentre, SoftwareVersion
 from eelgrass_node.exceptions import CallFailed
 from eelgrass_node.platform import requests
 from eelgrass_node.process.backends import Backends, HostEntry, ServerIncarnation
@@ -22,6 +22,12 @@
 from support.connections import listen
 
 FIRST, SECOND = (ServerIncarnation(BackendId("s1"), started) for started in (5, 9))
+# The incarnation of an entry without a start time.
+UNKNOWN = ServerIncarnation(BackendId("s1"))
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nEelgrassward-Attempt-Id: id\r\nContent-Length: 8\r\n"
+    b"Eelgrassward-Engine-Signature: s\r\n\r\n"
+)
 
 
 class RestartingServer:
@@ -127,9 +133,14 @@
         assert held > 0 and use.held_bytes(0.0) == 0 and use.calls == 0
 
 
-def entry(incarnation, address="127.0.0.1:1"):
+def entry(incarnation, address="127.0.0.1:1", version="v1"):
     return HostEntry(
-        incarnation.id, "portal", address, DataCentre("a"), started=incarnation.started
+        incarnation.id,
+        "portal",
+        address,
+        DataCentre("a"),
+        started=incarnation.started,
+        version=SoftwareVersion(version),
     )
 
 
@@ -141,6 +152,25 @@
         backends.update([entry(FIRST)])
         assert backends.by_id["s1"] is known
 
+    # Guards against results that are used although the server may have restarted
+    # before its start was known.
+    async def test_results_from_before_the_start_was_known_are_not_used(self):
+        backends = Backends()
+        backends.update([entry(UNKNOWN)])
+        assert not backends.has_ended(UNKNOWN)
+        backends.update([entry(FIRST)])
+        assert backends.has_ended(UNKNOWN)
+        assert not backends.has_ended(FIRST)
+
+    # Guards against a rest or limit of a server that is forgotten when an entry
+    # without a start time is replaced by a complete one.
+    async def test_a_rest_is_kept_when_the_start_becomes_known(self):
+        backends = Backends()
+        backends.update([entry(UNKNOWN)])
+        backends.rests.begin(FIRST, 30.0)
+        backends.update([entry(FIRST)])
+        assert backends.is_resting(backends.by_id["s1"])
+
 
 class TestCalls:
     """Calls that wait for an incarnation fail when it has ended."""
@@ -171,10 +201,7 @@
         listener, address = await self.listening(answer)
         backends = Backends()
         backends.update([entry(FIRST, address)])
-        request = routed(deadline_s=asyncio.get_running_loop().time() + 30.0)
-        call = EngineCall(
-            requests, request, backends.by_id["s1"], (), float("inf"), lambda: None
-        )
+        call = self.call(backends)
         reading = asyncio.create_task(self.read_whole(call))
         await asyncio.sleep(0.1)
         assert not reading.done()
@@ -186,6 +213,60 @@
         call.close()
         listener.close()
 
+    # Guards against calls that are ended although their server never restarted: its
+    # entry lacked the start time for a while.
+    async def test_a_call_goes_on_when_the_start_becomes_known(self):
+        listed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(ANSWER + b"half")
+            await listed.wait()
+            writer.write(b"half")
+
+        listener, address = await listen(serve)
+        backends = Backends()
+        backends.update([entry(UNKNOWN, address)])
+        call = self.call(backends)
+        await call.open()
+        assert await call.read_some(float("inf")) == b"half"
+        backends.update([entry(FIRST, address)])
+        listed.set()
+        async with asyncio.timeout(5.0):
+            assert await call.read_some(float("inf")) == b"half"
+            assert await call.read_some(float("inf")) == b""
+        call.close()
+        listener.close()
+
+    # Guards against calls that wait for a server that is known to have ended, because
+    # another one has its id, although its start was unknown.
+    @pytest.mark.parametrize(
+        ("other_address", "version"), [(None, "v2"), ("127.0.0.1:1", "v1")]
+    )
+    async def test_a_call_fails_when_another_server_takes_over(
+        self, other_address, version
+    ):
+        listener, address = await self.listening(b"")
+        backends = Backends()
+        backends.update([entry(UNKNOWN, address)])
+        call = self.call(backends)
+        reading = asyncio.create_task(self.read_whole(call))
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        backends.update([entry(FIRST, other_address or address, version)])
+        async with asyncio.timeout(1.0):
+            with pytest.raises(CallFailed):
+                await reading
+        call.close()
+        listener.close()
+
+    @staticmethod
+    def call(backends):
+        request = routed(deadline_s=asyncio.get_running_loop().time() + 30.0)
+        return EngineCall(
+            requests, request, backends.by_id["s1"], (), float("inf"), lambda: None
+        )
+
     @staticmethod
     async def read_whole(call):
         await call.open()
