--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	EELGRASS_SOAK_SEEDS=40 $(BIN)/python -m pytest -s tests/test_faults_together.py
 	EELGRASS_SOAK_SEEDS=50 $(BIN)/python -m pytest -s tests/test_platform_soak.py
 	EELGRASS_SOAK_SEEDS=50 $(BIN)/python -m pytest -s tests/test_poison_soak.py
+	EELGRASS_SOAK_SEEDS=50 $(BIN)/python -m pytest -s tests/test_change_soak.py
 
 capacity: $(VENV)/installed
 	$(BIN)/python benchmarks/control_cost.py
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -21,7 +21,9 @@
 NOT_RUN = (408, 421, 429, 503)
 
 
-def violations(soak: Soak, deployment: SoakDeployment) -> list[str]:
+def violations(
+    soak: Soak, deployment: SoakDeployment, deadline_s: float = DEADLINE_S
+) -> list[str]:
     """Return a message per violated guarantee of a run."""
     engines = [e for group in deployment.engines_by_service.values() for e in group]
     runs = [run for engine in engines for run in engine.runs]
@@ -29,7 +31,7 @@
     found = []
     for call in soak.calls:
         ran = runs_by_id[call.request_id]
-        found += _violations_of(call, ran, deployment)
+        found += _violations_of(call, ran, deployment, deadline_s)
         if soak.planned and ran and call.status == 0:
             found.append(f"{call.request_id} ({call.kind}) was cut off")
     found += _wrong_inputs(engines)
@@ -56,7 +58,9 @@
     return found
 
 
-def _violations_of(call: Call, runs: int, deployment: SoakDeployment) -> list[str]:
+def _violations_of(
+    call: Call, runs: int, deployment: SoakDeployment, deadline_s: float
+) -> list[str]:
     """Return a message per guarantee that the answer to a call violates."""
     found = []
     name = f"{call.request_id} ({call.kind}, {call.status})"
@@ -80,7 +84,7 @@
         found.append(f"{name} was refused although the request is valid")
     disturbed_until = deployment.soak_nodes[call.node].disturbed_until
     held_s = call.ended_at - max(call.sent_at, min(disturbed_until, call.ended_at))
-    if held_s > DEADLINE_S + ANSWER_TOLERANCE_S:
+    if held_s > deadline_s + ANSWER_TOLERANCE_S:
         stalled_s = deployment.stalled_s(call.sent_at, call.ended_at)
         found.append(
             f"{name} took {held_s:.1f} s, too long past its deadline; callers and "
--- a/tests/support/soak_deployment.py
+++ b/tests/support/soak_deployment.py
@@ -32,7 +32,7 @@
 PortRange: [{ports[3]}, {ports[3]}]
 Seeds: ["{first}:{ports[2]}"]
 Platform: {{Address: "{store}"}}
-Bounds: {{GraceS: 6, RetryBudget: 0.2, RetrySlack: 56}}
+Bounds: {{GraceS: {grace_s}, RetryBudget: 0.2, RetrySlack: 56}}
 """
 
 
@@ -108,6 +108,7 @@
 
     node_program = "eelgrass_node.platform"
     node_environment: dict[str, str] = {}
+    grace_s = 6
 
     def __init__(
         self, folder: Path, seed: int, nodes: int = 3, servers: int = 2
@@ -188,6 +189,7 @@
                     number=number,
                     ip=ip,
                     ports=ports,
+                    grace_s=self.grace_s,
                     first=f"{self._network}.1",
                     store=await store.start(),
                 )
