--- a/tests/support/change_soak.py
+++ b/tests/support/change_soak.py
@@ -243,7 +243,7 @@
     call.retry_after = headers.get("retry-after")
     if headers.get("transfer-encoding") == "chunked":
         body = b""
-        while size := int(await reader.readline() or b"x", 16):
+        while size := int(await reader.readuntil(b"\r\n"), 16):
             body += (await reader.readexactly(size + 2))[:-2]
         await reader.readexactly(2)
     else:
