--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -31,7 +31,7 @@
 PENDING_READ_S = 0.5
 # Requests of a caller that has ended its direction are answered within this time. If it
 # has left, servers must stop their work for it within half a second.
-HALF_CLOSE_GRACE_S = 0.3
+HALF_CLOSE_GRACE_S = 0.2
 # Sent to a caller whose first request header was not complete in time. The request has
 # not run.
 TIMEOUT_RESPONSE = (
