Failover: release the server that was secured when the request ends

Found in review. A request that ended after another server was secured for it, and before it was sent there, left that server counted as in use for ever, so that it got fewer requests. The new test failed before. A plain request no longer waits for a second permit of a limited server, as no check has used its first one, and answers that a half-closed caller or a stop breaks off are counted as cut.

--- a/packages/node/src/eelgrass_node/request/failover.py
+++ b/packages/node/src/eelgrass_node/request/failover.py
@@ -105,7 +105,7 @@
             self._has_rerun = True
             await self._graph.run()
             await self._confirm(server)
-        if server.permit_wait_s():
+        if self._routed.route.kind is RouteKind.STREAM and server.permit_wait_s():
             # The check has used the permit that there was.
             await await_permit(self._context, server)
         return self._stream_version.may_leave(silent) and self._is_allowed(server)
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -126,6 +126,7 @@
             self._log.end("The caller left.", at=self._step.value)
             raise
         finally:
+            self._failover.withdraw()
             self._graph.release()
             self._stream_version.release()
 
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -130,6 +130,8 @@
             is_cut=answer.has_begun,
         )
         self._count(counter)
+        if answer.has_begun:
+            self._count("answer.cut")
         if answer.may_run:
             return answer.refusal(HTTP_BAD_GATEWAY, reason)
         return answer.refusal(HTTP_UNAVAILABLE, reason, EARLY_END_RETRY_S)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -56,6 +56,12 @@
         await asyncio.sleep(1.0)
         yield deployment
         changes.cancel()
+        # No call is counted as in flight after all requests have ended.
+        assert not any(
+            backend.in_flight
+            for node in deployment.nodes
+            for backend in node.backends.by_id.values()
+        )
 
 
 class TestSilentServers:
@@ -113,9 +119,12 @@
             node.retry_budgets.has_tokens = lambda service: False
         asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x", FEW))
         await asyncio.sleep(BEGUN_S)
-        for node in silent.nodes:
-            for backend in node.backends.by_service["readers"]:
-                backend.connections.on_path_lost()
+        told = sum(
+            backend.connections.on_path_lost()
+            for node in silent.nodes
+            for backend in node.backends.by_service["readers"]
+        )
+        assert told == FEW
         assert await asking == [(200, COMPLETE_STREAM)] * FEW
 
     # Guards against callers that wait for a server that their host has lost its path
@@ -128,3 +137,27 @@
                 backend.connections.on_path_lost()
         assert await asking == [(200, COMPLETE_STREAM)] * 3
         assert len(silent.runs("readers")) == 6
+
+
+class TestRequestsThatEndWhileTheyMove:
+    # Guards against a server that counts as in use for ever, because a request ended
+    # after another server was secured for it and before it was sent there.
+    async def test_no_call_is_left_in_flight(self, silent):
+        node = silent.nodes[0]
+        wait = node.poison_requests.crash_detector.wait_for_check
+
+        async def wait_long(backend):
+            await asyncio.sleep(2.0)
+            await wait(backend)
+
+        node.poison_requests.crash_detector.wait_for_check = wait_long
+        asking = asyncio.create_task(silent.ask("/stream/resumed/x", 0, **HEADERS))
+        await asyncio.sleep(BEGUN_S)
+        for backend in node.backends.by_service["readers"]:
+            backend.connections.on_path_lost()
+        await asyncio.sleep(0.8)
+        # The call that is given up, and the one that takes over.
+        assert sum(b.in_flight for b in node.backends.by_service["readers"]) == 2
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        await asyncio.sleep(0.5)
