Tell only direct calls that the network path to a server is lost

Calls whose connection was opened through a relay, while the probes of the direct path were under way, were told that their path is lost as well: calls of stages were made again, and others looked for another server, although theirs worked.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "BackendConnections",
+    "CallPath",
     "RequestWithheld",
     "ServerLimited",
     "ServerResting",
@@ -51,6 +52,13 @@
     """The server names a request limit, and this node has no permit."""
 
 
+class CallPath:
+    """Whether the connection of one call is relayed; None until there is one."""
+
+    def __init__(self) -> None:
+        self.is_relayed: bool | None = None
+
+
 class BackendConnections:
     """Opens and keeps connections to ``address``, an IP address and port.
 
@@ -106,10 +114,12 @@
         connect_s: float,
         reuse: bool,
         on_sent: Callable[[], None] | None = None,
+        path: CallPath | None = None,
     ) -> "aiohttp.client._RequestContextManager":
         """Begin a call whose target, headers and body are sent unchanged.
 
-        ``on_sent`` is called once a connection is open and the headers are sent.
+        ``on_sent`` is called once a connection is open and the headers are sent, and
+        ``path`` is set once it is open.
         """
 
         def on_headers_sent() -> None:
@@ -129,7 +139,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=on_headers_sent,
+            trace_request_ctx=_Sending(on_headers_sent, path or CallPath()),
         )
 
     def replace(self) -> None:
@@ -161,12 +171,6 @@
             on_path_lost()
         return len(self._on_path_lost)
 
-    def is_relayed(self, response: aiohttp.ClientResponse) -> bool:
-        """Return whether a response comes through another node."""
-        if self._link is None or response.connection is None:
-            return False
-        return response.connection.protocol in self._link.relayed
-
     def begin_call(self, on_path_lost: Callable[[], None] | None = None) -> None:
         """Count a call that starts; its connections stay open until it ends.
 
@@ -254,7 +258,7 @@
         async def sent(session, context, parameters) -> None:
             context.sent_at = asyncio.get_running_loop().time()
             if context.trace_request_ctx is not None:
-                context.trace_request_ctx()
+                context.trace_request_ctx.on_headers_sent()
 
         async def answered(session, context, parameters) -> None:
             response = parameters.response
@@ -293,6 +297,14 @@
         self._retired = []
 
 
+class _Sending:
+    """What the library's traces tell of one call."""
+
+    def __init__(self, on_headers_sent: Callable[[], None], path: CallPath) -> None:
+        self.on_headers_sent = on_headers_sent
+        self.path = path
+
+
 def has_length(response: aiohttp.ClientResponse) -> bool:
     """Return whether a body says where it ends, and does not end by a close."""
     headers = response.headers
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -14,7 +14,7 @@
 from ..process.backends import Backend
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
 from .answer_bounds import MAX_REPORT_BYTES, read_bounded
-from .backend import RequestWithheld, has_length
+from .backend import CallPath, RequestWithheld, has_length
 
 __all__ = ["BatchCalls", "BatchCodec"]
 
@@ -76,17 +76,18 @@
         now = asyncio.get_running_loop().time()
         body = self._codec.encode_items(items, now)
         timeout = StallAwareTimeout(timeout_s)
-        is_path_lost = False
+        path, is_path_lost = CallPath(), False
 
         def on_path_lost() -> None:
             nonlocal is_path_lost
-            is_path_lost = True
-            timeout.restart(0.0)
+            if path.is_relayed is False:
+                is_path_lost = True
+                timeout.restart(0.0)
 
         try:
             async with timeout:
                 answer = await self._post(
-                    backend, self._codec.RUN_PATH, body, on_path_lost
+                    backend, self._codec.RUN_PATH, body, path, on_path_lost
                 )
             if answer.status == HTTP_OK:
                 return self._decode(answer, len(items))
@@ -150,6 +151,7 @@
         backend: Backend,
         path: str,
         body: bytes,
+        call_path: CallPath | None = None,
         on_path_lost: Callable[[], None] | None = None,
     ) -> _Answer:
         headers = self._codec.call_headers(backend.entry.id)
@@ -158,7 +160,13 @@
         connections.begin_call(on_path_lost)
         try:
             async with connections.request(
-                "POST", path, headers, body, CONNECT_TIMEOUT_S, reuse=True
+                "POST",
+                path,
+                headers,
+                body,
+                CONNECT_TIMEOUT_S,
+                reuse=True,
+                path=call_path,
             ) as response:
                 connections.track(response)
                 body = await read_bounded(response, MAX_REPORT_BYTES)
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -103,6 +103,12 @@
         except BaseException:
             connection.release()
             raise
+        for trace in traces:
+            # The library has no public way from a connection to its request.
+            sending = trace._trace_config_ctx.trace_request_ctx
+            if sending is not None:
+                is_relayed = connection.protocol in self._link.relayed
+                sending.path.is_relayed = is_relayed
         return connection
 
     def is_unacknowledged(self) -> bool:
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -15,7 +15,7 @@
 from eelgrass_coordination import send_allowance_s
 
 from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon, read_bounded
-from ..connection.backend import ServerLimited, ServerResting, has_length
+from ..connection.backend import CallPath, ServerLimited, ServerResting, has_length
 from ..exceptions import AnswerTooLong, CallFailed
 from ..process.backends import Backend
 from .answer_wait import AnswerWait
@@ -71,6 +71,7 @@
         self._on_sent = on_sent
         self._copy_from = copy_from
         self._response: aiohttp.ClientResponse | None = None
+        self._path = CallPath()
         # Keeps the server's connections open until close(), even if the server is
         # removed from the list of servers meanwhile.
         backend.connections.begin_call(self._on_path_lost)
@@ -172,6 +173,7 @@
             connect_s=min(CONNECT_S, remaining_s),
             reuse=routed.route.repeatable,
             on_sent=self._on_sent,
+            path=self._path,
         )
         timeout_s = self._head_timeout_s + send_allowance_s(len(incoming.body))
         sending = asyncio.ensure_future(_response_of(context))
@@ -188,8 +190,7 @@
         return response
 
     def _on_path_lost(self) -> None:
-        response = self._response
-        if response is None or not self._backend.connections.is_relayed(response):
+        if self._path.is_relayed is False:
             self._wait.on_path_lost()
 
     def _check_head(self, head: ResponseHead) -> None:
