Watch how a connection is closed from the head of its answer on

Since the head is read by a task of its own, and the call noted the connection only some iterations of the event loop later, when a response no longer leads to a connection that is closed. The task notes it now, in the same moment as the call did before. The new case of the test failed before.

--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -84,13 +84,6 @@
         """
         response = await self._send(last_event_id)
         self._response = response
-        self._backend.connections.track(response)
-        if response.connection is not None and response.connection.protocol is not None:
-            self._closed = response.connection.protocol.closed
-        if self._closed is not None:
-            # Retrieves the exception, so that asyncio does not report it as unhandled;
-            # check_complete() handles it.
-            self._closed.add_done_callback(_retrieve_exception)
         head = self._codec.decode_head(response.status, response.raw_headers)
         try:
             self._check_head(head)
@@ -176,7 +169,7 @@
             path=self._path,
         )
         timeout_s = self._head_timeout_s + send_allowance_s(len(incoming.body))
-        sending = asyncio.ensure_future(_response_of(context))
+        sending = asyncio.ensure_future(self._receive_head(context))
         response = None
         try:
             response = await self._wait.read(
@@ -189,6 +182,23 @@
                 await _discard(sending)
         return response
 
+    async def _receive_head(
+        self, context: Awaitable[aiohttp.ClientResponse]
+    ) -> aiohttp.ClientResponse:
+        """Return the response; from its first moment on watch how it is closed.
+
+        Once the connection is closed, the response does not lead to it any more.
+        """
+        response = await context
+        self._backend.connections.track(response)
+        if response.connection is not None and response.connection.protocol is not None:
+            self._closed = response.connection.protocol.closed
+        if self._closed is not None:
+            # Retrieves the exception, so that asyncio does not report it as unhandled;
+            # check_complete() handles it.
+            self._closed.add_done_callback(_retrieve_exception)
+        return response
+
     def _on_path_lost(self) -> None:
         if self._path.is_relayed is False:
             self._wait.on_path_lost()
@@ -242,12 +252,6 @@
     return True
 
 
-async def _response_of(
-    context: Awaitable[aiohttp.ClientResponse],
-) -> aiohttp.ClientResponse:
-    return await context
-
-
 async def _discard(sending: asyncio.Future[aiohttp.ClientResponse]) -> None:
     """Cancel a call, and close its response if it has arrived meanwhile."""
     sending.cancel()
--- a/tests/support/closing_engine.py
+++ b/tests/support/closing_engine.py
@@ -23,7 +23,8 @@
     """How an answer ends.
 
     ``CLOSE_EARLY``, ``RESET`` and ``CRASH`` end it after about half of its bytes,
-    inside an event. With ``CRASH`` the server has stopped listening by then.
+    inside an event, as ``RESET_AT_ONCE`` does while the answer is on its way. With
+    ``CRASH`` the server has stopped listening by then.
     """
 
     CLOSE = "close"
@@ -31,6 +32,7 @@
     RESET = "reset"
     RESET_AFTER_ALL = "reset_after_all"
     CRASH = "crash"
+    RESET_AT_ONCE = "reset_at_once"
 
 
 class ClosingEngine:
@@ -73,7 +75,7 @@
         self.answered.append(path)
         answer = self._answer(path, body)
         ending = self.endings.pop(0) if self.endings else Ending.CLOSE
-        if ending in (Ending.CLOSE_EARLY, Ending.RESET, Ending.CRASH):
+        if ending not in (Ending.CLOSE, Ending.RESET_AFTER_ALL):
             answer = answer[: len(answer) // 2 + INSIDE_EVENT_BYTES]
         writer.write(
             b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
@@ -87,9 +89,10 @@
         await writer.drain()
         if ending is Ending.CRASH:
             await self.stop()
-        if ending in (Ending.RESET, Ending.RESET_AFTER_ALL, Ending.CRASH):
-            # Let the answer arrive before the reset discards what is buffered.
-            await asyncio.sleep(0.05)
+        if ending not in (Ending.CLOSE, Ending.CLOSE_EARLY):
+            if ending is not Ending.RESET_AT_ONCE:
+                # Let the answer arrive before the reset discards what is buffered.
+                await asyncio.sleep(0.05)
             raw = writer.get_extra_info("socket")
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         writer.close()
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -84,7 +84,9 @@
     """A reset breaks an answer off, whatever came before it."""
 
     # Guards against a part of an answer that is passed off as whole.
-    @pytest.mark.parametrize("ending", [Ending.RESET, Ending.RESET_AFTER_ALL])
+    @pytest.mark.parametrize(
+        "ending", [Ending.RESET, Ending.RESET_AFTER_ALL, Ending.RESET_AT_ONCE]
+    )
     async def test_an_answer_that_may_not_be_repeated_is_not_passed_off_as_whole(
         self, ending
     ):
