--- a/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
@@ -13,12 +13,13 @@
 from collections.abc import Callable, Sequence
 from functools import cache
 
-from eelgrass_coordination import StallAwareTimeout
+from eelgrass_coordination import stall_aware_wait
 
 from ...exceptions import StoreUnavailable
 from ...log import Part, log
 from ...version.deployment import ServiceName
 from ..store_backoff import StoreBackoff
+from ..store_tables import StoredRow
 from .origin_rows import MAX_ENTRIES, OriginRows, encode, key_range, merged, row_key
 from .origin_table import StreamOrigin
 
@@ -37,8 +38,13 @@
 # Intervals are lengthened at random by up to this part, so that nodes that start
 # together do not write together.
 JITTER = 0.25
-# Callers wait for the answer, which a reachable store gives within milliseconds.
-READ_TIMEOUT_S = 0.25
+# A slow store takes 0.2 s for a read, and longer if many streams are resumed at once.
+# Callers leave after 2 s without an event.
+READ_TIMEOUT_S = 1.0
+# The timeout while the store does not answer other calls either.
+AWAY_READ_TIMEOUT_S = 0.25
+# The pause before a read that failed is made again.
+READ_RETRY_DELAY_S = 0.3
 # Longest pause between attempts is derived from this time; streams last some seconds.
 RETRY_DEADLINE_S = 4.0
 # Time for the last write of a node that stops.
@@ -114,24 +120,31 @@
         if not row.is_written:
             self._wake(is_urgent=origin.version is None)
 
-    async def find(self, stream: str) -> StreamOrigin | None:
+    async def find(
+        self, stream: str, others: asyncio.Future[object], is_in_touch: bool
+    ) -> StreamOrigin | None:
         """Return the origin of a stream, None if the store does not tell it soon.
 
-        It is uncertain if different ones are stored.
+        It is uncertain if different ones are stored. ``others`` is the search at other
+        nodes: until it ends the caller waits anyway, so the store may take as long.
+        ``is_in_touch`` tells whether the store has answered other calls lately.
         """
+        reading = asyncio.create_task(self._read(stream, others))
+        timeout_s = READ_TIMEOUT_S if is_in_touch else AWAY_READ_TIMEOUT_S
         try:
-            async with StallAwareTimeout(READ_TIMEOUT_S):
-                rows = await self._rows.read(*key_range(stream))
-        except (StoreUnavailable, TimeoutError) as error:
-            self._count("stream.origin-store-unavailable")
-            log(
-                Part.STORE,
-                "The store did not tell which version began a stream.",
-                id=stream,
-                error=repr(error),
-            )
-            return None
-        return merged(rows)
+            if not await stall_aware_wait(reading, timeout_s):
+                await asyncio.wait(
+                    {reading, others}, return_when=asyncio.FIRST_COMPLETED
+                )
+            if reading.done():
+                return merged(reading.result())
+            self._log_unread(stream, TimeoutError("no answer in time"))
+        except StoreUnavailable as error:
+            self._log_unread(stream, error)
+        finally:
+            reading.cancel()
+            await asyncio.gather(reading, return_exceptions=True)
+        return None
 
     def leave(self) -> None:
         """Write at once what is not written, because this node is leaving."""
@@ -157,6 +170,19 @@
                 self._log_unwritten(error)
                 await asyncio.sleep(self._backoff.next_delay_s())
 
+    async def _read(
+        self, stream: str, others: asyncio.Future[object]
+    ) -> Sequence[StoredRow]:
+        """Read the rows of a stream; try again until ``others`` is done."""
+        while True:
+            try:
+                return await self._rows.read(*key_range(stream))
+            except StoreUnavailable as error:
+                await asyncio.wait({others}, timeout=READ_RETRY_DELAY_S)
+                if others.done():
+                    raise
+                self._log_unread(stream, error)
+
     def _wake(self, is_urgent: bool) -> None:
         if self._added_at is None:
             self._added_at = self._clock()
@@ -254,6 +280,15 @@
         rows = self._row_by_key.items()
         return [key for key, row in rows if row.is_sent and row.expires_at <= now]
 
+    def _log_unread(self, stream: str, error: Exception) -> None:
+        self._count("stream.origin-store-unavailable")
+        log(
+            Part.STORE,
+            "The store did not tell which version began a stream.",
+            id=stream,
+            error=repr(error),
+        )
+
     def _log_unwritten(self, error: Exception) -> None:
         log(
             Part.STORE,
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -12,7 +12,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -121,8 +121,12 @@
             if origin is None:
                 origin = await self._ask_others(search)
             if origin is None:
-                lookups = [self._ask_newcomers(search)]
-                lookups += [self._durable.find(stream)] if stream else []
+                others = asyncio.create_task(self._ask_newcomers(search))
+                lookups = [others]
+                if stream:
+                    in_touch = self._list_is_current()
+                    in_store = self._durable.find(stream, others, in_touch)
+                    lookups.append(asyncio.create_task(in_store))
                 origin = await _first_found(lookups) or search.origin
             if origin is None:
                 origin = self._only_possible(search)
@@ -238,17 +242,16 @@
 
 
 async def _first_found(
-    lookups: Sequence[Coroutine[None, None, StreamOrigin | None]],
+    lookups: Sequence[asyncio.Task[StreamOrigin | None]],
 ) -> StreamOrigin | None:
-    """Run lookups at the same time until one finds an origin."""
-    tasks = [asyncio.create_task(lookup) for lookup in lookups]
+    """Wait for lookups until one finds an origin; cancel the others."""
     try:
-        for next_result in asyncio.as_completed(tasks):
+        for next_result in asyncio.as_completed(lookups):
             origin = await next_result
             if origin is not None:
                 return origin
         return None
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        for lookup in lookups:
+            lookup.cancel()
+        await asyncio.gather(*lookups, return_exceptions=True)
--- a/packages/node/tests/test_durable_origins.py
+++ b/packages/node/tests/test_durable_origins.py
@@ -17,6 +17,7 @@
     PART_INTERVAL_S,
 )
 from eelgrass_node.process.stream_origins.durable_origins import (
+    AWAY_READ_TIMEOUT_S,
     MIN_INTERVAL_S,
     READ_TIMEOUT_S,
 )
@@ -54,6 +55,12 @@
             lambda name: self.counts.update([name]),
         )
 
+    async def find(self, stream):
+        """Find an origin as a node does that has asked all others."""
+        others = asyncio.get_running_loop().create_future()
+        others.set_result(None)
+        return await self.origins.find(stream, others, is_in_touch=True)
+
     async def __aenter__(self):
         self._task = asyncio.create_task(self.origins.run())
         return self
@@ -85,12 +92,63 @@
 
         run_network(main())
 
+    # Guards against streams that are refused because the store is slow, which is taken
+    # for a store that knows nothing.
+    @pytest.mark.parametrize("delay_s", [0.3, 0.8])
+    def test_a_slow_store_is_waited_for(self, delay_s):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                fleet.store.is_reachable = True
+                await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
+                await asyncio.sleep(WRITTEN_S)
+                for node in fleet.nodes:
+                    await node.stop()
+                started = [await fleet.add(number) for number in range(NODES)]
+                await asyncio.sleep(SETTLE_S)
+                fleet.store.delay_s = delay_s
+                assert {await node.find("s") for node in started} == {V1}
+
+        run_network(main())
+
+    # Guards against streams that are refused because the store is slow, or fails for a
+    # moment, though the node waits for other nodes all the while.
+    @pytest.mark.parametrize(
+        ("delay_s", "away_s"), [(0.6, 0.0), (1.0, 0.0), (0.004, 0.7)]
+    )
+    def test_they_go_on_asking_the_store_until_they_have_settled(self, delay_s, away_s):
+        async def main():
+            async with OriginFleet(NODES) as fleet:
+                fleet.store.is_reachable = True
+                await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
+                await asyncio.sleep(WRITTEN_S)
+                for node in fleet.nodes:
+                    await node.stop()
+                fleet.store.delay_s = delay_s
+                fleet.store.is_reachable = not away_s
+                started = [await fleet.add(number) for number in range(NODES)]
+                finding = asyncio.gather(*(node.find("s") for node in started))
+                await asyncio.sleep(away_s)
+                fleet.store.is_reachable = True
+                assert set(await finding) == {V1}
+
+        run_network(main())
+
     # Guards against a store that is away and holds the other ways up.
-    @pytest.mark.parametrize("delay_s", [0.0, 5.0])
-    def test_the_store_does_not_answer(self, delay_s):
+    @pytest.mark.parametrize(
+        ("delay_s", "in_touch", "timeout_s"),
+        [
+            (0.0, True, AWAY_READ_TIMEOUT_S),
+            (0.0, False, AWAY_READ_TIMEOUT_S),
+            (5.0, False, AWAY_READ_TIMEOUT_S),
+            # It has just fallen silent.
+            (5.0, True, READ_TIMEOUT_S),
+        ],
+    )
+    def test_the_store_does_not_answer(self, delay_s, in_touch, timeout_s):
         async def main():
             async with OriginFleet(NODES) as fleet:
                 fleet.store.delay_s = delay_s
+                fleet.nodes[1].is_list_current = in_touch
                 await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
                 began = now()
                 assert await fleet.nodes[1].find("s") == V1
@@ -98,7 +156,7 @@
                 await asyncio.sleep(SETTLE_S)
                 began = now()
                 assert await fleet.nodes[1].find("unknown") is None
-                assert now() - began < READ_TIMEOUT_S + 0.1
+                assert now() - began < timeout_s + 0.1
                 assert fleet.nodes[1].counts["stream.origin-store-unavailable"] == 1
 
         run_network(main())
@@ -126,7 +184,7 @@
                 assert store.written_at == []
                 writer.versions = 2
                 await asyncio.sleep(WRITTEN_S)
-                assert await writer.origins.find("s") == V1
+                assert await writer.find("s") == V1
 
         run_in_simulated_time(main())
 
@@ -153,7 +211,7 @@
                     await asyncio.sleep(0.01)
                 await asyncio.sleep(0.1)
                 for number in range(10):
-                    assert await writer.origins.find(f"s{number}") == V1
+                    assert await writer.find(f"s{number}") == V1
 
         run_in_simulated_time(main())
 
@@ -168,7 +226,7 @@
                     await asyncio.sleep(0.001)
                 writer.origins.add("s", V1, 13.0)
                 await asyncio.sleep(WRITTEN_S)
-                assert await writer.origins.find("s") == V1
+                assert await writer.find("s") == V1
                 await asyncio.sleep(13.0 + WRITTEN_S)
                 assert store.row_by_key == {}
 
@@ -197,7 +255,7 @@
                 second.origins.add("s", V1, 13.0)
                 await asyncio.sleep(10.0)
                 assert len(store.row_by_key) == 1
-                assert await first.origins.find("s") == V1
+                assert await first.find("s") == V1
 
         run_in_simulated_time(main())
 
@@ -210,7 +268,7 @@
                 assert 3 <= len(store.written_at) <= 10
                 store.is_reachable = True
                 await asyncio.sleep(5.0)
-                assert await writer.origins.find("s") == V1
+                assert await writer.find("s") == V1
 
         run_in_simulated_time(main())
 
@@ -232,7 +290,7 @@
             async with Writer(store, pace_s=10.0) as writer:
                 writer.origins.add("s", UNCERTAIN, 13.0)
                 await asyncio.sleep(0.1)
-                assert await writer.origins.find("s") == UNCERTAIN
+                assert await writer.find("s") == UNCERTAIN
 
         run_in_simulated_time(main())
 
@@ -245,7 +303,7 @@
                 first.origins.add("s", V1, 13.0)
                 other.origins.add("s", second, 13.0)
                 await asyncio.sleep(WRITTEN_S)
-                assert await first.origins.find("s") == UNCERTAIN
+                assert await first.find("s") == UNCERTAIN
 
         run_in_simulated_time(main())
 
@@ -335,7 +393,7 @@
                     writer.origins.add(f"s{number}", V1, 60.0)
                     await asyncio.sleep(1.0)
                 assert len(store.row_by_key) >= 60 - 2 * WRITTEN_S
-                assert await writer.origins.find(f"s{number - 50}") == V1
+                assert await writer.find(f"s{number - 50}") == V1
             await running
             assert store.row_by_key == {}
 
