Test of connection overload: tell cut answers from connections closed unread

The test took each connection without a whole answer for one that was closed unread, and failed if its request had run. A stream that a host breaks off at its deadline looks the same to the client library.

A failure prints what the hosts wrote of these requests. The callers' process needs less time, too: it is the one that fell behind in a failed run, in which no host got an answer from the store for 4 s.

What the soak of changes has for the same purpose moves to support/raw_calls.py.

--- a/tests/support/change_soak.py
+++ b/tests/support/change_soak.py
@@ -9,9 +9,10 @@
 import random
 from enum import Enum
 
-from support.entry import HOST, KEY, configuration, route
+from support.entry import configuration, route
 from support.fault_proxy import Direction, FaultProxy
 from support.platform_soak import KINDS, FaultProfile, Soak
+from support.raw_calls import AnswerCut, read_answer, request_bytes
 from support.soak_deployment import SEGMENTS, Call, SoakDeployment
 
 __all__ = ["DEADLINE_S", "ChangeDeployment", "ChangeSoak", "Outcome"]
@@ -63,7 +64,9 @@
     def __init__(self, deployment: ChangeDeployment, seed: int) -> None:
         super().__init__(deployment, seed, FaultProfile.PLANNED)
         self.why_by_id: dict[str, str] = {}
-        # Requests that were closed without a byte as they crossed a planned stop.
+        # Requests that were closed without a byte, and those of them that crossed a
+        # planned stop.
+        self._without_byte: set[str] = set()
         self.crossed: set[str] = set()
         self._seed = seed
         self._value = copy.deepcopy(deployment.first_configuration)
@@ -135,10 +138,17 @@
             try:
                 async with asyncio.timeout(DEADLINE_S + ANSWER_TOLERANCE_S):
                     writer.write(_request(call))
-                    stays_open = await _read_answer(reader, call)
-            except (OSError, EOFError, TimeoutError) as error:
+                    answer = await read_answer(reader)
+            except (AnswerCut, TimeoutError) as error:
                 self.why_by_id[name] = repr(error)
+                if isinstance(error, AnswerCut) and not error.has_begun:
+                    self._without_byte.add(name)
                 stays_open = False
+            else:
+                call.status, call.body = answer.status, answer.body
+                call.answered_id = answer.headers.get("eelgrassward-attempt-id")
+                call.retry_after = answer.headers.get("retry-after")
+                stays_open = answer.stays_open
             call.ended_at = loop.time()
             self._note_crossing(call)
             if not stays_open:
@@ -152,8 +162,7 @@
         stopping = not self._deployment.soak_nodes[call.node].undisturbed_since(
             call.sent_at
         )
-        no_byte = call.status == 0 and call.body == b""
-        if at_once and stopping and no_byte:
+        if at_once and stopping and call.request_id in self._without_byte:
             self.crossed.add(call.request_id)
 
     async def _silence(self) -> None:
@@ -213,37 +222,10 @@
 
 
 def _request(call: Call) -> bytes:
-    body = call.request_id.encode()
-    headers = {
-        "Host": HOST,
-        "Authorization": f"Bearer {KEY}",
-        "Eelgrassward-Attempt-Id": call.request_id,
-        "Eelgrassward-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-        "Content-Length": str(len(body)),
-        **(SEGMENTS if call.kind == "stream/staged" else {}),
-    }
-    lines = [
-        f"POST /{call.kind}/x HTTP/1.1",
-        *(f"{k}: {v}" for k, v in headers.items()),
-    ]
-    return "\r\n".join([*lines, "", ""]).encode() + body
-
-
-async def _read_answer(reader: asyncio.StreamReader, call: Call) -> bool:
-    """Read a whole answer into the call; return whether the connection stays open."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    # Shows that the answer has begun, until the body is known.
-    call.body = head[0].encode()
-    fields = (line.partition(":") for line in head[1:] if line)
-    headers = {name.lower(): value.strip() for name, _, value in fields}
-    call.answered_id = headers.get("eelgrassward-attempt-id")
-    call.retry_after = headers.get("retry-after")
-    if headers.get("transfer-encoding") == "chunked":
-        body = b""
-        while size := int(await reader.readuntil(b"\r\n"), 16):
-            body += (await reader.readexactly(size + 2))[:-2]
-        await reader.readexactly(2)
-    else:
-        body = await reader.readexactly(int(headers["content-length"]))
-    call.body, call.status = body, int(head[0].split()[1])
-    return headers.get("connection", "").lower() != "close"
+    return request_bytes(
+        f"/{call.kind}/x",
+        call.request_id,
+        call.request_id.encode(),
+        DEADLINE_S,
+        SEGMENTS if call.kind == "stream/staged" else None,
+    )
--- a/tests/test_connection_overload.py
+++ b/tests/test_connection_overload.py
@@ -5,12 +5,10 @@
 from pathlib import Path
 from typing import ClassVar
 
-import aiohttp
 import msgspec
 import pytest
-from yarl import URL
 
-from support.entry import HOST, KEY
+from support.raw_calls import AnswerCut, read_answer, request_bytes
 from support.soak_deployment import SoakDeployment
 
 # A host serves at most some 80 requests a second.
@@ -22,6 +20,8 @@
 RUSH_S = 8.0
 CONTACT_S = 3.0
 DEADLINE_S = 3.0
+# A host ends its answers this long before the deadline at most.
+DEADLINE_MARGIN_S = 0.05
 # Of the calm share, that must be served of the requests that a host reads.
 REQUIRED = 0.75
 
@@ -29,15 +29,21 @@
 class Outcome(msgspec.Struct):
     """How one request on a connection of its own ended.
 
-    ``status`` is 0 if the connection was closed without an answer, and None if nothing
-    came until the deadline.
+    ``status`` is 0 if the connection was closed without a byte of an answer, and None
+    if no whole answer came until the deadline or until the connection ended.
     """
 
     request_id: str
     node: int
     sent_at: float
+    ended_at: float = 0.0
     status: int | None = None
 
+    def is_cut_early(self) -> bool:
+        """Return whether an answer was broken off before its deadline."""
+        took_s = self.ended_at - self.sent_at
+        return self.status is None and took_s < DEADLINE_S - DEADLINE_MARGIN_S
+
 
 class WeakHosts(SoakDeployment):
     """Hosts whose processors take their time for each request."""
@@ -48,6 +54,12 @@
         "PYTHONPATH": str(Path(__file__).parent),
     }
 
+    def log_lines(self, request_ids):
+        """Return what the hosts wrote of some requests."""
+        texts = (node.process.log_text() for node in self.soak_nodes)
+        lines = [line for text in texts for line in text.splitlines()]
+        return [line for line in lines if any(f'"{i}"' in line for i in request_ids)]
+
 
 class Rush:
     """Callers that open a connection for each request."""
@@ -84,28 +96,34 @@
             f"rush-{len(self.outcomes)}", node, asyncio.get_running_loop().time()
         )
         self.outcomes.append(outcome)
-        headers = {
-            "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
-            "Eelgrassward-Attempt-Id": outcome.request_id,
-            "Eelgrassward-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-            "Connection": "close",
-        }
-        url = URL(f"http://{self._deployment.soak_nodes[node].callers}/{kind}/x")
+        address = self._deployment.soak_nodes[node].callers
+        request = request_bytes(
+            f"/{kind}/x",
+            outcome.request_id,
+            b"body",
+            DEADLINE_S,
+            {"Connection": "close"},
+        )
         try:
-            async with (
-                asyncio.timeout(DEADLINE_S + 0.5),
-                aiohttp.ClientSession(
-                    connector=aiohttp.TCPConnector(force_close=True)
-                ) as session,
-                session.post(url, data=b"body", headers=headers) as response,
-            ):
-                await response.read()
-                outcome.status = response.status
+            async with asyncio.timeout(DEADLINE_S + 0.5):
+                outcome.status = await self._send(address, request)
+        except AnswerCut as cut:
+            outcome.status = None if cut.has_begun else 0
+        except OSError:
+            # The connection was closed before the request was written.
+            outcome.status = 0
         except TimeoutError:
             outcome.status = None
-        except (aiohttp.ClientError, OSError):
-            outcome.status = 0
+        outcome.ended_at = asyncio.get_running_loop().time()
+
+    async def _send(self, address, request):
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(request)
+            return (await read_answer(reader)).status
+        finally:
+            writer.close()
 
 
 def served_share(outcomes):
@@ -140,7 +158,9 @@
                 for service in ("desk", "readers")
                 for run in deployment.runs(service)
             }
-            assert not closed & ran
+            assert not closed & ran, deployment.log_lines(closed & ran)
+            cut = {o.request_id for o in rush.outcomes if o.is_cut_early()}
+            assert not cut, deployment.log_lines(cut)
             await asyncio.sleep(1.0)
             after = Rush(deployment)
             await after.run(2.0, CALM_PER_S, 1 / HOSTS)
