--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -9,11 +9,14 @@
 
 A caller may end its own direction after its requests and still wait for the answers. It
 looks like one that has left, so its requests get a short grace period.
+
+A request is in flight until its answer has left the process. Callers may read slowly,
+and what the process still holds is lost when it ends.
 """
 
 import asyncio
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 
 from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
@@ -47,11 +50,13 @@
         server: web.Server,
         header_timeout_s: float,
         count: Callable[[str], None],
+        in_flight: Callable[[], AbstractContextManager[None]],
         **options,
     ) -> None:
         super().__init__(server, **options)
         self._header_timeout_s = header_timeout_s
         self._count = count
+        self._in_flight = in_flight
         self._header_timer: asyncio.TimerHandle | None = None
         self._header_done = False
         # The body of the request that is being served, None between two requests.
@@ -61,6 +66,11 @@
         # until the caller ends its direction.
         self.answer_by: float | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Let the end of an answer wait until the kernel has all of it."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=0)
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes; the first ones start the header timeout."""
         if not self._header_done and self._header_timer is None:
@@ -100,7 +110,8 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Send a response; after the last one to a half-closed caller, close."""
         try:
-            return await super().finish_response(request, resp, start_time)
+            with self._in_flight():
+                return await super().finish_response(request, resp, start_time)
         finally:
             self._body = None
             if self.answer_by is not None and not self._messages:
@@ -158,7 +169,8 @@
 
     ``header_timeout_s`` returns the seconds that a connection's first header may take,
     and ``max_body_bytes`` limits how much of a body is read. New connections that
-    ``admits`` turns away are closed unread; ``count`` counts them.
+    ``admits`` turns away are closed unread; ``count`` counts them. Answers are sent
+    inside a context of ``in_flight``.
     """
 
     def __init__(
@@ -168,12 +180,14 @@
         max_body_bytes: int,
         admits: Callable[[], bool] = lambda: True,
         count: Callable[[str], None] = lambda name: None,
+        in_flight: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
         super().__init__(handler, request_factory=self._build_request)
         self._header_timeout_s = header_timeout_s
         self._max_body_bytes = max_body_bytes
         self._admits = admits
         self._count = count
+        self._in_flight = in_flight
         # Cancel a handler when its caller disconnects.
         self.handler_cancellation = True
 
@@ -186,6 +200,7 @@
             self,
             self._header_timeout_s(),
             self._count,
+            self._in_flight,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=CALLER_IDLE_S,
             max_line_size=MAX_LINE_BYTES,
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -405,6 +405,7 @@
             MAX_BODY_BYTES,
             self.connection_admission.admits,
             self.counters.count,
+            self.stopping.in_flight,
         )
         await self._listeners.serve(server, self.settings.callers)
 
--- a/packages/node/src/eelgrass_node/process/stopping.py
+++ b/packages/node/src/eelgrass_node/process/stopping.py
@@ -86,7 +86,9 @@
         self.refusing = True
         try:
             async with asyncio.timeout(self._limit_s):
-                await self._idle.wait()
+                # A request that was handled may be counted anew, as its answer is sent.
+                while self.count:
+                    await self._idle.wait()
         except TimeoutError:
             await self._cut_off()
             return False
--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -21,6 +21,7 @@
 EVENTS = 6
 # Unix time, in milliseconds, of the first start of each server.
 STARTED_MS = 1_700_000_000_000
+MAX_BODY_BYTES = 64 << 20
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
 HTTP_ERROR = 500
@@ -140,7 +141,9 @@
 
     def application(self) -> web.Application:
         """Return the web application of the server."""
-        app = web.Application(middlewares=[self._record_and_rest])
+        app = web.Application(
+            middlewares=[self._record_and_rest], client_max_size=MAX_BODY_BYTES
+        )
         app.on_response_prepare.append(self._add_notice)
         app.router.add_post("/-/stage-run", self._handle_items)
         app.router.add_post("/-/stage-free", self._handle_free)
