Do not count callers that leave a resumable stream as cut answers

What operators saw: each caller that left a resumable stream by closing its connection was logged as "A request was ended before it had its answer." and counted in answer.cut, which is to show answers that a host has broken off.

Cause: such a caller looks like one that ends its own direction, whose begun resumable stream is released at once.

Change: these streams count as caller.gone, as before half-closed callers were answered. The counter caller.closed-its-side is renamed caller.half-closed, as the refusals already are.

Test: test_a_resumable_stream_is_not_counted_as_cut, failed before.

--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -86,7 +86,7 @@
             return True
         if not self._has_whole_requests():
             return False
-        self._count("caller.closed-its-side")
+        self._count("caller.half-closed")
         loop = asyncio.get_running_loop()
         self.answer_by = loop.time() + HALF_CLOSE_GRACE_S
         if self._on_half_close is not None:
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -117,6 +117,9 @@
 
     def _end_early(self, answer: CallerResponse) -> web.StreamResponse:
         """Refuse a request whose work was stopped, or break off its stream."""
+        if answer.has_begun and answer.resumable and not self._stopping.is_at_limit:
+            # Its caller has most likely left, which is no cut answer.
+            return answer.abort()
         if self._stopping.is_at_limit:
             reason, counter = "the node has stopped", "refusal.stop-limit"
         else:
--- a/tests/test_half_closed_callers.py
+++ b/tests/test_half_closed_callers.py
@@ -150,6 +150,18 @@
             await until(lambda: cancelled(entry, "readers") == 1, GONE_S)
             await until(lambda: entry.nodes[0].stopping.count == 0, 0.1)
 
+    # Callers that left were counted among those whose answers a host has cut.
+    async def test_a_resumable_stream_is_not_counted_as_cut(self):
+        async with EntryDeployment(nodes=1, event_s=0.05) as entry:
+            [node] = entry.nodes
+            reader, writer = await connect(node.settings.callers)
+            writer.write(request_bytes("/stream/resumed/x", "one"))
+            await reader.readuntil(b"data: ")
+            writer.close()
+            await until(lambda: node.stopping.count == 0, GONE_S)
+            assert node.counters.totals["caller.gone"] == 1
+            assert node.counters.totals["answer.cut"] == 0
+
     # A reset was taken for a half-close, and its work went on for the grace period.
     async def test_a_reset_ends_the_work_at_once(self):
         async with EntryDeployment(nodes=1, event_s=0.5) as entry:
