--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -356,13 +356,14 @@
             self._remove(entry.id)
             if ended:
                 # Calls that wait for the earlier incarnation would get no answer.
+                aborted = backend.connections.abort()
                 log(
                     Part.HOSTS,
                     "A server has restarted; calls to its earlier run are aborted.",
                     backend=entry.id,
                     started=entry.started,
                     before=backend.entry.started,
-                    calls=backend.connections.abort(),
+                    calls=aborted,
                 )
             elif backend.entry.started == entry.started:
                 self.rests.forget(entry.incarnation)
--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -237,12 +237,13 @@
         """Deal with open connections, and with the other servers' paths."""
         if direct is Listening.UNKNOWN:
             # Packets are dropped, so that those of open connections are, too.
+            calls = backend.connections.on_path_lost()
             log(
                 Part.HOSTS,
                 "The network path to a server is lost under calls in flight.",
                 backend=backend.entry.id,
                 service=backend.entry.service,
-                calls=backend.connections.on_path_lost(),
+                calls=calls,
             )
         now = self._clock()
         if now < self._doubt_began + DOUBT_S:
--- a/packages/node/tests/test_durable_origins.py
+++ b/packages/node/tests/test_durable_origins.py
@@ -70,6 +70,15 @@
         await asyncio.wait({self._task})
 
 
+async def write_and_stop_all(fleet):
+    """Let a node write the origin of a stream to the store; then kill all nodes."""
+    fleet.store.is_reachable = True
+    await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
+    await asyncio.sleep(WRITTEN_S)
+    for node in fleet.nodes:
+        await node.stop()
+
+
 class TestAllNodesThatKnowAnOriginEnd:
     # Guards against versions that end with all nodes that know them.
     @pytest.mark.parametrize("is_planned", [False, True])
@@ -98,11 +107,7 @@
     def test_a_slow_store_is_waited_for(self, delay_s):
         async def main():
             async with OriginFleet(NODES) as fleet:
-                fleet.store.is_reachable = True
-                await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
-                await asyncio.sleep(WRITTEN_S)
-                for node in fleet.nodes:
-                    await node.stop()
+                await write_and_stop_all(fleet)
                 started = [await fleet.add(number) for number in range(NODES)]
                 await asyncio.sleep(SETTLE_S)
                 fleet.store.delay_s = delay_s
@@ -118,11 +123,7 @@
     def test_they_go_on_asking_the_store_until_they_have_settled(self, delay_s, away_s):
         async def main():
             async with OriginFleet(NODES) as fleet:
-                fleet.store.is_reachable = True
-                await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
-                await asyncio.sleep(WRITTEN_S)
-                for node in fleet.nodes:
-                    await node.stop()
+                await write_and_stop_all(fleet)
                 fleet.store.delay_s = delay_s
                 fleet.store.is_reachable = not away_s
                 started = [await fleet.add(number) for number in range(NODES)]
