Stand-in: report a load that decays, not the count of all runs ever

tests/test_server_limits.py TestLimitsEnd failed at times: for some seconds after a server had ceased to name a limit its share of the requests was 0.58 to 0.90, where at most 0.5 is asked.

Cause: the stand-in reported all requests that it had ever run as running. A server that had been limited had run fewer, and hosts chose it until its count was that of the others: trials beside load, shares by second after the end of a limit 0.76, 0.84, 0.32 and the like in four runs of four. The fault is the stand-in's, not that of the limits; without any limit 36 windows of 2.5 s had shares of 0.20 to 0.47.

Change: a run counts in the reported load until it decays, with a time constant of 1 s. The bounds of the tests are unchanged.

--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -1,6 +1,7 @@
 """Stand-in for the backend servers of entry nodes: plain, streaming and staged."""
 
 import asyncio
+import itertools
 import math
 from collections.abc import Awaitable, Callable
 from enum import Enum
@@ -22,6 +23,10 @@
 # Unix time, in milliseconds, of the first start of each server.
 STARTED_MS = 1_700_000_000_000
 MAX_BODY_BYTES = 64 << 20
+# Time constant, in seconds, with which a run disappears from the load that a server
+# reports. Hosts use reports for 1.5 s; without a decay they would choose servers in
+# turn, all at the same time.
+LOAD_DECAY_S = 1.0
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
 HTTP_ERROR = 500
@@ -211,9 +216,16 @@
         return {
             "Eelgrassward-Attempt-Id": request.headers["Eelgrassward-Attempt-Id"],
             "Eelgrassward-Engine-Signature": f"signed-by-{self.server_id}",
-            "Eelgrassward-Engine-Load": f"{len(self.runs)},0,64",
+            "Eelgrassward-Engine-Load": f"{self._load()},0,64",
         }
 
+    def _load(self) -> int:
+        """Return a load that grows with each run and decays."""
+        now = asyncio.get_running_loop().time()
+        ages = (now - run.at for run in reversed(self.runs))
+        recent = itertools.takewhile(lambda age_s: age_s < 5 * LOAD_DECAY_S, ages)
+        return int(sum(math.exp(-age_s / LOAD_DECAY_S) for age_s in recent))
+
     def _expects_other(self, request: web.Request) -> bool:
         expected = request.headers.get("Eelgrassward-Expect-Engine", self.server_id)
         return expected != self.server_id
