Queues: do not let items wait for a limited server that may get no call

Cause: a server that was slow gets items only if they would finish later at the others. The comparison took a limited server for one that is free and runs full calls one after the other. Once the two others had one slow call each (0.27 s where 0.01 s are usual), everything waited for the limited one. The class of fault is known: a comparison among several must count only those that could do the work.

Change: the comparison adds the time until a permit, and counts each of the other servers with the rate at which it may get calls. Without a limit it is the same as before.

Test: test_items_do_not_wait_for_a_faster_server_without_a_permit, failed before.

--- a/packages/node/src/eelgrass_node/process/queue_servers.py
+++ b/packages/node/src/eelgrass_node/process/queue_servers.py
@@ -253,23 +253,26 @@
 
         A server that is five times as slow is only called if so many items wait that
         the other servers would need as long for them. Only servers in ``regions``, to
-        which the items are bound, can run them instead.
+        which the items are bound, can run them instead, and those that name a request
+        limit only as often as there are permits.
         """
         others = [
-            self.use(other)
+            other
             for other in self.healthy()
             if other is not server and other.is_in(regions)
         ]
         if not others:
             return True
-        batch = self._limits().batch
-        call_s = self.call_s(batch)
-        rounds = waiting / (batch * len(others))
-        elsewhere = min(
-            max(use.free_at, now) + call_s * use.slowness(now) for use in others
+        call_s = self.call_s(self._limits().batch)
+        calls_per_s = sum(min(1 / call_s, other.permits_per_s()) for other in others)
+        if not calls_per_s:
+            return True
+        elsewhere_s = min(
+            self._free_in_s(other, now) + call_s * self.use(other).slowness(now)
+            for other in others
         )
-        here = now + call_s * self.use(server).slowness(now)
-        return here <= elsewhere + rounds * call_s
+        rounds_s = waiting / (self._limits().batch * calls_per_s)
+        return call_s * self.use(server).slowness(now) <= elsewhere_s + rounds_s
 
     def _on_full(self, use: ServerUse) -> None:
         """Treat a server as full for a moment, and assume larger results.
--- a/packages/node/tests/test_batch_queue.py
+++ b/packages/node/tests/test_batch_queue.py
@@ -334,6 +334,26 @@
         assert {backend for backend, _ in service.calls} == {"near"}
         assert now() - began < 1.0
 
+    # Guards against items that wait until it is too late for a faster server, though
+    # its request limit allows it hardly any calls.
+    async def test_items_do_not_wait_for_a_faster_server_without_a_permit(self):
+        limited, slow = server("limited"), server("slow")
+        limited.permit_wait_s = lambda: 0.9
+        limited.permits_per_s = lambda: 1.0
+        full_call_s = LIMITS.call_s + LIMITS.item_s * LIMITS.batch
+
+        async def run_slowly_at_first(backend, batch):
+            if batch[0].request_id == "first":
+                await asyncio.sleep(20 * full_call_s)
+
+        service = Service(limited, slow, behave=run_slowly_at_first)
+        await service.queue.run(items("first"))
+        began = now()
+        runs = [service.queue.run(items(f"r{n}", LIMITS.batch)) for n in range(4)]
+        await asyncio.gather(*runs)
+        assert {backend for backend, _ in service.calls} == {"slow"}
+        assert now() - began < 0.5
+
     async def test_a_slow_server_only_runs_items_that_others_would_finish_later(self):
         """The fault srv_slow makes one of three servers four to eight times as slow."""
 
