--- a/packages/node/src/eelgrass_node/process/stopping.py
+++ b/packages/node/src/eelgrass_node/process/stopping.py
@@ -86,14 +86,17 @@
         self.refusing = True
         try:
             async with asyncio.timeout(self._limit_s):
-                # A request that was handled may be counted anew, as its answer is sent.
-                while self.count:
-                    await self._idle.wait()
+                await self._wait_until_idle()
         except TimeoutError:
             await self._cut_off()
             return False
         return True
 
+    async def _wait_until_idle(self) -> None:
+        # A request that was handled is counted anew while its answer is sent.
+        while self.count:
+            await self._idle.wait()
+
     async def _cut_off(self) -> None:
         """End the requests in flight, and wait until they have ended."""
         self.is_at_limit = True
@@ -103,7 +106,7 @@
             cut_off(now)
         try:
             async with asyncio.timeout(CUT_OFF_S):
-                await self._idle.wait()
+                await self._wait_until_idle()
         except TimeoutError:
             log(Part.NODE, "Requests are still in flight.", in_flight=self.count)
 
--- a/packages/node/src/eelgrass_node/request/caller_response.py
+++ b/packages/node/src/eelgrass_node/request/caller_response.py
@@ -82,9 +82,11 @@
         if data:
             await self._send(self._stream.write(data))
 
-    async def end(self) -> web.StreamResponse:
-        """End a stream as complete."""
-        await self._send(self._stream.write_eof())
+    def end(self) -> web.StreamResponse:
+        """Return the complete stream; the HTTP server writes its end.
+
+        So the limits of the request do not apply to bytes that its caller has not read.
+        """
         return self._stream
 
     def abort(self) -> web.StreamResponse:
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -324,7 +324,7 @@
             raise CallFailed(RetryReason.STREAM_CUT, not_run=False)
         backend.record_success(_now() - began)
         self._log_answered(backend, head)
-        return await self._answer.end()
+        return self._answer.end()
 
     def _record_failure(self, backend: Backend, failed: CallFailed) -> None:
         self._tried |= {backend.entry.incarnation}
