--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -127,6 +127,11 @@
         self._body = body
         self.on_header_complete()
 
+    @property
+    def has_waiting_requests(self) -> bool:
+        """Whether more requests have arrived behind the one that is being served."""
+        return bool(self._messages)
+
     def on_header_complete(self) -> None:
         """Cancel the header timeout, as the first header is complete."""
         self._header_done = True
--- a/packages/node/src/eelgrass_node/request/caller_response.py
+++ b/packages/node/src/eelgrass_node/request/caller_response.py
@@ -107,6 +107,7 @@
             raise CallerGone from error
 
     def _apply_closing(self, response: web.StreamResponse) -> web.StreamResponse:
-        if self._closing:
+        # Requests behind an answer that announces the close would not be answered.
+        if self._closing and not self._request.protocol.has_waiting_requests:
             response.force_close()
         return response
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -10,10 +10,12 @@
 from eelgrass_standins.entry_engines import EngineFault
 from support.connections import connect
 from support.entry import HOST, KEY, EntryDeployment, until
+from support.raw_calls import read_answer
 
 pytestmark = pytest.mark.asyncio
 
 LIMIT_S = 0.3
+PIPELINED = 4
 
 
 def request_bytes(target, body=b"body", length=4):
@@ -86,6 +88,33 @@
             await until(lambda: sum(engine.cancelled for engine in engines) == 1, 0.5)
 
 
+class TestPipelinedRequests:
+    # Requests behind an answer that announced the close of its connection were read and
+    # got no answer.
+    @pytest.mark.parametrize("notice_s", [0.0, 1.0])
+    async def test_all_are_answered(self, notice_s):
+        async with EntryDeployment(nodes=1, event_s=0.05) as entry:
+            node = entry.nodes[0]
+            node.stopping._notice_s, node.stopping._limit_s = notice_s, 3.0
+            reader, writer = await connect(node.settings.callers)
+            if notice_s:
+                node.stopping.request()
+            requests = ["/stream/single/x", *["/once/x"] * (PIPELINED - 1)]
+            for target in requests:
+                writer.write(request_bytes(target))
+            await until(lambda: entry.runs("readers"))
+            node.stopping.request()
+            stop = asyncio.create_task(node.run_until_stopped())
+            answers = [await read_answer(reader) for _ in requests]
+            later = 200 if notice_s else 503
+            expected = [200] + [later] * (PIPELINED - 1)
+            assert [answer.status for answer in answers] == expected
+            stays_open = [answer.stays_open for answer in answers]
+            assert stays_open == [True] * (PIPELINED - 1) + [False]
+            writer.close()
+            assert await stop
+
+
 class TestTime:
     # Answers that are written after the limit took time that the stop does not have.
     async def test_it_is_within_the_reserve_of_the_stop(self):
