Read the origin of a stream again after one failed read

What callers saw: a stream that they resumed was refused because one read of the store failed, as when it closes an idle connection, at a host that had been up for a while; the next read would have told its version.

Cause: where no other host was left to be asked, the first failure ended the search. A failed read is no answer, as silence is none.

Change: a store that answers other calls is read once more at once.

--- a/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
@@ -43,7 +43,7 @@
 READ_TIMEOUT_S = 1.0
 # The timeout while the store does not answer other calls either.
 AWAY_READ_TIMEOUT_S = 0.25
-# The pause before a read that failed is made again.
+# The pause before a read that failed is made again while there is time.
 READ_RETRY_DELAY_S = 0.3
 # Longest pause between attempts is derived from this time; streams last some seconds.
 RETRY_DEADLINE_S = 4.0
@@ -129,7 +129,7 @@
         nodes: until it ends the caller waits anyway, so the store may take as long.
         ``is_in_touch`` tells whether the store has answered other calls lately.
         """
-        reading = asyncio.create_task(self._read(stream, others))
+        reading = asyncio.create_task(self._read(stream, others, is_in_touch))
         timeout_s = READ_TIMEOUT_S if is_in_touch else AWAY_READ_TIMEOUT_S
         try:
             if not await stall_aware_wait(reading, timeout_s):
@@ -171,17 +171,27 @@
                 await asyncio.sleep(self._backoff.next_delay_s())
 
     async def _read(
-        self, stream: str, others: asyncio.Future[object]
+        self, stream: str, others: asyncio.Future[object], may_retry: bool
     ) -> Sequence[StoredRow]:
-        """Read the rows of a stream; try again until ``others`` is done."""
+        """Read the rows of a stream; try again while ``others`` is not done.
+
+        With ``may_retry`` try again once in any case, as the store may have closed an
+        idle connection.
+        """
         while True:
             try:
                 return await self._rows.read(*key_range(stream))
             except StoreUnavailable as error:
-                await asyncio.wait({others}, timeout=READ_RETRY_DELAY_S)
-                if others.done():
+                if others.done() and not may_retry:
                     raise
-                self._log_unread(stream, error)
+                may_retry = False
+                log(
+                    Part.STORE,
+                    "A read of the origin of a stream failed; it is tried again.",
+                    id=stream,
+                    error=repr(error),
+                )
+            await asyncio.wait({others}, timeout=READ_RETRY_DELAY_S)
 
     def _wake(self, is_urgent: bool) -> None:
         if self._added_at is None:
