--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -152,6 +152,9 @@
             inputs_unreachable = self._context.reachability.is_suspected(
                 self._inputs_data_centre()
             )
+            if self._failover.is_secured:
+                # Its server was chosen together with these results.
+                inputs_unreachable = False
             if inputs_unreachable or self._graph.has_lost_results():
                 # No server could fetch the results, so they are recomputed.
                 self._graph.release()
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -7,8 +7,10 @@
 import pytest
 import pytest_asyncio
 
+from eelgrass_node.request.failover import Failover
 from support.entry import COMPLETE_STREAM, configuration
 from support.silent_servers import SilentServersDeployment
+from support.soak_deployment import SEGMENTS
 
 STREAMS = 120
 FEW = 12
@@ -49,6 +51,12 @@
     return await asyncio.gather(*(ask(number) for number in range(count)))
 
 
+def results_made(deployment):
+    """Return how many results the servers of the first stages have made."""
+    engines = deployment.engines_by_service["portal"]
+    return sum(len(engine.batch_items) for engine in engines)
+
+
 @pytest_asyncio.fixture
 async def silent():
     async with SilentServersDeployment(event_s=EVENT_S) as deployment:
@@ -139,6 +147,32 @@
         assert len(silent.runs("readers")) == 6
 
 
+class TestStages:
+    # Guards against results that were made for the server that takes over, and are
+    # thrown away once the call before is closed: if they cannot be made again, the
+    # stream is cut.
+    async def test_results_for_the_next_server_are_used(self, silent, monkeypatch):
+        node = silent.nodes[0]
+        secure = Failover.secure
+
+        async def secure_and_suspect(self, server):
+            is_secured = await secure(self, server)
+            node.reachability.is_suspected = bool
+            return is_secured
+
+        monkeypatch.setattr(Failover, "secure", secure_and_suspect)
+        asking = asyncio.create_task(
+            silent.ask("/stream/staged/x", 0, **HEADERS, **SEGMENTS)
+        )
+        await asyncio.sleep(BEGUN_S)
+        made = results_made(silent)
+        for backend in node.backends.by_service["readers"]:
+            backend.connections.on_path_lost()
+        status, _, body = await asking
+        assert (status, body) == (200, COMPLETE_STREAM)
+        assert results_made(silent) == 2 * made > 0
+
+
 class TestRequestsThatEndWhileTheyMove:
     # Guards against a server that counts as in use for ever, because a request ended
     # after another server was secured for it and before it was sent there.
