Stopping: say that requests are ended, not cut off

"Cut" stands for an answer that had begun and was broken off (answer.cut), but most requests that a planned stop ends get a refusal. The time that the stop leaves for these is REFUSAL_WAIT_S. No change of behaviour.

--- a/packages/node/src/eelgrass_node/process/stopping.py
+++ b/packages/node/src/eelgrass_node/process/stopping.py
@@ -2,8 +2,8 @@
 
 A stop has three steps. First the health check fails while requests are still accepted,
 because the load balancer takes a moment to notice. Then new requests are refused. The
-process ends once the last request in flight has its answer. Requests that take too long
-are ended with a refusal before that.
+process ends once the last request in flight has its answer. Those that are still in
+flight at the limit are ended: they are refused, and streams that have begun are closed.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
 __all__ = ["Stopping"]
 
 # How long a stop that is at its limit still waits until callers have their refusals.
-CUT_OFF_S = 0.2
+REFUSAL_WAIT_S = 0.2
 
 
 class Stopping:
@@ -32,7 +32,7 @@
         self._idle.set()
         self._requested = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
-        self._cut_offs: set[Callable[[float], None]] = set()
+        self._on_limit: set[Callable[[float], None]] = set()
         self.count = 0
         self.stopping = False
         self.refusing = False
@@ -51,16 +51,16 @@
                 self._idle.set()
 
     @contextmanager
-    def calling_at_limit(self, cut_off: Callable[[float], None]) -> Iterator[None]:
-        """Call ``cut_off`` with the time if the limit passes during the context.
+    def calling_at_limit(self, callback: Callable[[float], None]) -> Iterator[None]:
+        """Call ``callback`` with the event loop's time if the limit passes meanwhile.
 
-        It has to end the request in flight with a refusal.
+        It has to end the request in flight, with a refusal if its answer has not begun.
         """
-        self._cut_offs.add(cut_off)
+        self._on_limit.add(callback)
         try:
             yield
         finally:
-            self._cut_offs.discard(cut_off)
+            self._on_limit.discard(callback)
 
     def track(self, task: asyncio.Task) -> asyncio.Task:
         """Hold a reference to a task until it ends, and retrieve its exception.
@@ -90,19 +90,19 @@
                 while self.count:
                     await self._idle.wait()
         except TimeoutError:
-            await self._cut_off()
+            await self._end_requests()
             return False
         return True
 
-    async def _cut_off(self) -> None:
+    async def _end_requests(self) -> None:
         """End the requests in flight, and wait until they have ended."""
         self.is_at_limit = True
         log(Part.NODE, "Ending the requests in flight.", in_flight=self.count)
         now = asyncio.get_running_loop().time()
-        for cut_off in tuple(self._cut_offs):
-            cut_off(now)
+        for callback in tuple(self._on_limit):
+            callback(now)
         try:
-            async with asyncio.timeout(CUT_OFF_S):
+            async with asyncio.timeout(REFUSAL_WAIT_S):
                 await self._idle.wait()
         except TimeoutError:
             log(Part.NODE, "Requests are still in flight.", in_flight=self.count)
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -89,4 +89,4 @@
 class TestTime:
     # Answers that are written after the limit took time that the stop does not have.
     async def test_it_is_within_the_reserve_of_the_stop(self):
-        assert stopping.CUT_OFF_S < STOP_RESERVE_S / 2
+        assert stopping.REFUSAL_WAIT_S < STOP_RESERVE_S / 2
