Failover: names that say what is checked, released and reserved

"Confirm" was the name of two checks, of Failover and of StreamVersion; the former is named for what it finds out, and its class says how the two differ. "Withdrawn" servers are those that operators take away, so a secured server that is not needed is released, like the results of stages. A retry that the budget has granted beforehand is reserved, not paid. No change of behaviour.

--- a/packages/node/src/eelgrass_node/request/answer_wait.py
+++ b/packages/node/src/eelgrass_node/request/answer_wait.py
@@ -22,15 +22,15 @@
     """The waits for the parts of one answer.
 
     After a silence ``secure`` is called, which returns whether another server is
-    certain to take the request over; until then the wait goes on. ``withdraw`` is
+    certain to take the request over; until then the wait goes on. ``release`` is
     called if the answer goes on after all.
     """
 
     def __init__(
-        self, secure: Callable[[], Awaitable[bool]], withdraw: Callable[[], None]
+        self, secure: Callable[[], Awaitable[bool]], release: Callable[[], None]
     ) -> None:
         self._secure = secure
-        self._withdraw = withdraw
+        self._release = release
         self._timeout: StallAwareTimeout | None = None
         self._is_path_lost = False
 
@@ -82,7 +82,7 @@
         if not reading.done():
             return securing.result()
         # Also if it came just after a server was secured.
-        self._withdraw()
+        self._release()
         return True
 
 
--- a/packages/node/src/eelgrass_node/request/failover.py
+++ b/packages/node/src/eelgrass_node/request/failover.py
@@ -29,7 +29,12 @@
 
 
 class Failover:
-    """Secures another server for one request while its call goes on."""
+    """Secures another server for one request while its call goes on.
+
+    A server for a stream has to answer on a new connection before it is secured. Those
+    that :class:`StreamVersion` confirms replace no call that could go on, so that it is
+    enough that they have not restarted.
+    """
 
     def __init__(
         self,
@@ -46,10 +51,11 @@
         self._graph = graph
         self._stream_version = stream_version
         self._criteria = criteria
+        # The server whose silence was recorded last.
         self._silent: Backend | None = None
-        # Whether the stages ran again for the call to a server to be secured.
+        # Whether the stages have run again for the server that is to take over.
         self._has_rerun = False
-        # The server that is to take over, once it is secured.
+        # The server that is to take over, also while it is not secured yet.
         self._held: Backend | None = None
         self._is_secured = False
 
@@ -72,10 +78,10 @@
 
     def wait_for(self, server: Backend) -> AnswerWait:
         """Return the waits for an answer of a server."""
-        return AnswerWait(partial(self.secure, server), self.withdraw)
+        return AnswerWait(partial(self.secure, server), self.release)
 
-    def withdraw(self) -> None:
-        """Give up the server that was secured, as the present one goes on."""
+    def release(self) -> None:
+        """Give up the server that was secured, if there is one; it is not needed."""
         self._hold(None)
         if self._has_rerun:
             self._has_rerun = False
@@ -86,7 +92,7 @@
         if not self._limits.may_run_again():
             return False
         self._record_silence(silent)
-        if not self._limits.can_pay():
+        if not self._limits.may_reserve_retry():
             return False
         try:
             self._is_secured = await self._secure(silent)
@@ -94,17 +100,17 @@
             self._log_kept(silent, str(failure))
         finally:
             if not self._is_secured:
-                self.withdraw()
+                self.release()
         return self._is_secured
 
     async def _secure(self, silent: Backend) -> bool:
         server = await self._find(silent)
-        if server is None or not self._limits.pay_ahead():
+        if server is None or not self._limits.reserve_retry():
             return False
         if self._routed.route.stages and self._graph.released:
             self._has_rerun = True
             await self._graph.run()
-            await self._confirm(server)
+            await self._check_can_take_over(server)
         if self._routed.route.kind is RouteKind.STREAM and server.permit_wait_s():
             # The check has used the permit that there was.
             await await_permit(self._context, server)
@@ -121,7 +127,7 @@
             server = await first_confirmed(
                 first,
                 lambda asked: select_other(self._context, criteria, [silent, *asked]),
-                self._confirm,
+                self._check_can_take_over,
                 partial(record_failure, self._context),
             )
         except CallFailed as failed:
@@ -142,7 +148,7 @@
     def _is_allowed(self, server: Backend) -> bool:
         return self._context.is_allowed(self._criteria(), server)
 
-    async def _confirm(self, server: Backend) -> None:
+    async def _check_can_take_over(self, server: Backend) -> None:
         """Raise :class:`CallFailed` if a server cannot continue a stream now.
 
         A plain request needs no proof: its caller gets an error if this server is
@@ -150,7 +156,7 @@
         """
         if self._routed.route.kind is not RouteKind.STREAM:
             return
-        await self._context.server_checks.confirm(server)
+        await self._context.server_checks.check(server)
         if not self._is_allowed(server):
             raise CallFailed(RetryReason.BACKEND_WITHDRAWN, not_run=True)
 
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -25,7 +25,7 @@
 from .incoming_request import WireCodec
 from .reasons import RetryReason
 
-__all__ = ["check_incarnation", "confirm_incarnation", "first_confirmed"]
+__all__ = ["check_incarnation", "check_on_new_connection", "first_confirmed"]
 
 # Servers report from memory, within milliseconds unless they are overloaded.
 NEXT_SERVER_DELAY_S = 0.1
@@ -109,13 +109,12 @@
         await _ask_start(codec, server, timeout_s, reuse=True)
 
 
-async def confirm_incarnation(
+async def check_on_new_connection(
     codec: WireCodec, server: Backend, timeout_s: float
 ) -> None:
     """Raise :class:`CallFailed` unless the server answers, and has not restarted.
 
-    It is asked on a connection of its own, because open ones may have been dropped on
-    the path.
+    Open connections are not used, because the network path may have dropped them.
     """
     await _ask_start(codec, server, timeout_s, reuse=False)
 
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -126,7 +126,7 @@
             self._log.end("The caller left.", at=self._step.value)
             raise
         finally:
-            self._failover.withdraw()
+            self._failover.release()
             self._graph.release()
             self._stream_version.release()
 
@@ -165,6 +165,7 @@
             backend.in_flight += 1
             try:
                 if secured is None:
+                    # Otherwise it has been checked before the call was given up.
                     backend = await self._stream_version.confirmed_server(
                         self._context, self._criteria(), backend
                     )
--- a/packages/node/src/eelgrass_node/request/retry_limits.py
+++ b/packages/node/src/eelgrass_node/request/retry_limits.py
@@ -35,8 +35,8 @@
         self._budgets = budgets
         self.runs = 0
         self.refused_calls = 0
-        # Whether the budget has granted the next retry while the call before goes on.
-        self._is_paid_ahead = False
+        # Whether the budget has granted the next retry, while the call before goes on.
+        self._is_retry_reserved = False
 
     @property
     def may_have_run(self) -> bool:
@@ -68,7 +68,7 @@
         # A call that reached no server puts no load on one, so that its retry needs no
         # budget.
         is_free = failed.reason in FREE_RETRY_REASONS
-        if not is_free and not self._take_paid() and not self._try_spend():
+        if not is_free and not self._take_reserved_retry() and not self._try_spend():
             raise RequestRefused(
                 f"the retry budget is exhausted: {reason}", RETRY_FULL_S
             )
@@ -94,18 +94,21 @@
         route = self._routed.route
         return route.repeatable and self.runs + 1 < route.max_attempts
 
-    def can_pay(self) -> bool:
-        """Return whether the budget may allow a retry."""
-        return self._is_paid_ahead or self._budgets.has_tokens(self._routed.service)
+    def may_reserve_retry(self) -> bool:
+        """Return whether the budget may allow a retry; nothing is spent."""
+        return self._is_retry_reserved or self._budgets.has_tokens(self._routed.service)
 
-    def pay_ahead(self) -> bool:
-        """Spend the budget's token for the next retry while a call still goes on."""
-        self._is_paid_ahead = self._is_paid_ahead or self._try_spend()
-        return self._is_paid_ahead
+    def reserve_retry(self) -> bool:
+        """Spend a token of the budget for the next retry, while a call still goes on.
 
-    def _take_paid(self) -> bool:
-        is_paid, self._is_paid_ahead = self._is_paid_ahead, False
-        return is_paid
+        Return whether the retry is granted; it stays so until it is made.
+        """
+        self._is_retry_reserved = self._is_retry_reserved or self._try_spend()
+        return self._is_retry_reserved
+
+    def _take_reserved_retry(self) -> bool:
+        is_reserved, self._is_retry_reserved = self._is_retry_reserved, False
+        return is_reserved
 
     def _try_spend(self) -> bool:
         return self._budgets.try_spend(
--- a/packages/node/src/eelgrass_node/request/server_checks.py
+++ b/packages/node/src/eelgrass_node/request/server_checks.py
@@ -1,11 +1,11 @@
-"""Checks whether servers answer now, once for all requests that want to know."""
+"""Checks whether servers answer now, with one check for all requests that ask."""
 
 import asyncio
 from collections.abc import Callable
 
 from ..exceptions import CallFailed
 from ..process.backends import Backend, ServerIncarnation
-from .incarnation_check import confirm_incarnation
+from .incarnation_check import check_on_new_connection
 from .incoming_request import WireCodec
 
 __all__ = ["ServerChecks"]
@@ -25,22 +25,22 @@
         self._check_by_incarnation: dict[ServerIncarnation, asyncio.Task] = {}
         self._ended_at: dict[ServerIncarnation, float] = {}
 
-    async def confirm(self, server: Backend) -> None:
+    async def check(self, server: Backend) -> None:
         """Raise :class:`CallFailed` if a server does not answer, or has restarted."""
         self._forget_old()
         incarnation = server.entry.incarnation
         check = self._check_by_incarnation.get(incarnation)
         if check is None:
-            check = asyncio.create_task(self._check(server))
+            check = asyncio.create_task(self._failure_of(server))
             self._check_by_incarnation[incarnation] = check
             check.add_done_callback(lambda _: self._note_end(incarnation))
         failure = await asyncio.shield(check)
         if failure is not None:
             raise CallFailed(failure.reason, failure.not_run) from failure
 
-    async def _check(self, server: Backend) -> CallFailed | None:
+    async def _failure_of(self, server: Backend) -> CallFailed | None:
         try:
-            await confirm_incarnation(self._codec, server, TIMEOUT_S)
+            await check_on_new_connection(self._codec, server, TIMEOUT_S)
         except CallFailed as failure:
             return failure
         return None
