--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -53,7 +53,11 @@
 
 
 class CallPath:
-    """Whether the connection of one call is relayed; None until there is one."""
+    """The network path of one call.
+
+    ``is_relayed`` is None until the call has a connection. A path that is lost affects
+    direct connections only.
+    """
 
     def __init__(self) -> None:
         self.is_relayed: bool | None = None
@@ -80,7 +84,7 @@
         self._single_use_session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
         self._calls_in_flight = 0
-        self._on_path_lost: list[Callable[[], None]] = []
+        self._path_lost_callbacks: list[Callable[[], None]] = []
         self._closing = False
         self._responses: weakref.WeakSet[aiohttp.ClientResponse] = weakref.WeakSet()
         self.aborted = False
@@ -139,7 +143,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=_Sending(on_headers_sent, path or CallPath()),
+            trace_request_ctx=_CallTrace(on_headers_sent, path or CallPath()),
         )
 
     def replace(self) -> None:
@@ -162,14 +166,14 @@
         if self._link is not None:
             self._link.suspect()
 
-    def on_path_lost(self) -> int:
+    def notify_path_lost(self) -> int:
         """Tell the calls in flight that the network path is lost; return their number.
 
-        Each decides by itself whether it is given up.
+        Each decides by itself whether it is given up. Relayed ones are told, too.
         """
-        for on_path_lost in list(self._on_path_lost):
-            on_path_lost()
-        return len(self._on_path_lost)
+        for callback in list(self._path_lost_callbacks):
+            callback()
+        return len(self._path_lost_callbacks)
 
     def begin_call(self, on_path_lost: Callable[[], None] | None = None) -> None:
         """Count a call that starts; its connections stay open until it ends.
@@ -178,12 +182,12 @@
         """
         self._calls_in_flight += 1
         if on_path_lost is not None:
-            self._on_path_lost.append(on_path_lost)
+            self._path_lost_callbacks.append(on_path_lost)
 
     def end_call(self, on_path_lost: Callable[[], None] | None = None) -> None:
         """Count a call that has ended, and close retired sessions after the last."""
         if on_path_lost is not None:
-            self._on_path_lost.remove(on_path_lost)
+            self._path_lost_callbacks.remove(on_path_lost)
         self._calls_in_flight -= 1
         if self._calls_in_flight == 0:
             self._close_retired()
@@ -297,8 +301,8 @@
         self._retired = []
 
 
-class _Sending:
-    """What the library's traces tell of one call."""
+class _CallTrace:
+    """What the library passes to the traces of one call."""
 
     def __init__(self, on_headers_sent: Callable[[], None], path: CallPath) -> None:
         self.on_headers_sent = on_headers_sent
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -105,10 +105,9 @@
             raise
         for trace in traces:
             # The library has no public way from a connection to its request.
-            sending = trace._trace_config_ctx.trace_request_ctx
-            if sending is not None:
-                is_relayed = connection.protocol in self._link.relayed
-                sending.path.is_relayed = is_relayed
+            call = trace._trace_config_ctx.trace_request_ctx
+            if call is not None:
+                call.path.is_relayed = connection.protocol in self._link.relayed
         return connection
 
     def is_unacknowledged(self) -> bool:
--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -237,7 +237,7 @@
         """Deal with open connections, and with the other servers' paths."""
         if direct is Listening.UNKNOWN:
             # Packets are dropped, so that those of open connections are, too.
-            calls = backend.connections.on_path_lost()
+            calls = backend.connections.notify_path_lost()
             log(
                 Part.HOSTS,
                 "The network path to a server is lost under calls in flight.",
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -120,7 +120,7 @@
         asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x", FEW))
         await asyncio.sleep(BEGUN_S)
         told = sum(
-            backend.connections.on_path_lost()
+            backend.connections.notify_path_lost()
             for node in silent.nodes
             for backend in node.backends.by_service["readers"]
         )
@@ -134,7 +134,7 @@
         await asyncio.sleep(BEGUN_S)
         for node in silent.nodes:
             for backend in node.backends.by_service["readers"]:
-                backend.connections.on_path_lost()
+                backend.connections.notify_path_lost()
         assert await asking == [(200, COMPLETE_STREAM)] * 3
         assert len(silent.runs("readers")) == 6
 
@@ -154,7 +154,7 @@
         asking = asyncio.create_task(silent.ask("/stream/resumed/x", 0, **HEADERS))
         await asyncio.sleep(BEGUN_S)
         for backend in node.backends.by_service["readers"]:
-            backend.connections.on_path_lost()
+            backend.connections.notify_path_lost()
         await asyncio.sleep(0.8)
         # The call that is given up, and the one that takes over.
         assert sum(b.in_flight for b in node.backends.by_service["readers"]) == 2
