Stored origins: say how a node knows that the store answers

The search in the store got "in touch" from whether the list of servers is current, which a reader could not connect: the list is a table of the same store. The test's parameter is named for what it sets. No change of behaviour.

--- a/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/durable_origins.py
@@ -121,16 +121,17 @@
             self._wake(is_urgent=origin.version is None)
 
     async def find(
-        self, stream: str, others: asyncio.Future[object], is_in_touch: bool
+        self, stream: str, others: asyncio.Future[object], is_store_answering: bool
     ) -> StreamOrigin | None:
         """Return the origin of a stream, None if the store does not tell it soon.
 
         It is uncertain if different ones are stored. ``others`` is the search at other
-        nodes: until it ends the caller waits anyway, so the store may take as long.
-        ``is_in_touch`` tells whether the store has answered other calls lately.
+        nodes: until it ends the caller waits anyway, so the store may take as long, and
+        is read again if it fails. ``is_store_answering`` tells whether the store has
+        answered other calls lately.
         """
         reading = asyncio.create_task(self._read(stream, others))
-        timeout_s = READ_TIMEOUT_S if is_in_touch else AWAY_READ_TIMEOUT_S
+        timeout_s = READ_TIMEOUT_S if is_store_answering else AWAY_READ_TIMEOUT_S
         try:
             if not await stall_aware_wait(reading, timeout_s):
                 await asyncio.wait(
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -124,8 +124,9 @@
                 others = asyncio.create_task(self._ask_newcomers(search))
                 lookups = [others]
                 if stream:
-                    in_touch = self._list_is_current()
-                    in_store = self._durable.find(stream, others, in_touch)
+                    # The list of servers is a table of the same store.
+                    is_store_answering = self._list_is_current()
+                    in_store = self._durable.find(stream, others, is_store_answering)
                     lookups.append(asyncio.create_task(in_store))
                 origin = await _first_found(lookups) or search.origin
             if origin is None:
--- a/packages/node/tests/test_durable_origins.py
+++ b/packages/node/tests/test_durable_origins.py
@@ -59,7 +59,7 @@
         """Find an origin as a node does that has asked all others."""
         others = asyncio.get_running_loop().create_future()
         others.set_result(None)
-        return await self.origins.find(stream, others, is_in_touch=True)
+        return await self.origins.find(stream, others, is_store_answering=True)
 
     async def __aenter__(self):
         self._task = asyncio.create_task(self.origins.run())
@@ -136,7 +136,7 @@
 
     # Guards against a store that is away and holds the other ways up.
     @pytest.mark.parametrize(
-        ("delay_s", "in_touch", "timeout_s"),
+        ("delay_s", "is_list_current", "timeout_s"),
         [
             (0.0, True, AWAY_READ_TIMEOUT_S),
             (0.0, False, AWAY_READ_TIMEOUT_S),
@@ -145,11 +145,11 @@
             (5.0, True, READ_TIMEOUT_S),
         ],
     )
-    def test_the_store_does_not_answer(self, delay_s, in_touch, timeout_s):
+    def test_the_store_does_not_answer(self, delay_s, is_list_current, timeout_s):
         async def main():
             async with OriginFleet(NODES) as fleet:
                 fleet.store.delay_s = delay_s
-                fleet.nodes[1].is_list_current = in_touch
+                fleet.nodes[1].is_list_current = is_list_current
                 await fleet.nodes[0].origins.record("s", V1, CALLER_TIMEOUT_S)
                 began = now()
                 assert await fleet.nodes[1].find("s") == V1
