Requests that end early: one name for what may have run

The response had may_run for what the log, the refusals and RetryLimits call may_have_run, and the condition of a stream that its caller may resume was written twice. A check of a caller's connection that also drops a partial request is no longer named like a plain question. No change of behaviour.

--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -84,7 +84,7 @@
         """Keep the connection open if there are whole requests to be answered."""
         if self.answer_by is not None:
             return True
-        if not self._has_whole_requests():
+        if not self._keep_whole_requests():
             return False
         self._count("caller.half-closed")
         loop = asyncio.get_running_loop()
@@ -134,12 +134,13 @@
             self._header_timer.cancel()
             self._header_timer = None
 
-    def _has_whole_requests(self) -> bool:
-        """Return whether whole requests wait; drop one behind them that is not."""
+    def _keep_whole_requests(self) -> bool:
+        """Return whether whole requests wait; drop one behind them that is partial."""
         if self._body is not None and not self._body.is_eof():
             return False
         is_last_partial = bool(self._messages) and not self._messages[-1][1].is_eof()
-        if self._body is None and len(self._messages) == is_last_partial:
+        whole = len(self._messages) - int(is_last_partial)
+        if self._body is None and not whole:
             return False
         if is_last_partial:
             self._messages.pop()
--- a/packages/node/src/eelgrass_node/request/caller_response.py
+++ b/packages/node/src/eelgrass_node/request/caller_response.py
@@ -34,14 +34,15 @@
     """Sends the response to one caller and tracks what has been sent.
 
     ``closing`` asks the caller to open a new connection for its next request.
-    ``may_run`` is set once the request could be sent to a server, ``resumable`` if its
-    stream can be resumed.
+    ``may_have_run`` is set once the request may be sent to a server, and ``resumable``
+    if its route says that another server may continue its stream.
     """
 
     def __init__(self, request: web.BaseRequest, closing: bool) -> None:
         self._request = request
         self._closing = closing
-        self.may_run = self.resumable = False
+        self.may_have_run = False
+        self.resumable = False
         self._stream: web.StreamResponse | None = None
 
     @property
@@ -49,6 +50,11 @@
         """Whether the head of a stream has been sent."""
         return self._stream is not None
 
+    @property
+    def can_be_resumed(self) -> bool:
+        """Whether a stream has begun that its caller may resume at another node."""
+        return self.has_begun and self.resumable
+
     def complete(self, reply: Reply) -> web.StreamResponse:
         """Return a backend server's complete reply, unchanged."""
         headers = CIMultiDict(reply.head.headers)
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -100,10 +100,9 @@
                 end_at = _bringing_forward(limit)
 
                 def on_half_close(when: float) -> None:
-                    # Its caller can resume such a stream elsewhere at once, if this
-                    # host releases it.
-                    is_left = answer.has_begun and answer.resumable
-                    end_at(_now() if is_left else when)
+                    # A caller that has left may resume its stream elsewhere at once, if
+                    # this node releases it.
+                    end_at(_now() if answer.can_be_resumed else when)
 
                 with (
                     connection.calling_on_half_close(on_half_close),
@@ -117,8 +116,8 @@
 
     def _end_early(self, answer: CallerResponse) -> web.StreamResponse:
         """Refuse a request whose work was stopped, or break off its stream."""
-        if answer.has_begun and answer.resumable and not self._stopping.is_at_limit:
-            # Its caller has most likely left, which is no cut answer.
+        if answer.can_be_resumed and not self._stopping.is_at_limit:
+            # Its caller has most likely left, so that the answer is not cut.
             return answer.abort()
         if self._stopping.is_at_limit:
             reason, counter = "the node has stopped", "refusal.stop-limit"
@@ -129,13 +128,13 @@
             Part.CALLERS,
             "A request was ended before it had its answer.",
             reason=reason,
-            may_have_run=answer.may_run,
+            may_have_run=answer.may_have_run,
             is_cut=answer.has_begun,
         )
         self._count(counter)
         if answer.has_begun:
             self._count("answer.cut")
-        if answer.may_run:
+        if answer.may_have_run:
             return answer.refusal(HTTP_BAD_GATEWAY, reason)
         return answer.refusal(HTTP_UNAVAILABLE, reason, EARLY_END_RETRY_S)
 
@@ -201,7 +200,7 @@
             routed = await with_stream_origin(self._context.origins, routed)
         except RequestRefused as refused:
             return self._refuse_resumption(routed, answer, refused)
-        answer.may_run, answer.resumable = True, route.resumable
+        answer.may_have_run, answer.resumable = True, route.resumable
         return await RequestExecution(self._context, routed, answer).serve()
 
     def _new_routed_request(
