Tests of half-closed callers and of the stop limit: say what they guard against

Their comments told the past failure as if it were what the test expects; they have the form of the other tests now. A variable that held a silence was named after requests, and the soak's frequent faults after nothing. No check changed.

--- a/tests/support/change_soak.py
+++ b/tests/support/change_soak.py
@@ -71,8 +71,8 @@
         self._seed = seed
         self._value = copy.deepcopy(deployment.first_configuration)
         self._silent: set[FaultProxy] = set()
-        again = [self._version, self._silence]
-        self._fault_kinds = [*again, *again, self._hup, self._term]
+        frequent = [self._version, self._silence]
+        self._fault_kinds = [*frequent, *frequent, self._hup, self._term]
 
     def outcome(self, call: Call) -> Outcome:
         """Return what became of a request."""
--- a/tests/support/silent_servers.py
+++ b/tests/support/silent_servers.py
@@ -11,9 +11,8 @@
 class SilentServersDeployment(EntryDeployment):
     """A deployment whose servers send and read nothing at times.
 
-    They accept connections meanwhile.
-
-    What was sent while a server was silent arrives once it goes on.
+    They accept connections meanwhile. What was sent while a server was silent arrives
+    once it goes on.
     """
 
     def __init__(self, nodes: int = 3, event_s: float = 0.1, servers: int = 3) -> None:
--- a/tests/test_half_closed_callers.py
+++ b/tests/test_half_closed_callers.py
@@ -60,14 +60,14 @@
 
 
 class TestPlainRequests:
-    # A caller that had sent its whole request got a closed connection and no answer.
+    # Guards against a closed connection in place of the answer to a whole request.
     async def test_a_whole_request_is_answered(self):
         async with EntryDeployment(nodes=1) as entry:
             answer = await half_close(entry, request_bytes("/safe/x", "one"))
             assert answer.startswith(b"HTTP/1.1 200 ")
             assert answer.endswith(b"\r\n\r\nanswer of body")
 
-    # The same, while the configuration changes.
+    # Guards against the same while the configuration changes.
     async def test_they_are_answered_beside_changes_of_configuration(self):
         async with EntryDeployment(nodes=1) as entry:
             changes = asyncio.create_task(change_configuration(entry))
@@ -78,7 +78,8 @@
                 await asyncio.sleep(0.02)
             changes.cancel()
 
-    # Only the first of two requests got its answer, or the connection stayed open.
+    # Guards against an answer to the first of two requests only, and against a
+    # connection that stays open.
     async def test_pipelined_requests_are_all_answered(self):
         async with EntryDeployment(nodes=1) as entry:
             first = request_bytes("/safe/x", "one", b"first")
@@ -87,7 +88,7 @@
             assert answer.count(b"HTTP/1.1 200 ") == 2
             assert answer.index(b"answer of first") < answer.index(b"answer of second")
 
-    # A caller that waits longer than the grace period saw no refusal, or one that
+    # Guards against no refusal at the end of the grace period, and against one that
     # says of a request at a server that it has not run.
     async def test_a_request_that_takes_too_long_is_refused_as_it_may_have_run(self):
         async with EntryDeployment(nodes=1) as entry:
@@ -96,7 +97,8 @@
             assert answer.startswith(b"HTTP/1.1 502 ")
             assert b"Engine-Signature" not in answer
 
-    # A request that waited behind a slow one began after the grace period.
+    # Guards against a request that waits behind a slow one and begins after the grace
+    # period.
     async def test_a_request_behind_a_slow_one_is_refused_without_running(self):
         async with EntryDeployment(nodes=1) as entry:
             hang_all(entry, "desk")
@@ -108,7 +110,8 @@
             assert answer.partition(b"HTTP/1.1 503 ")[2].count(b"Retry-After: ") == 1
             assert [run.request_id for run in entry.runs("desk")] == ["one"]
 
-    # Part of a body was taken for a whole one, or its connection stayed open.
+    # Guards against a part of a body that is taken for a whole one, and against a
+    # connection that stays open.
     async def test_a_request_without_its_whole_body_does_not_run(self):
         async with EntryDeployment(nodes=1) as entry:
             whole = request_bytes("/safe/x", "one")
@@ -121,7 +124,8 @@
 
 
 class TestStreams:
-    # A short stream was cut, or its connection stayed open after the end.
+    # Guards against a short stream that is cut, and against a connection that stays
+    # open after its end.
     async def test_a_short_stream_is_whole(self):
         async with EntryDeployment(nodes=1, event_s=0.02) as entry:
             answer = await half_close(entry, request_bytes("/stream/single/x", "one"))
@@ -129,7 +133,8 @@
             assert answer.count(b"data: piece-") == COMPLETE_STREAM.count(b"data: ")
             assert answer.endswith(b"\r\n0\r\n\r\n")
 
-    # A stream that ends early looked complete, or its server went on.
+    # Guards against a stream that ends early and looks complete, and against a server
+    # that goes on with it.
     async def test_a_long_stream_is_closed_and_its_server_stops(self):
         async with EntryDeployment(nodes=1, event_s=0.2) as entry:
             answer = await half_close(entry, request_bytes("/stream/single/x", "one"))
@@ -139,7 +144,7 @@
 
 
 class TestCallersThatLeave:
-    # The grace period must not let servers work on for callers that have left.
+    # Guards against a grace period that lets servers work on for callers that left.
     @pytest.mark.parametrize("target", ["/stream/single/x", "/stream/resumed/x"])
     async def test_servers_stop_within_half_a_second(self, target):
         async with EntryDeployment(nodes=1, event_s=0.25) as entry:
@@ -150,7 +155,7 @@
             await until(lambda: cancelled(entry, "readers") == 1, GONE_S)
             await until(lambda: entry.nodes[0].stopping.count == 0, 0.1)
 
-    # Callers that left were counted among those whose answers a host has cut.
+    # Guards against callers that left and are counted as answers that a host cut.
     async def test_a_resumable_stream_is_not_counted_as_cut(self):
         async with EntryDeployment(nodes=1, event_s=0.05) as entry:
             [node] = entry.nodes
@@ -162,7 +167,8 @@
             assert node.counters.totals["caller.gone"] == 1
             assert node.counters.totals["answer.cut"] == 0
 
-    # A reset was taken for a half-close, and its work went on for the grace period.
+    # Guards against a reset that is taken for a half-close, so that work goes on for
+    # the grace period.
     async def test_a_reset_ends_the_work_at_once(self):
         async with EntryDeployment(nodes=1, event_s=0.5) as entry:
             _, writer = await connect(entry.nodes[0].settings.callers)
@@ -171,7 +177,7 @@
             writer.transport.abort()
             await until(lambda: cancelled(entry, "readers") == 1, GONE_S)
 
-    # An idle connection whose caller ends its side stayed open.
+    # Guards against an idle connection that stays open after its caller's end.
     async def test_an_idle_connection_is_closed(self):
         async with EntryDeployment(nodes=1) as entry:
             assert await half_close(entry) == b""
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -104,10 +104,10 @@
         for node in silent.nodes:
             node.retry_budgets.has_tokens = lambda service: False
             node.retry_budgets.try_spend = lambda service, request_id: False
-        asking = asyncio.create_task(silent.silence("desk", 1.6))
+        silencing = asyncio.create_task(silent.silence("desk", 1.6))
         await asyncio.sleep(0.1)
         answers = await outcomes(silent, "/safe/x", FEW)
-        await asking
+        await silencing
         assert answers == [(200, b"answer of body")] * FEW
 
 
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -42,7 +42,8 @@
 
 
 class TestRequestsAtServers:
-    # A caller whose server hung beyond the time of the stop saw a closed connection.
+    # Guards against a closed connection in place of a refusal, where a server hangs
+    # for longer than the stop may take.
     async def test_a_request_that_may_have_run_is_refused_with_502(self):
         async with EntryDeployment(nodes=1) as entry:
             for engine in entry.engines_by_service["desk"]:
@@ -59,7 +60,8 @@
 
 
 class TestRequestsThatHaveNotRun:
-    # A request that no server had got was closed without a word that it had not run.
+    # Guards against a closed connection in place of a refusal that says that the
+    # request has not run.
     async def test_they_are_refused_with_503(self):
         async with EntryDeployment(nodes=1) as entry:
             node = entry.nodes[0]
@@ -73,7 +75,7 @@
 
 
 class TestStreams:
-    # A stream that a stop broke off looked complete.
+    # Guards against a stream that a stop breaks off and that looks complete.
     async def test_a_begun_stream_is_closed(self):
         async with EntryDeployment(nodes=1, event_s=0.5) as entry:
             answer, clean = await answer_of_stopping_node(
@@ -87,6 +89,6 @@
 
 
 class TestTime:
-    # Answers that are written after the limit took time that the stop does not have.
+    # Guards against a wait for refusals that takes time that the stop does not have.
     async def test_it_is_within_the_reserve_of_the_stop(self):
         assert stopping.REFUSAL_WAIT_S < STOP_RESERVE_S / 2
