--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -27,6 +27,8 @@
 # reports. Hosts use reports for 1.5 s; without a decay they would choose servers in
 # turn, all at the same time.
 LOAD_DECAY_S = 1.0
+# Runs that began longer ago no longer count in the load.
+LOAD_WINDOW_S = 5 * LOAD_DECAY_S
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
 HTTP_ERROR = 500
@@ -223,7 +225,7 @@
         """Return a load that grows with each run and decays."""
         now = asyncio.get_running_loop().time()
         ages = (now - run.at for run in reversed(self.runs))
-        recent = itertools.takewhile(lambda age_s: age_s < 5 * LOAD_DECAY_S, ages)
+        recent = itertools.takewhile(lambda age_s: age_s < LOAD_WINDOW_S, ages)
         return int(sum(math.exp(-age_s / LOAD_DECAY_S) for age_s in recent))
 
     def _expects_other(self, request: web.Request) -> bool:
