--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -112,10 +112,10 @@
         for node in silent.nodes:
             node.retry_budgets.has_tokens = lambda service: False
             node.retry_budgets.try_spend = lambda service, request_id: False
-        asking = asyncio.create_task(silent.silence("desk", 1.6))
+        silencing = asyncio.create_task(silent.silence("desk", 1.6))
         await asyncio.sleep(0.1)
         answers = await outcomes(silent, "/safe/x", FEW)
-        await asking
+        await silencing
         assert answers == [(200, b"answer of body")] * FEW
 
 
@@ -128,7 +128,7 @@
         asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x", FEW))
         await asyncio.sleep(BEGUN_S)
         told = sum(
-            backend.connections.on_path_lost()
+            backend.connections.notify_path_lost()
             for node in silent.nodes
             for backend in node.backends.by_service["readers"]
         )
@@ -142,7 +142,7 @@
         await asyncio.sleep(BEGUN_S)
         for node in silent.nodes:
             for backend in node.backends.by_service["readers"]:
-                backend.connections.on_path_lost()
+                backend.connections.notify_path_lost()
         assert await asking == [(200, COMPLETE_STREAM)] * 3
         assert len(silent.runs("readers")) == 6
 
@@ -167,7 +167,7 @@
         await asyncio.sleep(BEGUN_S)
         made = results_made(silent)
         for backend in node.backends.by_service["readers"]:
-            backend.connections.on_path_lost()
+            backend.connections.notify_path_lost()
         status, _, body = await asking
         assert (status, body) == (200, COMPLETE_STREAM)
         assert results_made(silent) == 2 * made > 0
@@ -188,7 +188,7 @@
         asking = asyncio.create_task(silent.ask("/stream/resumed/x", 0, **HEADERS))
         await asyncio.sleep(BEGUN_S)
         for backend in node.backends.by_service["readers"]:
-            backend.connections.on_path_lost()
+            backend.connections.notify_path_lost()
         await asyncio.sleep(0.8)
         # The call that is given up, and the one that takes over.
         assert sum(b.in_flight for b in node.backends.by_service["readers"]) == 2
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -46,7 +46,8 @@
 
 
 class TestRequestsAtServers:
-    # A caller whose server hung beyond the time of the stop saw a closed connection.
+    # Guards against a closed connection in place of a refusal, where a server hangs
+    # for longer than the stop may take.
     async def test_a_request_that_may_have_run_is_refused_with_502(self):
         async with EntryDeployment(nodes=1) as entry:
             for engine in entry.engines_by_service["desk"]:
@@ -63,7 +64,8 @@
 
 
 class TestRequestsThatHaveNotRun:
-    # A request that no server had got was closed without a word that it had not run.
+    # Guards against a closed connection in place of a refusal that says that the
+    # request has not run.
     async def test_they_are_refused_with_503(self):
         async with EntryDeployment(nodes=1) as entry:
             node = entry.nodes[0]
@@ -77,7 +79,7 @@
 
 
 class TestStreams:
-    # A stream that a stop broke off looked complete.
+    # Guards against a stream that a stop breaks off and that looks complete.
     async def test_a_begun_stream_is_closed(self):
         async with EntryDeployment(nodes=1, event_s=0.5) as entry:
             answer, clean = await answer_of_stopping_node(
@@ -91,8 +93,8 @@
 
 
 class TestPipelinedRequests:
-    # Requests behind an answer that announced the close of its connection were read and
-    # got no answer.
+    # Guards against an answer that announces the close of its connection though whole
+    # requests wait behind it, which then get none.
     @pytest.mark.parametrize("notice_s", [0.0, 1.0])
     async def test_all_are_answered(self, notice_s):
         async with EntryDeployment(nodes=1, event_s=0.05) as entry:
@@ -118,12 +120,12 @@
 
 
 class TestTime:
-    # Answers that are written after the limit took time that the stop does not have.
+    # Guards against a wait for refusals that takes time that the stop does not have.
     async def test_it_is_within_the_reserve_of_the_stop(self):
-        assert stopping.CUT_OFF_S < STOP_RESERVE_S / 2
+        assert stopping.REFUSAL_WAIT_S < STOP_RESERVE_S / 2
 
-    # A stop whose caller or server hung to its limit was killed if the store hung, too.
+    # Guards against a stop that is killed before it ends because callers, servers and
+    # the store all hang.
     async def test_the_last_write_and_the_close_are_within_the_reserve(self):
-        closing_s = 2 * listeners.CLOSE_S
-        spent_s = stopping.CUT_OFF_S + durable_origins.FLUSH_TIMEOUT_S + closing_s
-        assert spent_s < STOP_RESERVE_S
+        ending_s = stopping.REFUSAL_WAIT_S + 2 * listeners.CLOSE_S
+        assert ending_s + durable_origins.FLUSH_TIMEOUT_S < STOP_RESERVE_S
