--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -44,6 +44,9 @@
 HEAD_TIMEOUT_S = 1.0
 MAX_HEAD_BYTES = 1024
 BLOCK_BYTES = 1 << 16
+# A node reads no more of an answer while its caller does not, which to the kernel looks
+# like a node that is gone. Requests do not last longer.
+READER_TIMEOUT_MS = 30_000
 # Relayed connections may use this part of the file descriptors, two for each.
 DESCRIPTOR_FRACTION = 0.25
 HEAD_END = b"\r\n\r\n"
@@ -221,7 +224,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._tasks.add(asyncio.current_task())
-        set_timeouts(writer.get_extra_info("socket"))
+        set_timeouts(writer.get_extra_info("socket"), READER_TIMEOUT_MS)
         try:
             await self._relay(reader, writer)
         except (
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -32,14 +32,17 @@
     return opened
 
 
-def set_timeouts(opened: socket.socket) -> None:
-    """Have a TCP socket closed once its peer has not answered for some time."""
+def set_timeouts(opened: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
+    """Have a TCP socket closed once its peer has not answered for some time.
+
+    It is closed as well if the peer accepts no data for ``user_timeout_ms``.
+    """
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
     opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
     opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 class Connector(aiohttp.TCPConnector):
