Relays: wait until an answer has been passed on before a planned stop ends (LOST)

Cause: the relayed connection no longer counted as in flight once the server had closed its side, while up to 64 kB waited in the process.

Change: the relay hands all of it to the kernel before that, as hosts do with their answers to callers.

Test: test_a_relay_waits_until_it_has_passed_an_answer_on, failed before.

--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -225,6 +225,8 @@
     ) -> None:
         self._tasks.add(asyncio.current_task())
         set_timeouts(writer.get_extra_info("socket"), READER_TIMEOUT_MS)
+        # What the process holds of an answer is lost with it: pass all of it on.
+        writer.transport.set_write_buffer_limits(high=0)
         try:
             await self._relay(reader, writer)
         except (
--- a/tests/test_relay_buffers.py
+++ b/tests/test_relay_buffers.py
@@ -80,3 +80,23 @@
             await asyncio.sleep(pause_s)
             assert await answer.read() == LARGE_BYTES
 
+
+class TestPlannedStops:
+    # Guards against relays that end while they still hold the end of an answer.
+    async def test_a_relay_waits_until_it_has_passed_an_answer_on(self, monkeypatch):
+        set_timeouts = relays.set_timeouts
+
+        def narrow(opened, *timeouts):
+            set_timeouts(opened, *timeouts)
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, NARROW_BYTES)
+
+        monkeypatch.setattr(relays, "set_timeouts", narrow)
+        async with (
+            EntryDeployment(nodes=1) as deployment,
+            RelayedAnswer(deployment, SMALL_BYTES) as answer,
+        ):
+            await answer.sent.wait()
+            await asyncio.sleep(0.3)
+            assert answer.node.stopping.count == 1
+            assert await answer.read() == SMALL_BYTES
+            await until(lambda: answer.node.stopping.count == 0)
