Test of calls that can move: no event comes while they move

A call goes on with its server if an event comes before another server has answered its check, as it should; the test had 0.2 s between the two. With reports of servers delayed by 0.3 s it fails in the same way each time.

Now no event comes for 1.6 s, and the calls must move within 0.5 s, where the test asked for no time. It passes with reports that take 0.3 s, too.

--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -8,7 +8,7 @@
 import pytest_asyncio
 
 from eelgrass_node.request.failover import Failover
-from support.entry import COMPLETE_STREAM, configuration
+from support.entry import COMPLETE_STREAM, configuration, until
 from support.silent_servers import SilentServersDeployment
 from support.soak_deployment import SEGMENTS
 
@@ -17,6 +17,10 @@
 MAX_ATTEMPTS = 2
 # Between two events; a stream then lasts long enough to meet the silence.
 EVENT_S = 0.4
+# A pause between two events that is shorter than what a silent server may take.
+PAUSE_S = 1.6
+# The time that a call has to move to another server.
+AT_ONCE_S = 0.5
 # After this time all streams have begun.
 BEGUN_S = 1.0
 CHANGE_EVERY_S = 0.4
@@ -139,10 +143,17 @@
     # to, while others could go on with the stream.
     async def test_calls_that_can_move_do_so_at_once(self, silent):
         asking = asyncio.create_task(outcomes(silent, "/stream/resumed/x", 3))
-        await asyncio.sleep(BEGUN_S)
+        await asyncio.sleep(BEGUN_S / 2)
+        # No event comes meanwhile, with which the calls would go on.
+        for engine in silent.engines_by_service["readers"]:
+            engine.event_s = PAUSE_S
+        await asyncio.sleep(BEGUN_S / 2)
         for node in silent.nodes:
             for backend in node.backends.by_service["readers"]:
                 backend.connections.notify_path_lost()
+        await until(lambda: len(silent.runs("readers")) == 6, AT_ONCE_S)
+        for engine in silent.engines_by_service["readers"]:
+            engine.event_s = EVENT_S
         assert await asking == [(200, COMPLETE_STREAM)] * 3
         assert len(silent.runs("readers")) == 6
 
