--- a/packages/node/src/eelgrass_node/process/stopping.py
+++ b/packages/node/src/eelgrass_node/process/stopping.py
@@ -100,7 +100,12 @@
     async def _end_requests(self) -> None:
         """End the requests in flight, and wait until they have ended."""
         self.is_at_limit = True
-        log(Part.NODE, "Ending the requests in flight.", in_flight=self.count)
+        log(
+            Part.NODE,
+            "The limit of the planned stop has passed; requests in flight are refused, "
+            "and streams that have begun are closed.",
+            in_flight=self.count,
+        )
         now = asyncio.get_running_loop().time()
         for callback in tuple(self._on_limit):
             callback(now)
@@ -108,7 +113,11 @@
             async with asyncio.timeout(REFUSAL_WAIT_S):
                 await self._wait_until_idle()
         except TimeoutError:
-            log(Part.NODE, "Requests are still in flight.", in_flight=self.count)
+            log(
+                Part.NODE,
+                "Requests have not ended in time; the process ends without them.",
+                in_flight=self.count,
+            )
 
     def _done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
