--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -240,8 +240,8 @@
             calls = backend.connections.notify_path_lost()
             log(
                 Part.HOSTS,
-                "The network path to a server is lost under calls in flight; direct ones "
-                "look for another server.",
+                "The network path to a server is lost under calls in flight; direct "
+                "ones look for another server.",
                 backend=backend.entry.id,
                 service=backend.entry.service,
                 calls=calls,
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -153,7 +153,7 @@
                 self._inputs_data_centre()
             )
             if self._failover.is_secured:
-                # Without them the next server, which is secured, has nothing to go on with.
+                # The server that was secured needs them.
                 inputs_unreachable = False
             if inputs_unreachable or self._graph.has_lost_results():
                 # No server could fetch the results, so they are recomputed.
