--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -427,6 +427,11 @@
                 COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         os.kill(self._process.pid, number)
