Tests: servers of the tests close the connections that they accepted

A whole run failed at whichever test the garbage collector ran in: Python 3.11.6 raises "Event loop is closed" in StreamWriter.__del__ for a connection that is still open when its loop closes. On Python 3.11, closing a server leaves the connections open that it has accepted.

The filter for unraisable exceptions stays as it was.

--- a/tests/support/closing_engine.py
+++ b/tests/support/closing_engine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from .connections import Listener, listen
 from .entry import COMPLETE_STREAM
 
 __all__ = ["ClosingEngine", "Ending"]
@@ -49,15 +50,14 @@
         self.answered: list[str] = []
         self.results: set[str] = set()
         self._numbers = itertools.count(1)
-        self._server: asyncio.Server | None = None
+        self._server: Listener | None = None
 
     async def start(self) -> None:
         """Listen at the address."""
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._server, _ = await listen(self._serve, self.address)
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and close all connections."""
         self._server.close()
 
     async def _serve(
@@ -88,7 +88,7 @@
         )
         await writer.drain()
         if ending is Ending.CRASH:
-            await self.stop()
+            self._server.stop_listening()
         if ending not in (Ending.CLOSE, Ending.CLOSE_EARLY):
             if ending is not Ending.RESET_AT_ONCE:
                 # Let the answer arrive before the reset discards what is buffered.
--- a/tests/support/endless_server.py
+++ b/tests/support/endless_server.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import Enum
 
+from .connections import Listener, listen
+
 __all__ = ["Endless", "EndlessServer"]
 
 BLOCK_BYTES = 1 << 14
@@ -45,13 +47,12 @@
         self.address = address
         self.first, self.repeated = endless.value
         self.taken: list[int] = []
-        self._server: asyncio.Server | None = None
+        self._server: Listener | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen at the address."""
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._server, _ = await listen(self._serve, self.address)
 
     def stop(self) -> None:
         """Stop listening, and close all connections."""
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -3,7 +3,7 @@
 import asyncio
 from enum import Enum
 
-from .connections import connect, listen
+from .connections import Listener, connect, listen
 
 __all__ = ["Direction", "FaultProxy", "Link"]
 
@@ -46,6 +46,10 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def close(self) -> None:
+        for writer in self.writers:
+            writer.close()
+
 
 class FaultProxy:
     """Forwards connections to ``target``; tests set its faults at any time.
@@ -72,7 +76,7 @@
         }
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task] = set()
-        self._server: asyncio.Server | None = None
+        self._server: Listener | None = None
         self.delay_s = 0.0
         self.blocked: set[Direction] = set()
 
@@ -129,11 +133,14 @@
         )
         tasks = [asyncio.create_task(pump) for pump in pumps]
         self._tasks.update(tasks)
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        for task in tasks:
-            task.cancel()
-            self._tasks.discard(task)
-        self._connections.discard(connection)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+                self._tasks.discard(task)
+            self._connections.discard(connection)
+            connection.close()
 
     async def _pump(self, connection, reader, writer, direction: Direction) -> None:
         link = self._link_by_direction[direction]
