Connections: bytes that belong to no call close the connection (Fault)

If the bytes came in the same write as the answer, the complete answer was lost.

Cause: the client library parses whatever an idle connection receives and queues it. The bounds on answers end with the first head. When the surplus does not parse, the library drops the head that it has read before.

Fix: SolicitedResponseHandler, used by all sessions, passes bytes on only between the start of a call and the end of its answer, and aborts the connection at any other byte. The end of an answer is known from its head, so that the surplus never reaches the parser. A kept-alive connection is used again only if nothing has arrived on it, not even unread. BackendConnections without a link, as in the product's own deployment, now have bounded answers as well.

--- a/packages/node/src/eelgrass_node/connection/answer_bounds.py
+++ b/packages/node/src/eelgrass_node/connection/answer_bounds.py
@@ -6,12 +6,12 @@
 """
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import HttpProcessingError
+from aiohttp.http import HttpProcessingError, RawResponseMessage
 
 from eelgrass_coordination import StallAwareTimeout
 
 from ..exceptions import AnswerTooLong
+from .response_handler import SolicitedResponseHandler, is_final
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -34,27 +34,31 @@
 # The body of a refusal or an error, which is dropped, comes together with its head.
 MAX_DROPPED_BYTES = 1 << 16
 DROPPED_BODY_S = 0.1
-HTTP_SWITCHING_PROTOCOLS = 101
-HTTP_FIRST_FINAL = 200
 
 
-class BoundedResponseHandler(ResponseHandler):
+class BoundedResponseHandler(SolicitedResponseHandler):
     """A connection that is closed if a head, or the framing of a body, does not end."""
 
     def set_response_params(self, **parameters) -> None:
         """Begin a call; the library passes how to parse its answer."""
         self._unanswered_bytes = 0
         self._interim_answers = 0
-        self._is_answered = False
         self._framing_bytes = self._body_bytes = 0
         super().set_response_params(**parameters)
 
-    def data_received(self, data: bytes) -> None:
-        """Pass on bytes of the server."""
-        super().data_received(data)
+    def feed_data(
+        self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
+    ) -> None:
+        """Pass on the head of an answer, and the reader of its body."""
+        if not is_final(data[0].code):
+            self._interim_answers += 1
+        super().feed_data(data, size)
+
+    def _receive(self, data: bytes) -> None:
+        super()._receive(data)
         if self._parser is None:
             return
-        if self._is_answered:
+        if self._body is not None:
             self._check_body(len(data))
             return
         self._unanswered_bytes += len(data)
@@ -64,18 +68,9 @@
         ):
             self._reject()
 
-    def feed_data(self, data: tuple, size: int = 0) -> None:
-        """Pass on the head of an answer, and the reader of its body."""
-        status = data[0].code
-        if status >= HTTP_FIRST_FINAL or status == HTTP_SWITCHING_PROTOCOLS:
-            self._is_answered = True
-        else:
-            self._interim_answers += 1
-        super().feed_data(data, size)
-
     def _check_body(self, received: int) -> None:
-        body = self._payload
-        if body is None or body.is_eof() or body.exception() is not None:
+        body = self._body
+        if body.is_eof() or body.exception() is not None:
             return
         if body.total_raw_bytes > self._body_bytes:
             self._body_bytes = body.total_raw_bytes
@@ -91,7 +86,6 @@
             f"no answer in {self._unanswered_bytes} bytes and "
             f"{self._interim_answers} interim answers"
         )
-        self._is_answered = True
         self.set_exception(HttpProcessingError(code=502, message=message))
         if self.transport is not None:
             self.transport.abort()
--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from .answer_bounds import BoundedResponseHandler
 from .answer_head import AnswerHead, OnAnswer
 from .sockets import Connector, new_session
 
@@ -253,7 +254,7 @@
 
     def _new_connector(self, **options: Any) -> Connector:
         if self._link is None:
-            return Connector(**options)
+            return Connector(BoundedResponseHandler, **options)
         return self._link.connector(**options)
 
     def _new_trace(self) -> aiohttp.TraceConfig:
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -0,0 +1,149 @@
+"""Client connections that receive bytes only while a call awaits its response.
+
+Bytes that arrive before a request is sent, or after its response has ended, belong to
+no call. The connection is aborted then: what was read of it would be kept without a
+bound, and could be taken for the response to the next call.
+"""
+
+import asyncio
+import select
+from collections.abc import Callable
+from http import HTTPStatus
+
+from aiohttp import StreamReader
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+
+from ..log import Part, log
+
+__all__ = ["SolicitedResponseHandler", "is_final", "is_readable"]
+
+# Ends a head, and the trailers of a chunked body.
+EMPTY_LINE = b"\r\n\r\n"
+
+
+class SolicitedResponseHandler(ResponseHandler):
+    """A connection that is aborted at the first byte that belongs to no call.
+
+    Bytes behind a response are kept from the parser, so that a response that is
+    complete reaches its caller whatever follows it. ``is_new`` is True until a call
+    gets the connection.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.is_new = True
+        self._awaits_response = False
+        self._begin_response()
+
+    def set_response_params(self, **parameters) -> None:
+        """Begin a call; the library passes how to parse its response."""
+        self._awaits_response = True
+        self._begin_response()
+        super().set_response_params(**parameters)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on bytes of the server; empty if the library resumes the parser."""
+        while self._awaits_response:
+            cut = self._next_cut(data)
+            if data and not cut:
+                # The parser is paused within the body, and these bytes are behind it.
+                self.force_close()
+                return
+            piece, data = data[:cut], data[cut:]
+            self._last_bytes = (self._last_bytes + piece)[1 - len(EMPTY_LINE) :]
+            self._receive(piece)
+            if self.exception() is not None:
+                return
+            self._awaits_response = not self._is_complete()
+            if not data:
+                return
+        if data:
+            self._abort_unsolicited(len(data))
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Pass on the head of a response, and the reader of its body."""
+        if self._body is not None:
+            # The parser has read on in the bytes behind a chunked body.
+            self.force_close()
+            return
+        message, body = data
+        if is_final(message.code):
+            self._body = body
+            self._is_chunked = message.chunked
+            if self._last_bytes == EMPTY_LINE[1:]:
+                self._body_bytes_left = _body_length(message)
+            else:
+                # The head ended in another way, so it is not known how many bytes of
+                # the body the parser has.
+                self.force_close()
+        super().feed_data(data, size)
+
+    def _receive(self, data: bytes) -> None:
+        """Parse bytes that belong to the call."""
+        super().data_received(data)
+
+    def _begin_response(self) -> None:
+        self._body: StreamReader | None = None
+        self._is_chunked = False
+        self._body_bytes_left: int | None = None
+        self._last_bytes = b""
+
+    def _next_cut(self, data: bytes) -> int:
+        """Return how many of some bytes to parse before looking at the others."""
+        if self._body is None:
+            return self._end_of_line(data, bytes.find)
+        if self._is_chunked:
+            return self._end_of_line(data, bytes.rfind)
+        if self._body_bytes_left is None:
+            return len(data)
+        cut = min(len(data), self._body_bytes_left)
+        self._body_bytes_left -= cut
+        return cut
+
+    def _end_of_line(self, data: bytes, find: Callable[[bytes, bytes], int]) -> int:
+        joined = self._last_bytes + data
+        position = find(joined, EMPTY_LINE)
+        if position < 0:
+            return len(data)
+        return position + len(EMPTY_LINE) - len(self._last_bytes)
+
+    def _is_complete(self) -> bool:
+        return self._body is not None and self._body.is_eof()
+
+    def _abort_unsolicited(self, count: int) -> None:
+        transport = self.transport
+        if transport is None:
+            return
+        log(
+            Part.HOSTS,
+            "Bytes that belong to no call arrived; closing the connection.",
+            peer=str(transport.get_extra_info("peername")),
+            bytes=count,
+        )
+        self.force_close()
+        transport.abort()
+
+
+def is_final(status: int) -> bool:
+    """Return whether no further response to the same request follows."""
+    return status >= HTTPStatus.OK or status == HTTPStatus.SWITCHING_PROTOCOLS
+
+
+def is_readable(handler: ResponseHandler) -> bool:
+    """Return whether bytes, or the end of the connection, have arrived unread."""
+    opened = handler.transport and handler.transport.get_extra_info("socket")
+    if opened is None or opened.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(opened.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _body_length(message: RawResponseMessage) -> int | None:
+    """Return how long a body is in bytes; None if its head does not say so."""
+    if message.chunked or "Content-Length" not in message.headers:
+        return None
+    return int(message.headers["Content-Length"])
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -6,7 +6,6 @@
 import termios
 import weakref
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any
 
 import aiohttp
@@ -20,6 +19,7 @@
 from .backend import ServerLimited, ServerResting
 from .races import first_success
 from .relays import RelayClient
+from .response_handler import is_readable
 from .sockets import Connector
 
 __all__ = ["ServerConnector", "ServerLink"]
@@ -77,10 +77,8 @@
     """A pool of connections to one server."""
 
     def __init__(self, link: ServerLink, **options: Any) -> None:
-        super().__init__(**options)
+        super().__init__(BoundedResponseHandler, **options)
         self._link = link
-        # The library has no public option for the class of its connections.
-        self._factory = partial(BoundedResponseHandler, loop=self._loop)
 
     async def connect(
         self,
@@ -103,6 +101,10 @@
         except BaseException:
             connection.release()
             raise
+        if is_readable(connection.protocol):
+            # Something has arrived while the permit was awaited.
+            connection.close()
+            connection = await super().connect(req, traces, timeout)
         for trace in traces:
             # The library has no public way from a connection to its request.
             call = trace._trace_config_ctx.trace_request_ctx
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -6,12 +6,15 @@
 
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import aiohttp
 
 from eelgrass_coordination import StallAwareTimeout
 
+from .response_handler import SolicitedResponseHandler, is_readable
+
 __all__ = ["Connector", "new_session", "open_socket", "set_timeouts"]
 
 KEEP_ALIVE_IDLE_S = 1
@@ -46,10 +49,19 @@
 
 
 class Connector(aiohttp.TCPConnector):
-    """Opens sockets with these options; stalls of this process extend its timeout."""
+    """Opens sockets with these options; stalls of this process extend its timeout.
+
+    ``handler`` is the class of its connections.
+    """
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(
+        self,
+        handler: type[SolicitedResponseHandler] = SolicitedResponseHandler,
+        **options: Any,
+    ) -> None:
         super().__init__(limit=0, socket_factory=open_socket, **options)
+        # The library has no public option for the class of its connections.
+        self._factory = partial(handler, loop=self._loop)
 
     async def connect(
         self,
@@ -57,10 +69,24 @@
         traces: list[aiohttp.tracing.Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> aiohttp.connector.Connection:
-        """Get a connection; raises :class:`TimeoutError` if none is open in time."""
+        """Get a connection; raises :class:`TimeoutError` if none is open in time.
+
+        A kept-alive connection on which something has arrived is closed. It raises
+        :class:`aiohttp.ClientConnectionError` if that is so on a new one.
+        """
         unbounded = aiohttp.ClientTimeout(total=None)
         async with StallAwareTimeout(timeout.sock_connect):
-            return await super().connect(req, traces, unbounded)
+            while True:
+                connection = await super().connect(req, traces, unbounded)
+                handler = connection.protocol
+                if not is_readable(handler):
+                    handler.is_new = False
+                    return connection
+                connection.close()
+                if handler.is_new:
+                    raise aiohttp.ClientConnectionError(
+                        f"{req.url.host}:{req.url.port} sent bytes before a request"
+                    )
 
 
 def new_session(
--- /dev/null
+++ b/tests/support/raw_engine.py
@@ -0,0 +1,76 @@
+"""A backend server whose answers are sound, and sent byte by byte as a test says."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from .connections import Listener, listen
+from .entry import COMPLETE_STREAM
+
+__all__ = ["RawEngine", "Send"]
+
+HEADER_END = b"\r\n\r\n"
+
+# Sends the head and the body of an answer; returns whether the connection goes on.
+Send = Callable[
+    [bytes, bytes, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bool]
+]
+
+
+class RawEngine:
+    """Answers plain requests, streams and batch items by ``send``.
+
+    ``answered`` has the path of each, in order.
+    """
+
+    def __init__(self, server_id: str, address: str, send: Send) -> None:
+        self.server_id = server_id
+        self.address = address
+        self.version, self.started = "v1", 0
+        self.answered: list[str] = []
+        self._send = send
+        self._numbers = itertools.count(1)
+        self._listener: Listener | None = None
+
+    async def start(self) -> None:
+        """Listen at the address."""
+        self._listener, _ = await listen(self._serve, self.address)
+
+    def stop(self) -> None:
+        """Stop listening, and close all connections."""
+        self._listener.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        goes_on = True
+        try:
+            while goes_on:
+                head = await reader.readuntil(HEADER_END)
+                _, path, _ = head.decode("latin-1").split(" ", 2)
+                lines = head.split(b"\r\n")[1:-2]
+                headers = dict(line.lower().split(b": ", 1) for line in lines)
+                length = int(headers.get(b"content-length", 0))
+                body = await reader.readexactly(length)
+                self.answered.append(path)
+                echoed = [n for n in lines if n.startswith(b"Eelgrassward-Attempt")]
+                signature = b"Eelgrassward-Engine-Signature: s"
+                answer_head = b"\r\n".join((b"HTTP/1.1 200 OK", signature, *echoed))
+                goes_on = await self._send(
+                    answer_head + b"\r\n", self._body(path, body), reader, writer
+                )
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def _body(self, path: str, body: bytes) -> bytes:
+        if path.startswith("/stream/"):
+            return COMPLETE_STREAM
+        if path == "/-/stage-run":
+            items = msgspec.json.decode(body)["Items"]
+            handles = [f"{self.address}/{next(self._numbers):x}" for _ in items]
+            return msgspec.json.encode({"Items": [{"Handle": h} for h in handles]})
+        return b"answer of " + body
