--- a/packages/ctl/src/eelgrass_ctl/client.py
+++ b/packages/ctl/src/eelgrass_ctl/client.py
@@ -7,6 +7,8 @@
 import aiohttp
 import msgspec
 
+from eelgrass_node.connection.sockets import new_session
+
 from .exceptions import NodeRefused, NoNode
 
 __all__ = ["Target", "call", "target_of"]
@@ -41,10 +43,9 @@
 
 
 async def _call(target: Target, path: str, message: Any) -> Any:
-    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     headers = {TOKEN_HEADER: target.token}
     reason = "no address"
-    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+    async with new_session(None, total_s=TIMEOUT_S, headers=headers) as session:
         for node in target.nodes:
             url = f"http://{node}/operator/v1/{path}"
             try:
--- a/packages/ctl/src/eelgrass_ctl/host_metrics.py
+++ b/packages/ctl/src/eelgrass_ctl/host_metrics.py
@@ -7,6 +7,7 @@
 import msgspec
 from prometheus_client.parser import text_string_to_metric_families
 
+from eelgrass_node.connection.sockets import new_session
 from eelgrass_node.exceptions import ConfigurationMalformed, StoreUnavailable
 from eelgrass_node.platform.configuration import (
     CONFIGURATION_KEY,
@@ -74,8 +75,7 @@
 
 async def read_hosts(addresses: Sequence[str]) -> list[HostMetrics]:
     """Return the metrics of all nodes, in the order of ``addresses``."""
-    timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with new_session(None, total_s=SCRAPE_TIMEOUT_S) as session:
         return await asyncio.gather(*(_scrape(session, a) for a in addresses))
 
 
--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -230,28 +230,22 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = new_session(
-                KEEP_ALIVE_S,
-                new_connector=self._new_connector,
-                trace_configs=[self._new_trace()],
-                **SESSION_OPTIONS,
-            )
-            # On a dropped connection the library would repeat a GET by itself, but
-            # retries are decided and counted by the request layer alone. The library
-            # has no public option to disable this.
-            self._session._retry_connection = False
+            self._session = self._open_session(KEEP_ALIVE_S)
         return self._session
 
     def _get_single_use_session(self) -> aiohttp.ClientSession:
         if self._single_use_session is None:
-            self._single_use_session = aiohttp.ClientSession(
-                connector=self._new_connector(force_close=True),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                trace_configs=[self._new_trace()],
-                **SESSION_OPTIONS,
-            )
+            self._single_use_session = self._open_session(None)
         return self._single_use_session
 
+    def _open_session(self, keep_alive_s: float | None) -> aiohttp.ClientSession:
+        return new_session(
+            keep_alive_s,
+            new_connector=self._new_connector,
+            trace_configs=[self._new_trace()],
+            **SESSION_OPTIONS,
+        )
+
     def _new_connector(self, **options: Any) -> Connector:
         if self._link is None:
             return Connector(BoundedResponseHandler, **options)
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -90,19 +90,31 @@
 
 
 def new_session(
-    keep_alive_s: float,
+    keep_alive_s: float | None,
     connect_s: float | None = None,
+    total_s: float | None = None,
     new_connector: Callable[..., aiohttp.BaseConnector] = Connector,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a client session with these sockets; the caller has to close it.
 
-    ``keep_alive_s`` is how long an idle connection is kept open and ``connect_s`` the
-    connect timeout, both in seconds. ``options`` are passed to the session.
+    ``keep_alive_s`` is how long an idle connection is kept open; with None each call
+    gets a connection of its own. ``connect_s`` and ``total_s`` are the timeouts of a
+    connection and of a call, all in seconds. ``options`` are passed to the session.
+
+    No call is sent again by the session. Whether one may be is decided, and counted,
+    by whoever makes it.
     """
-    return aiohttp.ClientSession(
-        connector=new_connector(keepalive_timeout=keep_alive_s, use_dns_cache=False),
+    pooling: dict[str, Any] = {"keepalive_timeout": keep_alive_s}
+    if keep_alive_s is None:
+        pooling = {"force_close": True}
+    session = aiohttp.ClientSession(
+        connector=new_connector(use_dns_cache=False, **pooling),
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+        timeout=aiohttp.ClientTimeout(total=total_s, sock_connect=connect_s),
         **options,
     )
+    # The library sends calls with an idempotent method again if their connection is
+    # lost, also a new one. It has no public option to disable this.
+    session._retry_connection = False
+    return session
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-import aiohttp
 import statsd
 from aiohttp import web
 
@@ -25,6 +24,7 @@
 from ..connection.operators import OperatorsInterface
 from ..connection.peer_calls import PeerCalls
 from ..connection.peers import PeersInterface
+from ..connection.sockets import new_session
 from ..exceptions import PeerUnreachable
 from ..log import Part, log
 from ..request.cost_reconciler import CostReconciler
@@ -47,6 +47,7 @@
 __all__ = ["Node"]
 
 LEAVING_KIND = "leaving"
+KEEP_ALIVE_S = 15.0
 MEMBER_EXCHANGE_S = 30.0
 MEMBER_EXCHANGE_TIMEOUT_S = 2.0
 DRAIN_CLAIMS_S = 10.0
@@ -139,10 +140,7 @@
         timing = settings.timing
         platform = settings.platform
         call_s = platform.call_timeout_ms / 1000
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = new_session(KEEP_ALIVE_S)
         self.peers = PeerCalls(self._session)
         self.table = HttpTable(self._session, platform.address, call_s)
         self.change_log = ChangeLog(self.table)
--- a/tests/support/raw_engine.py
+++ b/tests/support/raw_engine.py
@@ -22,7 +22,8 @@
 class RawEngine:
     """Answers plain requests, streams and batch items by ``send``.
 
-    ``answered`` has the path of each, in order.
+    ``answered`` has the path of each, in order, and ``request_ids`` the attempt id of
+    those that have one.
     """
 
     def __init__(self, server_id: str, address: str, send: Send) -> None:
@@ -30,6 +31,7 @@
         self.address = address
         self.version, self.started = "v1", 0
         self.answered: list[str] = []
+        self.request_ids: list[str] = []
         self._send = send
         self._numbers = itertools.count(1)
         self._listener: Listener | None = None
@@ -56,6 +58,7 @@
                 body = await reader.readexactly(length)
                 self.answered.append(path)
                 echoed = [n for n in lines if n.startswith(b"Eelgrassward-Attempt")]
+                self.request_ids += [n.split(b": ")[1].decode() for n in echoed]
                 signature = b"Eelgrassward-Engine-Signature: s"
                 answer_head = b"\r\n".join((b"HTTP/1.1 200 OK", signature, *echoed))
                 goes_on = await self._send(
