--- a/packages/coordination/src/eelgrass_coordination/__init__.py
+++ b/packages/coordination/src/eelgrass_coordination/__init__.py
@@ -12,6 +12,7 @@
 from .group_commit import GroupCommit
 from .http_objects import HttpObjects
 from .http_table import HttpTable
+from .json_decoding import JsonDecoder, decode_json
 from .limits import MovingAverage, RetryBudget, share_of_limit
 from .members import Member, MemberState
 from .membership import Membership
@@ -54,6 +55,7 @@
     "GroupCommit",
     "HttpObjects",
     "HttpTable",
+    "JsonDecoder",
     "Member",
     "MemberState",
     "Membership",
@@ -72,6 +74,7 @@
     "Write",
     "bounded_call",
     "deadline_timeout",
+    "decode_json",
     "ranked",
     "running_time",
     "send_allowance_s",
--- a/packages/coordination/src/eelgrass_coordination/change_log.py
+++ b/packages/coordination/src/eelgrass_coordination/change_log.py
@@ -19,6 +19,7 @@
 from .configuration import Change, Problem, Snapshot, apply_change, stale_items
 from .exceptions import PlatformError
 from .ids import ChangeId, Revision
+from .json_decoding import decode_json
 from .table import Condition, Row, RowKey, Table, Transaction, Write
 
 __all__ = ["ChangeLog", "ChangeOutcome", "ChangeResult"]
@@ -166,7 +167,7 @@
 
 
 def _decoded(row: Row) -> Change:
-    return msgspec.json.decode(row.value["change"], type=Change)
+    return decode_json(row.value["change"], Change)
 
 
 def _head_revision(row: Row) -> Revision:
--- a/packages/coordination/src/eelgrass_coordination/datagrams.py
+++ b/packages/coordination/src/eelgrass_coordination/datagrams.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from .json_decoding import JsonDecoder
 from .messages import Message
 
 __all__ = ["Datagrams"]
@@ -26,7 +27,7 @@
     def __init__(self, on_message: Callable[[Message], None]) -> None:
         self._on_message = on_message
         self._encoder = msgspec.json.Encoder()
-        self._decoder = msgspec.json.Decoder(Message)
+        self._decoder = JsonDecoder(Message)
         self._transport: asyncio.DatagramTransport | None = None
         self.on_payload: Callable[[bytes, str], None] = _ignore
         self.sent = 0
--- a/packages/coordination/src/eelgrass_coordination/http_table.py
+++ b/packages/coordination/src/eelgrass_coordination/http_table.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .exceptions import OutcomeUnknown, PlatformUnavailable
+from .json_decoding import decode_json
 from .platform_call import call_platform
 from .table import Row, RowKey, Transaction, TransactionResult
 
@@ -39,14 +40,14 @@
     ) -> TransactionResult:
         """Commit a transaction; see :meth:`Table.commit` for its errors."""
         body = await self._post("/v1/transactions", transaction, timeout)
-        return msgspec.json.decode(body, type=TransactionResult)
+        return decode_json(body, TransactionResult)
 
     async def read(
         self, keys: tuple[RowKey, ...], timeout: float | None = None
     ) -> tuple[Row, ...]:
         """Read rows by key."""
         body = await self._read("/v1/read", {"keys": keys}, timeout)
-        return msgspec.json.decode(body, type=_Rows).rows
+        return decode_json(body, _Rows).rows
 
     async def scan(
         self, table: str, after: str = "", limit: int = 500
@@ -54,7 +55,7 @@
         """Read a page of a table in key order."""
         query = {"table": table, "after": after, "limit": limit}
         body = await self._read("/v1/scan", query, None)
-        return msgspec.json.decode(body, type=_Rows).rows
+        return decode_json(body, _Rows).rows
 
     async def _read(self, path: str, query: Any, timeout: float | None) -> bytes:
         # A read has no effect, so a lost answer is equivalent to a call not made.
--- a/packages/coordination/src/eelgrass_coordination/snapshots.py
+++ b/packages/coordination/src/eelgrass_coordination/snapshots.py
@@ -13,6 +13,7 @@
 from .configuration import Snapshot
 from .exceptions import PlatformError
 from .ids import Revision
+from .json_decoding import decode_json
 from .table import Condition, Row, RowKey, Table, Transaction, Write
 
 __all__ = ["ObjectStore", "SnapshotStore"]
@@ -47,7 +48,7 @@
         if row.value is None:
             return None
         body = await self._objects.get(_object_name(row.value["revision"]))
-        return msgspec.json.decode(body, type=Snapshot)
+        return decode_json(body, Snapshot)
 
     async def save_if_due(self, snapshot: Snapshot) -> bool:
         """Write the snapshot if enough changes have been made since the last one.
--- a/packages/ctl/src/eelgrass_ctl/client.py
+++ b/packages/ctl/src/eelgrass_ctl/client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from eelgrass_coordination import decode_json
 from eelgrass_node.connection.sockets import new_session
 
 from .exceptions import NodeRefused, NoNode
@@ -62,11 +63,11 @@
         body = await response.read()
         if response.status != HTTP_OK:
             raise NodeRefused(_error_reason(response.status, body))
-        return msgspec.json.decode(body)
+        return decode_json(body)
 
 
 def _error_reason(status: int, body: bytes) -> str:
     try:
-        return msgspec.json.decode(body)["error"]
+        return decode_json(body)["error"]
     except (msgspec.MsgspecError, KeyError, TypeError):
         return f"status {status}"
--- a/packages/ctl/src/eelgrass_ctl/timeline.py
+++ b/packages/ctl/src/eelgrass_ctl/timeline.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from eelgrass_coordination import decode_json
+
 __all__ = ["LogLine", "timeline_of"]
 
 # Fields of every line that say nothing about the request.
@@ -36,7 +38,7 @@
 def _parse(raw: str) -> LogLine | None:
     origin, brace, rest = raw.partition("{")
     try:
-        fields = msgspec.json.decode(brace + rest.strip())
+        fields = decode_json(brace + rest.strip())
     except msgspec.DecodeError:
         return None
     if not isinstance(fields, dict) or "timestamp" not in fields:
--- a/packages/node/src/eelgrass_node/connection/batch_handoff.py
+++ b/packages/node/src/eelgrass_node/connection/batch_handoff.py
@@ -12,7 +12,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import StallAwareTimeout
+from eelgrass_coordination import JsonDecoder, StallAwareTimeout, decode_json
 
 from ..exceptions import PeerUnreachable
 from ..process.backends import ServerIncarnation
@@ -106,7 +106,7 @@
                     while line == HEARTBEAT:
                         line = await response.content.readline()
                         bound.restart(HEARTBEAT_TIMEOUT_S)
-            done = msgspec.json.decode(line, type=_Done)
+            done = decode_json(line, _Done)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             raise _unreachable(address, e) from e
         if len(done.outcomes) != len(items):
@@ -159,7 +159,7 @@
         self._has_servers = has_servers
         self._load = load
         self._free = free
-        self._decoder = msgspec.json.Decoder(_Handoff)
+        self._decoder = JsonDecoder(_Handoff)
 
     async def handle_items(self, request: web.Request) -> web.StreamResponse:
         """Answer ``POST /peer/v1/pieces`` with heartbeats, then the outcomes."""
@@ -195,7 +195,7 @@
 
     async def handle_free(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/results/free``."""
-        message = msgspec.json.decode(await request.read(), type=_FreeResults)
+        message = decode_json(await request.read(), _FreeResults)
         self._free(message.service, message.handles)
         return web.Response()
 
--- a/packages/node/src/eelgrass_node/connection/limit_calls.py
+++ b/packages/node/src/eelgrass_node/connection/limit_calls.py
@@ -3,7 +3,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Member
+from eelgrass_coordination import JsonDecoder, Member
 
 from ..process.request_limits import LimitPermit, LimitPermitRequest, LimitPermits
 from .peer_calls import PeerCalls
@@ -37,7 +37,7 @@
 
     def __init__(self, permits: LimitPermits) -> None:
         self._permits = permits
-        self._decoder = msgspec.json.Decoder(LimitPermitRequest)
+        self._decoder = JsonDecoder(LimitPermitRequest)
 
     async def handle_permit(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/limit-permit``."""
--- a/packages/node/src/eelgrass_node/connection/loan_calls.py
+++ b/packages/node/src/eelgrass_node/connection/loan_calls.py
@@ -3,7 +3,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Member
+from eelgrass_coordination import JsonDecoder, Member
 
 from ..process.retry_budget import RetryBudgets
 from .peer_calls import PeerCalls
@@ -41,7 +41,7 @@
 
     def __init__(self, budgets: RetryBudgets) -> None:
         self._budgets = budgets
-        self._decoder = msgspec.json.Decoder(_LoanRequest)
+        self._decoder = JsonDecoder(_LoanRequest)
 
     async def handle_loan(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/retry-loan``."""
--- a/packages/node/src/eelgrass_node/connection/operators.py
+++ b/packages/node/src/eelgrass_node/connection/operators.py
@@ -6,7 +6,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Change, ChangeLog, Claims, Entry
+from eelgrass_coordination import Change, ChangeLog, Claims, Entry, decode_json
 from eelgrass_coordination.exceptions import PlatformError
 from eelgrass_coordination.ids import AccountName, ChangeId
 
@@ -84,7 +84,7 @@
 
     async def handle_change(self, request: web.Request) -> web.Response:
         """Answer ``POST /operator/v1/changes``."""
-        change = msgspec.json.decode(await request.read(), type=Change)
+        change = decode_json(await request.read(), Change)
         report = await self._changes.submit(change)
         log(
             Part.OPERATORS,
@@ -142,7 +142,7 @@
 
     async def handle_resolve(self, request: web.Request) -> web.Response:
         """Answer ``POST /operator/v1/claims/resolve``."""
-        message = msgspec.json.decode(await request.read(), type=_Resolution)
+        message = decode_json(await request.read(), _Resolution)
         was_open = await self._claims.resolve(
             message.account, message.key, message.note
         )
@@ -172,5 +172,5 @@
 
 
 def _shown(kind: str, name: str, entry: Entry) -> ShownObject:
-    value = msgspec.json.decode(entry.value)
+    value = decode_json(entry.value)
     return ShownObject(kind, name, entry.revision, entry.incarnation, value)
--- a/packages/node/src/eelgrass_node/connection/peer_calls.py
+++ b/packages/node/src/eelgrass_node/connection/peer_calls.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import bounded_call
+from eelgrass_coordination import bounded_call, decode_json
 
 from ..exceptions import PeerUnreachable
 
@@ -46,6 +46,6 @@
                 data=msgspec.json.encode(message),
             ) as response:
                 on_started()
-                return msgspec.json.decode(await response.read(), type=answer)
+                return decode_json(await response.read(), answer)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             raise PeerUnreachable(address, repr(e)) from e
--- a/packages/node/src/eelgrass_node/connection/peers.py
+++ b/packages/node/src/eelgrass_node/connection/peers.py
@@ -5,7 +5,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Exchange, Membership
+from eelgrass_coordination import Exchange, Membership, decode_json
 from eelgrass_coordination.ids import ClaimId, Revision
 
 from ..process.claimed_requests import ClaimedRequests
@@ -51,12 +51,12 @@
 
     async def handle_changes(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/changes`` with the changes after a revision."""
-        query = msgspec.json.decode(await request.read(), type=_After)
+        query = decode_json(await request.read(), _After)
         return json_response(self._configuration.changes_for_peer(query.after))
 
     async def handle_revision(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/revision`` once it is in force, or after the wait."""
-        query = msgspec.json.decode(await request.read(), type=_WaitForRevision)
+        query = decode_json(await request.read(), _WaitForRevision)
         follower = self._configuration.follower
         try:
             async with asyncio.timeout(min(query.wait_s, MAX_WAIT_S)):
@@ -67,7 +67,7 @@
 
     async def handle_claim(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/claims/wait`` once the claim's request has ended."""
-        query = msgspec.json.decode(await request.read(), type=_WaitForClaim)
+        query = decode_json(await request.read(), _WaitForClaim)
         wait_s = min(query.wait_s, MAX_WAIT_S)
         return json_response(
             await self._claimed.wait_until_finished(query.claim_id, wait_s)
@@ -75,7 +75,7 @@
 
     async def handle_members(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/members``: a full exchange of the member lists."""
-        received = msgspec.json.decode(await request.read(), type=Exchange)
+        received = decode_json(await request.read(), Exchange)
         own = self._membership.exchange()
         self._membership.apply_exchange(received)
         return json_response(own)
--- a/packages/node/src/eelgrass_node/connection/request_parsing.py
+++ b/packages/node/src/eelgrass_node/connection/request_parsing.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from eelgrass_coordination import decode_json
 from eelgrass_coordination.ids import AccountName, new_id
 
 from ..exceptions import Refused
@@ -95,10 +96,10 @@
 
 def _decode_body(raw: bytes) -> _Body:
     try:
-        return msgspec.json.decode(raw, type=_Body)
+        return decode_json(raw, _Body)
     except msgspec.ValidationError as error:
         raise _refused(RefusalReason.BAD_FIELD, f"{error}.") from error
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except msgspec.DecodeError as error:
         raise _refused(RefusalReason.MALFORMED_BODY, f"{error}.") from error
 
 
--- a/packages/node/src/eelgrass_node/connection/rest_calls.py
+++ b/packages/node/src/eelgrass_node/connection/rest_calls.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Member
+from eelgrass_coordination import JsonDecoder, Member
 
 from ..process.backends import ServerIncarnation
 from ..process.server_notices import ServerNotices
@@ -47,7 +47,7 @@
 
     def __init__(self, notices: ServerNotices) -> None:
         self._notices = notices
-        self._decoder = msgspec.json.Decoder(_Rest)
+        self._decoder = JsonDecoder(_Rest)
 
     async def handle_rest(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/server-rest``."""
--- a/packages/node/src/eelgrass_node/connection/table_feed.py
+++ b/packages/node/src/eelgrass_node/connection/table_feed.py
@@ -7,6 +7,8 @@
 import msgspec
 from aiohttp import web
 
+from eelgrass_coordination import JsonDecoder
+
 from ..exceptions import DifferenceMismatch, HistoryGone, StoreUnavailable
 from ..log import Part, log
 from ..process.row_difference import RowDifference, apply_difference, compute_difference
@@ -147,7 +149,7 @@
 
     def __init__(self, relay: TableRelay) -> None:
         self._relay = relay
-        self._decoder = msgspec.json.Decoder(_FeedRequest)
+        self._decoder = JsonDecoder(_FeedRequest)
 
     async def handle_feed(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/table-feed``.
--- a/packages/node/src/eelgrass_node/connection/trial_calls.py
+++ b/packages/node/src/eelgrass_node/connection/trial_calls.py
@@ -3,7 +3,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Member
+from eelgrass_coordination import JsonDecoder, Member
 
 from ..process.crash_subjects import PartKey
 from ..process.poison_parts import TrialPermits
@@ -43,7 +43,7 @@
 
     def __init__(self, permits: TrialPermits) -> None:
         self._permits = permits
-        self._decoder = msgspec.json.Decoder(_TrialRequest)
+        self._decoder = JsonDecoder(_TrialRequest)
 
     async def handle_trial(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/part-trial``."""
--- a/packages/node/src/eelgrass_node/connection/warm_up_calls.py
+++ b/packages/node/src/eelgrass_node/connection/warm_up_calls.py
@@ -3,7 +3,7 @@
 import msgspec
 from aiohttp import web
 
-from eelgrass_coordination import Member
+from eelgrass_coordination import JsonDecoder, Member
 
 from ..process.backends import ServerIncarnation
 from ..process.warm_up import Permit, WarmUpPermits
@@ -45,7 +45,7 @@
 
     def __init__(self, permits: WarmUpPermits) -> None:
         self._permits = permits
-        self._decoder = msgspec.json.Decoder(_PermitRequest)
+        self._decoder = JsonDecoder(_PermitRequest)
 
     async def handle_permit(self, request: web.Request) -> web.Response:
         """Answer ``POST /peer/v1/warm-up-permit``."""
--- a/packages/node/src/eelgrass_node/platform/configuration.py
+++ b/packages/node/src/eelgrass_node/platform/configuration.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from eelgrass_coordination import JsonDecoder
+
 from ..exceptions import ConfigurationMalformed
 from ..version.deployment import (
     AccountGrant,
@@ -126,7 +128,7 @@
     tenants: tuple[_Tenant, ...] | None = None
 
 
-_decoder = msgspec.json.Decoder(_Configuration)
+_decoder = JsonDecoder(_Configuration)
 
 
 def decode_deployment(value: bytes) -> Deployment:
--- a/packages/node/src/eelgrass_node/platform/requests.py
+++ b/packages/node/src/eelgrass_node/platform/requests.py
@@ -5,6 +5,8 @@
 import msgspec
 from multidict import CIMultiDict
 
+from eelgrass_coordination import decode_json
+
 from ..exceptions import RequestMalformed
 from ..request.incoming_request import (
     IncomingRequest,
@@ -140,7 +142,7 @@
 def decode_start(report: bytes) -> int | None:
     """Decode when a server was started from the report of its state."""
     try:
-        return msgspec.json.decode(report, type=_Report).born
+        return decode_json(report, _Report).born
     except msgspec.MsgspecError:
         return None
 
--- a/packages/node/src/eelgrass_node/platform/servers.py
+++ b/packages/node/src/eelgrass_node/platform/servers.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from eelgrass_coordination import JsonDecoder
 from eelgrass_coordination.ids import BackendId, DataCentre, SoftwareVersion
 
 from ..exceptions import ServerEntryMalformed
@@ -46,7 +47,7 @@
     born: int = msgspec.field(default=0, name="born")
 
 
-_decoder = msgspec.json.Decoder(_Server)
+_decoder = JsonDecoder(_Server)
 
 
 def decode_server(
@@ -75,7 +76,7 @@
 def _validate(wire: _Server) -> None:
     """Raise :class:`ValueError` if a value is invalid or implausible."""
     host, _, port = wire.address.rpartition(":")
-    ipaddress.ip_address(host)
+    ipaddress.IPv4Address(host)
     if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
         raise ValueError(f"the address {wire.address} has no valid port")
     if wire.state not in _STATE_BY_NAME:
--- a/packages/node/src/eelgrass_node/platform/stage_calls.py
+++ b/packages/node/src/eelgrass_node/platform/stage_calls.py
@@ -3,6 +3,8 @@
 import msgspec
 from multidict import CIMultiDict
 
+from eelgrass_coordination import JsonDecoder
+
 from ..exceptions import BatchAnswerMalformed
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
 from . import names
@@ -54,7 +56,7 @@
     handles: list[str]
 
 
-_decoder = msgspec.json.Decoder(_Results)
+_decoder = JsonDecoder(_Results)
 
 
 def encode_items(items: list[BatchItem], now: float) -> bytes:
--- a/packages/node/src/eelgrass_node/platform/store.py
+++ b/packages/node/src/eelgrass_node/platform/store.py
@@ -7,10 +7,11 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import bounded_call
+from eelgrass_coordination import JsonDecoder, bounded_call
 
 from ..connection.sockets import new_session
 from ..exceptions import HistoryGone, StoreUnavailable
+from ..log import Part, log
 from ..process.store_backoff import FULL_READ_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_S
 from ..process.store_tables import StoredRow, TableChanges
 
@@ -20,6 +21,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # Calls follow each other within a second or two, and an idle connection costs nothing.
 KEEP_ALIVE_S = 60.0
+# No reader of a table accepts this as the value of a row.
+UNREADABLE = b""
 HTTP_OK = 200
 HTTP_GONE = 410
 
@@ -55,7 +58,7 @@
     expect_rev: tuple[()] = ()
 
 
-_decoder = msgspec.json.Decoder(_Rows)
+_decoder = JsonDecoder(_Rows)
 
 
 class RowStore:
@@ -219,5 +222,11 @@
     try:
         value = base64.b64decode(row.value, validate=True)
     except ValueError as error:
-        raise StoreUnavailable(row.key, f"its value is not base64: {error}") from error
+        log(
+            Part.STORE,
+            "The value of a row is not base64; the row is taken for an unreadable one.",
+            row=row.key,
+            error=str(error),
+        )
+        value = UNREADABLE
     return StoredRow(row.key, row.ver, value)
--- a/packages/node/src/eelgrass_node/process/cost_store.py
+++ b/packages/node/src/eelgrass_node/process/cost_store.py
@@ -15,6 +15,7 @@
     Table,
     Transaction,
     Write,
+    decode_json,
 )
 from eelgrass_coordination.exceptions import PlatformError
 from eelgrass_coordination.ids import Incarnation, NodeId
@@ -76,7 +77,7 @@
         while rows := await self._table.scan(COST_OBJECTS, after, PAGE_ROWS):
             for row in rows:
                 body = await self._objects.get(row.key)
-                add_up(by_key, msgspec.json.decode(body, type=list[CostRow]))
+                add_up(by_key, decode_json(body, list[CostRow]))
             after = rows[-1].key
         return sorted(by_key.values(), key=CostRow.order)
 
--- a/packages/node/src/eelgrass_node/process/crash_table.py
+++ b/packages/node/src/eelgrass_node/process/crash_table.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from eelgrass_coordination import JsonDecoder
+
 from ..exceptions import StoreUnavailable
 from ..log import Part, log
 from .backends import ServerIncarnation
@@ -57,7 +59,7 @@
         return self.request
 
 
-_decoder = msgspec.json.Decoder(Crash)
+_decoder = JsonDecoder(Crash)
 
 
 def decode_crash(value: bytes) -> Crash:
@@ -248,11 +250,11 @@
         rows = self._rows_of_kind(key)
         try:
             crash = rows.decode(value)
-        except msgspec.MsgspecError as error:
+            age_s = max(0.0, (self._clock() - crash.at_ms) / 1000)
+        except (msgspec.MsgspecError, OverflowError) as error:
             log(Part.STORE, "A crash row is invalid.", row=key, error=str(error))
             return
         self._crash_by_key[key] = crash
-        age_s = max(0.0, (self._clock() - crash.at_ms) / 1000)
         rows.record(crash, age_s)
 
     def _on_row_removed(self, key: str) -> None:
--- a/packages/node/src/eelgrass_node/process/host_list.py
+++ b/packages/node/src/eelgrass_node/process/host_list.py
@@ -12,7 +12,7 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import bounded_call
+from eelgrass_coordination import bounded_call, decode_json
 
 from ..log import Part, log
 from .backends import Backends, HostEntry
@@ -67,7 +67,7 @@
             ) as response:
                 response.raise_for_status()
                 body = await response.read()
-            entries = msgspec.json.decode(body, type=list[HostEntry])
+            entries = decode_json(body, list[HostEntry])
             self._bytes = len(body)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
             self._on_failure(e)
--- a/packages/node/src/eelgrass_node/process/poison_parts/part_gossip.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/part_gossip.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from eelgrass_coordination import GossipItem
+from eelgrass_coordination import GossipItem, JsonDecoder
 
 from ...log import Part, log
 from ..backends import ServerIncarnation
@@ -33,8 +33,8 @@
     server: ServerIncarnation
 
 
-_crash_decoder = msgspec.json.Decoder(PartCrash)
-_exoneration_decoder = msgspec.json.Decoder(_Exoneration)
+_crash_decoder = JsonDecoder(PartCrash)
+_exoneration_decoder = JsonDecoder(_Exoneration)
 
 
 class PartGossip:
--- a/packages/node/src/eelgrass_node/process/poison_parts/part_rows.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/part_rows.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from eelgrass_coordination import JsonDecoder
 from eelgrass_coordination.ids import SoftwareVersion
 
 from ..backends import ServerIncarnation
@@ -38,7 +39,7 @@
         return self.part
 
 
-_decoder = msgspec.json.Decoder(PartCrashRow)
+_decoder = JsonDecoder(PartCrashRow)
 
 
 def decode_part_row(value: bytes) -> PartCrashRow:
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -3,6 +3,9 @@
 The replica starts with a full read of the table and then polls for changes. It never
 goes back to an older state: a row is applied only if its version is newer, and a full
 read that is older than the replica is rejected.
+
+Rows do not depend on each other. One that cannot be applied is skipped, and all others
+that came with it are applied.
 """
 
 import asyncio
@@ -79,11 +82,11 @@
 class TableReplica:
     """One table of the store, kept up to date by :meth:`run`.
 
-    ``on_rows`` is called with the rows that changed and their source, and
-    ``on_snapshot`` with all existing keys after a full read. After an outage,
-    ``on_store_recovered`` is called before either of them. ``wait_s`` bounds one wait
-    for changes and ``deadline_s`` is the time within which a change must be in force,
-    in seconds.
+    ``on_rows`` is called with the rows that changed and their source; if it fails, it
+    is called again with fewer of them. ``on_snapshot`` is called with all existing keys
+    after a full read. After an outage, ``on_store_recovered`` is called before either
+    of them. ``wait_s`` bounds one wait for changes and ``deadline_s`` is the time within
+    which a change must be in force, in seconds.
     """
 
     def __init__(
@@ -257,7 +260,7 @@
             complete_to=self._version,
         )
         self.acknowledged_after = None
-        self._on_rows(applied, f"node {node}")
+        self._deliver(applied, f"node {node}")
 
     async def _step(self) -> bool:
         """Make one call; return True for a feed and False for a full read."""
@@ -300,9 +303,33 @@
             self._version = changes.version
         if applied:
             self.acknowledged_after = changes.acknowledged_after
-            self._on_rows(applied, "store")
+            self._deliver(applied, "store")
             self._wake_waiters()
 
+    def _deliver(self, rows: tuple[StoredRow, ...], source: str) -> None:
+        """Pass rows on, in ever smaller parts until those are left that cannot be.
+
+        These rows are not read again, so none may be lost with another one.
+        """
+        try:
+            self._on_rows(rows, source)
+            return
+        except Exception as error:  # noqa: BLE001
+            if len(rows) == 1:
+                log(
+                    Part.STORE,
+                    "A row cannot be applied; it is skipped.",
+                    table=self._table,
+                    row=rows[0].key,
+                    version=rows[0].version,
+                    source=source,
+                    error=repr(error),
+                )
+                return
+        middle = len(rows) // 2
+        self._deliver(rows[:middle], source)
+        self._deliver(rows[middle:], source)
+
     def _wake_waiters(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/packages/node/src/eelgrass_node/process/stream_origins/messages.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from eelgrass_coordination import JsonDecoder
 from eelgrass_coordination.ids import SoftwareVersion
 
 from ...version.deployment import ServiceName
@@ -53,7 +54,7 @@
 OriginMessage = Store | Confirm | Ask | Answer
 
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(OriginMessage)
+_decoder = JsonDecoder(OriginMessage)
 
 
 def encode(message: OriginMessage) -> bytes:
--- a/packages/node/src/eelgrass_node/process/stream_origins/origin_rows.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/origin_rows.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from eelgrass_coordination import JsonDecoder
+
 from ...log import Part, log
 from ..store_tables import StoredRow
 from .origin_table import StreamOrigin
@@ -71,4 +73,4 @@
 
 
 encode: Callable[[StreamOrigin], bytes] = msgspec.json.Encoder().encode
-_decoder = msgspec.json.Decoder(StreamOrigin)
+_decoder = JsonDecoder(StreamOrigin)
--- a/packages/node/src/eelgrass_node/request/attempt.py
+++ b/packages/node/src/eelgrass_node/request/attempt.py
@@ -13,7 +13,7 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import StallAwareTimeout, send_allowance_s
+from eelgrass_coordination import StallAwareTimeout, decode_json, send_allowance_s
 from eelgrass_coordination.ids import AttemptId, new_id
 
 from ..process.backends import Backend
@@ -184,7 +184,7 @@
 
 
 def _refusal(attempt: Attempt, body: bytes) -> AttemptResult:
-    refusal = msgspec.json.decode(body, type=_Refusal)
+    refusal = decode_json(body, _Refusal)
     if refusal.started:
         return unknown_result(RetryReason.BACKEND_REFUSED)
     if refusal.attempt_id != attempt.attempt_id:
@@ -217,7 +217,7 @@
     attempt: Attempt, response: aiohttp.ClientResponse
 ) -> AttemptResult:
     body = await read_body(attempt, response)
-    answer = msgspec.json.decode(body, type=_RunAnswer)
+    answer = decode_json(body, _RunAnswer)
     if answer.attempt_id != attempt.attempt_id:
         attempt.on_discard(DiscardReason.WRONG_ATTEMPT)
         return unknown_result(RetryReason.WRONG_ATTEMPT)
--- a/packages/node/src/eelgrass_node/request/generation.py
+++ b/packages/node/src/eelgrass_node/request/generation.py
@@ -9,7 +9,13 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import MovingAverage, StallAwareTimeout, running_time
+from eelgrass_coordination import (
+    JsonDecoder,
+    MovingAverage,
+    StallAwareTimeout,
+    decode_json,
+    running_time,
+)
 
 from ..exceptions import CallerGone
 from ..version import Stage
@@ -65,7 +71,7 @@
         self._chunk_gap_timeout_s = chunk_gap_timeout_s
         self._first_chunk_average = first_chunk_average
         self._chunk_gap_average = chunk_gap_average
-        self._decoder = msgspec.json.Decoder(_Line)
+        self._decoder = JsonDecoder(_Line)
         self._sent_at = 0.0
         self._first_chunk_at = 0.0
         self.chunks: list[str] = []
@@ -186,7 +192,7 @@
             )
             async with context as response:
                 answer = await response.read()
-        return msgspec.json.decode(answer, type=CancelAnswer)
+        return decode_json(answer, CancelAnswer)
     except (aiohttp.ClientError, OSError, msgspec.MsgspecError):
         return None
     finally:
--- a/packages/node/src/eelgrass_node/version/check.py
+++ b/packages/node/src/eelgrass_node/version/check.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from eelgrass_coordination import Entry, Problem, Snapshot
+from eelgrass_coordination import Entry, Problem, Snapshot, decode_json
 
 from .model import (
     ClientAccount,
@@ -80,7 +80,7 @@
 
 def _decode(kind: str, name: str, entry: Entry) -> Any:
     try:
-        return msgspec.json.decode(entry.value, type=MODEL_TYPES[kind])
+        return decode_json(entry.value, MODEL_TYPES[kind])
     except msgspec.MsgspecError as error:
         return Problem(f"{kind}/{name}", str(error), "correct the named field")
 
--- a/packages/node/src/eelgrass_node/version/version.py
+++ b/packages/node/src/eelgrass_node/version/version.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from eelgrass_coordination import Snapshot
+from eelgrass_coordination import Snapshot, decode_json
 from eelgrass_coordination.ids import AccountName, Revision
 
 from .check import resolve_reference
@@ -47,7 +47,7 @@
         entry = self.snapshot.get(Kind.ACCOUNT.value, name)
         if entry is None:
             return None
-        return msgspec.json.decode(entry.value, type=ClientAccount)
+        return decode_json(entry.value, ClientAccount)
 
     def pipeline(self, account: AccountName, template: str) -> Pipeline | None:
         """Return the pipeline of ``template`` for ``account``, or None."""
@@ -59,7 +59,7 @@
         client_account = self.account(account)
         if entry is None or client_account is None:
             return None
-        parameters = msgspec.json.decode(entry.value, type=ParameterSet)
+        parameters = decode_json(entry.value, ParameterSet)
         pipeline = self._build(parameters, client_account)
         if len(self._pipelines_by_name) >= MAX_CACHED:
             self._pipelines_by_name.clear()
@@ -85,7 +85,7 @@
         found = self._templates_by_name.get(name)
         if found is None:
             entry = self.snapshot.by_kind[Kind.TEMPLATE.value][name]
-            found = msgspec.json.decode(entry.value, type=Template)
+            found = decode_json(entry.value, Template)
             self._templates_by_name[name] = found
         return found
 
--- a/packages/node/tests/test_attempts.py
+++ b/packages/node/tests/test_attempts.py
@@ -188,6 +188,17 @@
             assert result.outcome is AttemptOutcome.UNKNOWN
             assert result.output is None
 
+    # Guards against an answer that ends a request with an error of the decoder.
+    @pytest.mark.parametrize("status", [b"200 OK", b"503 X"])
+    async def test_a_deeply_nested_answer_is_unknown(self, status):
+        body = b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"
+        head = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+        async with RawServer(head + body) as server:
+            attempt = new_attempt(server.address, idempotent=False)
+            result = await run_call(attempt, "in")
+            await attempt.backend.connections.close()
+            assert result.outcome is AttemptOutcome.UNKNOWN
+
     async def test_a_silent_connection_is_replaced_by_a_new_one(self):
         async with RawServer(answer("attempt-1"), b"silent", answer("attempt-1")) as s:
             attempt = new_attempt(s.address, idempotent=True)
