--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -34,7 +34,12 @@
 from .entry_gauges import entry_gauges
 from .entry_peer_state import fetch_peer_state
 from .entry_serving import serving_context
-from .entry_stream_origins import abandoned_rows, durable_origins, stream_origins
+from .entry_stream_origins import (
+    abandoned_rows,
+    durable_origins,
+    stream_origins,
+    version_history,
+)
 from .log import Part, log
 from .platform import configuration, requests, servers, stage_calls
 from .platform.names import CRASHES_TABLE, ORIGINS_TABLE, READY_PATH
@@ -72,7 +77,6 @@
 from .process.server_notices import ServerNotices
 from .process.shared_queues import SharedQueues
 from .process.stopping import Stopping
-from .process.stream_origins import VersionHistory
 from .process.supervision import keep_running
 from .process.warm_up import WarmUp
 from .request.final_call_latency import FinalCallLatency
@@ -250,7 +254,7 @@
             self.warm_up.admission.is_rate_limited,
             self.brittle_servers,
         )
-        self.version_history = VersionHistory(self.backends, loop.time, unix_ms)
+        self.version_history, self.version_roster = version_history(self, unix_ms)
         self.backends.on_change = self._on_servers_changed
         self.origin_rows = StoredTable(self.store, ORIGINS_TABLE)
         self.durable_origins = durable_origins(self)
@@ -376,6 +380,7 @@
         self.shared_queues.checks.stop()
         self.stream_origins.replication.stop()
         self.poison_requests.crash_detector.stop()
+        self.version_roster.stop()
         await self.membership.stop()
         await self._listeners.close()
         await self.backends.close()
--- a/packages/node/src/eelgrass_node/entry_stream_origins.py
+++ b/packages/node/src/eelgrass_node/entry_stream_origins.py
@@ -1,13 +1,19 @@
 """The parts of an entry node that know which version began a stream, put together."""
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from eelgrass_coordination import ranked
+
 from .process.stream_origins import (
+    VERSION_ROW_PREFIX,
     AbandonedRows,
     DurableOrigins,
     ReplicaChoice,
     StreamOrigins,
+    VersionHistory,
+    VersionRoster,
     write_pace_s,
 )
 from .version.deployment import ServiceName
@@ -15,7 +21,35 @@
 if TYPE_CHECKING:
     from .entry_node import EntryNode
 
-__all__ = ["abandoned_rows", "durable_origins", "stream_origins"]
+__all__ = ["abandoned_rows", "durable_origins", "stream_origins", "version_history"]
+
+
+def version_history(
+    node: "EntryNode", unix_ms: Callable[[], int]
+) -> tuple[VersionHistory, VersionRoster]:
+    """Return the versions that a node has seen listed, and those before its start."""
+    members, table = node.membership.members, node.poison_requests.table
+
+    def is_current() -> bool:
+        tables = node.tables
+        return tables.servers.complete_to >= 0 and tables.crashes.complete_to >= 0
+
+    def rank(service: str) -> int:
+        own = node.membership.own
+        nodes = ranked([own, *members.reachable()], service, lambda member: member.id)
+        return [member.id for member in nodes].index(own.id)
+
+    roster = VersionRoster(
+        lambda service: history.listed(service),
+        is_current,
+        rank,
+        table.put_row,
+        unix_ms,
+    )
+    table.add_kind(VERSION_ROW_PREFIX, roster)
+    clock = asyncio.get_running_loop().time
+    history = VersionHistory(node.backends, clock, unix_ms, roster)
+    return history, roster
 
 
 def durable_origins(node: "EntryNode") -> DurableOrigins:
--- a/packages/node/src/eelgrass_node/process/crash_table.py
+++ b/packages/node/src/eelgrass_node/process/crash_table.py
@@ -68,7 +68,10 @@
 
 
 class _CrashRows(Protocol):
-    """Applies rows of one kind to the record of this node."""
+    """Applies rows of one kind to the record of this node.
+
+    Rows have ``at_ms``, after which they are kept for a while.
+    """
 
     def decode(self, value: bytes) -> Any:
         """Decode the value of a row; raises :class:`msgspec.MsgspecError`."""
@@ -121,7 +124,10 @@
         part_rows: PartRows | None = None,
     ) -> None:
         self._request_rows = _RequestRows(quarantine)
-        self._part_rows = part_rows
+        # Rows of other kinds, by the prefix of their keys.
+        self._rows_by_prefix: dict[str, _CrashRows] = {}
+        if part_rows is not None:
+            self._rows_by_prefix[PART_ROW_PREFIX] = part_rows
         self._write = write
         self._clock = clock
         self._crash_by_key: dict[str, Any] = {}
@@ -139,6 +145,15 @@
             self._enqueue(_key(request, incarnation), msgspec.json.encode(crash))
             self._urgent.set()
 
+    def add_kind(self, prefix: str, rows: "_CrashRows") -> None:
+        """Apply rows whose keys have a prefix by ``rows``."""
+        self._rows_by_prefix[prefix] = rows
+
+    def put_row(self, key: str, row: msgspec.Struct) -> None:
+        """Queue a row that replaces one with the same key."""
+        self._enqueue(key, msgspec.json.encode(row))
+        self._urgent.set()
+
     def write_rows(self, rows: Iterable[tuple[str, msgspec.Struct]]) -> None:
         """Queue rows, by key, unless the table has them."""
         for key, row in rows:
@@ -243,8 +258,10 @@
         return (min(MAX_CRASHES, crashes), crash.at_ms)
 
     def _rows_of_kind(self, key: str) -> _CrashRows:
-        is_part = key.startswith(PART_ROW_PREFIX) and self._part_rows is not None
-        return self._part_rows if is_part else self._request_rows
+        for prefix, rows in self._rows_by_prefix.items():
+            if key.startswith(prefix):
+                return rows
+        return self._request_rows
 
     def _on_row_written(self, key: str, value: bytes) -> None:
         rows = self._rows_of_kind(key)
--- a/packages/node/tests/test_stream_origins.py
+++ b/packages/node/tests/test_stream_origins.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from eelgrass_node.process.stream_origins import VersionHistory, origin_table
+from eelgrass_node.process.stream_origins import (
+    VersionHistory,
+    VersionRoster,
+    VersionRow,
+    origin_table,
+)
 from eelgrass_node.process.stream_origins.messages import encode
 from eelgrass_node.process.stream_origins.origin_table import OriginTable, StreamOrigin
 from eelgrass_node.process.stream_origins.stream_origins import CONFIRM_TIMEOUT_S
@@ -339,16 +344,31 @@
         assert list(table.items()) == [("s", V1, 2.0)]
 
 
+LISTED_NOW = VersionRow(SERVICE, "v1", UNIX_MS)
+
+
 class TestVersionHistory:
-    def history(self, *servers):
+    def history(self, *servers, rows=(LISTED_NOW,)):
         self.now = 100.0
         self.servers = list(servers)
+        self.is_current = True
         backends = type("Listed", (), {"by_service": {SERVICE: self.servers}})
-        history = VersionHistory(backends, lambda: self.now, lambda: UNIX_MS)
+        self.roster = VersionRoster(
+            lambda service: frozenset(s.entry.version for s in self.servers),
+            lambda: self.is_current,
+            lambda service: 0,
+            lambda key, row: None,
+            lambda: UNIX_MS,
+        )
+        history = VersionHistory(
+            backends, lambda: self.now, lambda: UNIX_MS, self.roster
+        )
+        for row in rows:
+            self.roster.record(row, 0.0)
         history.servers_changed(SERVICE)
         return history
 
-    def test_a_version_counts_for_a_while_after_its_last_server(self):
+    async def test_a_version_counts_for_a_while_after_its_last_server(self):
         history = self.history(server("v1"), server("v2"))
         self.servers[:] = [server("v2")]
         history.servers_changed(SERVICE)
@@ -367,7 +387,9 @@
             ([], False),
         ],
     )
-    def test_servers_that_have_run_for_long_tell_what_was_before(self, starts, covers):
+    async def test_servers_that_have_run_for_long_tell_what_was_before(
+        self, starts, covers
+    ):
         history = self.history(*(server("v1", started) for started in starts))
         assert history.covers(SERVICE, CALLER_TIMEOUT_S) == covers
         self.now += CALLER_TIMEOUT_S
@@ -375,3 +397,103 @@
         assert history.covers(SERVICE, CALLER_TIMEOUT_S) == covers
         self.now += REMOVAL_NOTICE_S
         assert history.covers(SERVICE, CALLER_TIMEOUT_S)
+
+    # Guards against a version that was removed before this node started: servers that
+    # have run for long say nothing of others.
+    async def test_nothing_is_covered_without_a_roster(self):
+        history = self.history(server("v2", 1), rows=())
+        assert not history.covers(SERVICE, CALLER_TIMEOUT_S)
+        self.roster.record(VersionRow(SERVICE, "v1", UNIX_MS), 0.0)
+        assert history.covers(SERVICE, CALLER_TIMEOUT_S)
+        self.is_current = False
+        assert not history.covers(SERVICE, CALLER_TIMEOUT_S)
+
+    @pytest.mark.parametrize(
+        ("removed_ms", "versions"),
+        [
+            (None, {"v1", "v2"}),
+            (UNIX_MS, {"v1", "v2"}),
+            (UNIX_MS - 15_000, {"v1", "v2"}),
+            (UNIX_MS - 17_000, {"v2"}),
+        ],
+    )
+    async def test_a_version_counts_for_as_long_as_its_streams(
+        self, removed_ms, versions
+    ):
+        row = VersionRow(SERVICE, "v1", 1, removed_ms)
+        history = self.history(server("v2", UNIX_MS), rows=[row])
+        assert history.covers(SERVICE, CALLER_TIMEOUT_S)
+        assert history.versions(SERVICE, CALLER_TIMEOUT_S) == versions
+        # A node that has followed the list for that long knows better.
+        self.now += CALLER_TIMEOUT_S + REMOVAL_NOTICE_S
+        assert history.versions(SERVICE, CALLER_TIMEOUT_S) == {"v2"}
+
+
+class TestVersionRoster:
+    """Which rows a node writes, and when; others write them if it does not."""
+
+    def roster(self, rank=0):
+        self.listed = frozenset({"v1"})
+        self.is_current = True
+        self.written = []
+        return VersionRoster(
+            lambda service: self.listed,
+            lambda: self.is_current,
+            lambda service: rank,
+            lambda key, row: self.written.append(row),
+            lambda: UNIX_MS,
+        )
+
+    # Guards against versions that no row states, or that none states as removed.
+    def test_rows_follow_the_list(self):
+        async def main():
+            roster = self.roster()
+            roster.servers_changed(SERVICE)
+            await asyncio.sleep(1.0)
+            v1 = VersionRow(SERVICE, "v1", UNIX_MS)
+            assert self.written == [v1]
+            roster.record(v1, 0.0)
+            self.listed = frozenset({"v2"})
+            roster.servers_changed(SERVICE)
+            await asyncio.sleep(1.0)
+            v2 = VersionRow(SERVICE, "v2", UNIX_MS)
+            removed = VersionRow(SERVICE, "v1", UNIX_MS, UNIX_MS)
+            assert self.written[1:] == [v2, removed]
+            roster.record(v2, 0.0)
+            roster.record(removed, 0.0)
+            self.listed = frozenset({"v1", "v2"})
+            roster.servers_changed(SERVICE)
+            await asyncio.sleep(1.0)
+            assert self.written[3:] == [v1]
+
+        run_network(main())
+
+    # Guards against a list that is not read yet and seems to have no servers.
+    def test_nothing_is_written_before_list_and_table_are_read(self):
+        async def main():
+            roster = self.roster()
+            self.is_current = False
+            roster.record(VersionRow(SERVICE, "v0", 1), 0.0)
+            await asyncio.sleep(10.0)
+            assert self.written == []
+            self.is_current = True
+            await asyncio.sleep(1.0)
+            assert {row.version for row in self.written} == {"v0", "v1"}
+
+        run_network(main())
+
+    # Guards against rows that all hosts write at once, and against a writer that ends.
+    def test_the_next_host_writes_what_the_first_one_did_not(self):
+        async def main():
+            roster = self.roster(rank=1)
+            roster.servers_changed(SERVICE)
+            await asyncio.sleep(2.0)
+            assert self.written == []
+            await asyncio.sleep(1.0)
+            assert self.written == [VersionRow(SERVICE, "v1", UNIX_MS)]
+            roster.record(self.written[0], 0.0)
+            roster.servers_changed(SERVICE)
+            await asyncio.sleep(10.0)
+            assert len(self.written) == 1
+
+        run_network(main())
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from types import SimpleNamespace
 
 from eelgrass_coordination import Member, Membership
@@ -11,6 +12,8 @@
     StreamOrigin,
     StreamOrigins,
     VersionHistory,
+    VersionRoster,
+    VersionRow,
     write_pace_s,
 )
 
@@ -42,6 +45,34 @@
     return SimpleNamespace(entry=SimpleNamespace(version=version, started=started))
 
 
+class RosterTable:
+    """The rows of versions in the store; each write reaches all rosters at once."""
+
+    def __init__(self) -> None:
+        self.row_by_key: dict[str, VersionRow] = {}
+        self._rosters: list[VersionRoster] = []
+
+    def roster(
+        self, listed: Callable[[str], frozenset[str]], unix_ms: Callable[[], int]
+    ) -> VersionRoster:
+        """Return the roster of a node that has read the table."""
+        roster = VersionRoster(listed, lambda: True, lambda _: 0, self._write, unix_ms)
+        self._rosters.append(roster)
+        for row in self.row_by_key.values():
+            roster.record(row, 0.0)
+        return roster
+
+    def close(self, roster: VersionRoster) -> None:
+        """End a roster together with its node."""
+        roster.stop()
+        self._rosters = [other for other in self._rosters if other is not roster]
+
+    def _write(self, key: str, row: VersionRow) -> None:
+        self.row_by_key[key] = row
+        for roster in list(self._rosters):
+            roster.record(row, 0.0)
+
+
 class FleetNode:
     """One node; ``list_servers`` gives it the list of servers."""
 
@@ -53,6 +84,7 @@
         seeds: list[str],
         epoch: int,
         store: StoredOrigins,
+        versions: RosterTable,
     ) -> None:
         clock = asyncio.get_running_loop().time
         own = Member(name, data_centre, address, address, epoch)
@@ -61,7 +93,11 @@
         self.counts = Counter()
         self.is_list_current = True
         self.backends = SimpleNamespace(by_service={})
-        self.history = VersionHistory(self.backends, clock, lambda: UNIX_MS)
+        self._versions = versions
+        self._roster = versions.roster(self._listed, lambda: UNIX_MS)
+        self.history = VersionHistory(
+            self.backends, clock, lambda: UNIX_MS, self._roster
+        )
         members = self.membership.members.reachable
         self.durable = DurableOrigins(
             f"{name}/{epoch}",
@@ -85,6 +121,10 @@
         self.membership.datagrams.on_payload = self.origins.receive
         self._writing = asyncio.create_task(self.durable.run())
 
+    def _listed(self, service: str) -> frozenset[str]:
+        servers = self.backends.by_service.get(service, [])
+        return frozenset(server.entry.version for server in servers)
+
     def list_servers(self, *versions: str, started: int = 0) -> None:
         """Replace the list of servers by one of each version."""
         self.backends.by_service = {SERVICE: [server(v, started) for v in versions]}
@@ -103,6 +143,7 @@
     async def stop(self) -> None:
         """End the node at once."""
         self._writing.cancel()
+        self._versions.close(self._roster)
         self.origins.replication.stop()
         await self.membership.stop()
 
@@ -118,6 +159,7 @@
         self._count = nodes
         self._epoch = 0
         self.store = StoredOrigins(is_reachable=False)
+        self.versions = RosterTable()
         self.nodes: list[FleetNode] = []
 
     async def __aenter__(self) -> "OriginFleet":
@@ -143,7 +185,13 @@
         seeds = ["10.0.0.1:1", "10.1.0.2:1", "10.2.0.3:1"]
         name = f"node-{number}"
         node = FleetNode(
-            name, f"dc-{data_centre}", f"{host}:1", seeds, self._epoch, self.store
+            name,
+            f"dc-{data_centre}",
+            f"{host}:1",
+            seeds,
+            self._epoch,
+            self.store,
+            self.versions,
         )
         self.nodes[number : number + 1] = [node]
         node.list_servers(*versions, started=started)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -77,6 +77,32 @@
         return all(name in node.process.log_text() for node in self.soak_nodes)
 
 
+class SingleVersionDeployment(ReleasedDeployment):
+    """Servers of v1 are listed; those of v2 run for some time before they are."""
+
+    async def __aenter__(self):
+        await SoakDeployment.__aenter__(self)
+        self._next_servers = []
+        for number in range(2):
+            name = f"readers-v2-{number}"
+            self._next_servers.append(
+                await self.start_engine("readers", name, version="v2")
+            )
+            self.store.remove("servers", name)
+        for engine in self.engines_by_service["readers"]:
+            engine.event_s = 0.1
+        await asyncio.sleep(SETTLED_S)
+        return self
+
+    async def replace_version(self):
+        """List the servers of v2 and remove those of v1."""
+        for engine in self._next_servers:
+            self.list_engine("readers", engine)
+        for engine in self.engines_by_service["readers"]:
+            if engine not in self._next_servers:
+                self.store.remove("servers", engine.server_id)
+
+
 EVERY_HOST = list(range(HOSTS))
 # How hosts end, which, and at which of them the streams are resumed.
 CASES = {
@@ -118,6 +144,36 @@
             )
 
 
+class TestVersionsThatWereRemoved:
+    """All hosts start anew, and nobody runs who knows what was listed before."""
+
+    # Guards against streams of a version that has just left, which go on at the only
+    # version that is listed now.
+    async def test_no_stream_goes_on_at_the_version_that_is_left(self, tmp_path):
+        async with SingleVersionDeployment(tmp_path, seed=59) as deployment:
+            callers = await deployment.begin(STREAMS, EVERY_HOST)
+            await deployment.replace_version()
+            await asyncio.gather(
+                *(deployment.restart(n, signal.SIGKILL) for n in EVERY_HOST)
+            )
+            # Fails if any of them holds events of two versions.
+            resumed, begun = await deployment.resume_beside_new(callers, EVERY_HOST)
+            assert begun > 0
+            assert resumed == 0
+
+    # Guards against streams that are refused though only one version can have begun
+    # them.
+    async def test_streams_of_the_only_version_go_on(self, tmp_path):
+        async with SingleVersionDeployment(tmp_path, seed=60) as deployment:
+            callers = await deployment.begin(STREAMS, EVERY_HOST)
+            await asyncio.gather(
+                *(deployment.restart(n, signal.SIGKILL) for n in EVERY_HOST)
+            )
+            resumed, begun = await deployment.resume_beside_new(callers, EVERY_HOST)
+            assert begun > 0
+            assert resumed >= SHARE_OF_NEW * begun
+
+
 class TestServersOfTheVersion:
     # Guards against servers that are not used because they report late.
     async def test_reports_of_servers_take_long(self, tmp_path):
