--- a/packages/node/tests/test_attempts.py
+++ b/packages/node/tests/test_attempts.py
@@ -188,6 +188,21 @@
             assert result.outcome is AttemptOutcome.UNKNOWN
             assert result.output is None
 
+    # Guards against an answer that ends within its head and is taken for a complete
+    # one.
+    @pytest.mark.parametrize("idempotent", [True, False])
+    @pytest.mark.parametrize(
+        "end",
+        [b"", b"Content-Le", b"Content-Length: 0\r\n", b"Connection: close\r\n\r"],
+    )
+    async def test_an_answer_that_ends_in_its_head_is_unknown(self, end, idempotent):
+        async with RawServer(b"HTTP/1.1 200 OK\r\n" + end) as server:
+            attempt = new_attempt(server.address, idempotent)
+            result = await run_call(attempt, "in")
+            await attempt.backend.connections.close()
+            assert result.outcome is AttemptOutcome.UNKNOWN
+            assert server.calls == 1
+
     # Guards against an answer that ends a request with an error of the decoder.
     @pytest.mark.parametrize("status", [b"200 OK", b"503 X"])
     async def test_a_deeply_nested_answer_is_unknown(self, status):
