--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -94,16 +94,18 @@
     def _next_cut(self, data: bytes) -> int:
         """Return how many of some bytes to parse before looking at the others."""
         if self._body is None:
-            return self._end_of_line(data, bytes.find)
+            return self._through_empty_line(data, bytes.find)
         if self._is_chunked:
-            return self._end_of_line(data, bytes.rfind)
+            return self._through_empty_line(data, bytes.rfind)
         if self._body_bytes_left is None:
             return len(data)
         cut = min(len(data), self._body_bytes_left)
         self._body_bytes_left -= cut
         return cut
 
-    def _end_of_line(self, data: bytes, find: Callable[[bytes, bytes], int]) -> int:
+    def _through_empty_line(
+        self, data: bytes, find: Callable[[bytes, bytes], int]
+    ) -> int:
         joined = self._last_bytes + data
         position = find(joined, EMPTY_LINE)
         if position < 0:
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -85,7 +85,8 @@
                 connection.close()
                 if handler.is_new:
                     raise aiohttp.ClientConnectionError(
-                        f"{req.url.host}:{req.url.port} sent bytes before a request"
+                        f"{req.url.host}:{req.url.port} sent bytes or closed the "
+                        "connection before a request"
                     )
 
 
--- a/packages/node/src/eelgrass_node/process/crash_table.py
+++ b/packages/node/src/eelgrass_node/process/crash_table.py
@@ -5,6 +5,8 @@
 Each row states that one incarnation of a server crashed under one request, or under one
 part of prompts. Rows do not depend on each other, so writers need no coordination. Any
 node that finds a row outdated removes it.
+
+Rows of other kinds may lie in the same table, which all nodes follow.
 """
 
 import asyncio
@@ -67,7 +69,7 @@
     return _decoder.decode(value)
 
 
-class _CrashRows(Protocol):
+class _RowKind(Protocol):
     """Applies rows of one kind to the record of this node.
 
     Rows have ``at_ms``, after which they are kept for a while.
@@ -77,13 +79,13 @@
         """Decode the value of a row; raises :class:`msgspec.MsgspecError`."""
 
     def record(self, row: Any, age_s: float) -> None:
-        """Record the crash of a row."""
+        """Record what a row states."""
 
     def forget(self, key: str) -> None:
-        """Forget the crash of a row that was removed, also if only gossip told it."""
+        """Forget a row that was removed, also if only gossip told its content."""
 
-    def crash_count(self, row: Any) -> int:
-        """Return how many servers have crashed under the subject of a row."""
+    def retention_rank(self, row: Any) -> int:
+        """Return how much a row matters: those with the lowest rank go first."""
 
 
 class _RequestRows:
@@ -104,7 +106,7 @@
             if _key(request, incarnation) == key:
                 self._quarantine.remove_crash(request, incarnation)
 
-    def crash_count(self, row: Crash) -> int:
+    def retention_rank(self, row: Crash) -> int:
         return len(self._quarantine.crashed_servers(row.request))
 
 
@@ -125,7 +127,7 @@
     ) -> None:
         self._request_rows = _RequestRows(quarantine)
         # Rows of other kinds, by the prefix of their keys.
-        self._rows_by_prefix: dict[str, _CrashRows] = {}
+        self._rows_by_prefix: dict[str, _RowKind] = {}
         if part_rows is not None:
             self._rows_by_prefix[PART_ROW_PREFIX] = part_rows
         self._write = write
@@ -145,7 +147,7 @@
             self._enqueue(_key(request, incarnation), msgspec.json.encode(crash))
             self._urgent.set()
 
-    def add_kind(self, prefix: str, rows: "_CrashRows") -> None:
+    def add_kind(self, prefix: str, rows: "_RowKind") -> None:
         """Apply rows whose keys have a prefix by ``rows``."""
         self._rows_by_prefix[prefix] = rows
 
@@ -254,10 +256,10 @@
 
     def _retention_priority(self, key: str) -> tuple[int, int]:
         crash = self._crash_by_key[key]
-        crashes = self._rows_of_kind(key).crash_count(crash)
-        return (min(MAX_CRASHES, crashes), crash.at_ms)
+        rank = self._rows_of_kind(key).retention_rank(crash)
+        return (min(MAX_CRASHES, rank), crash.at_ms)
 
-    def _rows_of_kind(self, key: str) -> _CrashRows:
+    def _rows_of_kind(self, key: str) -> _RowKind:
         for prefix, rows in self._rows_by_prefix.items():
             if key.startswith(prefix):
                 return rows
--- a/packages/node/src/eelgrass_node/process/poison_parts/part_rows.py
+++ b/packages/node/src/eelgrass_node/process/poison_parts/part_rows.py
@@ -69,8 +69,8 @@
             if part_row_key(part, server) == key:
                 self._quarantine.exonerate(part, server)
 
-    def crash_count(self, row: PartCrashRow) -> int:
-        """Return how many servers have crashed under the part of a row."""
+    def retention_rank(self, row: PartCrashRow) -> int:
+        """Return how much a row matters: how many servers crashed under its part."""
         return len(self._quarantine.crashed_servers(row.part))
 
     def rows_of(
--- a/packages/node/src/eelgrass_node/process/stream_origins/version_roster.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/version_roster.py
@@ -92,8 +92,8 @@
         if row is not None:
             self.servers_changed(row.service)
 
-    def crash_count(self, row: VersionRow) -> int:
-        """Return the rank of a row when rows in excess are removed."""
+    def retention_rank(self, row: VersionRow) -> int:
+        """Return how much a row matters: more than crashes."""
         return RETENTION_RANK
 
     def servers_changed(self, service: str) -> None:
