Answers without a length: a line that says how each has ended

The new line names the request, the server, who closed the connection and through which node it passed. CallPath holds the connection and the relay for that, instead of whether there is one. No decision changes.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -14,8 +14,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from eelgrass_coordination import Member
+
 from .answer_bounds import BoundedResponseHandler
 from .answer_head import AnswerHead, OnAnswer
+from .response_handler import SolicitedResponseHandler
 from .sockets import Connector, new_session
 
 if TYPE_CHECKING:
@@ -56,12 +59,18 @@
 class CallPath:
     """The network path of one call.
 
-    ``is_relayed`` is None until the call has a connection. A path that is lost affects
-    direct connections only.
+    ``connection`` is None until the call has one, and ``relay`` the node that it passes
+    through, None for a direct one. A path that is lost affects direct connections only.
     """
 
     def __init__(self) -> None:
-        self.is_relayed: bool | None = None
+        self.connection: SolicitedResponseHandler | None = None
+        self.relay: Member | None = None
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether the call has a connection that passes through no other node."""
+        return self.connection is not None and self.relay is None
 
 
 class BackendConnections:
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -80,7 +80,7 @@
 
         def on_path_lost() -> None:
             nonlocal is_path_lost
-            if path.is_relayed is False:
+            if path.is_direct:
                 is_path_lost = True
                 timeout.restart(0.0)
 
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -8,6 +8,7 @@
 import asyncio
 import select
 from collections.abc import Callable
+from enum import Enum
 from http import HTTPStatus
 
 from aiohttp import StreamReader
@@ -16,23 +17,36 @@
 
 from ..log import Part, log
 
-__all__ = ["SolicitedResponseHandler", "is_final", "is_readable"]
+__all__ = ["ConnectionEnd", "SolicitedResponseHandler", "is_final", "is_readable"]
 
 # Ends a head, and the trailers of a chunked body.
 EMPTY_LINE = b"\r\n\r\n"
 
 
+class ConnectionEnd(Enum):
+    """How a connection has ended."""
+
+    OPEN = "open"
+    BY_PEER = "closed by the peer"
+    BY_NODE = "closed by this node"
+    LOST = "reset or timed out"
+
+
 class SolicitedResponseHandler(ResponseHandler):
     """A connection that is aborted at the first byte that belongs to no call.
 
     Bytes behind a response are kept from the parser, so that a response that is
     complete reaches its caller whatever follows it. ``is_new`` is True until a call
-    gets the connection.
+    gets the connection. ``end`` is how it has ended, and ``ended_at`` when, in seconds
+    of the event loop.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_new = True
+        self.end = ConnectionEnd.OPEN
+        self.ended_at = float("inf")
+        self._has_peer_closed = False
         self._awaits_response = False
         self._begin_response()
 
@@ -61,6 +75,22 @@
         if data:
             self._abort_unsolicited(len(data))
 
+    def eof_received(self) -> None:
+        """Note that the peer has closed the connection regularly."""
+        self._has_peer_closed = True
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note how the connection ends, before readers of the body learn of it."""
+        self.ended_at = self._loop.time()
+        if exc is not None:
+            self.end = ConnectionEnd.LOST
+        elif self._has_peer_closed:
+            self.end = ConnectionEnd.BY_PEER
+        else:
+            self.end = ConnectionEnd.BY_NODE
+        super().connection_lost(exc)
+
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -109,7 +109,8 @@
             # The library has no public way from a connection to its request.
             call = trace._trace_config_ctx.trace_request_ctx
             if call is not None:
-                call.path.is_relayed = connection.protocol in self._link.relayed
+                call.path.connection = connection.protocol
+                call.path.relay = self._link.relayed.get(connection.protocol)
         return connection
 
     def is_unacknowledged(self) -> bool:
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -17,6 +17,7 @@
 from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon, read_bounded
 from ..connection.backend import CallPath, ServerLimited, ServerResting, has_length
 from ..exceptions import AnswerTooLong, CallFailed
+from ..log import Part, log
 from ..process.backends import Backend
 from .answer_wait import AnswerWait
 from .incoming_request import ResponseHead, RoutedRequest, WireCodec
@@ -137,6 +138,7 @@
         """
         if has_length(self._response):
             return
+        self._log_end()
         if self._backend.connections.aborted or self._was_reset():
             raise CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
 
@@ -200,7 +202,7 @@
         return response
 
     def _on_path_lost(self) -> None:
-        if self._path.is_relayed is False:
+        if self._path.is_direct:
             self._wait.on_path_lost()
 
     def _check_head(self, head: ResponseHead) -> None:
@@ -222,6 +224,18 @@
             return False
         return closed.exception() is not None
 
+    def _log_end(self) -> None:
+        connection, relay = self._path.connection, self._path.relay
+        log(
+            Part.REQUESTS,
+            "An answer without a length has ended.",
+            id=self._routed.incoming.request_id,
+            backend=self._backend.entry.id,
+            end=None if connection is None else connection.end.value,
+            relay=None if relay is None else relay.id,
+            is_aborted=self._backend.connections.aborted,
+        )
+
     def _before_deadline(self, timeout_s: float) -> float | None:
         """Return ``timeout_s``, or None if the deadline comes first."""
         return timeout_s if timeout_s < self._remaining() else None
