--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -16,12 +16,15 @@
 
 from eelgrass_coordination import Member
 
+from ..process.listening import Listening
 from .answer_bounds import BoundedResponseHandler
 from .answer_head import AnswerHead, OnAnswer
+from .listen_probe import probe_listening
 from .response_handler import SolicitedResponseHandler
 from .sockets import Connector, new_session
 
 if TYPE_CHECKING:
+    from .end_witness import WitnessLease
     from .server_connector import ServerLink
 
 __all__ = [
@@ -61,11 +64,14 @@
 
     ``connection`` is None until the call has one, and ``relay`` the node that it passes
     through, None for a direct one. A path that is lost affects direct connections only.
+    ``is_end_passed_on`` is True if the relay closes the connection regularly only where
+    the server does.
     """
 
     def __init__(self) -> None:
         self.connection: SolicitedResponseHandler | None = None
         self.relay: Member | None = None
+        self.is_end_passed_on = False
 
     @property
     def is_direct(self) -> bool:
@@ -165,6 +171,28 @@
         if self._session is not None:
             self._retire(self._session)
             self._session = None
+        if self._link is not None:
+            self._link.close_witnesses(only_idle=True)
+
+    def hold_witness(self, path: CallPath) -> "WitnessLease | None":
+        """Keep an idle connection open beside that of a call, to tell how it ends.
+
+        None if that is not possible; the lease must be released.
+        """
+        if self._link is None or path.connection is None:
+            return None
+        return self._link.hold_witness(path.connection, path.relay)
+
+    async def listening(self) -> Listening:
+        """Return whether a process listens at the address now, as far as is known."""
+        if self._link is None:
+            return await probe_listening(self.address)
+        return await self._link.paths.check_anew(self.address)
+
+    @property
+    def has_own_address(self) -> bool:
+        """Whether no other server is listed at the address."""
+        return self._link is None or self._link.owns_address()
 
     @property
     def is_used(self) -> bool:
@@ -233,6 +261,8 @@
         sessions = [self._session, self._single_use_session, *self._retired]
         self._session = self._single_use_session = None
         self._retired = []
+        if self._link is not None:
+            self._link.close_witnesses()
         for session in sessions:
             if session is not None:
                 await session.close()
@@ -300,6 +330,8 @@
         if self._closing:
             self._retired += [s for s in (self._session, self._single_use_session) if s]
             self._session = self._single_use_session = None
+            if self._link is not None:
+                self._link.close_witnesses()
         for session in self._retired:
             _close_in_background(session)
         self._retired = []
--- a/packages/node/src/eelgrass_node/connection/listen_probe.py
+++ b/packages/node/src/eelgrass_node/connection/listen_probe.py
@@ -5,7 +5,7 @@
 
 from eelgrass_coordination import StallAwareTimeout
 
-from ..process.crash_detector import Listening
+from ..process.listening import Listening
 
 __all__ = ["probe_listening"]
 
--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -24,7 +24,7 @@
 
 from ..exceptions import RelayUnavailable
 from ..log import Part, log
-from ..process.crash_detector import Listening
+from ..process.listening import Listening
 from ..process.relay_choice import RelayChoice
 from ..process.server_paths import Path, ServerPaths
 from ..process.stopping import Stopping
@@ -89,7 +89,7 @@
 
         async def attempt(member: Member) -> RelayedSocket:
             try:
-                opened = await self._open_through(member, address)
+                opened = await self.open_through(member, address)
                 return RelayedSocket(opened, member)
             except RelayUnavailable as error:
                 found.append(error.listening)
@@ -112,7 +112,11 @@
             return error.listening
         return Listening.YES
 
-    async def _open_through(self, member: Member, address: str) -> socket.socket:
+    async def open_through(self, member: Member, address: str) -> socket.socket:
+        """Return a connected socket to a server through one relay.
+
+        Raises :class:`RelayUnavailable` if it has not connected to the server.
+        """
         host, _, port = member.gossip.rpartition(":")
         opened = open_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
         try:
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
@@ -17,7 +18,13 @@
 
 from ..log import Part, log
 
-__all__ = ["ConnectionEnd", "SolicitedResponseHandler", "is_final", "is_readable"]
+__all__ = [
+    "ConnectionEnd",
+    "SolicitedResponseHandler",
+    "is_final",
+    "is_readable",
+    "is_socket_readable",
+]
 
 # Ends a head, and the trailers of a chunked body.
 EMPTY_LINE = b"\r\n\r\n"
@@ -166,7 +173,13 @@
 
 def is_readable(handler: ResponseHandler) -> bool:
     """Return whether bytes, or the end of the connection, have arrived unread."""
-    opened = handler.transport and handler.transport.get_extra_info("socket")
+    return is_socket_readable(
+        handler.transport and handler.transport.get_extra_info("socket")
+    )
+
+
+def is_socket_readable(opened: socket.socket | None) -> bool:
+    """Return whether bytes, or an end, have arrived; a closed socket counts."""
     if opened is None or opened.fileno() < 0:
         return True
     poll = select.poll()
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -1,31 +1,38 @@
 """Opens connections to one server, directly or through another node."""
 
+import asyncio
 import errno
 import fcntl
+import socket
 import struct
 import termios
 import weakref
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from eelgrass_coordination import Member
+from eelgrass_coordination import Member, StallAwareTimeout
+from eelgrass_coordination.ids import NodeId
 
 from ..exceptions import RelayUnavailable
 from ..process.server_paths import Path, ServerPaths
 from .answer_bounds import BoundedResponseHandler
 from .backend import ServerLimited, ServerResting
+from .end_witness import EndWitness, WitnessLease
 from .races import first_success
 from .relays import RelayClient
-from .response_handler import is_readable
-from .sockets import Connector
+from .response_handler import SolicitedResponseHandler, is_readable
+from .sockets import Connector, open_socket
 
 __all__ = ["ServerConnector", "ServerLink"]
 
 # A connection is established in some ms. After this time another node is asked, too.
 RELAY_DELAY_S = 0.06
+# A connection that takes longer is not of use any more to most answers.
+WITNESS_CONNECT_S = 0.3
 
 
 async def always_permitted() -> bool:
@@ -37,8 +44,9 @@
     """How connections to a server at ``address`` in ``data_centre`` are opened.
 
     ``relayed`` holds the connections that pass through another node, with that node's
-    record. ``is_resting`` returns whether the server has asked this node for rest, and
-    ``take_permit`` whether it may get one more request now.
+    record. ``is_resting`` returns whether the server has asked this node for rest,
+    ``take_permit`` whether it may get one more request now, and ``owns_address``
+    whether no other server is listed at its address.
     """
 
     def __init__(
@@ -49,6 +57,7 @@
         data_centre: str,
         is_resting: Callable[[], bool],
         take_permit: Callable[[], Awaitable[bool]] = always_permitted,
+        owns_address: Callable[[], bool] = lambda: True,
     ) -> None:
         self.paths = paths
         self.relays = relays
@@ -56,6 +65,8 @@
         self.data_centre = data_centre
         self.is_resting = is_resting
         self.take_permit = take_permit
+        self.owns_address = owns_address
+        self._witness_by_relay: dict[NodeId | None, EndWitness] = {}
         self.relayed: weakref.WeakKeyDictionary[ResponseHandler, Member] = (
             weakref.WeakKeyDictionary()
         )
@@ -72,6 +83,43 @@
         """Check the path to the server after a sign that it may be lost."""
         self.paths.suspect(self.address)
 
+    def hold_witness(
+        self, connection: SolicitedResponseHandler, relay: Member | None
+    ) -> WitnessLease:
+        """Keep an idle connection open beside one, on the same path."""
+        key = None if relay is None else relay.id
+        witness = self._witness_by_relay.get(key)
+        if witness is None:
+            if relay is None:
+                witness = EndWitness(self._connect_directly, self.owns_address)
+            else:
+                # Not kept open, because it holds up a planned stop of the relay.
+                connect = partial(self.relays.open_through, relay, self.address)
+                witness = EndWitness(connect, self.owns_address, keep_open_s=0.0)
+            self._witness_by_relay[key] = witness
+        return witness.hold(connection)
+
+    def close_witnesses(self, only_idle: bool = False) -> None:
+        """Close the idle connections; with ``only_idle`` those that nobody needs."""
+        for witness in self._witness_by_relay.values():
+            if only_idle:
+                witness.close_if_idle()
+            else:
+                witness.close()
+
+    async def _connect_directly(self) -> socket.socket:
+        host, _, port = self.address.rpartition(":")
+        opened = open_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
+        try:
+            opened.setblocking(False)
+            async with StallAwareTimeout(WITNESS_CONNECT_S):
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(opened, (host, int(port)))
+        except BaseException:
+            opened.close()
+            raise
+        return opened
+
 
 class ServerConnector(Connector):
     """A pool of connections to one server."""
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -8,7 +8,7 @@
 from eelgrass_coordination.ids import NodeId
 
 from ..process.backends import Backends, HostEntry, ServerIncarnation
-from ..process.crash_detector import Listening
+from ..process.listening import Listening
 from ..process.host_settings import HostSettings
 from ..process.relay_choice import RelayChoice
 from ..process.server_paths import ServerPaths
@@ -79,6 +79,7 @@
             entry.data_centre,
             lambda: rests.left_s(server) > 0,
             partial(self._take_permit, server),
+            lambda: self._backends.owns_address(entry),
         )
         on_answer = partial(self._receive, link, server)
         return BackendConnections(entry.address, link, on_answer)
--- a/packages/node/src/eelgrass_node/process/backends.py
+++ b/packages/node/src/eelgrass_node/process/backends.py
@@ -321,6 +321,11 @@
         """Return the server at an IP address and port, if one is listed."""
         return self._by_address.get(address)
 
+    def owns_address(self, entry: HostEntry) -> bool:
+        """Return whether no other server than that of an entry has its address."""
+        listed = self.at_address(entry.address)
+        return listed is None or listed.entry.incarnation == entry.incarnation
+
     def set_live_nodes(self, count: int) -> None:
         """Divide the servers' limits among ``count`` nodes."""
         if count == self._live_nodes:
--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -119,6 +119,13 @@
         check = self._check_by_address.get(address) or self._start_check(address)
         return await asyncio.shield(check)
 
+    async def check_anew(self, address: str) -> Listening:
+        """Return the result of a check that begins after this call."""
+        running = self._check_by_address.get(address)
+        if running is not None:
+            await asyncio.wait({running})
+        return await self.check(address)
+
     def relays_changed(self) -> None:
         """Open new relayed connections, because a relay is leaving."""
         for address, path in self._lost_by_address.items():
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -15,19 +15,18 @@
 from eelgrass_coordination import send_allowance_s
 
 from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon, read_bounded
-from ..connection.backend import CallPath, ServerLimited, ServerResting, has_length
+from ..connection.backend import CallPath, has_length
+from ..connection.end_witness import WitnessLease
 from ..exceptions import AnswerTooLong, CallFailed
-from ..log import Part, log
 from ..process.backends import Backend
+from .answer_end import evidence_of_end
 from .answer_wait import AnswerWait
+from .client_errors import CONNECT_S, call_failure
 from .incoming_request import ResponseHead, RoutedRequest, WireCodec
 from .reasons import RetryReason
 
-__all__ = ["EngineCall", "Reply", "call_failure"]
+__all__ = ["EngineCall", "Reply"]
 
-# A connection is established within a few milliseconds unless its first packet is
-# lost, which is sent again only after a second.
-CONNECT_S = 0.3
 HTTP_CONFLICT = 409
 HTTP_MISDIRECTED = 421
 
@@ -76,7 +75,7 @@
         # Keeps the server's connections open until close(), even if the server is
         # removed from the list of servers meanwhile.
         backend.connections.begin_call(self._on_path_lost)
-        self._closed: asyncio.Future | None = None
+        self._witness: WitnessLease | None = None
 
     async def open(self, last_event_id: str | None = None) -> ResponseHead:
         """Send the request and return the head of the signed response to it.
@@ -111,7 +110,7 @@
             raise CallFailed(RetryReason.BAD_ANSWER, not_run=False) from error
         except (aiohttp.ClientError, OSError, AnswerTooLong) as error:
             raise call_failure(error) from error
-        self.check_complete()
+        await self._check_complete()
         return body
 
     async def read_some(self, within_s: float) -> bytes:
@@ -127,27 +126,30 @@
         except (aiohttp.ClientError, OSError, TimeoutError, AnswerTooLong) as error:
             raise call_failure(error) from error
         if not data:
-            self.check_complete()
+            await self._check_complete()
         return data
 
-    def check_complete(self) -> None:
-        """Raise :class:`CallFailed` if the body ended in a connection reset.
-
-        A body without a length ends when its connection is closed. The client library
-        then treats a reset like a regular close.
-        """
-        if has_length(self._response):
-            return
-        self._log_end()
-        if self._backend.connections.aborted or self._was_reset():
-            raise CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
-
     def close(self) -> None:
         """Return the connection to the pool; close it if unread data is left."""
         if self._response is not None:
             self._response.close()
+        if self._witness is not None:
+            self._witness.release()
         self._backend.connections.end_call(self._on_path_lost)
 
+    async def _check_complete(self) -> None:
+        """Raise :class:`CallFailed` if a body without a length may have been cut off.
+
+        Such a body ends when its connection is closed.
+        """
+        if has_length(self._response):
+            return
+        evidence = await evidence_of_end(
+            self._codec, self._routed, self._backend, self._path, self._witness
+        )
+        if not evidence.is_complete:
+            raise CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
+
     async def _send(self, last_event_id: str | None) -> aiohttp.ClientResponse:
         routed = self._routed
         remaining_s = self._remaining()
@@ -187,18 +189,11 @@
     async def _receive_head(
         self, context: Awaitable[aiohttp.ClientResponse]
     ) -> aiohttp.ClientResponse:
-        """Return the response; from its first moment on watch how it is closed.
-
-        Once the connection is closed, the response does not lead to it any more.
-        """
+        """Return the response; without a length, watch for the end of its server."""
         response = await context
         self._backend.connections.track(response)
-        if response.connection is not None and response.connection.protocol is not None:
-            self._closed = response.connection.protocol.closed
-        if self._closed is not None:
-            # Retrieves the exception, so that asyncio does not report it as unhandled;
-            # check_complete() handles it.
-            self._closed.add_done_callback(_retrieve_exception)
+        if not has_length(response):
+            self._witness = self._backend.connections.hold_witness(self._path)
         return response
 
     def _on_path_lost(self) -> None:
@@ -218,24 +213,6 @@
         if not head.signed or "Content-Encoding" in head.headers:
             raise CallFailed(RetryReason.BAD_ANSWER, not_run=False)
 
-    def _was_reset(self) -> bool:
-        closed = self._closed
-        if closed is None or not closed.done() or closed.cancelled():
-            return False
-        return closed.exception() is not None
-
-    def _log_end(self) -> None:
-        connection, relay = self._path.connection, self._path.relay
-        log(
-            Part.REQUESTS,
-            "An answer without a length has ended.",
-            id=self._routed.incoming.request_id,
-            backend=self._backend.entry.id,
-            end=None if connection is None else connection.end.value,
-            relay=None if relay is None else relay.id,
-            is_aborted=self._backend.connections.aborted,
-        )
-
     def _before_deadline(self, timeout_s: float) -> float | None:
         """Return ``timeout_s``, or None if the deadline comes first."""
         return timeout_s if timeout_s < self._remaining() else None
@@ -245,23 +222,6 @@
         return max(0.001, self._routed.deadline - now)
 
 
-def call_failure(error: Exception) -> CallFailed:
-    """Convert an exception of the client library to a :class:`CallFailed`."""
-    if isinstance(error, ServerResting):
-        return CallFailed(RetryReason.BACKEND_RESTING, not_run=True)
-    if isinstance(error, ServerLimited):
-        return CallFailed(RetryReason.BACKEND_LIMITED, not_run=True)
-    if isinstance(error, aiohttp.ConnectionTimeoutError):
-        return CallFailed(RetryReason.CONNECT_SILENT, not_run=True)
-    if isinstance(error, aiohttp.ClientConnectorError):
-        return CallFailed(RetryReason.CONNECT_FAILED, not_run=True)
-    if isinstance(error, TimeoutError):
-        return CallFailed(RetryReason.CONNECTION_SILENT, not_run=False)
-    if isinstance(error, (aiohttp.ClientResponseError, AnswerTooLong, ValueError)):
-        return CallFailed(RetryReason.BAD_ANSWER, not_run=False)
-    return CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
-
-
 async def _always() -> bool:
     return True
 
@@ -274,11 +234,6 @@
         result.close()
 
 
-def _retrieve_exception(closed: asyncio.Future) -> None:
-    if not closed.cancelled():
-        closed.exception()
-
-
 def _refusal_reason(head: ResponseHead) -> RetryReason:
     if head.status == HTTP_MISDIRECTED:
         return RetryReason.BACKEND_REPLACED
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -21,11 +21,16 @@
 from ..exceptions import AnswerTooLong, CallFailed
 from ..log import Part, log
 from ..process.backends import Backend
-from .engine_call import CONNECT_S, call_failure
+from .client_errors import CONNECT_S, call_failure
 from .incoming_request import WireCodec
 from .reasons import RetryReason
 
-__all__ = ["check_incarnation", "check_on_new_connection", "first_confirmed"]
+__all__ = [
+    "check_incarnation",
+    "check_on_new_connection",
+    "first_confirmed",
+    "reported_start",
+]
 
 # Servers report from memory, within milliseconds unless they are overloaded.
 NEXT_SERVER_DELAY_S = 0.1
@@ -106,7 +111,7 @@
     Nothing is checked if its entry does not state when it was started.
     """
     if server.entry.started:
-        await _ask_start(codec, server, timeout_s, reuse=True)
+        await _check_start(codec, server, timeout_s, reuse=True)
 
 
 async def check_on_new_connection(
@@ -116,12 +121,17 @@
 
     Open connections are not used, because the network path may have dropped them.
     """
-    await _ask_start(codec, server, timeout_s, reuse=False)
+    await _check_start(codec, server, timeout_s, reuse=False)
 
 
-async def _ask_start(
+async def reported_start(
     codec: WireCodec, server: Backend, timeout_s: float, reuse: bool
-) -> None:
+) -> int | None:
+    """Return when a server says that it was started; None if it does not say.
+
+    Raises :class:`CallFailed` if it does not answer. Without ``reuse`` it is asked on a
+    new connection.
+    """
     connections = server.connections
     connections.begin_call()
     try:
@@ -130,7 +140,7 @@
                 "GET", codec.REPORT_PATH, CIMultiDict(), b"", CONNECT_S, reuse
             )
             async with context as response:
-                started = codec.decode_start(
+                return codec.decode_start(
                     await read_bounded(response, MAX_REPORT_BYTES)
                 )
     except TimeoutError as error:
@@ -142,5 +152,11 @@
         raise CallFailed(RetryReason.CONNECT_FAILED, not_run=True) from error
     finally:
         connections.end_call()
+
+
+async def _check_start(
+    codec: WireCodec, server: Backend, timeout_s: float, reuse: bool
+) -> None:
+    started = await reported_start(codec, server, timeout_s, reuse)
     if server.entry.started and started not in (None, server.entry.started):
         raise CallFailed(RetryReason.BACKEND_REPLACED, not_run=True)
