--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -189,6 +189,10 @@
             return await probe_listening(self.address)
         return await self._link.paths.check_anew(self.address)
 
+    async def is_relay_answering(self, relay: Member) -> bool:
+        """Return whether a node that connects to the server for this one answers."""
+        return await self._link.relays.answers(relay, self.address)
+
     @property
     def has_own_address(self) -> bool:
         """Whether no other server is listed at the address."""
--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -1,10 +1,14 @@
 """Connections to servers through other nodes, by the CONNECT method of HTTP.
 
 A node that cannot reach a server asks another node, the relay, to connect to it. The
-relay then passes bytes on in both directions without interpreting them, and closes or
-resets each side as the other side does. What a connection carries, such as request ids,
-deadlines and streams, is therefore the same as on a direct one, and a request that is
-cancelled closes both.
+relay then passes bytes on in both directions without interpreting them. What a
+connection carries, such as request ids, deadlines and streams, is therefore the same as
+on a direct one, and a request that is cancelled closes both.
+
+To the node, a regular close says that the server has closed regularly, and may be the
+end of an answer. Whatever else ends a connection resets it, also the end of the relay's
+process. A header of the relay's answer says so, because nodes of older releases close
+connections regularly.
 
 A relay connects only to servers that are listed, and only directly, so that relayed
 connections cannot form a loop. It listens for TCP at its gossip address; nodes of
@@ -12,34 +16,28 @@
 """
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from functools import partial
-
-import msgspec
 
-from eelgrass_coordination import Member, StallAwareTimeout
+from eelgrass_coordination import StallAwareTimeout
 
-from ..exceptions import RelayUnavailable
 from ..log import Part, log
-from ..process.listening import Listening
-from ..process.relay_choice import RelayChoice
 from ..process.server_paths import Path, ServerPaths
 from ..process.stopping import Stopping
-from .races import first_success
-from .sockets import open_socket, set_timeouts
-
-__all__ = ["RelayClient", "RelayServer", "RelayedSocket"]
-
-# A relay has to connect to the server as well. If it cannot, its answer comes before
-# the client's timeout.
-RELAY_TIMEOUT_S = 0.15
+from .sockets import set_reset_on_close, set_timeouts
+
+__all__ = [
+    "HEAD_END",
+    "MAX_HEAD_BYTES",
+    "OPENED_STATUS",
+    "PASSES_END_ON",
+    "REFUSED_STATUS",
+    "TIMED_OUT_STATUS",
+    "RelayServer",
+]
+
+# If the server cannot be reached, the answer comes before the client's timeout.
 CONNECT_TIMEOUT_S = 0.1
-# Time between the starts of attempts with different relays: a round trip between data
-# centres and a connection from there.
-STAGGER_S = 0.02
 # Time for the head of a CONNECT request, once the connection is open.
 HEAD_TIMEOUT_S = 1.0
 MAX_HEAD_BYTES = 1024
@@ -50,7 +48,10 @@
 # Relayed connections may use this part of the file descriptors, two for each.
 DESCRIPTOR_FRACTION = 0.25
 HEAD_END = b"\r\n\r\n"
-OPENED = b"HTTP/1.1 200 Connection established\r\n\r\n"
+OPENED_STATUS = b"200"
+# Says that the relay closes the connection regularly only where the server does.
+PASSES_END_ON = b"Close: passed-on"
+OPENED = b"HTTP/1.1 200 Connection established\r\n%s\r\n\r\n" % PASSES_END_ON
 # The server refused the connection.
 REFUSED_STATUS = 502
 # The relay cannot connect to the server, or does not know it.
@@ -59,119 +60,6 @@
 TIMED_OUT_STATUS = 504
 
 
-class RelayedSocket(msgspec.Struct, frozen=True):
-    """A socket that is connected to a server through ``relay``."""
-
-    socket: socket.socket
-    relay: Member
-
-    def close(self) -> None:
-        """Close the socket."""
-        self.socket.close()
-
-
-class RelayClient:
-    """Opens connections to servers through other nodes."""
-
-    def __init__(self, choice: RelayChoice) -> None:
-        self._choice = choice
-
-    async def open(self, address: str, data_centre: str) -> RelayedSocket:
-        """Return a connected socket to a server in a data centre, through a relay.
-
-        Raises :class:`RelayUnavailable` if no relay has connected to the server.
-        """
-        members = self._choice.candidates(data_centre)
-        if not members:
-            raise RelayUnavailable(address, None)
-
-        found: list[Listening | None] = []
-
-        async def attempt(member: Member) -> RelayedSocket:
-            try:
-                opened = await self.open_through(member, address)
-                return RelayedSocket(opened, member)
-            except RelayUnavailable as error:
-                found.append(error.listening)
-                raise
-
-        attempts = [partial(attempt, member) for member in members]
-        try:
-            return await first_success(attempts, STAGGER_S, RelayedSocket.close)
-        except RelayUnavailable as error:
-            raise RelayUnavailable(address, _combined(found)) from error
-
-    async def probe(self, address: str, data_centre: str) -> Listening | None:
-        """Return whether a server accepts connections from other nodes.
-
-        None if no other node could try.
-        """
-        try:
-            (await self.open(address, data_centre)).close()
-        except RelayUnavailable as error:
-            return error.listening
-        return Listening.YES
-
-    async def open_through(self, member: Member, address: str) -> socket.socket:
-        """Return a connected socket to a server through one relay.
-
-        Raises :class:`RelayUnavailable` if it has not connected to the server.
-        """
-        host, _, port = member.gossip.rpartition(":")
-        opened = open_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
-        try:
-            opened.setblocking(False)
-            async with StallAwareTimeout(RELAY_TIMEOUT_S):
-                loop = asyncio.get_running_loop()
-                await loop.sock_connect(opened, (host, int(port)))
-                request = f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n"
-                await loop.sock_sendall(opened, request.encode())
-                status = await _read_status(opened)
-            if status != OPENED.split()[1]:
-                raise RelayUnavailable(address, _listening(status))
-        except BaseException as error:
-            opened.close()
-            if isinstance(error, (OSError, TimeoutError, RelayUnavailable)):
-                self._choice.on_unfit(member)
-                if not isinstance(error, RelayUnavailable):
-                    raise RelayUnavailable(address, None) from error
-            raise
-        self._choice.on_fit(member)
-        return opened
-
-
-async def _read_status(opened: socket.socket) -> bytes:
-    """Return the status of the answer to a CONNECT request.
-
-    The answer has no body, and a server sends nothing before it has a request.
-    """
-    loop = asyncio.get_running_loop()
-    head = b""
-    while not head.endswith(HEAD_END):
-        data = await loop.sock_recv(opened, MAX_HEAD_BYTES)
-        if not data or len(head) > MAX_HEAD_BYTES:
-            raise ConnectionResetError("the relay closed the connection")
-        head += data
-    return head.split(None, 2)[1]
-
-
-def _combined(found: list[Listening | None]) -> Listening | None:
-    """Return what several relays found out about a server.
-
-    Those that are refused may have lost their own paths; one without an answer is
-    enough to doubt that the server refuses connections.
-    """
-    if Listening.UNKNOWN in found:
-        return Listening.UNKNOWN
-    return Listening.NO if Listening.NO in found else None
-
-
-def _listening(status: bytes) -> Listening | None:
-    if status == b"%d" % REFUSED_STATUS:
-        return Listening.NO
-    return Listening.UNKNOWN if status == b"%d" % TIMED_OUT_STATUS else None
-
-
 class RelayServer:
     """Relays connections of other nodes to servers, at the address of this node.
 
@@ -272,6 +160,8 @@
                 self._refuse(writer, REFUSED_STATUS)
                 return
             try:
+                # From here on the kernel resets it as well, if the process ends.
+                set_reset_on_close(writer.get_extra_info("socket"), True)
                 writer.write(OPENED)
                 exchange = _Exchange(lambda: not self._is_resting(address))
                 await _splice(reader, writer, upstream_reader, upstream, exchange)
@@ -310,6 +200,10 @@
     return reader, writer
 
 
+class _RequestTooMany(ConnectionAbortedError):
+    """A request was begun to a server that has asked for rest."""
+
+
 class _Exchange:
     """The turns on one connection, on which requests and answers alternate.
 
@@ -322,9 +216,9 @@
         self._is_answered = False
 
     def on_sent(self) -> None:
-        """Raise :class:`ConnectionAbortedError` if bytes begin a request too many."""
+        """Raise :class:`_RequestTooMany` if bytes begin a request that may not."""
         if self._is_answered and not self._may_begin():
-            raise ConnectionAbortedError("the server has asked for rest")
+            raise _RequestTooMany("the server has asked for rest")
         self._is_answered = False
 
     def on_received(self) -> None:
@@ -339,16 +233,24 @@
     upstream: asyncio.StreamWriter,
     exchange: _Exchange,
 ) -> None:
-    """Pass bytes on in both directions until one of the connections ends."""
+    """Pass bytes on in both directions until one of the connections ends.
+
+    The connection to the client is reset when it is closed, unless the server has ended
+    regularly and all that it sent was passed on, or no answer has begun.
+    """
     to_server = asyncio.create_task(_copy(reader, upstream, exchange.on_sent))
     to_client = asyncio.create_task(
         _copy(upstream_reader, writer, exchange.on_received)
     )
     try:
         await asyncio.wait({to_server, to_client}, return_when=asyncio.FIRST_COMPLETED)
-        if to_client.done() and to_client.exception() is not None:
-            # A response without a length that is cut off must not look complete.
-            _reset(writer)
+        has_server_ended = to_client.done() and to_client.exception() is None
+        # The server rests: no answer has begun that the close could end.
+        is_between = to_server.done() and isinstance(
+            to_server.exception(), _RequestTooMany
+        )
+        if has_server_ended or is_between:
+            set_reset_on_close(writer.get_extra_info("socket"), False)
     finally:
         for task in (to_server, to_client):
             task.cancel()
@@ -368,11 +270,3 @@
         on_bytes()
         writer.write(data)
         await writer.drain()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset instead of a regular end."""
-    linger = struct.pack("ii", 1, 0)
-    transport_socket = writer.get_extra_info("socket")
-    transport_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -23,7 +23,7 @@
 from .backend import ServerLimited, ServerResting
 from .end_witness import EndWitness, WitnessLease
 from .races import first_success
-from .relays import RelayClient
+from .relay_client import RelayClient, RelayedSocket
 from .response_handler import SolicitedResponseHandler, is_readable
 from .sockets import Connector, open_socket
 
@@ -43,8 +43,8 @@
 class ServerLink:
     """How connections to a server at ``address`` in ``data_centre`` are opened.
 
-    ``relayed`` holds the connections that pass through another node, with that node's
-    record. ``is_resting`` returns whether the server has asked this node for rest,
+    ``relayed`` holds the connections that pass through another node, as they were
+    opened. ``is_resting`` returns whether the server has asked this node for rest,
     ``take_permit`` whether it may get one more request now, and ``owns_address``
     whether no other server is listed at its address.
     """
@@ -67,7 +67,7 @@
         self.take_permit = take_permit
         self.owns_address = owns_address
         self._witness_by_relay: dict[NodeId | None, EndWitness] = {}
-        self.relayed: weakref.WeakKeyDictionary[ResponseHandler, Member] = (
+        self.relayed: weakref.WeakKeyDictionary[ResponseHandler, RelayedSocket] = (
             weakref.WeakKeyDictionary()
         )
 
@@ -77,7 +77,8 @@
 
     def open_relays(self) -> list[Member]:
         """Return the nodes through which connections are open."""
-        return list({relay.id: relay for relay in self.relayed.values()}.values())
+        relays = (opened.relay for opened in self.relayed.values())
+        return list({relay.id: relay for relay in relays}.values())
 
     def suspect(self) -> None:
         """Check the path to the server after a sign that it may be lost."""
@@ -94,7 +95,7 @@
                 witness = EndWitness(self._connect_directly, self.owns_address)
             else:
                 # Not kept open, because it holds up a planned stop of the relay.
-                connect = partial(self.relays.open_through, relay, self.address)
+                connect = partial(self._connect_through, relay)
                 witness = EndWitness(connect, self.owns_address, keep_open_s=0.0)
             self._witness_by_relay[key] = witness
         return witness.hold(connection)
@@ -107,6 +108,12 @@
             else:
                 witness.close()
 
+    async def _connect_through(self, relay: Member) -> socket.socket:
+        try:
+            return (await self.relays.open_through(relay, self.address)).socket
+        except RelayUnavailable as error:
+            raise OSError(errno.EHOSTUNREACH, str(error)) from error
+
     async def _connect_directly(self) -> socket.socket:
         host, _, port = self.address.rpartition(":")
         opened = open_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
@@ -158,7 +165,10 @@
             call = trace._trace_config_ctx.trace_request_ctx
             if call is not None:
                 call.path.connection = connection.protocol
-                call.path.relay = self._link.relayed.get(connection.protocol)
+                relayed = self._link.relayed.get(connection.protocol)
+                if relayed is not None:
+                    call.path.relay = relayed.relay
+                    call.path.is_end_passed_on = relayed.is_end_passed_on
         return connection
 
     def is_unacknowledged(self) -> bool:
@@ -212,7 +222,7 @@
         _, protocol = await self._loop.create_connection(
             self._factory, sock=opened.socket
         )
-        link.relayed[protocol] = opened.relay
+        link.relayed[protocol] = opened
         return protocol
 
     def _direct_in_use(self) -> list[ResponseHandler]:
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -8,16 +8,17 @@
 from eelgrass_coordination.ids import NodeId
 
 from ..process.backends import Backends, HostEntry, ServerIncarnation
-from ..process.listening import Listening
 from ..process.host_settings import HostSettings
+from ..process.listening import Listening
 from ..process.relay_choice import RelayChoice
 from ..process.server_paths import ServerPaths
 from ..process.stopping import Stopping
 from .answer_head import AnswerHead
 from .backend import BackendConnections
 from .listen_probe import probe_listening
+from .relay_client import RelayClient
 from .relay_rests import RelayRests, TellRelay
-from .relays import RelayClient, RelayServer
+from .relays import RelayServer
 from .server_connector import ServerLink
 
 __all__ = ["ServerLinks"]
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import struct
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -15,7 +16,13 @@
 
 from .response_handler import SolicitedResponseHandler, is_readable
 
-__all__ = ["Connector", "new_session", "open_socket", "set_timeouts"]
+__all__ = [
+    "Connector",
+    "new_session",
+    "open_socket",
+    "set_reset_on_close",
+    "set_timeouts",
+]
 
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
@@ -48,6 +55,16 @@
     opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
+def set_reset_on_close(opened: socket.socket, is_reset: bool) -> None:
+    """Set whether closing a TCP socket resets its connection.
+
+    The kernel does the same if the process ends. What the peer has not received is
+    discarded.
+    """
+    linger = struct.pack("ii", int(is_reset), 0)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 class Connector(aiohttp.TCPConnector):
     """Opens sockets with these options; stalls of this process extend its timeout.
 
--- a/packages/node/src/eelgrass_node/request/answer_end.py
+++ b/packages/node/src/eelgrass_node/request/answer_end.py
@@ -132,9 +132,11 @@
 
 async def _ask_server(end: _End, is_witness_lost: bool) -> EndEvidence:
     """Find out what runs at the server's address; no other connection can tell."""
-    if end.path.relay is not None and not end.path.is_end_passed_on:
-        return EndEvidence.RELAY_UNKNOWN
-    connections = end.backend.connections
+    connections, relay = end.backend.connections, end.path.relay
+    if relay is not None and not end.path.is_end_passed_on:
+        # The relay may have ended itself.
+        if not await connections.is_relay_answering(relay):
+            return EndEvidence.RELAY_UNKNOWN
     if not is_witness_lost and not connections.has_own_address:
         return EndEvidence.ADDRESS_TAKEN
     silent_s = 0.0
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -23,6 +23,8 @@
 STOP_TIMEOUT_S = 20.0
 # Characters at the end of a process's output that a failure shows.
 LOG_TAIL = 2000
+# The state of a listening socket in /proc/net/tcp.
+TCP_LISTEN = "0A"
 
 
 class Process:
@@ -201,3 +203,19 @@
             except aiohttp.ClientError:
                 pass
             await asyncio.sleep(0.05)
+
+
+def listens(address: str) -> bool:
+    """Return whether a process listens at an address, without a connection to it."""
+    hex_port = f"{int(address.rpartition(':')[2]):04X}"
+    lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    states = (line.split()[1:4] for line in lines)
+    return any(
+        local.endswith(":" + hex_port) and state == TCP_LISTEN
+        for local, _, state in states
+    )
+
+
+def support_environment() -> dict[str, str]:
+    """Return the environment in which modules of this package run as programs."""
+    return {"PYTHONPATH": str(Path(__file__).parents[1])}
--- a/tests/test_ended_servers.py
+++ b/tests/test_ended_servers.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import aiohttp
 import pytest
@@ -14,7 +13,7 @@
 from eelgrass_standins.ports import free_addresses
 from support.entry import EntryDeployment, until
 from support.paced_engine import BODY, PIECE_S, PIECES, STREAM, PacedEngine
-from support.processes import Process
+from support.processes import Process, listens, support_environment
 
 BODY_BY_TARGET = {
     "/safe/x": BODY,
@@ -128,11 +127,11 @@
             process = Process(
                 ["support.paced_engine", address, "killed", "1"],
                 tmp_path / "killed.log",
-                {"PYTHONPATH": str(Path(__file__).parent)},
+                support_environment(),
             )
             process.start()
             try:
-                await until(lambda: _listens(address))
+                await until(lambda: listens(address))
                 deployment.list_engine(service, killed)
                 for engine in deployment.of(target):
                     deployment.store.remove("servers", engine.server_id)
@@ -151,16 +150,6 @@
             assert not_whole(target, answers) == []
 
 
-def _listens(address):
-    """Return whether a process listens at an address, without a connection to it."""
-    hex_port = f"{int(address.rpartition(':')[2]):04X}"
-    lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
-    return any(
-        line.split()[1].endswith(":" + hex_port) and line.split()[3] == "0A"
-        for line in lines
-    )
-
-
 class TestServerGoesOn:
     """Answers that are whole, and end as soon as their last byte is there."""
 
