--- a/packages/coordination/src/eelgrass_coordination/members.py
+++ b/packages/coordination/src/eelgrass_coordination/members.py
@@ -81,6 +81,11 @@
         states = (MemberState.ALIVE, MemberState.SUSPECT)
         return [member for member in self.by_id.values() if member.state in states]
 
+    def dead(self) -> list[Member]:
+        """Return the members that are considered dead; they may only be cut off."""
+        members = self.by_id.values()
+        return [member for member in members if member.state is MemberState.DEAD]
+
     def absent(self) -> list[Member]:
         """Return the members that left or are considered dead.
 
--- a/packages/node/src/eelgrass_node/entry_stream_origins.py
+++ b/packages/node/src/eelgrass_node/entry_stream_origins.py
@@ -96,9 +96,11 @@
     return StreamOrigins(
         choice,
         members.reachable,
+        members.dead,
         node.membership.datagrams.send_payload,
         node.version_history,
         lambda: node.tables.servers.reachable,
+        lambda: node.tables.servers.catch_up(),
         node.durable_origins,
         clock,
         node.counters.count,
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -11,19 +11,16 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
 
 from ..exceptions import HistoryGone, StoreUnavailable
 from ..log import Part, log
 from .store_backoff import StoreBackoff
+from .table_reader import StoredRow, TableChanges, TableReader
 
 __all__ = ["TableReplica", "StoredRow", "TableChanges", "TableReader"]
 
-# Size of the value, in bytes, from which a row is sent as a difference; smaller rows
-# fit into a few packets.
-LARGE_ROW_BYTES = 4096
 # Recent batches of changes whose acknowledgement times are kept. Followers of a relay
 # are one or two batches behind.
 MAX_BATCHES = 8
@@ -32,31 +29,6 @@
 MAX_REMOVED_ROWS = 1000
 
 
-class StoredRow(msgspec.Struct, frozen=True):
-    """A row of a table; ``value`` is None if the row was removed."""
-
-    key: str
-    version: int
-    value: bytes | None
-
-    @property
-    def is_large(self) -> bool:
-        """Whether a change of the row is worth sending as a difference."""
-        return self.value is not None and len(self.value) >= LARGE_ROW_BYTES
-
-
-class TableChanges(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Changed rows, complete up to a version of the store.
-
-    The store acknowledged none of the rows before ``acknowledged_after``, a time of
-    this node's event loop; None if that is not known.
-    """
-
-    rows: tuple[StoredRow, ...]
-    version: int
-    acknowledged_after: float | None = None
-
-
 class _Batch(msgspec.Struct, frozen=True):
     """Changes that led from one version to another, as they were read."""
 
@@ -65,20 +37,6 @@
     acknowledged_after: float | None
 
 
-class TableReader(Protocol):
-    """The read operations that a replica needs."""
-
-    async def read_table(self, table: str) -> TableChanges:
-        """Return all rows of a table; raises :class:`StoreUnavailable`."""
-
-    async def feed(self, table: str, after: int, wait_s: float) -> TableChanges:
-        """Return the rows changed after a version, waiting for the first change.
-
-        Raises :class:`StoreUnavailable`, and :class:`HistoryGone` if the history does
-        not go back to the version.
-        """
-
-
 class TableReplica:
     """One table of the store, kept up to date by :meth:`run`.
 
@@ -357,6 +315,27 @@
             del self._row_by_key[first.key]
             self._complete_from = max(self._complete_from, first.version)
 
+    async def catch_up(self) -> bool:
+        """Ask the store what has changed; return whether it has answered.
+
+        All that it had acknowledged before the call is known then, however old the
+        last answer was.
+        """
+        if not self._is_complete:
+            return False
+        try:
+            changes = await self._reader.feed_at_once(self._table, self._version)
+        except (StoreUnavailable, HistoryGone) as error:
+            log(
+                Part.STORE,
+                "The store did not say whether a table is up to date.",
+                table=self._table,
+                error=str(error),
+            )
+            return False
+        self._apply(changes)
+        return True
+
     def _on_reached(self) -> None:
         self.confirmed_at = asyncio.get_running_loop().time()
         if not self.reachable:
--- a/packages/node/src/eelgrass_node/process/stream_origins/origin_queries.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/origin_queries.py
@@ -27,7 +27,9 @@
 
     ``news`` is set when a node has answered, also a late one, or when the members have
     changed. ``complete`` is done once a node knows the origin, or all that were asked
-    last have answered. ``numbers`` are those of the messages.
+    last have answered. ``numbers`` are those of the messages. ``is_list_confirmed``
+    tells whether this node's list of servers is known to be that of the store when the
+    search began, or later.
     """
 
     def __init__(self, ask: Ask) -> None:
@@ -38,6 +40,7 @@
         self.awaited: dict[_Incarnation, Member] = {}
         self.unanswered: dict[_Incarnation, Member] = {}
         self.numbers: list[int] = []
+        self.is_list_confirmed = False
         self._asked: set[_Incarnation] = set()
 
     @property
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -12,15 +12,15 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
 
-from eelgrass_coordination import Member, stall_aware_wait
+from eelgrass_coordination import Member, StallAwareTimeout, stall_aware_wait
 
 from ...log import Part, log
 from ...version.deployment import ServiceName
-from .durable_origins import DurableOrigins
+from .durable_origins import AWAY_READ_TIMEOUT_S, READ_TIMEOUT_S, DurableOrigins
 from .messages import Answer, Ask, Confirm, Store, decode, encode
 from .origin_queries import OriginQueries, OriginSearch
 from .origin_replication import OriginReplication
@@ -46,28 +46,33 @@
 class StreamOrigins:
     """The origins of streams, as one node knows them and learns of them from others.
 
-    ``members`` returns the other live nodes, and ``send`` sends a payload to one's
-    address. ``list_is_current`` returns whether the node is in touch with the list of
-    servers, from which ``history`` knows their versions. ``durable`` are the origins in
-    the store.
+    ``members`` returns the other live nodes, ``dead_members`` those that are considered
+    dead, and ``send`` sends a payload to one's address. ``history`` knows the versions
+    from the list of servers. ``list_is_current`` returns whether the last call for that
+    list was answered, and ``confirm_list`` asks the store for it now and returns
+    whether it has answered. ``durable`` are the origins in the store.
     """
 
     def __init__(
         self,
         choice: ReplicaChoice,
         members: Callable[[], Sequence[Member]],
+        dead_members: Callable[[], Sequence[Member]],
         send: Callable[[str, bytes], None],
         history: VersionHistory,
         list_is_current: Callable[[], bool],
+        confirm_list: Callable[[], Awaitable[bool]],
         durable: DurableOrigins,
         clock: Callable[[], float],
         count: Callable[[str], None],
     ) -> None:
         self._choice = choice
         self._members = members
+        self._dead_members = dead_members
         self._send_payload = send
         self._history = history
         self._list_is_current = list_is_current
+        self._confirm_list = confirm_list
         self._durable = durable
         self._clock = clock
         self._started_at = clock()
@@ -121,20 +126,41 @@
             if origin is None:
                 origin = await self._ask_others(search)
             if origin is None:
-                others = asyncio.create_task(self._ask_newcomers(search))
-                lookups = [others]
-                if stream:
-                    # The list of servers is a table of the same store.
-                    is_store_answering = self._list_is_current()
-                    in_store = self._durable.find(stream, others, is_store_answering)
-                    lookups.append(asyncio.create_task(in_store))
-                origin = await _first_found(lookups) or search.origin
-            if origin is None:
-                origin = self._only_possible(search)
+                origin = await self._look_further(search)
         if origin is None:
             self._log_unknown(search)
         return origin
 
+    async def _look_further(self, search: OriginSearch) -> StreamOrigin | None:
+        """Look in the store, ask nodes that become known, and exclude versions."""
+        others = asyncio.create_task(self._ask_newcomers(search))
+        confirming = asyncio.create_task(self._confirm_versions(search))
+        lookups = [others]
+        if search.ask.stream:
+            # The list of servers is a table of the same store.
+            is_store_answering = self._list_is_current()
+            in_store = self._durable.find(search.ask.stream, others, is_store_answering)
+            lookups.append(asyncio.create_task(in_store))
+        try:
+            origin = await _first_found(lookups) or search.origin
+            if origin is None:
+                await confirming
+                origin = self._only_possible(search)
+        finally:
+            confirming.cancel()
+            await asyncio.gather(confirming, return_exceptions=True)
+        return origin
+
+    async def _confirm_versions(self, search: OriginSearch) -> None:
+        """Learn of the versions that were listed until the search began."""
+        timeout_s = READ_TIMEOUT_S if self._list_is_current() else AWAY_READ_TIMEOUT_S
+        try:
+            async with StallAwareTimeout(timeout_s):
+                search.is_list_confirmed = await self._confirm_list()
+        except TimeoutError:
+            return
+        search.news.set()
+
     def on_members_changed(self) -> None:
         """Renew copies that were lost, and ask nodes that have become known."""
         self.replication.on_members_changed()
@@ -215,10 +241,13 @@
         versions = {version for answer in answers for version in answer.versions}
         if len(versions) != 1:
             return None
-        # Without the store no node lists a new version, if all of them are in reach.
-        all_answered = not search.unanswered
-        covers = self._covers(ask) and all_answered
-        if not covers and not any(answer.covers for answer in answers):
+        # A list is old if nothing was heard, whoever has it. Without the store no node
+        # lists a new version, if all of them are in reach; one that is considered dead
+        # may only be cut off.
+        all_answered = not search.unanswered and not self._dead_members()
+        if not search.is_list_confirmed and not all_answered:
+            return None
+        if not self._covers(ask) and not any(answer.covers for answer in answers):
             return None
         return StreamOrigin(ask.service, versions.pop())
 
--- a/packages/node/src/eelgrass_node/process/table_relay.py
+++ b/packages/node/src/eelgrass_node/process/table_relay.py
@@ -163,6 +163,10 @@
             return changes
         return await self._feed_from_store(table, after, wait_s)
 
+    async def feed_at_once(self, table: str, after: int) -> TableChanges:
+        """Return changed rows from the store, whatever the relays have."""
+        return await self._store.feed(table, after, 0.0)
+
     async def _ask_relays(self, table: str, after: int | None) -> TableChanges | None:
         """Ask the relays of a table in turn; return None if the store must be asked.
 
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -36,6 +36,7 @@
 UNIX_MS = 1_800_000_000_000
 CALLER_TIMEOUT_S = 8.0
 WRITES_PER_S = 400.0
+STORE_CALL_S = 0.004
 # How long a node that leaves goes on running.
 LEAVING_S = 0.3
 
@@ -74,7 +75,12 @@
 
 
 class FleetNode:
-    """One node; ``list_servers`` gives it the list of servers."""
+    """One node; ``list_servers`` gives it the list of servers.
+
+    ``is_list_current`` tells whether its last call to the store was answered, and
+    ``reaches_store`` whether the next one is; the store then lists servers of
+    ``listed_in_store``, if that is set.
+    """
 
     def __init__(
         self,
@@ -92,6 +98,8 @@
         self.started_at = clock()
         self.counts = Counter()
         self.is_list_current = True
+        self.reaches_store = True
+        self.listed_in_store: tuple[str, ...] | None = None
         self.backends = SimpleNamespace(by_service={})
         self._versions = versions
         self._roster = versions.roster(self._listed, lambda: UNIX_MS)
@@ -110,9 +118,11 @@
         self.origins = StreamOrigins(
             ReplicaChoice(data_centre, {}, members, lambda _: True, clock),
             members,
+            self.membership.members.dead,
             self.membership.datagrams.send_payload,
             self.history,
             lambda: self.is_list_current,
+            self._confirm_list,
             self.durable,
             clock,
             lambda name: self.counts.update([name]),
@@ -121,6 +131,14 @@
         self.membership.datagrams.on_payload = self.origins.receive
         self._writing = asyncio.create_task(self.durable.run())
 
+    async def _confirm_list(self) -> bool:
+        await asyncio.sleep(STORE_CALL_S)
+        if not (self.is_list_current and self.reaches_store):
+            return False
+        if self.listed_in_store is not None:
+            self.list_servers(*self.listed_in_store)
+        return True
+
     def _listed(self, service: str) -> frozenset[str]:
         servers = self.backends.by_service.get(service, [])
         return frozenset(server.entry.version for server in servers)
@@ -210,6 +228,13 @@
             len(node.membership.members.reachable()) == known for node in self.nodes
         )
 
+    def isolate(self, number: int) -> None:
+        """Cut one node off from all others."""
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, DatagramLoop)
+        address = self.nodes[number].membership.own.gossip
+        loop.is_cut = lambda source, to: address in (source, to)
+
     def cut(self, data_centre: int) -> None:
         """Cut a data centre off from all others."""
         inside = f"10.{data_centre}."
