Callers of HTTP/1.0: a stream that is broken off is reset

The connection is now reset from the head of the stream on, also by the kernel if this process is killed, until the stream is complete. The test failed before.

--- a/packages/node/src/eelgrass_node/request/caller_response.py
+++ b/packages/node/src/eelgrass_node/request/caller_response.py
@@ -3,9 +3,10 @@
 import asyncio
 import random
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
+from ..connection.sockets import set_reset_on_close
 from ..exceptions import CallerGone
 from .engine_call import Reply
 from .incoming_request import ResponseHead
@@ -81,6 +82,7 @@
         stream = web.StreamResponse(status=head.status, headers=headers)
         self._apply_closing(stream)
         self._stream = stream
+        self._set_reset_on_close(True)
         await self._send(stream.prepare(self._request))
 
     async def write(self, data: bytes) -> None:
@@ -93,6 +95,7 @@
 
         So the limits of the request do not apply to bytes that its caller has not read.
         """
+        self._set_reset_on_close(False)
         return self._stream
 
     def abort(self) -> web.StreamResponse:
@@ -112,6 +115,15 @@
         except (ConnectionError, asyncio.IncompleteReadError) as error:
             raise CallerGone from error
 
+    def _set_reset_on_close(self, is_reset: bool) -> None:
+        """Have a stream to a caller of HTTP/1.0 reset unless it ends as complete.
+
+        It has no chunks, so that a regular close would be its end.
+        """
+        transport = self._request.transport
+        if self._request.version < HttpVersion11 and transport is not None:
+            set_reset_on_close(transport.get_extra_info("socket"), is_reset)
+
     def _apply_closing(self, response: web.StreamResponse) -> web.StreamResponse:
         # Requests behind an answer that announces the close would not be answered.
         if self._closing and not self._request.protocol.has_waiting_requests:
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -1,5 +1,6 @@
 """Answers with neither a length nor chunks, which end with their connection."""
 
+import asyncio
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -7,7 +8,8 @@
 
 from eelgrass_standins.ports import free_addresses
 from support.closing_engine import ClosingEngine, Ending
-from support.entry import COMPLETE_STREAM, EntryDeployment, until
+from support.connections import connect
+from support.entry import COMPLETE_STREAM, HOST, KEY, EntryDeployment, until
 
 SEGMENTS = {"Eelgrassward_Segments": "2,1,5", "Eelgrassward_Segment_Key": "key"}
 BODY = b"a body of some length"
@@ -135,6 +137,38 @@
             await until(lambda: {s.id for _, s, _ in quarantine.crashes()} == crashed)
 
 
+class TestCallerWithoutChunks:
+    """A caller of HTTP/1.0 gets streams that end with its connection."""
+
+    # Guards against a part of a stream that a regular close passes off as whole.
+    async def test_a_stream_that_is_broken_off_is_reset(self):
+        async with deployed() as deployment:
+            deployment.end("readers", Ending.RESET)
+            with pytest.raises(ConnectionResetError):
+                await ask_without_chunks(deployment, "/stream/single/x")
+
+    async def test_a_whole_stream_is_closed(self):
+        async with deployed() as deployment:
+            answered = await ask_without_chunks(deployment, "/stream/single/x")
+            assert answered.startswith(b"HTTP/1.0 200 OK")
+            assert answered.endswith(b"\r\n\r\n" + COMPLETE_STREAM)
+
+
+async def ask_without_chunks(deployment, target):
+    """Send a request of HTTP/1.0; return all bytes until its connection is closed."""
+    reader, writer = await connect(deployment.nodes[0].settings.callers)
+    writer.write(
+        f"POST {target} HTTP/1.0\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+        "Eelgrassward-Attempt-Id: 1\r\nEelgrassward-Deadline-Ms: 3000\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
+    )
+    try:
+        async with asyncio.timeout(5):
+            return await reader.read(-1)
+    finally:
+        writer.close()
+
+
 class TestStreamEndsInsideAnEvent:
     """A stream that is closed inside an event was broken off."""
 
