Witnesses of the end of a server: what counts if only one connection is lost

A witness that is lost shortly before the answer ends speaks against it, as the end of the answer may wait behind bytes still to be read; one lost before the answer began does not. Tests of the mechanism alone.

--- a/packages/node/src/eelgrass_node/connection/end_witness.py
+++ b/packages/node/src/eelgrass_node/connection/end_witness.py
@@ -18,10 +18,11 @@
 # A process that ends closes its connections within this time of each other, as seen
 # here. A witness must have been open for as long before it counts.
 TOGETHER_S = 0.02
+# The end of a connection may wait this long behind bytes that are still to be read.
+# After a loss of the witness alone, the next one is opened after this time.
+REOPEN_S = 0.25
 # Answers that follow within this time find the witness open.
 KEEP_OPEN_S = 10.0
-# Servers close idle connections after some seconds; the next one is opened after this.
-REOPEN_S = 0.25
 
 
 class WitnessLease:
@@ -32,8 +33,9 @@
     ) -> None:
         self._witness = witness
         self._connection = connection
+        self._held_at = asyncio.get_running_loop().time()
         # Whether the witness was lost while the answer may have ended unnoticed.
-        self.is_broken = False
+        self._is_broken = False
 
     async def process_goes_on(self) -> bool | None:
         """Return whether the other end went on as the connection ended.
@@ -43,16 +45,18 @@
         ended_at = self._connection.ended_at
         loop = asyncio.get_running_loop()
         await asyncio.sleep(max(0.0, ended_at + TOGETHER_S - loop.time()))
-        if self.is_broken or self._witness.lost_at >= ended_at - TOGETHER_S:
+        lost_since = max(ended_at - REOPEN_S, self._held_at - TOGETHER_S)
+        if self._is_broken or self._witness.lost_at >= lost_since:
             return False
         if self._witness.was_open_since(ended_at - TOGETHER_S):
             return True
         return None
 
-    def is_receiving(self) -> bool:
-        """Return whether the end of the connection would be noticed."""
+    def on_witness_lost(self) -> None:
+        """Note whether the end of the connection would be noticed by now."""
         transport = self._connection.transport
-        return transport is not None and transport.is_reading()
+        if transport is None or not transport.is_reading():
+            self._is_broken = True
 
     def release(self) -> None:
         """End the use."""
@@ -130,13 +134,17 @@
         if self._leases:
             self._cancel_timer()
             self._timer = loop.call_later(REOPEN_S, self._reopen)
+        self._notify_leases()
 
     def _reopen(self) -> None:
         """Open the next connection, for answers that have not ended by now."""
-        for lease in self._leases:
-            lease.is_broken = lease.is_broken or not lease.is_receiving()
+        self._notify_leases()
         self._open()
 
+    def _notify_leases(self) -> None:
+        for lease in self._leases:
+            lease.on_witness_lost()
+
     def _open(self) -> None:
         if self._opening is None and self._may_connect():
             self._opening = asyncio.create_task(self._open_connection())
@@ -146,11 +154,16 @@
         self._opening = None
 
     async def _open_connection(self) -> None:
+        loop = asyncio.get_running_loop()
         try:
             opened = await self._connect()
-            transport, _ = await asyncio.get_running_loop().create_connection(
-                lambda: _IdleProtocol(self), sock=opened
-            )
+            try:
+                transport, _ = await loop.create_connection(
+                    lambda: _IdleProtocol(self), sock=opened
+                )
+            except BaseException:
+                opened.close()
+                raise
         except (OSError, TimeoutError) as error:
             log(
                 Part.HOSTS,
@@ -159,7 +172,7 @@
             )
             return
         self._transport = transport
-        self._opened_at = asyncio.get_running_loop().time()
+        self._opened_at = loop.time()
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
