--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -315,6 +315,11 @@
             del self._row_by_key[first.key]
             self._complete_from = max(self._complete_from, first.version)
 
+    def is_confirmed_within(self, max_age_s: float) -> bool:
+        """Return whether the table was read within so many seconds."""
+        age_s = asyncio.get_running_loop().time() - self.confirmed_at
+        return self.reachable and age_s <= max_age_s
+
     async def catch_up(self) -> bool:
         """Ask the store what has changed; return whether it has answered.
 
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -93,7 +93,7 @@
         self._release_timer: asyncio.TimerHandle | None = None
         self._last_reply: Reply | None = None
         self._events = EventSplitter(routed.incoming.last_event_id)
-        self._stream_version = StreamVersion(routed, context.origins)
+        self._stream_version = StreamVersion(routed, context)
         self._graph = StageGraph(
             routed,
             context.plan(routed),
--- a/packages/node/src/eelgrass_node/request/stream_version.py
+++ b/packages/node/src/eelgrass_node/request/stream_version.py
@@ -5,9 +5,10 @@
 from eelgrass_coordination.ids import SoftwareVersion
 
 from ..exceptions import CallFailed, RequestRefused
+from ..log import Part, log
 from ..process.backends import Backend
 from ..process.server_choice import ServerCriteria
-from ..process.stream_origins import StreamOrigin, StreamOrigins
+from ..process.stream_origins import StreamOrigin
 from .call_failures import record_failure
 from .incarnation_check import check_incarnation, first_confirmed
 from .incoming_request import RoutedRequest
@@ -24,18 +25,29 @@
 CHECKS_FRACTION = 0.5
 # Timeout of a check once that time is up, for servers that were not asked before.
 MIN_CHECK_TIMEOUT_S = 0.3
+# Servers report from memory. One that does not has ended, or is overloaded.
+CONFIRM_TIMEOUT_S = 0.4
+
+# Tasks that go on after their request, which may have ended sooner.
+_confirming_tasks: set[asyncio.Task] = set()
 
 
 class StreamVersion:
     """The version at which a stream goes on; ``version`` is None until it has begun.
 
     The origin is recorded before the first event is sent, so that the caller may resume
-    the stream at any node.
+    the stream at any node. If the list of servers is not current, the server that has
+    sent the event is asked for its start meanwhile: it may have restarted with another
+    version. The stream does not go on elsewhere unless it confirms its entry.
     """
 
-    def __init__(self, routed: RoutedRequest, origins: StreamOrigins) -> None:
+    def __init__(self, routed: RoutedRequest, context: ServingContext) -> None:
         self._routed = routed
-        self._origins = origins
+        self._context = context
+        self._origins = context.origins
+        self._confirming: asyncio.Task | None = None
+        self._is_uncertain = False
+        self._is_released = False
         self._writer: Backend | None = None
         self._checks_end: float | None = None
         self.version = routed.version
@@ -82,13 +94,19 @@
         self._checks_end = None
         if is_first and self._routed.route.is_resumable_stream:
             self.version = server.entry.version
+            if not self._context.is_list_current():
+                self._confirming = asyncio.create_task(self._confirm_writer(server))
+                _confirming_tasks.add(self._confirming)
+                self._confirming.add_done_callback(_confirming_tasks.discard)
             await self._record(self.version)
 
     async def check_continuation(self, failed_server: Backend) -> None:
         """Raise :class:`RequestRefused` if the version of the events is uncertain."""
         if self.version is None or self._writer is not failed_server:
             return
-        if failed_server.is_version_uncertain:
+        if self._confirming is not None:
+            await asyncio.wait({self._confirming})
+        if self._is_uncertain or failed_server.is_version_uncertain:
             await self._record(None)
             raise RequestRefused("the software version of the stream is not certain")
 
@@ -96,12 +114,35 @@
         """Return whether another server could continue what this one has written."""
         if self.version is None or self._writer is not server:
             return True
-        return not server.is_version_uncertain
+        is_confirming = self._confirming is not None and not self._confirming.done()
+        is_uncertain = self._is_uncertain or server.is_version_uncertain
+        return not is_confirming and not is_uncertain
 
     def release(self) -> None:
         """Stop renewing the copies of the origin, because the request has ended."""
+        self._is_released = True
         self._origins.release(self._routed.stream_id)
 
+    async def _confirm_writer(self, server: Backend) -> None:
+        """Ask a server whether it is the one of its entry; else note that it is not."""
+        try:
+            await check_incarnation(self._context.codec, server, CONFIRM_TIMEOUT_S)
+        except CallFailed as failed:
+            self._is_uncertain = True
+            if failed.reason is RetryReason.BACKEND_REPLACED:
+                server.is_version_uncertain = True
+            log(
+                Part.REQUESTS,
+                "Which version began a stream is not certain: the list of servers is "
+                "old, and the server does not confirm its entry.",
+                id=self._routed.incoming.request_id,
+                backend=server.entry.id,
+                reason=failed.reason.value,
+            )
+            await self._record(None)
+            if self._is_released:
+                self._origins.release(self._routed.stream_id)
+
     def _check_timeout_s(self) -> float:
         now = asyncio.get_running_loop().time()
         if self._checks_end is None:
