Answers without a body end with their heads

Callers would have got 502 for answers 204 and 304 and to HEAD without a length: they have no body, so nothing ends them, and their open connection counted as one that no regular close had ended. Whether a body ends with the connection is now told from the method and the status, too, and from the last transfer encoding.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -8,6 +8,7 @@
 import asyncio
 import weakref
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -43,6 +44,7 @@
 ACKNOWLEDGE_S = 0.12
 READ_BUFFER_BYTES = 1 << 20
 SESSION_OPTIONS = {"auto_decompress": False, "read_bufsize": READ_BUFFER_BYTES}
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 # Headers that the client library would add to a request that is forwarded unchanged.
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -350,9 +352,14 @@
 
 
 def has_length(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a body says where it ends, and does not end by a close."""
-    headers = response.headers
-    return "Content-Length" in headers or "Transfer-Encoding" in headers
+    """Return whether a response says where its body ends, or can have none.
+
+    Otherwise the body ends when the connection is closed.
+    """
+    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    encoding = response.headers.get("Transfer-Encoding", "")
+    return "Content-Length" in response.headers or "chunked" in encoding.lower()
 
 
 _closing_tasks: set[asyncio.Task] = set()
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -10,6 +10,7 @@
 from support.closing_engine import ClosingEngine, Ending
 from support.connections import connect
 from support.entry import COMPLETE_STREAM, HOST, KEY, EntryDeployment, until
+from support.raw_engine import RawEngine
 
 SEGMENTS = {"Eelgrassward_Segments": "2,1,5", "Eelgrassward_Segment_Key": "key"}
 BODY = b"a body of some length"
@@ -137,6 +138,34 @@
             await until(lambda: {s.id for _, s, _ in quarantine.crashes()} == crashed)
 
 
+class TestNoBody:
+    """An answer that can have no body ends with its head; its connection stays open."""
+
+    # Guards against answers that are taken for cut because nothing ends them.
+    @pytest.mark.parametrize(
+        ("method", "status"), [("POST", 204), ("GET", 304), ("HEAD", 200)]
+    )
+    @pytest.mark.parametrize("target", ["/safe/x", "/once/x"])
+    async def test_the_answer_is_whole(self, target, method, status):
+        async def send(head, body, reader, writer):
+            writer.write(head.replace(b"200 OK", b"%d -" % status) + b"\r\n")
+            return True
+
+        async with EntryDeployment(nodes=1) as deployment:
+            [address] = free_addresses(1)
+            engine = RawEngine("bodiless", address, send)
+            await engine.start()
+            for other in deployment.engines_by_service["desk"]:
+                deployment.store.remove("servers", other.server_id)
+            deployment.list_engine("desk", engine)
+            backends = deployment.nodes[0].backends
+            await until(lambda: len(backends.by_service["desk"]) == 1)
+            for _ in range(3):
+                answered = await deployment.ask(target, method=method)
+                assert (answered[0], answered[2]) == (status, b"")
+            engine.stop()
+
+
 class TestCallerWithoutChunks:
     """A caller of HTTP/1.0 gets streams that end with its connection."""
 
