Witnesses: an answer takes the one that is open at its head

What a request found open may have ended by the time of its answer; the answer then holds the next one, which must be confirmed. BackendConnections no longer says that it was aborted: the end of each connection tells.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -105,7 +105,6 @@
         self._path_lost_callbacks: list[Callable[[], None]] = []
         self._closing = False
         self._responses: weakref.WeakSet[aiohttp.ClientResponse] = weakref.WeakSet()
-        self.aborted = False
 
     def post(
         self, path: str, body: bytes, attempt_id: str, connect_s: float, reuse: bool
@@ -256,11 +255,9 @@
     def abort(self) -> int:
         """Abort all calls, because the server is known to have terminated.
 
-        To its reader a body without a length then looks complete; ``aborted`` says
-        that it was truncated. Returns how many calls were in flight.
+        Returns how many calls were in flight.
         """
         in_flight = self._calls_in_flight
-        self.aborted = True
         self._closing = True
         for response in self._responses:
             # Closing the session alone would leave readers of a body waiting.
--- a/packages/node/src/eelgrass_node/connection/end_witness.py
+++ b/packages/node/src/eelgrass_node/connection/end_witness.py
@@ -48,6 +48,11 @@
         self._verdict: asyncio.Future[bool | None] = loop.create_future()
         connection.on_end(self._note_end)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the witness is open and counts."""
+        return self._witness.is_ready
+
     async def process_goes_on(self) -> bool | None:
         """Return whether the other end went on as the connection ended.
 
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -194,12 +194,20 @@
         """Return the response; without a length, watch for the end of its server."""
         response = await context
         self._backend.connections.track(response)
-        if not has_length(response) and self._witness is None:
-            self._witness = self._backend.connections.hold_witness(
-                self._path, partial(confirms_start, self._codec, self._backend)
-            )
+        if not has_length(response):
+            self._hold_witness()
         return response
 
+    def _hold_witness(self) -> None:
+        """Keep a witness for the answer, if the one since the request has ended."""
+        if self._witness is not None:
+            if self._witness.is_open:
+                return
+            self._witness.release()
+        self._witness = self._backend.connections.hold_witness(
+            self._path, partial(confirms_start, self._codec, self._backend)
+        )
+
     def _on_request_sent(self) -> None:
         self._witness = self._backend.connections.hold_open_witness(self._path)
         self._on_sent()
