Streams: a host that has read nothing for a while asks the roster (ORDER)

Callers got streams with events of two versions: a host stood still for 4 to 6 s, v2 was listed and removed again meanwhile, the other hosts were killed before their rows of origins were written, and streams of v2 that were taken up at the host went on at v1.

The cause is in version_history.py, `_has_followed`: a node that had run for a stream's life took itself for one that had followed the list all the time, and did not ask the roster. The store, asked for changes, tells the removal of a row that the host has never seen, but not its version. The roster had it: for all such streams the host had confirmed its list, listed v1, and had v1 and v2 in the roster (trials with a print in `_only_possible`).

A table that was not read for 2.5 s has a gap (`TableReplica.followed_since`), and a gap counts as a start: until the host has followed the list for a stream's life again, the versions of the roster count too. So the roster is confirmed together with the list (`confirm_versions`). If the store answers for the list and not for the table of crashes, in which the roster lies, streams without a record are refused as if it were away.

--- a/packages/node/src/eelgrass_node/entry_serving.py
+++ b/packages/node/src/eelgrass_node/entry_serving.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from .process.store_tables import MAX_GAP_S
 from .request.incoming_request import WireCodec
 from .request.server_checks import ServerChecks
 from .request.serving_context import ServingContext
@@ -13,10 +14,6 @@
 
 __all__ = ["serving_context"]
 
-# The list is confirmed after each wait for changes, at a relay as well, unless the
-# store is away or this process has stood still.
-LIST_MAX_AGE_S = 2.5
-
 
 def serving_context(node: "EntryNode", codec: WireCodec) -> ServingContext:
     """Return the parts of a node that its requests use."""
@@ -46,7 +43,7 @@
         reachability=node.reachability,
         brittle_servers=node.brittle_servers,
         origins=node.stream_origins,
-        is_list_recent=lambda: node.tables.servers.is_confirmed_within(LIST_MAX_AGE_S),
+        is_list_recent=lambda: node.tables.servers.is_confirmed_within(MAX_GAP_S),
         server_checks=ServerChecks(codec, asyncio.get_running_loop().time),
         on_server_replaced=node.on_server_replaced,
         on_server_failing=node.failure_gossip.announce_failure,
--- a/packages/node/src/eelgrass_node/entry_stream_origins.py
+++ b/packages/node/src/eelgrass_node/entry_stream_origins.py
@@ -48,7 +48,13 @@
     )
     table.add_kind(VERSION_ROW_PREFIX, roster)
     clock = asyncio.get_running_loop().time
-    history = VersionHistory(node.backends, clock, unix_ms, roster)
+    history = VersionHistory(
+        node.backends,
+        clock,
+        unix_ms,
+        roster,
+        lambda: node.tables.servers.followed_since(),
+    )
     return history, roster
 
 
@@ -93,6 +99,14 @@
         lambda data_centre: not node.reachability.is_suspected(data_centre),
         clock,
     )
+
+    async def confirm_versions() -> bool:
+        tables = node.tables
+        answered = await asyncio.gather(
+            tables.servers.catch_up(), tables.crashes.catch_up()
+        )
+        return all(answered)
+
     return StreamOrigins(
         choice,
         members.reachable,
@@ -100,7 +114,7 @@
         node.membership.datagrams.send_payload,
         node.version_history,
         lambda: node.tables.servers.reachable,
-        lambda: node.tables.servers.catch_up(),
+        confirm_versions,
         node.durable_origins,
         clock,
         node.counters.count,
--- a/packages/node/src/eelgrass_node/process/store_tables.py
+++ b/packages/node/src/eelgrass_node/process/store_tables.py
@@ -19,8 +19,12 @@
 from .store_backoff import StoreBackoff
 from .table_reader import StoredRow, TableChanges, TableReader
 
-__all__ = ["TableReplica", "StoredRow", "TableChanges", "TableReader"]
+__all__ = ["MAX_GAP_S", "TableReplica", "StoredRow", "TableChanges", "TableReader"]
 
+# A table is confirmed after each wait for changes, at a relay as well. It takes longer
+# if the store is away or this process has stood still: rows that were written and
+# removed meanwhile are not known.
+MAX_GAP_S = 2.5
 # Recent batches of changes whose acknowledgement times are kept. Followers of a relay
 # are one or two batches behind.
 MAX_BATCHES = 8
@@ -83,6 +87,7 @@
         self.reachable = True
         self.lost_at = 0.0
         self.confirmed_at = 0.0
+        self._followed_since = 0.0
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -322,6 +327,11 @@
         age_s = asyncio.get_running_loop().time() - self.confirmed_at
         return self.reachable and age_s <= max_age_s
 
+    def followed_since(self) -> float:
+        """Return the time since which the table was read without a gap until now."""
+        now = asyncio.get_running_loop().time()
+        return now if now - self.confirmed_at > MAX_GAP_S else self._followed_since
+
     async def catch_up(self) -> bool:
         """Ask the store what has changed; return whether it has answered.
 
@@ -345,6 +355,7 @@
 
     def _on_reached(self, began: float) -> None:
         """Handle the answer to a call, which may have waited here to be read."""
+        self._followed_since = self.followed_since()
         self.confirmed_at = began
         if not self.reachable:
             self.reachable = True
--- a/packages/node/src/eelgrass_node/process/stream_origins/origin_queries.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/origin_queries.py
@@ -28,8 +28,8 @@
     ``news`` is set when a node has answered, also a late one, or when the members have
     changed. ``complete`` is done once a node knows the origin, or all that were asked
     last have answered. ``numbers`` are those of the messages. ``is_list_confirmed``
-    tells whether this node's list of servers is known to be that of the store when the
-    search began, or later.
+    tells whether this node's list of servers and its roster of versions are known to be
+    those of the store when the search began, or later.
     """
 
     def __init__(self, ask: Ask) -> None:
--- a/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/stream_origins.py
@@ -49,8 +49,9 @@
     ``members`` returns the other live nodes, ``dead_members`` those that are considered
     dead, and ``send`` sends a payload to one's address. ``history`` knows the versions
     from the list of servers. ``list_is_current`` returns whether the last call for that
-    list was answered, and ``confirm_list`` asks the store for it now and returns
-    whether it has answered. ``durable`` are the origins in the store.
+    list was answered, and ``confirm_list`` asks the store for it and for the roster of
+    versions now, and returns whether it has answered. ``durable`` are the origins in
+    the store.
     """
 
     def __init__(
--- a/packages/node/src/eelgrass_node/process/stream_origins/version_history.py
+++ b/packages/node/src/eelgrass_node/process/stream_origins/version_history.py
@@ -27,7 +27,8 @@
     """The versions of all services, as listed in ``backends``.
 
     ``clock`` returns seconds, and ``unix_ms`` Unix time in milliseconds. ``roster`` has
-    the versions that were listed before this node started.
+    the versions that were listed before this node started, or while it read nothing.
+    ``followed_since`` returns since when the list was read without a gap.
     """
 
     def __init__(
@@ -36,11 +37,13 @@
         clock: Callable[[], float],
         unix_ms: Callable[[], int],
         roster: VersionRoster,
+        followed_since: Callable[[], float],
     ) -> None:
         self._backends = backends
         self._clock = clock
         self._unix_ms = unix_ms
         self._roster = roster
+        self._followed_since = followed_since
         self._since: float | None = None
         # When the last server of a version was removed, by service and version.
         self._removed_at: dict[str, dict[SoftwareVersion, float]] = {}
@@ -98,7 +101,8 @@
         """Return whether this node has followed the list since a stream can begin."""
         if self._since is None:
             return False
-        return self._clock() - self._since >= max_age_s + REMOVAL_NOTICE_S
+        since = max(self._since, self._followed_since())
+        return self._clock() - since >= max_age_s + REMOVAL_NOTICE_S
 
     def _since_ms(self, max_age_s: float) -> int:
         """Return the earliest Unix time, in milliseconds, at which a stream began."""
--- a/packages/node/tests/test_stream_origins.py
+++ b/packages/node/tests/test_stream_origins.py
@@ -360,8 +360,13 @@
             lambda key, row: None,
             lambda: UNIX_MS,
         )
+        self.followed_since = 0.0
         history = VersionHistory(
-            backends, lambda: self.now, lambda: UNIX_MS, self.roster
+            backends,
+            lambda: self.now,
+            lambda: UNIX_MS,
+            self.roster,
+            lambda: self.followed_since,
         )
         for row in rows:
             self.roster.record(row, 0.0)
@@ -428,6 +433,18 @@
         self.now += CALLER_TIMEOUT_S + REMOVAL_NOTICE_S
         assert history.versions(SERVICE, CALLER_TIMEOUT_S) == {"v2"}
 
+    # Guards against versions that were listed and removed while a node read nothing,
+    # because it stood still or the store was away.
+    async def test_a_gap_counts_as_a_start(self):
+        history = self.history(server("v2", 1), rows=())
+        self.now += CALLER_TIMEOUT_S + REMOVAL_NOTICE_S
+        assert history.covers(SERVICE, CALLER_TIMEOUT_S)
+        self.followed_since = self.now
+        assert not history.covers(SERVICE, CALLER_TIMEOUT_S)
+        self.roster.record(VersionRow(SERVICE, "v1", 1), 0.0)
+        assert history.covers(SERVICE, CALLER_TIMEOUT_S)
+        assert history.versions(SERVICE, CALLER_TIMEOUT_S) == {"v1", "v2"}
+
 
 class TestVersionRoster:
     """Which rows a node writes, and when; others write them if it does not."""
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -104,7 +104,7 @@
         self._versions = versions
         self._roster = versions.roster(self._listed, lambda: UNIX_MS)
         self.history = VersionHistory(
-            self.backends, clock, lambda: UNIX_MS, self._roster
+            self.backends, clock, lambda: UNIX_MS, self._roster, lambda: 0.0
         )
         members = self.membership.members.reachable
         self.durable = DurableOrigins(
