Test of answers that trickle: slower than the lowest rate, in short pauses

The test is wrong. Its link carried 10,000 bytes a second, more than the lowest rate (6,000), in packets of 4096 bytes, one each 0.41 s. So the answer was not given up for its rate, but as the pause was 10 ms longer than the longest one (0.4 s of running time). A stall of some ms in each pause, which does not count, keeps such an answer alive, as it should.

Now the link carries 1000 bytes a second in packets of 128. The bound is unchanged.

--- a/packages/node/tests/test_large_answers.py
+++ b/packages/node/tests/test_large_answers.py
@@ -122,7 +122,10 @@
     async def test_an_answer_that_trickles_is_given_up(self):
         """Another node may deliver it sooner, but none is asked meanwhile."""
         async with row_store(large_store()) as (client, proxy):
-            proxy.link.bytes_per_s = 10_000
+            # Less than the lowest rate, with pauses shorter than the longest one, so
+            # that the answer is given up for its rate.
+            proxy.link.bytes_per_s = 1000
+            proxy.link.packet_bytes = 128
             began = time.monotonic()
             with pytest.raises(StoreUnavailable, match="bytes"):
                 await client.feed("servers", 0, 0.0)
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -8,7 +8,6 @@
 __all__ = ["Direction", "FaultProxy", "Link"]
 
 BLOCK_BYTES = 1 << 16
-# Unit of transmission over a rate-limited link, which connections share in turn.
 PACKET_BYTES = 4096
 
 
@@ -20,10 +19,14 @@
 
 
 class Link:
-    """A link of limited bandwidth, shared by all connections that use it."""
+    """A link of limited bandwidth, shared by all connections that use it.
+
+    They take turns, and transmit up to ``packet_bytes`` at each.
+    """
 
     def __init__(self, bytes_per_s: float) -> None:
         self.bytes_per_s = bytes_per_s
+        self.packet_bytes = PACKET_BYTES
         self.sent = 0
         self._free_at = 0.0
 
@@ -145,7 +148,7 @@
     async def _pump(self, connection, reader, writer, direction: Direction) -> None:
         link = self._link_by_direction[direction]
         try:
-            while data := await reader.read(PACKET_BYTES if link else BLOCK_BYTES):
+            while data := await reader.read(link.packet_bytes if link else BLOCK_BYTES):
                 await asyncio.sleep(self.delay_s)
                 if link is not None:
                     await link.transmit(len(data))
