Paths: connections that were idle when a path was lost are not used

A host that finds one path lost checked those to the servers with calls in flight. Others stayed direct, with idle connections in their pools that the lost path had cut as well. The next call on one waited 2.5 s until the server counted as silent; for a staged stream with a deadline of 3 s that is too late for another server.

When packets to one server are dropped, the idle connections to the others are closed now. A new connection is tried through a relay beside the direct one, and shows a lost path within some 60 ms. It costs a new connection for each server in use, once in 3 s at most. Calls in flight keep theirs, as do paths that are known as relayed. A refused connection says nothing about open ones, so they stay.

--- a/packages/node/src/eelgrass_node/process/server_paths.py
+++ b/packages/node/src/eelgrass_node/process/server_paths.py
@@ -258,8 +258,15 @@
             return
         self._doubt_began = now
         for other in self._backends.by_id.values():
-            if other is not backend and other.connections.is_used:
-                self.suspect(other.entry.address)
+            if other is backend:
+                continue
+            address = other.entry.address
+            if other.connections.is_used:
+                self.suspect(address)
+            if direct is Listening.UNKNOWN and self.path(address) is Path.DIRECT:
+                # Idle connections show no sign of a loss, and a call on one of them
+                # would wait in vain until its server counts as silent.
+                other.connections.replace()
 
     async def _recover(self) -> None:
         """Probe the lost paths until all of them work again."""
--- a/tests/test_hosts_without_servers.py
+++ b/tests/test_hosts_without_servers.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from eelgrass_node.process.server_paths import Path
+from support.entry import until
 from support.host_links import Cut, LinkedDeployment
 
 # Longest time in which a host may find out that it is cut off.
@@ -63,6 +65,27 @@
             assert runs and max(runs.values()) == 1
 
 
+class TestConnectionsThatWereIdle:
+    # Guards against calls on connections that were idle when the path was lost, after
+    # the path to a server of another service was found to be lost.
+    async def test_they_are_not_used_once_a_path_is_lost(self):
+        async with LinkedDeployment(nodes=2) as deployment:
+            readers = deployment.engines_by_service["readers"]
+            while not all(engine.runs for engine in readers):
+                await asyncio.gather(
+                    *(deployment.ask("/stream/resumed/x") for _ in range(4))
+                )
+            deployment.cut(0, Cut.SILENT)
+            assert (await deployment.ask("/safe/x"))[0] == 200
+            paths = deployment.nodes[0].server_links.paths
+            await until(lambda: Path.RELAYED in paths.lost().values())
+            # Shorter than a stream waits for a server that is silent.
+            deadline = {"Eelgrassward_Deadline_Ms": "2000"}
+            asking = (deployment.ask("/stream/resumed/x", **deadline) for _ in "1234")
+            answers = await asyncio.gather(*asking)
+            assert [status for status, _, _ in answers] == [200] * 4
+
+
 class TestRequestsThatReachNoServer:
     # Guards against a 504, after which a caller may not retry a request that must run
     # once, although no byte of it has been sent to a server.
