--- a/packages/node/src/eelgrass_node/connection/end_witness.py
+++ b/packages/node/src/eelgrass_node/connection/end_witness.py
@@ -216,7 +216,8 @@
         except (OSError, TimeoutError) as error:
             log(
                 Part.HOSTS,
-                "No second connection to a server, to tell by how its answers end.",
+                "No idle connection to a server could be opened; it is asked for its "
+                "start where an answer ends with its connection.",
                 error=repr(error),
             )
             return
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -138,6 +138,9 @@
             async with StallAwareTimeout(WITNESS_CONNECT_S):
                 loop = asyncio.get_running_loop()
                 await loop.sock_connect(opened, (host, int(port)))
+        except TimeoutError as error:
+            opened.close()
+            raise OSError(errno.ETIMEDOUT, f"{self.address} is silent") from error
         except BaseException:
             opened.close()
             raise
