--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -11,6 +11,7 @@
     "ConfigurationMalformed",
     "DifferenceMismatch",
     "HistoryGone",
+    "MemoryExhausted",
     "NodeError",
     "PeerUnreachable",
     "BatchAnswerMalformed",
@@ -47,6 +48,15 @@
         super().__init__("The caller has disconnected. Stop working on its request.")
 
 
+class MemoryExhausted(NodeError):
+    """There is no memory for what a peer sends; it is not read any further."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "The node has no memory for the request. Retry it in a second or later."
+        )
+
+
 class PeerUnreachable(NodeError):
     """Another node gave no valid answer in time.
 
