HTTP listeners: connections hold no more than the budgets of the process

What callers saw: with 75 callers that each sent a body of the largest legal size, or did not read answers, the process exceeded its machine's memory and ended; all others lost their requests.

Cause: a body was read up to 64 MiB whatever the operator allows, 32 requests were parsed ahead with their bodies, heads of 128 lines of 32 kB were collected, answers of 4 MB and 2 MB of each stream were kept for callers that don't read, connections were accepted until descriptors ran out, and the kernel's buffers grew to megabytes. Each was a limit of one, which a crowd multiplies.

Fix: all HTTP listeners of a node serve on BoundedConnection. It reserves what arrives before it is kept and computes what it holds from what is there; without room it refuses with 503 (not run), stops reading or closes. Whole answers are reserved before they are read, streams before they begin, and both are sent in pieces, so that nothing is copied whole. Route, key and size are checked before the body.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -22,6 +22,7 @@
 from .answer_head import AnswerHead, OnAnswer
 from .listen_probe import probe_listening
 from .response_handler import SolicitedResponseHandler
+from .sent_bytes import SentBytes
 from .sockets import Connector, new_session
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from .server_connector import ServerLink
 
 __all__ = [
+    "READ_BUFFER_BYTES",
     "BackendConnections",
     "CallPath",
     "RequestWithheld",
@@ -42,7 +44,8 @@
 # A peer acknowledges what it receives within some ms, whatever its process does. A path
 # on which nothing is acknowledged for this long after a call was sent may be lost.
 ACKNOWLEDGE_S = 0.12
-READ_BUFFER_BYTES = 1 << 20
+# What is buffered of an answer before its connection is not read any more.
+READ_BUFFER_BYTES = 1 << 14
 SESSION_OPTIONS = {"auto_decompress": False, "read_bufsize": READ_BUFFER_BYTES}
 BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 # Headers that the client library would add to a request that is forwarded unchanged.
@@ -155,7 +158,7 @@
         return session.request(
             method,
             URL(f"http://{self.address}{target}", encoded=True),
-            data=body or None,
+            data=SentBytes(body) if body else None,
             headers=headers,
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
--- a/packages/node/src/eelgrass_node/connection/caller_server.py
+++ b/packages/node/src/eelgrass_node/connection/caller_server.py
@@ -19,7 +19,9 @@
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 
 from aiohttp import StreamReader, web
-from aiohttp.web_protocol import RequestHandler
+
+from ..process.memory_budget import ConnectionBudgets
+from .bounded_server import BoundedConnection, BoundedServer
 
 __all__ = ["CallerServer"]
 
@@ -42,35 +44,28 @@
 )
 
 
-class _CallerConnection(RequestHandler):
+class _CallerConnection(BoundedConnection):
     """A connection whose first header must be complete in ``header_timeout_s``."""
 
     def __init__(
         self,
         server: web.Server,
-        header_timeout_s: float,
+        budgets: ConnectionBudgets,
         count: Callable[[str], None],
+        header_timeout_s: Callable[[], float],
         in_flight: Callable[[], AbstractContextManager[None]],
         **options,
     ) -> None:
-        super().__init__(server, **options)
-        self._header_timeout_s = header_timeout_s
-        self._count = count
+        super().__init__(server, budgets, count, **options)
+        self._header_timeout_s = header_timeout_s()
         self._in_flight = in_flight
         self._header_timer: asyncio.TimerHandle | None = None
         self._header_done = False
-        # The body of the request that is being served, None between two requests.
-        self._body: StreamReader | None = None
         self._on_half_close: Callable[[float], None] | None = None
         # The time, on the event loop's clock, by which requests must be answered; None
         # until the caller ends its direction.
         self.answer_by: float | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Let the end of an answer wait until the kernel has all of it."""
-        super().connection_made(transport)
-        transport.set_write_buffer_limits(high=0)
-
     def data_received(self, data: bytes) -> None:
         """Process received bytes; the first ones start the header timeout."""
         if not self._header_done and self._header_timer is None:
@@ -113,7 +108,6 @@
             with self._in_flight():
                 return await super().finish_response(request, resp, start_time)
         finally:
-            self._body = None
             if self.answer_by is not None and not self._messages:
                 self.close()
 
@@ -122,15 +116,10 @@
         self.on_header_complete()
         super().connection_lost(exc)
 
-    def begin_request(self, body: StreamReader) -> None:
-        """Record that a request with this body is being served."""
-        self._body = body
+    def begin_request(self, message, body: StreamReader) -> None:
+        """Record that a request with this head and body is being served."""
         self.on_header_complete()
-
-    @property
-    def has_waiting_requests(self) -> bool:
-        """Whether more requests have arrived behind the one that is being served."""
-        return bool(self._messages)
+        super().begin_request(message, body)
 
     def on_header_complete(self) -> None:
         """Cancel the header timeout, as the first header is complete."""
@@ -170,61 +159,48 @@
         transport.abort()
 
 
-class CallerServer(web.Server):
-    """Serves callers with ``handler``.
+class CallerServer(BoundedServer):
+    """Serves callers with ``handler``, on connections within ``budgets``.
 
-    ``header_timeout_s`` returns the seconds that a connection's first header may take,
-    and ``max_body_bytes`` limits how much of a body is read. New connections that
-    ``admits`` turns away are closed unread; ``count`` counts them. Answers are sent
-    inside a context of ``in_flight``.
+    ``header_timeout_s`` returns the seconds that a connection's first header may take.
+    New connections that ``admits`` turns away are closed unread; ``count`` counts them.
+    Answers are sent inside a context of ``in_flight``.
     """
 
     def __init__(
         self,
         handler: Callable,
+        budgets: ConnectionBudgets,
         header_timeout_s: Callable[[], float],
-        max_body_bytes: int,
         admits: Callable[[], bool] = lambda: True,
         count: Callable[[str], None] = lambda name: None,
         in_flight: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
-        super().__init__(handler, request_factory=self._build_request)
-        self._header_timeout_s = header_timeout_s
-        self._max_body_bytes = max_body_bytes
+        super().__init__(
+            handler,
+            budgets,
+            count,
+            _new_request,
+            _CallerConnection,
+            # Cancel a handler when its caller disconnects.
+            handler_cancellation=True,
+            header_timeout_s=header_timeout_s,
+            in_flight=in_flight,
+            keepalive_timeout=CALLER_IDLE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            auto_decompress=False,
+        )
         self._admits = admits
-        self._count = count
-        self._in_flight = in_flight
-        # Cancel a handler when its caller disconnects.
-        self.handler_cancellation = True
 
     def __call__(self) -> asyncio.Protocol:
         """Return the protocol for a new connection."""
         if not self._admits():
             self._count("connection.closed-unread")
             return _UnreadConnection()
-        return _CallerConnection(
-            self,
-            self._header_timeout_s(),
-            self._count,
-            self._in_flight,
-            loop=asyncio.get_running_loop(),
-            keepalive_timeout=CALLER_IDLE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            access_log=None,
-            auto_decompress=False,
-        )
+        return super().__call__()
 
-    def _build_request(
-        self, message, payload, protocol, writer, task
-    ) -> web.BaseRequest:
-        protocol.begin_request(payload)
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            asyncio.get_running_loop(),
-            client_max_size=self._max_body_bytes,
-        )
+
+def _new_request(message, payload, protocol, writer, task) -> web.BaseRequest:
+    loop = asyncio.get_running_loop()
+    return web.BaseRequest(message, payload, protocol, writer, task, loop)
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -26,6 +26,8 @@
     "is_socket_readable",
 ]
 
+# Most that one call of the event loop reads from a connection.
+READ_BYTES = 1 << 14
 # Ends a head, and the trailers of a chunked body.
 EMPTY_LINE = b"\r\n\r\n"
 
@@ -58,6 +60,11 @@
         self._awaits_response = False
         self._begin_response()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound what one read takes; the transport has no public option for it."""
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
     def set_response_params(self, **parameters) -> None:
         """Begin a call; the library passes how to parse its response."""
         self._awaits_response = True
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -20,6 +20,7 @@
     "Connector",
     "new_session",
     "open_socket",
+    "set_buffers",
     "set_reset_on_close",
     "set_timeouts",
 ]
@@ -32,6 +33,9 @@
 # therefore lies between the last probe and its answer's timeout: a server that falls
 # silent for a second has lost one probe, or two, and answers the next one.
 USER_TIMEOUT_MS = 3500
+# What the kernel buffers of a connection in each direction. Without a limit it grows to
+# megabytes for a connection that is not read, and counts as memory of this process.
+BUFFER_BYTES = 1 << 16
 
 
 def open_socket(address: Any) -> socket.socket:
@@ -39,9 +43,19 @@
     family, kind, protocol, _, _ = address
     opened = socket.socket(family=family, type=kind, proto=protocol)
     set_timeouts(opened)
+    set_buffers(opened)
     return opened
 
 
+def set_buffers(opened: socket.socket) -> None:
+    """Bound the kernel's buffers of a TCP socket.
+
+    Set before it is connected or listens; what it accepts has the same buffers.
+    """
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+
+
 def set_timeouts(opened: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
     """Have a TCP socket closed once its peer has not answered for some time.
 
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -26,7 +26,6 @@
 from .connection.trial_calls import TrialClient
 from .connection.warm_up_calls import WarmUpClient
 from .entry_applications import (
-    MAX_BODY_BYTES,
     metrics_application,
     peer_application,
     readiness_application,
@@ -58,6 +57,7 @@
 from .process.joined import SETTLE_S, JoinState
 from .process.local_queues import LocalQueues
 from .process.loop_load import LoopLoad
+from .process.memory_budget import Budgets, ConnectionBudgets
 from .process.metrics import Metrics
 from .process.peer_catch_up import PeerCatchUp
 from .process.permit_owners import PermitOwners
@@ -110,6 +110,12 @@
         loop = asyncio.get_running_loop()
         bounds = settings.bounds
         self.counters = Counters()
+        self.budgets = Budgets(
+            settings.memory_bytes,
+            settings.max_descriptors,
+            loop.time,
+            self.counters.count,
+        )
         self.metrics = Metrics(self.counters, lambda: entry_gauges(self))
         self.stopping = Stopping(
             STOP_NOTICE_S, bounds.stop_s - STOP_NOTICE_S - STOP_RESERVE_S
@@ -320,7 +326,9 @@
         self.loop_load = LoopLoad()
         self.connection_admission = ConnectionAdmission(self.loop_load, loop.time)
         self._tasks: list[asyncio.Task] = []
-        self._listeners = Listeners()
+        self._listeners = Listeners(
+            ConnectionBudgets.of_hosts(self.budgets), self.counters.count
+        )
 
     @property
     def ready(self) -> bool:
@@ -406,8 +414,8 @@
         )
         server = CallerServer(
             self.connection_admission.counting(handler.handle),
+            ConnectionBudgets.of_callers(self.budgets),
             self._header_timeout_s,
-            MAX_BODY_BYTES,
             self.connection_admission.admits,
             self.counters.count,
             self.stopping.in_flight,
--- a/packages/node/src/eelgrass_node/request/caller_response.py
+++ b/packages/node/src/eelgrass_node/request/caller_response.py
@@ -44,6 +44,7 @@
         self._closing = closing
         self.may_have_run = False
         self.resumable = False
+        self.kept: Reply | None = None
         self._stream: web.StreamResponse | None = None
 
     @property
@@ -73,6 +74,19 @@
             return self.abort()
         return self._apply_closing(refusal_response(status, reason, retry_after_s))
 
+    async def reserve(self, size: int) -> None:
+        """Reserve memory for a complete reply, once there is room."""
+        kept = 0 if self.kept is None else len(self.kept.body)
+        await self._request.protocol.answer.wait_resize(kept + size)
+
+    def keep(self, reply: Reply) -> None:
+        """Keep a reply that is sent unless a later one is better."""
+        self.kept = reply
+
+    def reserve_stream(self) -> None:
+        """Reserve memory for a stream; raises :class:`MemoryExhausted` without room."""
+        self._request.protocol.reserve_stream()
+
     async def begin(self, head: ResponseHead) -> None:
         """Send the head of a stream, unless an earlier attempt has already sent one."""
         if self._stream is not None:
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -13,10 +13,10 @@
 import aiohttp
 import msgspec
 
-from eelgrass_coordination import send_allowance_s
+from eelgrass_coordination import running_time, send_allowance_s
 
-from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon, read_bounded
-from ..connection.backend import CallPath, has_length
+from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon
+from ..connection.backend import READ_BUFFER_BYTES, CallPath, has_length
 from ..connection.end_witness import WitnessLease
 from ..exceptions import AnswerTooLong, CallFailed
 from ..process.backends import Backend
@@ -48,7 +48,8 @@
     body. After that ``wait`` decides whether the call is given up; without it, it is.
     The user of this class enforces the request's deadline, because its expiry says
     nothing about the server. ``on_sent`` is called when the request is sent.
-    ``copy_from`` is the address of an engine that has the prompt prefix cached.
+    ``copy_from`` is the address of an engine that has the prompt prefix cached, and
+    ``reserve`` reserves the memory for a complete body.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         copy_from: str | None = None,
         body_timeout_s: float = math.inf,
         wait: AnswerWait | None = None,
+        reserve: Callable[[int], Awaitable[None]] | None = None,
     ) -> None:
         self._codec = codec
         self._routed = routed
@@ -72,6 +74,7 @@
         self._body_timeout_s = body_timeout_s
         self._on_sent = on_sent
         self._copy_from = copy_from
+        self._reserve = reserve or _has_room
         self._response: aiohttp.ClientResponse | None = None
         self._path = CallPath()
         # Keeps the server's connections open until close(), even if the server is
@@ -102,18 +105,29 @@
         end within the body timeout may be the server's trouble, if another server can
         be tried.
         """
-        parts: list[bytes] = []
+        body = bytearray()
+        left_s = self._body_timeout_s
         try:
-            body = await self._wait.read(
-                lambda: read_bounded(self._response, MAX_BODY_BYTES, parts),
-                self._before_deadline(self._body_timeout_s),
-            )
+            while True:
+                # Outside of the wait, because it says nothing about the server.
+                await self._reserve(self._bytes_to_reserve(len(body)))
+                began_s = running_time()
+                data = await self._wait.read(
+                    self._response.content.readany, self._before_deadline(left_s)
+                )
+                left_s = max(0.0, left_s - (running_time() - began_s))
+                if not data:
+                    break
+                body += data
+                if len(body) > MAX_BODY_BYTES:
+                    raise AnswerTooLong(MAX_BODY_BYTES)
         except TimeoutError as error:
             raise CallFailed(RetryReason.BAD_ANSWER, not_run=False) from error
         except (aiohttp.ClientError, OSError, AnswerTooLong) as error:
             raise call_failure(error) from error
+        await self._reserve(len(body))
         await self._check_complete()
-        return body
+        return bytes(body)
 
     async def read_some(self, within_s: float) -> bytes:
         """Return the next bytes of the body; empty at its end.
@@ -152,6 +166,17 @@
         if not evidence.is_complete:
             raise CallFailed(RetryReason.CONNECTION_LOST, not_run=False)
 
+    def _bytes_to_reserve(self, received: int) -> int:
+        """Return what a complete body needs before more of it is read.
+
+        One of known length is reserved whole, because calls that each had a part would
+        wait for each other.
+        """
+        length = self._response.content_length
+        if length is None:
+            length = max(READ_BUFFER_BYTES, 2 * received)
+        return max(received, min(MAX_BODY_BYTES, length))
+
     async def _send(self, last_event_id: str | None) -> aiohttp.ClientResponse:
         routed = self._routed
         remaining_s = self._remaining()
@@ -242,6 +267,10 @@
     return True
 
 
+async def _has_room(size: int) -> None:
+    return
+
+
 async def _discard(sending: asyncio.Future[aiohttp.ClientResponse]) -> None:
     """Cancel a call, and close its response if it has arrived meanwhile."""
     sending.cancel()
--- a/packages/node/src/eelgrass_node/request/generation.py
+++ b/packages/node/src/eelgrass_node/request/generation.py
@@ -35,6 +35,8 @@
 CANCEL_TIMEOUT_S = 0.1
 FEASIBLE_FRACTION = 0.8
 MAX_OUT_OF_ORDER = 256
+# Longest line of a server's answer, which has one chunk of the text.
+MAX_LINE_BYTES = 1 << 21
 
 
 class _Line(msgspec.Struct):
@@ -144,7 +146,7 @@
                 self._chunk_gap_timeout_s, max(0.0, attempt.request.remaining())
             )
             async with StallAwareTimeout(timeout_s):
-                raw = await response.content.readline()
+                raw = await response.content.readline(max_line_length=MAX_LINE_BYTES)
         except TimeoutError as error:
             if attempt.request.remaining() > 0:
                 attempt.backend.connections.replace()
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -91,7 +91,6 @@
         self._headed_at = 0.0
         self._copied_from: BackendId | None = None
         self._release_timer: asyncio.TimerHandle | None = None
-        self._last_reply: Reply | None = None
         self._events = EventSplitter(routed.incoming.last_event_id)
         self._stream_version = StreamVersion(routed, context)
         self._graph = StageGraph(
@@ -258,6 +257,7 @@
             self._copy_from(backend),
             self._limits.body_timeout_s(),
             self._failover.wait_for(backend),
+            self._answer.reserve,
         )
         began, began_running_s = _now(), running_time()
         try:
@@ -277,7 +277,7 @@
             self._cancel_release()
             call.close()
         if head.status >= HTTP_SERVER_ERROR and routed.route.repeatable:
-            self._last_reply = reply
+            self._answer.keep(reply)
             raise CallFailed(RetryReason.BACKEND_ERROR, not_run=False)
         backend.record_call(running_time() - began_running_s)
         backend.record_success(_now() - began)
@@ -367,9 +367,9 @@
         self._log.end_without_answer(
             "Refused.", self._answer.has_begun, reason=refused.reason
         )
-        if self._last_reply is not None and not self._answer.has_begun:
+        if self._answer.kept is not None and not self._answer.has_begun:
             # A server's error response says more than a refusal by the node.
-            return self._answer.complete(self._last_reply)
+            return self._answer.complete(self._answer.kept)
         if self._limits.may_have_run:
             self._context.count("refusal.may-have-run")
             return self._answer.refusal(HTTP_BAD_GATEWAY, refused.reason)
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -4,13 +4,19 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 from aiohttp import web
 
-from ..exceptions import CallerGone, RequestMalformed, RequestRefused
+from ..exceptions import (
+    CallerGone,
+    MemoryExhausted,
+    RequestMalformed,
+    RequestRefused,
+)
 from ..log import Part, log
 from ..process.deployments import DeploymentInForce
 from ..process.stopping import Stopping
-from ..version.deployment import AccountGrant, Route
+from ..version.deployment import AccountGrant, Route, RouteKind
 from .caller_response import CallerResponse
 from .incoming_request import IncomingRequest, RoutedRequest, WireCodec
 from .request_execution import ANSWER_MARGIN_S, RequestExecution
@@ -27,6 +33,8 @@
 # A node with an outdated configuration asks other nodes for the newer one after 0.5 s;
 # the node that the caller reaches after this time most likely has it.
 OUTDATED_RETRY_S = 0.5
+# Slow callers are closed once they have been waited for this long.
+NO_ROOM_RETRY_S = 1.0
 # A request that has not run can be sent again at once.
 EARLY_END_RETRY_S = 0.1
 # Used if the caller states no deadline; the route's timeout is shorter.
@@ -157,33 +165,53 @@
             return answer.refusal(
                 HTTP_HEADER_TOO_LARGE, "the request header is too large"
             )
+        max_body_bytes = deployment.limits.max_body_bytes
+        if (request.content_length or 0) > max_body_bytes:
+            return self._refuse_too_large(answer)
         try:
-            async with asyncio.timeout(DEFAULT_DEADLINE_S):
-                body = await request.read()
+            incoming = self._codec.decode_request(
+                request.method, request.raw_path, request.raw_headers, b"", arrived_at
+            )
+        except RequestMalformed as error:
+            self._count("refusal.malformed")
+            return answer.refusal(HTTP_BAD_REQUEST, str(error))
+        # What no body can make legal is refused before it is read.
+        found = self._find_route(incoming, answer)
+        if isinstance(found, web.StreamResponse):
+            return found
+        deadline_s = min(
+            DEFAULT_DEADLINE_S, incoming.caller_deadline_s or DEFAULT_DEADLINE_S
+        )
+        try:
+            async with asyncio.timeout_at(arrived_at + deadline_s):
+                body = await request.protocol.read_body(max_body_bytes)
         except TimeoutError:
             self._count("refusal.body-too-slow")
             return answer.refusal(
                 HTTP_TIMEOUT, "the request body did not arrive in time"
             )
         except web.HTTPRequestEntityTooLarge:
-            self._count("refusal.body-too-large")
-            return answer.refusal(HTTP_TOO_LARGE, "the request body is too large")
-        if len(body) > deployment.limits.max_body_bytes:
-            self._count("refusal.body-too-large")
-            return answer.refusal(HTTP_TOO_LARGE, "the request body is too large")
-        try:
-            incoming = self._codec.decode_request(
-                request.method, request.raw_path, request.raw_headers, body, arrived_at
-            )
-        except RequestMalformed as error:
-            self._count("refusal.malformed")
-            return answer.refusal(HTTP_BAD_REQUEST, str(error))
-        return await self._route(incoming, answer)
+            return self._refuse_too_large(answer)
+        except MemoryExhausted as error:
+            return self._refuse_without_memory(answer, error)
+        return await self._route(msgspec.structs.replace(incoming, body=body), answer)
 
-    async def _route(
-        self, incoming: IncomingRequest, answer: CallerResponse
+    def _refuse_too_large(self, answer: CallerResponse) -> web.StreamResponse:
+        self._count("refusal.body-too-large")
+        return answer.refusal(HTTP_TOO_LARGE, "the request body is too large")
+
+    def _refuse_without_memory(
+        self, answer: CallerResponse, error: MemoryExhausted
     ) -> web.StreamResponse:
-        # A newer version may have come into force while the body was being read.
+        self._count("refusal.no-memory")
+        response = answer.refusal(HTTP_UNAVAILABLE, str(error), NO_ROOM_RETRY_S)
+        response.force_close()
+        return response
+
+    def _find_route(
+        self, incoming: IncomingRequest, answer: CallerResponse
+    ) -> tuple[Route, AccountGrant | None] | web.StreamResponse:
+        """Return the route and account of a request, or a refusal."""
         deployment = self._deployments.current
         route = deployment.match(incoming.host, incoming.target.partition("?")[0])
         if route is None:
@@ -195,12 +223,26 @@
                 return self._refuse_unknown(
                     incoming, answer, "unknown key", HTTP_UNAUTHORIZED
                 )
-        routed = self._new_routed_request(incoming, route, account)
+        return route, account
+
+    async def _route(
+        self, incoming: IncomingRequest, answer: CallerResponse
+    ) -> web.StreamResponse:
+        # A newer version may have come into force while the body was being read.
+        found = self._find_route(incoming, answer)
+        if isinstance(found, web.StreamResponse):
+            return found
+        routed = self._new_routed_request(incoming, *found)
         try:
             routed = await with_stream_origin(self._context.origins, routed)
         except RequestRefused as refused:
             return self._refuse_resumption(routed, answer, refused)
-        answer.may_have_run, answer.resumable = True, route.resumable
+        if routed.route.kind is RouteKind.STREAM:
+            try:
+                answer.reserve_stream()
+            except MemoryExhausted as error:
+                return self._refuse_without_memory(answer, error)
+        answer.may_have_run, answer.resumable = True, routed.route.resumable
         return await RequestExecution(self._context, routed, answer).serve()
 
     def _new_routed_request(
--- a/tests/support/soak_deployment.py
+++ b/tests/support/soak_deployment.py
@@ -109,6 +109,8 @@
     node_program = "eelgrass_node.platform"
     node_environment: dict[str, str] = {}
     grace_s = 6
+    # Added to the settings of each node.
+    more_settings = ""
 
     def __init__(
         self, folder: Path, seed: int, nodes: int = 3, servers: int = 2
@@ -193,6 +195,7 @@
                     first=f"{self._network}.1",
                     store=await store.start(),
                 )
+                + self.more_settings
             )
             process = Process(
                 [self.node_program],
