Requests: what a head asks for is reserved once it is decoded

Cause: a header of a few bytes asks for 30,000 batch items, and one of 15 kB names 3,700 parts of a prompt. Both are decoded into objects that take many times that.

Fix: the handler reserves 1,024 bytes an item and 256 a part before the request is routed, and refuses it with 503, not run, without room.

--- a/packages/node/src/eelgrass_node/connection/bounded_server.py
+++ b/packages/node/src/eelgrass_node/connection/bounded_server.py
@@ -75,6 +75,8 @@
         # The body of the request that is being served, None between two requests.
         self._body: StreamReader | None = None
         self._served_head_bytes = 0
+        # What it takes besides its head and body.
+        self._decoded_bytes = 0
         # Whether its answer is sent and complete, so that its body is not needed.
         self._is_answering = False
         # Whether its answer is a stream, which comes from a server as it is read.
@@ -139,6 +141,16 @@
         """Whether more requests have arrived behind the one that is being served."""
         return bool(self._messages)
 
+    def reserve_decoded(self, size: int) -> None:
+        """Reserve what the request that is being served takes besides its bytes.
+
+        Raises :class:`MemoryExhausted` without room.
+        """
+        held = self._input.amount - self._decoded_bytes + size
+        if not self._input.resize(held):
+            raise MemoryExhausted
+        self._decoded_bytes = size
+
     async def read_body(self, max_bytes: int) -> bytes:
         """Return the body of the request that is being served.
 
@@ -195,6 +207,7 @@
         finally:
             self.answer.resize(0)
             self._body = None
+            self._decoded_bytes = 0
             self._is_answering = self._is_streaming = False
             if self._is_input_ended and not self._messages:
                 self.close()
@@ -220,6 +233,7 @@
         held += sum(waiting_bytes(*waiting) for waiting in self._messages)
         if self._body is not None:
             held += SERVED_REQUEST_BYTES + 4 * self._served_head_bytes
+            held += self._decoded_bytes
             body_bytes = self._body.total_bytes
             if self._is_answering:
                 body_bytes = min(body_bytes, UNREAD_BODY_BYTES)
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -37,6 +37,9 @@
 NO_ROOM_RETRY_S = 1.0
 # A request that has not run can be sent again at once.
 EARLY_END_RETRY_S = 0.1
+# A batch item until its result is used, and a part of a prompt.
+ITEM_BYTES = 1024
+PART_BYTES = 256
 # Used if the caller states no deadline; the route's timeout is shorter.
 DEFAULT_DEADLINE_S = 30.0
 HTTP_BAD_REQUEST = 400
@@ -175,6 +178,10 @@
         except RequestMalformed as error:
             self._count("refusal.malformed")
             return answer.refusal(HTTP_BAD_REQUEST, str(error))
+        try:
+            request.protocol.reserve_decoded(_decoded_bytes(incoming))
+        except MemoryExhausted as error:
+            return self._refuse_without_memory(answer, error)
         # What no body can make legal is refused before it is read.
         found = self._find_route(incoming, answer)
         if isinstance(found, web.StreamResponse):
@@ -322,5 +329,11 @@
     return sum(len(name) + len(value) for name, value in request.raw_headers)
 
 
+def _decoded_bytes(incoming: IncomingRequest) -> int:
+    """Return what a few bytes of a header may take once they are decoded."""
+    items = sum(incoming.item_counts)
+    return ITEM_BYTES * items + PART_BYTES * len(incoming.prompt.parts)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -36,6 +36,7 @@
 CHUNKED = "Transfer-Encoding: chunked"
 SEGMENTS = ("Eelgrassward-Segments: 2,1,5", "Eelgrassward-Segment-Key: key")
 LARGE_FIELD = "x" * 15_000
+MANY_PARTS = ",".join("a:1" for _ in range(3_700))
 LARGE_ANSWER = b"x" * 3_000_000
 LARGE_EVENT = b"data: %s\n\n" % (b"x" * 60_000)
 
@@ -127,6 +128,19 @@
     "no bodies, many connections": Case(250, ahead(4000, b"")),
     "unended heads": Case(60, unended_head(30_000)),
 }
+HEADS = {
+    "many parts": Case(
+        400, once("/stream/single/x", f"Eelgrassward-Prompt-Prefix: {MANY_PARTS}")
+    ),
+    "many items": Case(
+        250,
+        once(
+            "/stream/staged/x",
+            "Eelgrassward-Segments: 10000,10000,10000",
+            "Eelgrassward-Segment-Key: key",
+        ),
+    ),
+}
 
 
 async def never(engine, request, headers):
@@ -188,6 +202,14 @@
             case = Case(150, by_length(path, WHOLE))
             await check_crowd(deployment, case, address)
 
+    # Guards against heads that take many times their size once they are decoded.
+    @pytest.mark.parametrize("name", HEADS)
+    async def test_heads_of_calls_in_flight(self, tmp_path, monkeypatch, name):
+        monkeypatch.setattr(EngineStandIn, "_stream", never)
+        async with LimitedDeployment(tmp_path) as deployment:
+            address = deployment.soak_nodes[0].callers
+            await check_crowd(deployment, HEADS[name], address)
+
 
 class TestUnreadAnswers:
     # Guards against answers that are kept for callers which do not read them.
