Relays: what relayed connections hold is bounded together

What callers saw: a node that relays for others could be ended by clients that don't read.

Cause: each relayed connection buffers in both directions, in the process and in the kernel, up to megabytes; a quarter of the descriptors bounded their number, nothing their memory. Connections that had sent no CONNECT yet were not counted at all.

Fix: 32 kB are reserved for each, 256 kB for each direction that is not read; without room a connection is refused, or the slowest is reset. Reads and buffers are 16 kB, and accepted connections count among those of other hosts. RelayServer takes the budgets, so its tests pass some.

--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -16,15 +16,17 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from eelgrass_coordination import StallAwareTimeout
 
 from ..log import Part, log
+from ..process.memory_budget import Budgets, MemoryBudget, PeerActivity
 from ..process.server_paths import Path, ServerPaths
 from ..process.stopping import Stopping
-from .sockets import set_reset_on_close, set_timeouts
+from .sockets import open_socket, set_buffers, set_reset_on_close, set_timeouts
 
 __all__ = [
     "HEAD_END",
@@ -41,7 +43,11 @@
 # Time for the head of a CONNECT request, once the connection is open.
 HEAD_TIMEOUT_S = 1.0
 MAX_HEAD_BYTES = 1024
-BLOCK_BYTES = 1 << 16
+BLOCK_BYTES = 1 << 14
+# What a relayed connection may hold, in this process and in the kernel: before it is
+# known whether both ends read, and more for each direction that is not read.
+RELAYED_BYTES = 1 << 15
+STALLED_BYTES = 1 << 18
 # A node reads no more of an answer while its caller does not, which to the kernel looks
 # like a node that is gone. Requests do not last longer.
 READER_TIMEOUT_MS = 30_000
@@ -76,6 +82,7 @@
         accepts_work: Callable[[str], bool],
         is_resting: Callable[[str], bool],
         stopping: Stopping,
+        budgets: Budgets,
         max_descriptors: int,
         count: Callable[[str], None],
     ) -> None:
@@ -83,6 +90,7 @@
         self._accepts_work = accepts_work
         self._is_resting = is_resting
         self._stopping = stopping
+        self._budgets = budgets
         self._max_connections = int(max_descriptors * DESCRIPTOR_FRACTION / 2)
         self._count = count
         self._server: asyncio.Server | None = None
@@ -93,8 +101,10 @@
         """Listen at an address; without a listener the node relays nothing."""
         host, _, port = address.rpartition(":")
         try:
+            opened = socket.create_server((host, int(port)))
+            set_buffers(opened)
             self._server = await asyncio.start_server(
-                self._accept, host, int(port), limit=BLOCK_BYTES
+                self._accept, sock=opened, limit=BLOCK_BYTES
             )
         except OSError as error:
             log(
@@ -119,8 +129,15 @@
         set_timeouts(writer.get_extra_info("socket"), READER_TIMEOUT_MS)
         # What the process holds of an answer is lost with it: pass all of it on.
         writer.transport.set_write_buffer_limits(high=0)
+        writer.transport.max_size = BLOCK_BYTES
+        activity = PeerActivity(self._budgets.clock, writer.transport.abort)
+        slot = self._budgets.peers.open(activity)
         try:
-            await self._relay(reader, writer)
+            if not slot.resize(1):
+                self._count("connection.no-room")
+                writer.transport.abort()
+                return
+            await self._relay(reader, writer, activity)
         except (
             OSError,
             TimeoutError,
@@ -134,11 +151,15 @@
             # The node is closing; asyncio would log the cancellation as an error.
             pass
         finally:
+            slot.release()
             writer.close()
             self._tasks.discard(asyncio.current_task())
 
     async def _relay(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        activity: PeerActivity,
     ) -> None:
         async with StallAwareTimeout(HEAD_TIMEOUT_S):
             head = await reader.readuntil(HEAD_END)
@@ -150,7 +171,11 @@
             # Not as refused or unknown: the server may well be running.
             self._refuse(writer, TIMED_OUT_STATUS)
             return
-        with self._stopping.in_flight(), self._counted():
+        stalls = _Stalls(self._budgets.relays, activity)
+        if not stalls.begin():
+            self._refuse(writer, UNAVAILABLE_STATUS)
+            return
+        with self._stopping.in_flight(), self._counted(), stalls:
             try:
                 upstream_reader, upstream = await _connect(address)
             except TimeoutError:
@@ -164,7 +189,10 @@
                 set_reset_on_close(writer.get_extra_info("socket"), True)
                 writer.write(OPENED)
                 exchange = _Exchange(lambda: not self._is_resting(address))
-                await _splice(reader, writer, upstream_reader, upstream, exchange)
+                activity.set_awaited(False)
+                await _splice(
+                    reader, writer, upstream_reader, upstream, exchange, stalls
+                )
             finally:
                 upstream.close()
 
@@ -192,11 +220,19 @@
 
 async def _connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     host, _, port = address.rpartition(":")
-    async with StallAwareTimeout(CONNECT_TIMEOUT_S):
-        reader, writer = await asyncio.open_connection(
-            host, int(port), limit=BLOCK_BYTES
-        )
-    set_timeouts(writer.get_extra_info("socket"))
+    opened = open_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
+    try:
+        opened.setblocking(False)
+        async with StallAwareTimeout(CONNECT_TIMEOUT_S):
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(opened, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=opened, limit=BLOCK_BYTES)
+    except BaseException:
+        opened.close()
+        raise
+    # Bounds what one read takes; the transport has no public option for it.
+    writer.transport.max_size = BLOCK_BYTES
+    writer.transport.set_write_buffer_limits(high=0)
     return reader, writer
 
 
@@ -222,21 +258,65 @@
         self._is_answered = True
 
 
+class _Stalls:
+    """Reserves what a relayed connection holds, more while one end does not read.
+
+    It is a context that gives back all of it.
+    """
+
+    def __init__(self, budget: MemoryBudget, activity: PeerActivity) -> None:
+        self._activity = activity
+        self._holding = budget.open(activity)
+        self._count = 0
+
+    def __enter__(self) -> None:
+        pass
+
+    def __exit__(self, *exc: object) -> None:
+        self._holding.release()
+
+    def begin(self) -> bool:
+        """Return whether there is room for the connection."""
+        return self._holding.resize(RELAYED_BYTES)
+
+    async def drain(self, writer: asyncio.StreamWriter) -> None:
+        """Wait until all that was written has left.
+
+        Raises :class:`ConnectionAbortedError` without room for what is not read.
+        """
+        waiting = writer.transport.get_write_buffer_size()
+        if not waiting:
+            return
+        self._resize(self._count + 1)
+        try:
+            await writer.drain()
+        finally:
+            self._resize(self._count - 1)
+        self._activity.record(waiting)
+
+    def _resize(self, count: int) -> None:
+        self._count = count
+        self._activity.set_awaited(count > 0)
+        if not self._holding.resize(RELAYED_BYTES + count * STALLED_BYTES):
+            raise ConnectionAbortedError("no room for what the client does not read")
+
+
 async def _splice(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     upstream_reader: asyncio.StreamReader,
     upstream: asyncio.StreamWriter,
     exchange: _Exchange,
+    stalls: _Stalls,
 ) -> None:
     """Pass bytes on in both directions until one of the connections ends.
 
     The connection to the client is reset when it is closed, unless the server has ended
     regularly and all that it sent was passed on.
     """
-    to_server = asyncio.create_task(_copy(reader, upstream, exchange.on_sent))
+    to_server = asyncio.create_task(_copy(reader, upstream, exchange.on_sent, stalls))
     to_client = asyncio.create_task(
-        _copy(upstream_reader, writer, exchange.on_received)
+        _copy(upstream_reader, writer, exchange.on_received, stalls)
     )
     try:
         await asyncio.wait({to_server, to_client}, return_when=asyncio.FIRST_COMPLETED)
@@ -253,6 +333,7 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     on_bytes: Callable[[], None],
+    stalls: _Stalls,
 ) -> None:
     """Pass bytes on until the end of the connection; raises :class:`OSError`.
 
@@ -261,4 +342,4 @@
     while data := await reader.read(BLOCK_BYTES):
         on_bytes()
         writer.write(data)
-        await writer.drain()
+        await stalls.drain(writer)
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -10,6 +10,7 @@
 from ..process.backends import Backends, HostEntry, ServerIncarnation
 from ..process.host_settings import HostSettings
 from ..process.listening import Listening
+from ..process.memory_budget import Budgets
 from ..process.relay_choice import RelayChoice
 from ..process.server_paths import ServerPaths
 from ..process.stopping import Stopping
@@ -39,6 +40,7 @@
         backends: Backends,
         membership: Membership,
         stopping: Stopping,
+        budgets: Budgets,
         count: Callable[[str], None],
         on_answer: Callable[[ServerIncarnation, AnswerHead], None],
         tell_relay: TellRelay,
@@ -66,6 +68,7 @@
             backends.accepts_work_at,
             self._is_resting_at,
             stopping,
+            budgets,
             settings.max_descriptors,
             count,
         )
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -174,6 +174,7 @@
             self.backends,
             self.membership,
             self.stopping,
+            self.budgets,
             self.counters.count,
             self._on_server_answer,
             RestClient(self.peer_calls).tell,
--- a/packages/node/tests/test_relay_rests.py
+++ b/packages/node/tests/test_relay_rests.py
@@ -19,6 +19,7 @@
 from eelgrass_node.process.server_paths import Path
 from eelgrass_node.process.stopping import Stopping
 from support.connections import listen
+from support.host_settings import host_budgets
 
 SERVER = ServerIncarnation(BackendId("s1"), 5)
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -47,6 +48,7 @@
             lambda address: True,
             resting.__contains__,
             Stopping(0.0, 0.0),
+            host_budgets(),
             100,
             refused.append,
         )
--- a/tests/support/host_settings.py
+++ b/tests/support/host_settings.py
@@ -1,11 +1,14 @@
-"""The settings of a node for tests without a complete one."""
+"""The settings and budgets of a node for tests without a complete one."""
+
+import time
 
 from eelgrass_coordination.ids import DataCentre, NodeId
 from eelgrass_node.process.host_settings import HostSettings, StoreSettings
+from eelgrass_node.process.memory_budget import Budgets
 
 from .entry import BOUNDS
 
-__all__ = ["host_settings"]
+__all__ = ["host_budgets", "host_settings"]
 
 
 def host_settings(
@@ -27,3 +30,8 @@
         bounds=BOUNDS,
         region_by_data_centre=dict.fromkeys(data_centres, "east"),
     )
+
+
+def host_budgets() -> Budgets:
+    """Return the budgets of a machine of the users."""
+    return Budgets(300_000_000, 4100, time.monotonic, lambda name: None)
--- a/tests/support/relay_process.py
+++ b/tests/support/relay_process.py
@@ -6,6 +6,7 @@
 from eelgrass_node.connection.relays import RelayServer
 from eelgrass_node.process.server_paths import Path
 from eelgrass_node.process.stopping import Stopping
+from support.host_settings import host_budgets
 
 
 class _DirectPaths:
@@ -21,6 +22,7 @@
         accepts_work=lambda server: True,
         is_resting=lambda server: False,
         stopping=Stopping(notice_s=0.0, limit_s=1.0),
+        budgets=host_budgets(),
         max_descriptors=1024,
         count=lambda name: None,
     )
--- a/tests/test_ends_of_answers.py
+++ b/tests/test_ends_of_answers.py
@@ -15,6 +15,7 @@
 from support.connections import connect, listen
 from support.entry import EntryDeployment, until
 from support.host_links import LinkedDeployment, cut_off
+from support.host_settings import host_budgets
 from support.paced_engine import BODY, PIECE_S, STREAM, PacedEngine
 
 BODY_BY_TARGET = {"/once/x": BODY, "/stream/single/x": STREAM}
@@ -325,6 +326,7 @@
             accepts_work=lambda server: True,
             is_resting=lambda server: is_resting,
             stopping=Stopping(notice_s=0.0, limit_s=1.0),
+            budgets=host_budgets(),
             max_descriptors=1024,
             count=lambda name: None,
         )
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -323,3 +323,17 @@
                     yield PIECE if how == "length" else chunk(PIECE)
 
             await check_crowd(deployment, Case(150, parts), address)
+
+    # Guards against relays that hold what their clients do not read.
+    async def test_relayed_answers_that_are_not_read(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(EngineStandIn, "_stream", endless_stream)
+        async with LimitedDeployment(tmp_path) as deployment:
+            [engine] = deployment.engines_by_service["readers"]
+
+            def parts(number):
+                yield b"CONNECT %s HTTP/1.1\r\n\r\n" % engine.address.encode()
+                expects = f"Eelgrassward-Expect-Engine: {engine.server_id}"
+                yield request_head("/stream/x", number, expects, "Content-Length: 0")
+
+            _, address = deployment.door("gossip")
+            await check_crowd(deployment, Case(100, parts), address)
