Own front door: the same budgets, and what JSON takes once decoded

What callers saw: the product's own program could be ended in the same ways.

Cause: its listeners were not bounded either, and a JSON value of many small objects takes over 40 times its length once it is decoded.

Fix: its listeners are those of the node, with the new settings limits.memory_mb (300) and limits.max_descriptors (4,100). A body's decoded size is worked out from its brackets, commas and colons and reserved before it is decoded; without room it is refused as node-full, not run.

--- a/packages/node/src/eelgrass_node/connection/callers.py
+++ b/packages/node/src/eelgrass_node/connection/callers.py
@@ -133,7 +133,10 @@
         revision_info: RevisionInfo,
         is_keyed: bool,
     ) -> web.StreamResponse:
-        emit = stream.emit if call.stream else None
+        emit = None
+        if call.stream:
+            stream.reserve()
+            emit = stream.emit
         if is_keyed:
             execution = self._execution(call, _ignore_disconnect(emit))
             answer, replayed = await self._run_claimed(call, execution)
--- a/packages/node/src/eelgrass_node/connection/replies.py
+++ b/packages/node/src/eelgrass_node/connection/replies.py
@@ -5,15 +5,17 @@
 import msgspec
 from aiohttp import web
 
-from ..exceptions import Refused
+from ..exceptions import MemoryExhausted, Refused
 from ..request.model import PipelineResult
-from ..request.reasons import Outcome
+from ..request.reasons import Outcome, RefusalReason
 
 __all__ = ["Answer", "AnswerStream", "RevisionInfo", "problem_of", "problem_response"]
 
 JSON = "application/json"
 LINES = "application/x-ndjson"
 PROBLEM = "application/problem+json"
+# Slow callers are closed once they have been waited for this long.
+NO_ROOM_RETRY_S = 1.0
 PROBLEM_TYPE = "urn:eelgrassward:problem:"
 
 
@@ -114,6 +116,15 @@
         """Whether the response has started."""
         return self.response is not None
 
+    def reserve(self) -> None:
+        """Reserve memory for the stream; raises :class:`Refused` without room."""
+        try:
+            self._request.protocol.reserve_stream()
+        except MemoryExhausted as error:
+            raise Refused(
+                RefusalReason.NODE_FULL, Outcome.NOT_RUN, "", NO_ROOM_RETRY_S
+            ) from error
+
     async def emit(self, text: str) -> None:
         """Send one chunk."""
         await self._write({"seq": self._count, "text": text})
--- a/packages/node/src/eelgrass_node/connection/request_parsing.py
+++ b/packages/node/src/eelgrass_node/connection/request_parsing.py
@@ -11,7 +11,7 @@
 from eelgrass_coordination import decode_json
 from eelgrass_coordination.ids import AccountName, new_id
 
-from ..exceptions import Refused
+from ..exceptions import MemoryExhausted, Refused
 from ..request.model import CallerRequest
 from ..request.reasons import Outcome, RefusalReason
 from ..version import Pipeline, Version
@@ -22,6 +22,11 @@
 MAX_KEY_LENGTH = 200
 SINGLE_HEADERS = ("Authorization", "Content-Type", KEY_HEADER)
 BEARER = "Bearer "
+# Slow callers are closed once they have been waited for this long.
+NO_ROOM_RETRY_S = 1.0
+# A member of a small object, and an array, an object or an item of one.
+MEMBER_BYTES = 170
+ITEM_BYTES = 64
 
 
 class _Body(msgspec.Struct, forbid_unknown_fields=True):
@@ -87,11 +92,28 @@
 async def _read_body(request: web.Request, max_body: int) -> bytes:
     if (request.content_length or 0) > max_body:
         raise _refused(RefusalReason.BODY_TOO_LARGE, f"At most {max_body} bytes.")
+    connection = request.protocol
     try:
-        return await request.read()
+        raw = await connection.read_body(max_body)
+        connection.reserve_decoded(_decoded_bytes(raw))
     except web.HTTPRequestEntityTooLarge as error:
         detail = f"At most {max_body} bytes."
         raise _refused(RefusalReason.BODY_TOO_LARGE, detail) from error
+    except MemoryExhausted as error:
+        raise Refused(
+            RefusalReason.NODE_FULL, Outcome.NOT_RUN, "", NO_ROOM_RETRY_S
+        ) from error
+    return raw
+
+
+def _decoded_bytes(raw: bytes) -> int:
+    """Return what a JSON value may take once it is decoded.
+
+    Small arrays, objects and their members take many times their length.
+    """
+    members = raw.count(b":") * MEMBER_BYTES
+    containers = (raw.count(b"[") + raw.count(b"{") + raw.count(b",")) * ITEM_BYTES
+    return members + containers + 2 * len(raw)
 
 
 def _decode_body(raw: bytes) -> _Body:
--- a/packages/node/src/eelgrass_node/process/node.py
+++ b/packages/node/src/eelgrass_node/process/node.py
@@ -21,6 +21,7 @@
 from eelgrass_coordination.ids import Incarnation, Revision, new_id
 
 from ..connection.callers import CallersInterface, build_callers
+from ..connection.listeners import Listeners
 from ..connection.operators import OperatorsInterface
 from ..connection.peer_calls import PeerCalls
 from ..connection.peers import PeersInterface
@@ -40,6 +41,7 @@
 from .counters import Counters
 from .dispatch import Dispatch
 from .host_list import HostListPoller
+from .memory_budget import Budgets, ConnectionBudgets
 from .policy import choice_function, order_function
 from .status import StatusReport
 from .stopping import Stopping
@@ -51,6 +53,8 @@
 MEMBER_EXCHANGE_S = 30.0
 MEMBER_EXCHANGE_TIMEOUT_S = 2.0
 DRAIN_CLAIMS_S = 10.0
+# How long closing a listener waits for its handlers.
+CLOSE_S = 1.0
 
 
 class Node:
@@ -84,7 +88,6 @@
             interval_s=timing.heartbeat_ms / 1000,
         )
         self._tasks: list[asyncio.Task] = []
-        self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
         """Build what needs an event loop, listen, and join the other nodes."""
@@ -128,8 +131,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.membership.stop()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._listeners.close()
         await self.claims.close()
         await self.backends.close()
         await self._session.close()
@@ -138,6 +140,15 @@
     def _build(self) -> None:
         settings = self.settings
         timing = settings.timing
+        self.budgets = Budgets(
+            int(settings.limits.memory_mb * 1e6),
+            settings.limits.max_descriptors,
+            asyncio.get_running_loop().time,
+            self.counters.count,
+        )
+        self._listeners = Listeners(
+            ConnectionBudgets.of_hosts(self.budgets), self.counters.count, CLOSE_S
+        )
         platform = settings.platform
         call_s = platform.call_timeout_ms / 1000
         self._session = new_session(KEEP_ALIVE_S)
@@ -227,10 +238,13 @@
             settings.limits.max_body_bytes,
             settings.limits.max_in_flight,
         )
-        await self._serve(
-            build_callers(callers), settings.listen.callers, handler_cancellation=True
+        await self._listeners.serve_app(
+            build_callers(callers),
+            settings.listen.callers,
+            ConnectionBudgets.of_callers(self.budgets),
+            handler_cancellation=True,
         )
-        await self._serve(self._internal(), settings.listen.internal)
+        await self._listeners.serve_app(self._internal(), settings.listen.internal)
 
     def _internal(self) -> web.Application:
         status = StatusReport(
@@ -259,13 +273,6 @@
         peers.add_routes(app)
         return app
 
-    async def _serve(self, app: web.Application, address: str, **options: bool) -> None:
-        host, _, port = address.rpartition(":")
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0, **options)
-        await runner.setup()
-        self._runners.append(runner)
-        await web.TCPSite(runner, host.strip("[]"), int(port)).start()
-
     async def _exchange_members_regularly(self) -> None:
         while True:
             await asyncio.sleep(MEMBER_EXCHANGE_S)
--- a/packages/node/src/eelgrass_node/settings.py
+++ b/packages/node/src/eelgrass_node/settings.py
@@ -63,10 +63,16 @@
 
 
 class Limits(_Section):
-    """Limits on callers' request bodies and on requests in flight."""
+    """Limits on callers' request bodies, on requests in flight, and of the machine.
+
+    ``memory_mb`` is the memory of the machine, in units of 1,000,000 bytes, and
+    ``max_descriptors`` how many files and connections the process may open.
+    """
 
     max_body_bytes: int = 1 << 20
     max_in_flight: int = 2000
+    memory_mb: float = 300.0
+    max_descriptors: int = 4100
 
 
 class Policy(_Section):
@@ -172,6 +178,12 @@
         if value <= 0:
             remedy = "Specify a positive number of milliseconds."
             raise SettingsError(name, f"timing.{key}", f"found {value}", remedy)
+    for key in Limits.__struct_fields__:
+        value = getattr(settings.limits, key)
+        if value <= 0:
+            raise SettingsError(
+                name, f"limits.{key}", f"found {value}", "Specify a positive number."
+            )
     if not 0 <= settings.policy.retry_budget_ratio <= 1:
         remedy = "Specify a fraction from 0 to 1."
         value = settings.policy.retry_budget_ratio
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from eelgrass_standins.entry_engines import EngineStandIn
+from eelgrass_standins.samples import ACCOUNT_KEY, sample_deployment
 from support.crowds import (
     Crowd,
     LimitedDeployment,
@@ -23,7 +24,8 @@
     ordinary_request,
     request_head,
 )
-from support.raw_calls import read_answer
+from support.processes import ProcessDeployment
+from support.raw_calls import read_answer, request_bytes
 
 MAX_BODY_BYTES = LimitedDeployment.max_body_bytes
 LARGE = b"x" * (MAX_BODY_BYTES - 1)
@@ -39,6 +41,8 @@
 MANY_PARTS = ",".join("a:1" for _ in range(3_700))
 LARGE_ANSWER = b"x" * 3_000_000
 LARGE_EVENT = b"data: %s\n\n" % (b"x" * 60_000)
+# The bound of the product's own program, whose machine is that of the users.
+DEFAULT_MEMORY_BYTES = 300_000_000
 
 pytestmark = pytest.mark.processes
 
@@ -337,3 +341,60 @@
 
             _, address = deployment.door("gossip")
             await check_crowd(deployment, Case(100, parts), address)
+
+
+OWN_BODY_BYTES = 4 << 20
+MEMBER = b'{"":1},'
+OWN_PATH = "/v1/pipelines/current-issue/requests"
+
+
+def own_request(body: bytes, length: int, path: str = OWN_PATH) -> bytes:
+    fields = {"Authorization": f"Bearer {ACCOUNT_KEY}", "Content-Length": str(length)}
+    return request_bytes(path, "own", b"", 3.0, fields) + body
+
+
+def stopping_short(path: str):
+    def parts(number):
+        yield own_request(b"x" * (OWN_BODY_BYTES - 1), OWN_BODY_BYTES, path)
+
+    return parts
+
+
+def many_members(number):
+    """Send a body that takes many times its size once it is decoded."""
+    count = OWN_BODY_BYTES // len(MEMBER)
+    body = b'{"account": "permit-clerks", "input": [%s0]}' % (MEMBER * (count - 10))
+    yield own_request(body, len(body))
+
+
+def own_ordinary_request(number: int) -> bytes:
+    body = msgspec.json.encode({"account": "permit-clerks", "input": "A-101"})
+    return own_request(body, len(body))
+
+
+OWN = {
+    "callers": ("callers", stopping_short(OWN_PATH)),
+    "internal": ("internal", stopping_short("/peer/v1/changes")),
+    "decoded": ("callers", many_members),
+}
+
+
+@pytest.mark.parametrize("name", OWN)
+class TestOwnFrontDoor:
+    # Guards against bodies that the product's own program reads without such a bound.
+    async def test_a_crowd_of_bodies(self, tmp_path, name):
+        door, parts = OWN[name]
+        spec = sample_deployment(engines=1, pool_size=1)
+        limits = {"limits": {"max_body_bytes": OWN_BODY_BYTES}}
+        async with ProcessDeployment(
+            spec, tmp_path, nodes=1, settings=limits
+        ) as deployment:
+            [process] = deployment.nodes
+            address, callers = getattr(deployment, door)(0), deployment.callers(0)
+            async with UsageWatch(process.pid) as watch:
+                async with Crowd(address, 100, parts):
+                    assert await is_answered(callers, own_ordinary_request)
+                assert await is_answered(callers, own_ordinary_request)
+                watch.sample()
+            assert process.running()
+            assert watch.peak.bytes <= DEFAULT_MEMORY_BYTES
