--- a/packages/node/src/eelgrass_node/entry_gauges.py
+++ b/packages/node/src/eelgrass_node/entry_gauges.py
@@ -56,6 +56,28 @@
         "Backend servers that name a request limit in their answers.",
         node.backends.limits.count(),
     )
+    for budget in node.budgets.all():
+        yield Gauge(
+            "budget_used",
+            "Bytes or connections held for peers, by budget.",
+            float(budget.used),
+            "budget",
+            budget.name,
+        )
+        yield Gauge(
+            "budget_peak",
+            "The most that was held since the start, by budget.",
+            float(budget.peak),
+            "budget",
+            budget.name,
+        )
+        yield Gauge(
+            "budget_capacity",
+            "The most that may be held, by budget.",
+            float(budget.capacity),
+            "budget",
+            budget.name,
+        )
     yield Gauge("store_calls", "Calls made to the store.", float(node.store.calls))
     for name, table in (
         ("operator", node.tables.operator),
