Answers: a whole answer is in flight until all of it has left the process

What callers saw: a slow caller of a host that is stopped got 3,997,696 of 4,000,010 bytes.

Cause: answers are sent in pieces, and the HTTP library waits for its peer only after more than 64 kB, and at the end only behind bytes that it writes there. Up to 64 kB of the end were still in the process when the answer counted as sent, and a planned stop ended it.

The new test narrows the kernel's buffers, so that it failed each time before (0 in flight in place of 1).

Fix: each piece waits until it has left, before it counts as moved. The new test and those of slow callers, large bodies and whole answers pass.

--- a/packages/node/src/eelgrass_node/connection/sent_bytes.py
+++ b/packages/node/src/eelgrass_node/connection/sent_bytes.py
@@ -30,6 +30,8 @@
         for begin in range(0, len(view), PIECE_BYTES):
             piece = view[begin : begin + PIECE_BYTES]
             await writer.write(piece)
+            # The library itself waits only within larger bodies.
+            await writer.drain()
             self._on_sent(len(piece))
 
     async def write_with_length(
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -16,6 +16,8 @@
 # More than the socket buffers of both sides hold.
 BODY = b"x" * 4_000_000
 ANSWER = b"answer of " + BODY
+# More than the narrow buffers hold, and less than what makes a sender wait.
+MODERATE_BODY = b"x" * 50_000
 DEADLINE_S = 3.0
 RECEIVE_BUFFER_BYTES = 4096
 READ_LIMIT_BYTES = 1024
@@ -99,6 +101,24 @@
     sent_by.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
+class TestWholeAnswers:
+    # Guards against an answer that counts as sent while the process still has its end,
+    # so that a planned stop would cut it off.
+    async def test_they_are_in_flight_until_they_have_left(self, monkeypatch):
+        monkeypatch.setattr(_CallerConnection, "connection_made", make_narrow)
+        async with EntryDeployment(nodes=1) as entry:
+            [node] = entry.nodes
+            request = request_bytes("/safe/x", "slow", MODERATE_BODY, DEADLINE_S)
+            reader, writer = await begin_call(node.settings.callers, request)
+            await asyncio.sleep(0.5)
+            assert node.stopping.count == 1
+            size = len(b"answer of " + MODERATE_BODY)
+            received = await read_rest(reader, lambda data: len(data) >= size)
+            assert len(received) == size
+            await until(lambda: node.stopping.count == 0)
+            writer.close()
+
+
 class TestDeadlines:
     """The host has a whole stream, of which the kernel does not take all at once."""
 
