Budgets: the field's names, one Retry-After, a log line for each refusal

Reading the change as a newcomer: reservations, eviction, minimum rate, pipelining and high-water mark in place of names of this change; NO_ROOM_RETRY_S stands once, with the reason, in place of four times; the kernel's buffer for an unread connection follows from its size. A request that is refused for want of memory is logged with its id, and the line of a shortage says what happens to whom.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -21,8 +21,8 @@
 from .answer_bounds import BoundedResponseHandler
 from .answer_head import AnswerHead, OnAnswer
 from .listen_probe import probe_listening
+from .piecewise_payload import PiecewisePayload
 from .response_handler import SolicitedResponseHandler
-from .sent_bytes import SentBytes
 from .sockets import Connector, new_session
 
 if TYPE_CHECKING:
@@ -158,7 +158,7 @@
         return session.request(
             method,
             URL(f"http://{self.address}{target}", encoded=True),
-            data=SentBytes(body) if body else None,
+            data=PiecewisePayload(body) if body else None,
             headers=headers,
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
--- a/packages/node/src/eelgrass_node/connection/bounded_server.py
+++ b/packages/node/src/eelgrass_node/connection/bounded_server.py
@@ -15,23 +15,26 @@
 from ..exceptions import MemoryExhausted
 from ..process.memory_budget import (
     LARGE_BYTES,
+    NO_ROOM_RETRY_S,
     ConnectionBudgets,
-    Holding,
     PeerActivity,
+    Reservation,
 )
 from .input_meter import InputMeter, head_bytes, waiting_bytes
-from .sent_bytes import PIECE_BYTES, SentBytes
+from .piecewise_payload import PIECE_BYTES, PiecewisePayload
+from .sockets import BUFFER_BYTES
 
 __all__ = ["BoundedConnection", "BoundedServer"]
 
 # Most that one call of the event loop reads from a connection.
 READ_BYTES = 1 << 16
-# What is read ahead, behind a request that is being served, before reading pauses.
-READ_AHEAD_BYTES = 1 << 16
+# High-water mark of pipelined requests: reading pauses once so much has arrived behind
+# the request that is being served.
+PIPELINED_BYTES = 1 << 16
 # Most of a header, or of other bytes that are no request yet.
 MAX_UNPARSED_BYTES = 1 << 17
-# What the kernel may hold for a connection that is not read.
-KERNEL_BYTES = 1 << 17
+# What the kernel may hold for a connection that is not read; Linux doubles the size.
+KERNEL_BYTES = 2 * BUFFER_BYTES
 # Objects of a request that is being served.
 SERVED_REQUEST_BYTES = 16_384
 # Bytes of a refused request are read and dropped for this long, as closing a connection
@@ -43,10 +46,9 @@
 # caller: before it is known whether the caller reads, and while it does not.
 STREAM_BYTES = LARGE_BYTES
 STALLED_STREAM_BYTES = 1 << 18
-RETRY_AFTER_S = 1
 NO_ROOM_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
-    b"Retry-After: %d\r\nConnection: close\r\n\r\n" % RETRY_AFTER_S
+    b"Retry-After: %g\r\nConnection: close\r\n\r\n" % NO_ROOM_RETRY_S
 )
 TOO_LARGE_RESPONSE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n"
@@ -68,10 +70,10 @@
             server, read_bufsize=READ_BYTES, lingering_time=LINGER_S, **options
         )
         self._count = count
-        self.activity = PeerActivity(budgets.clock, self._make_room)
+        self.activity = PeerActivity(budgets.clock, self._on_evicted)
         self._slot = budgets.connections.open(self.activity)
         self._input = budgets.requests.open(self.activity)
-        self.answer: Holding = budgets.answers.open(self.activity)
+        self.answer: Reservation = budgets.answers.open(self.activity)
         # The body of the request that is being served, None between two requests.
         self._body: StreamReader | None = None
         self._served_head_bytes = 0
@@ -85,7 +87,7 @@
         self._unread_bytes = 0
         self._meter = InputMeter()
         self._parsed_requests = 0
-        self._is_read_ahead_full = False
+        self._is_pipeline_full = False
         # Whether nothing more is read, because there was no room for it.
         self._is_input_ended = False
         # Set while a refused connection lingers until its peer has closed it.
@@ -105,8 +107,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back all that the connection holds."""
-        for holding in (self._slot, self._input, self.answer):
-            holding.release()
+        for reservation in (self._slot, self._input, self.answer):
+            reservation.release()
         if self._lost is not None and not self._lost.done():
             self._lost.set_result(None)
         super().connection_lost(exc)
@@ -126,14 +128,14 @@
         if self._meter.unparsed_bytes > MAX_UNPARSED_BYTES:
             self._end_input(TOO_LARGE_RESPONSE)
             return
-        self._pause_read_ahead()
+        self._pause_pipelining()
         self._update()
 
     def begin_request(self, message, body: StreamReader) -> None:
         """Record that a request with this head and body is being served."""
         self._body = body
         self._served_head_bytes = head_bytes(message)
-        self._resume_read_ahead()
+        self._resume_pipelining()
         self._update()
 
     @property
@@ -211,7 +213,7 @@
             self._is_answering = self._is_streaming = False
             if self._is_input_ended and not self._messages:
                 self.close()
-            self._resume_read_ahead()
+            self._resume_pipelining()
             self._update()
 
     def _reserve_answer(self, response: web.Response) -> None:
@@ -225,7 +227,7 @@
         if size > self.answer.amount and not self.answer.resize(size):
             self._abort()
             return
-        response.body = SentBytes(response.body, self.activity.record)
+        response.body = PiecewisePayload(response.body, self.activity.record)
 
     def _update(self) -> None:
         """Reserve what is held now, and note whose turn it is."""
@@ -239,7 +241,7 @@
                 body_bytes = min(body_bytes, UNREAD_BODY_BYTES)
             held += body_bytes
         self.activity.set_awaited(self._is_peers_turn())
-        if self._is_read_ahead_full:
+        if self._is_pipeline_full:
             held += KERNEL_BYTES
         if not self._input.resize(held):
             self._end_input()
@@ -251,35 +253,36 @@
             return not self._messages
         return not self._body.is_eof()
 
-    def _pause_read_ahead(self) -> None:
+    def _pause_pipelining(self) -> None:
         """Stop reading while much has arrived behind a request that is being served."""
         if self._body is None or not self._body.is_eof():
             return
-        if self._ahead_bytes() >= READ_AHEAD_BYTES:
-            self._is_read_ahead_full = True
+        if self._pipelined_bytes() >= PIPELINED_BYTES:
+            self._is_pipeline_full = True
             self._pause_transport_reading()
 
-    def _resume_read_ahead(self) -> None:
-        if self._is_read_ahead_full and self._ahead_bytes() < READ_AHEAD_BYTES:
-            self._is_read_ahead_full = False
+    def _resume_pipelining(self) -> None:
+        if self._is_pipeline_full and self._pipelined_bytes() < PIPELINED_BYTES:
+            self._is_pipeline_full = False
             if not self._reading_paused and not self._buffer_paused:
                 self._resume_transport_reading()
 
-    def _ahead_bytes(self) -> int:
+    def _pipelined_bytes(self) -> int:
         """Return how much has arrived behind the request that is being served."""
         waiting = (body.total_bytes + head_bytes(m) for m, body in self._messages)
         return sum(waiting) + self._meter.unparsed_bytes
 
     def _resume_transport_reading(self) -> None:
-        """Read on, unless as much has been read ahead as may be."""
-        if not self._is_read_ahead_full:
+        """Read on, unless the pipeline is full."""
+        if not self._is_pipeline_full:
             super()._resume_transport_reading()
 
-    def _make_room(self) -> None:
-        """Give up what is held for the peer, which has been found to be the slowest."""
+    def _on_evicted(self) -> None:
+        """Give up what is held for the peer."""
         is_body_arriving = self._body is not None and not self._body.is_eof()
         is_head_arriving = self._body is None and self._meter.unparsed_bytes > 0
-        if self._is_answering or self.writing_paused or self._is_input_ended:
+        is_sending = self._is_answering or self.writing_paused
+        if is_sending or self._is_input_ended:
             self._abort()
         elif is_body_arriving or is_head_arriving:
             self._end_input()
@@ -307,7 +310,7 @@
             if is_waiting and (self._body is not None or len(self._messages) > 1):
                 self._messages.pop()
         if self._body is not None or self._messages:
-            self._resume_read_ahead()
+            self._resume_pipelining()
         elif is_body_arriving:
             # Its request has been answered.
             self._abort()
@@ -370,7 +373,7 @@
             return await handler(request)
         except MemoryExhausted as error:
             refusal = web.Response(status=503, text=f"{error}\n")
-            refusal.headers["Retry-After"] = str(RETRY_AFTER_S)
+            refusal.headers["Retry-After"] = f"{NO_ROOM_RETRY_S:g}"
             refusal.force_close()
             return refusal
 
--- a/packages/node/src/eelgrass_node/connection/sent_bytes.py
+++ b/packages/node/src/eelgrass_node/connection/piecewise_payload.py
@@ -5,12 +5,12 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.payload import Payload
 
-__all__ = ["PIECE_BYTES", "SentBytes"]
+__all__ = ["PIECE_BYTES", "PiecewisePayload"]
 
 PIECE_BYTES = 1 << 14
 
 
-class SentBytes(Payload):
+class PiecewisePayload(Payload):
     """A body of bytes; ``on_sent`` is called with the size of each piece that left."""
 
     def __init__(
--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -266,18 +266,18 @@
 
     def __init__(self, budget: MemoryBudget, activity: PeerActivity) -> None:
         self._activity = activity
-        self._holding = budget.open(activity)
+        self._reservation = budget.open(activity)
         self._count = 0
 
     def __enter__(self) -> None:
         pass
 
     def __exit__(self, *exc: object) -> None:
-        self._holding.release()
+        self._reservation.release()
 
     def begin(self) -> bool:
         """Return whether there is room for the connection."""
-        return self._holding.resize(RELAYED_BYTES)
+        return self._reservation.resize(RELAYED_BYTES)
 
     async def drain(self, writer: asyncio.StreamWriter) -> None:
         """Wait until all that was written has left.
@@ -297,7 +297,7 @@
     def _resize(self, count: int) -> None:
         self._count = count
         self._activity.set_awaited(count > 0)
-        if not self._holding.resize(RELAYED_BYTES + count * STALLED_BYTES):
+        if not self._reservation.resize(RELAYED_BYTES + count * STALLED_BYTES):
             raise ConnectionAbortedError("no room for what the client does not read")
 
 
--- a/packages/node/src/eelgrass_node/connection/replies.py
+++ b/packages/node/src/eelgrass_node/connection/replies.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from ..exceptions import MemoryExhausted, Refused
+from ..process.memory_budget import NO_ROOM_RETRY_S
 from ..request.model import PipelineResult
 from ..request.reasons import Outcome, RefusalReason
 
@@ -14,8 +15,6 @@
 JSON = "application/json"
 LINES = "application/x-ndjson"
 PROBLEM = "application/problem+json"
-# Slow callers are closed once they have been waited for this long.
-NO_ROOM_RETRY_S = 1.0
 PROBLEM_TYPE = "urn:eelgrassward:problem:"
 
 
--- a/packages/node/src/eelgrass_node/connection/request_parsing.py
+++ b/packages/node/src/eelgrass_node/connection/request_parsing.py
@@ -12,6 +12,7 @@
 from eelgrass_coordination.ids import AccountName, new_id
 
 from ..exceptions import MemoryExhausted, Refused
+from ..process.memory_budget import NO_ROOM_RETRY_S
 from ..request.model import CallerRequest
 from ..request.reasons import Outcome, RefusalReason
 from ..version import Pipeline, Version
@@ -22,11 +23,9 @@
 MAX_KEY_LENGTH = 200
 SINGLE_HEADERS = ("Authorization", "Content-Type", KEY_HEADER)
 BEARER = "Bearer "
-# Slow callers are closed once they have been waited for this long.
-NO_ROOM_RETRY_S = 1.0
-# A member of a small object, and an array, an object or an item of one.
+# A member of a small object, and an array, an object or an element of one.
 MEMBER_BYTES = 170
-ITEM_BYTES = 64
+ELEMENT_BYTES = 64
 
 
 class _Body(msgspec.Struct, forbid_unknown_fields=True):
@@ -112,7 +111,7 @@
     Small arrays, objects and their members take many times their length.
     """
     members = raw.count(b":") * MEMBER_BYTES
-    containers = (raw.count(b"[") + raw.count(b"{") + raw.count(b",")) * ITEM_BYTES
+    containers = (raw.count(b"[") + raw.count(b"{") + raw.count(b",")) * ELEMENT_BYTES
     return members + containers + 2 * len(raw)
 
 
--- a/packages/node/src/eelgrass_node/connection/sockets.py
+++ b/packages/node/src/eelgrass_node/connection/sockets.py
@@ -17,6 +17,7 @@
 from .response_handler import SolicitedResponseHandler, is_readable
 
 __all__ = [
+    "BUFFER_BYTES",
     "Connector",
     "new_session",
     "open_socket",
--- a/packages/node/src/eelgrass_node/process/memory_budget.py
+++ b/packages/node/src/eelgrass_node/process/memory_budget.py
@@ -1,19 +1,19 @@
-"""Accounts for what this process holds on behalf of its peers, in bytes or in files.
+"""Accounts for what this process holds for its peers, in bytes and connections.
 
 Limits for each connection or request are multiplied by the number of connections. What
 all of them hold together is therefore reserved from budgets, which are shares of the
 machine's memory, before it is read, and released when it is dropped.
 
-Without room, a budget closes connections whose peer is being waited for and moves the
-least data for what is held for it. A peer that moves a good part of it every second is
-spared, however slow it is. Large holdings share a part of each budget, so that they
-leave room for the many small ones.
+Without room, a budget evicts: it closes connections whose peer is being waited for and
+moves the least data for what is held for it. A peer that moves a good part of it every
+second is spared, however slow it is. Large reservations share a part of each budget, so
+that they leave room for the many small ones.
 
     budget = MemoryBudget("requests", 1_000_000, clock, count)
-    holding = budget.open(peer)
-    if not holding.resize(len(data)):
+    reservation = budget.open(peer)
+    if not reservation.resize(len(data)):
         ...  # refuse the request
-    holding.resize(0)
+    reservation.resize(0)
 """
 
 import asyncio
@@ -26,34 +26,38 @@
 from ..log import Part, log
 
 __all__ = [
+    "NO_ROOM_RETRY_S",
     "Budgets",
     "ConnectionBudgets",
-    "Holding",
+    "Reservation",
     "MemoryBudget",
     "PeerActivity",
 ]
 
-# Larger holdings share a part of the budget; a single one may use all of it.
+# Larger reservations share a part of the budget; a single one may use all of it.
 LARGE_BYTES = 1 << 16
 LARGE_FRACTION = 0.5
-# A peer is not closed before it has been waited for this long.
-GRACE_S = 1.0
+# A peer is not evicted before it has been waited for this long.
+GRACE_PERIOD_S = 1.0
 # The rate of a peer is averaged with this half-life.
 HALF_LIFE_S = 1.0
-# A peer that moves this fraction of what is held for it every second is not closed.
-KEPT_PACE = 0.5
+# A peer that moves this fraction of what is held for it every second is not evicted.
+MIN_RATE = 0.5
 # The same for connections, in bytes per second.
-KEPT_CONNECTION_PACE = 16_384
-# Without a peer to close, the next search is this much later.
+MIN_CONNECTION_RATE = 16_384
+# When a request that finds no room is to come again: by then peers that hold room now
+# can be evicted.
+NO_ROOM_RETRY_S = GRACE_PERIOD_S
+# If no peer can be evicted, none is looked for again for this long.
 SEARCH_INTERVAL_S = 0.05
-# How often those that wait for room look for peers that can be closed by then.
+# How often a wait for room looks for peers that can be evicted by then.
 WAIT_INTERVAL_S = 0.25
 
 
 class PeerActivity:
     """What a peer moves, by sending or by reading, and whether it is waited for.
 
-    ``close`` is called when its connection has to be closed for want of room.
+    ``close`` is called to evict it.
     """
 
     def __init__(self, clock: Callable[[], float], close: Callable[[], None]) -> None:
@@ -82,7 +86,7 @@
         return self._moved * 0.5 ** ((now - self._moved_at) / HALF_LIFE_S)
 
 
-class Holding:
+class Reservation:
     """What is held for one peer in one budget; :meth:`release` ends it."""
 
     def __init__(self, budget: "MemoryBudget", peer: PeerActivity) -> None:
@@ -108,9 +112,9 @@
 
 
 class MemoryBudget:
-    """One budget; ``capacity`` and the amounts of holdings have the same unit.
+    """One budget; ``capacity`` and the amounts of reservations have the same unit.
 
-    ``kept_pace`` is the rate of a peer for each unit held above which it is spared, in
+    ``min_rate`` is the rate of a peer for each unit held above which it is spared, in
     bytes per second. ``count`` counts events.
     """
 
@@ -120,7 +124,7 @@
         capacity: int,
         clock: Callable[[], float],
         count: Callable[[str], None],
-        kept_pace: float = KEPT_PACE,
+        min_rate: float = MIN_RATE,
     ) -> None:
         self.name = name
         self.capacity = capacity
@@ -129,37 +133,37 @@
         self._large_used = 0
         self._clock = clock
         self._count = count
-        self._kept_pace = kept_pace
-        self._holdings: set[Holding] = set()
-        self._waiters: deque[tuple[Holding, int, asyncio.Future[None]]] = deque()
+        self._min_rate = min_rate
+        self._reservations: set[Reservation] = set()
+        self._waiters: deque[tuple[Reservation, int, asyncio.Future[None]]] = deque()
         self._searched_at = -math.inf
         self._is_short = False
 
-    def open(self, peer: PeerActivity) -> Holding:
-        """Return a holding of nothing for a peer."""
-        return Holding(self, peer)
+    def open(self, peer: PeerActivity) -> Reservation:
+        """Return a reservation of nothing for a peer."""
+        return Reservation(self, peer)
 
-    def resize(self, holding: Holding, amount: int) -> bool:
-        """Change a holding; see :meth:`Holding.resize`."""
-        if holding.is_released:
+    def resize(self, reservation: Reservation, amount: int) -> bool:
+        """Change a reservation; see :meth:`Reservation.resize`."""
+        if reservation.is_released:
             return amount <= 0
-        if amount > holding.amount and not self._make_room(holding, amount):
+        if amount > reservation.amount and not self._make_room(reservation, amount):
             self._count(f"memory.no-room-{self.name}")
             self._log_shortage()
             return False
-        self._set(holding, amount)
+        self._set(reservation, amount)
         return True
 
-    async def wait_resize(self, holding: Holding, amount: int) -> None:
-        """Change a holding once there is room; the first to wait comes first.
+    async def wait_resize(self, reservation: Reservation, amount: int) -> None:
+        """Change a reservation once there is room; the first to wait comes first.
 
-        No holding waits for more than the capacity.
+        No reservation waits for more than the capacity.
         """
         amount = min(amount, self.capacity)
-        if not self._waiters and self._try(holding, amount):
+        if not self._waiters and self._try(reservation, amount):
             return
         turn = asyncio.get_running_loop().create_future()
-        entry = (holding, amount, turn)
+        entry = (reservation, amount, turn)
         self._waiters.append(entry)
         try:
             while not turn.done():
@@ -170,29 +174,29 @@
                 self._waiters.remove(entry)
                 self._serve_waiters()
 
-    def release(self, holding: Holding) -> None:
-        """End a holding."""
-        self._set(holding, 0)
-        holding.is_released = True
+    def release(self, reservation: Reservation) -> None:
+        """End a reservation."""
+        self._set(reservation, 0)
+        reservation.is_released = True
 
-    def _try(self, holding: Holding, amount: int) -> bool:
-        if holding.is_released:
+    def _try(self, reservation: Reservation, amount: int) -> bool:
+        if reservation.is_released:
             return True
-        if amount > holding.amount and not self._make_room(holding, amount):
+        if amount > reservation.amount and not self._make_room(reservation, amount):
             return False
-        self._set(holding, amount)
+        self._set(reservation, amount)
         return True
 
-    def _set(self, holding: Holding, amount: int) -> None:
-        shrinks = amount < holding.amount
-        self.used += amount - holding.amount
-        self._large_used += _large(amount) - _large(holding.amount)
+    def _set(self, reservation: Reservation, amount: int) -> None:
+        shrinks = amount < reservation.amount
+        self.used += amount - reservation.amount
+        self._large_used += _large(amount) - _large(reservation.amount)
         self.peak = max(self.peak, self.used)
-        holding.amount = amount
+        reservation.amount = amount
         if amount:
-            self._holdings.add(holding)
+            self._reservations.add(reservation)
         else:
-            self._holdings.discard(holding)
+            self._reservations.discard(reservation)
         if self.used * 2 < self.capacity:
             self._is_short = False
         if shrinks and self._waiters:
@@ -200,73 +204,72 @@
 
     def _serve_waiters(self) -> None:
         while self._waiters:
-            holding, amount, turn = self._waiters[0]
-            if not turn.done() and not self._try(holding, amount):
+            reservation, amount, turn = self._waiters[0]
+            if not turn.done() and not self._try(reservation, amount):
                 return
             self._waiters.popleft()
             if not turn.done():
                 turn.set_result(None)
 
-    def _make_room(self, holding: Holding, amount: int) -> bool:
-        missing = self._missing(holding, amount)
+    def _make_room(self, reservation: Reservation, amount: int) -> bool:
+        missing = self._missing(reservation, amount)
         if missing == (0, 0):
             return True
         now = self._clock()
         if now - self._searched_at < SEARCH_INTERVAL_S:
             return False
-        victims = self._victims(holding, missing, now)
-        if victims is None:
+        evicted = self._evictable(reservation, missing, now)
+        if evicted is None:
             self._searched_at = now
             return False
-        for victim in victims:
-            self._close(victim)
+        for other in evicted:
+            self._evict(other)
         return True
 
-    def _missing(self, holding: Holding, amount: int) -> tuple[int, int]:
+    def _missing(self, reservation: Reservation, amount: int) -> tuple[int, int]:
         """Return how much a change lacks of the capacity, and of that for large ones.
 
-        The largest holding may have what is left of the capacity if it is the only
-        large one.
+        A single large one may use all that is left of the capacity.
         """
-        used = self.used - holding.amount + amount - self.capacity
-        other_large = self._large_used - _large(holding.amount)
+        used = self.used - reservation.amount + amount - self.capacity
+        other_large = self._large_used - _large(reservation.amount)
         large = 0
         if _large(amount):
             large = other_large + amount - int(self.capacity * LARGE_FRACTION)
         return max(0, used), min(max(0, large), other_large)
 
-    def _victims(
-        self, holding: Holding, missing: tuple[int, int], now: float
-    ) -> list[Holding] | None:
+    def _evictable(
+        self, reservation: Reservation, missing: tuple[int, int], now: float
+    ) -> list[Reservation] | None:
         """Return whose peers to close for what is missing; None if that is not enough.
 
         They are those that move the least for what is held for them.
         """
-        paces: list[tuple[float, float, int, Holding]] = []
-        for other in self._holdings:
+        rates: list[tuple[float, float, int, Reservation]] = []
+        for other in self._reservations:
             since = other.peer.awaited_since
-            if other is holding or since is None or now - since < GRACE_S:
+            if other is reservation or since is None or now - since < GRACE_PERIOD_S:
                 continue
-            pace = other.peer.bytes_per_s(now) / other.amount
-            if pace < self._kept_pace:
-                paces.append((pace, since, id(other), other))
-        victims: list[Holding] = []
+            rate = other.peer.bytes_per_s(now) / other.amount
+            if rate < self._min_rate:
+                rates.append((rate, since, id(other), other))
+        evicted: list[Reservation] = []
         used, large = missing
-        for _, _, _, other in sorted(paces):
+        for _, _, _, other in sorted(rates):
             if used <= 0 and large <= 0:
                 break
             if used > 0 or _large(other.amount):
-                victims.append(other)
+                evicted.append(other)
                 used -= other.amount
                 large -= _large(other.amount)
-        return victims if used <= 0 and large <= 0 else None
+        return evicted if used <= 0 and large <= 0 else None
 
-    def _close(self, victim: Holding) -> None:
-        self._count(f"memory.closed-{self.name}")
+    def _evict(self, reservation: Reservation) -> None:
+        self._count(f"memory.evicted-{self.name}")
         self._log_shortage()
-        self._set(victim, 0)
-        victim.is_released = True
-        victim.peer.close()
+        self._set(reservation, 0)
+        reservation.is_released = True
+        reservation.peer.close()
 
     def _log_shortage(self) -> None:
         """Log the first shortage since the budget was half empty."""
@@ -275,11 +278,12 @@
         self._is_short = True
         log(
             Part.NODE,
-            "No room for what peers send or do not read; the slowest are closed.",
+            "A budget is used up; new requests on it are refused, or the connections "
+            "that send or read the slowest are closed.",
             budget=self.name,
             used=self.used,
             capacity=self.capacity,
-            holdings=len(self._holdings),
+            reservations=len(self._reservations),
         )
 
 
@@ -341,7 +345,7 @@
             by_memory = int(divided * fraction) // CONNECTION_BYTES
             by_files = int((max_descriptors - RESERVED_DESCRIPTORS) * of_files)
             capacity = max(1, min(by_memory, by_files))
-            return MemoryBudget(name, capacity, clock, count, KEPT_CONNECTION_PACE)
+            return MemoryBudget(name, capacity, clock, count, MIN_CONNECTION_RATE)
 
         self.clock = clock
         self.requests = budget("requests", shares.requests)
--- a/packages/node/src/eelgrass_node/request/request_handler.py
+++ b/packages/node/src/eelgrass_node/request/request_handler.py
@@ -15,6 +15,7 @@
 )
 from ..log import Part, log
 from ..process.deployments import DeploymentInForce
+from ..process.memory_budget import NO_ROOM_RETRY_S
 from ..process.stopping import Stopping
 from ..version.deployment import AccountGrant, Route, RouteKind
 from .caller_response import CallerResponse
@@ -33,8 +34,6 @@
 # A node with an outdated configuration asks other nodes for the newer one after 0.5 s;
 # the node that the caller reaches after this time most likely has it.
 OUTDATED_RETRY_S = 0.5
-# Slow callers are closed once they have been waited for this long.
-NO_ROOM_RETRY_S = 1.0
 # A request that has not run can be sent again at once.
 EARLY_END_RETRY_S = 0.1
 # A batch item until its result is used, and a part of a prompt.
@@ -181,7 +180,7 @@
         try:
             request.protocol.reserve_decoded(_decoded_bytes(incoming))
         except MemoryExhausted as error:
-            return self._refuse_without_memory(answer, error)
+            return self._refuse_without_memory(incoming, answer, error)
         # What no body can make legal is refused before it is read.
         found = self._find_route(incoming, answer)
         if isinstance(found, web.StreamResponse):
@@ -200,7 +199,7 @@
         except web.HTTPRequestEntityTooLarge:
             return self._refuse_too_large(answer)
         except MemoryExhausted as error:
-            return self._refuse_without_memory(answer, error)
+            return self._refuse_without_memory(incoming, answer, error)
         return await self._route(msgspec.structs.replace(incoming, body=body), answer)
 
     def _refuse_too_large(self, answer: CallerResponse) -> web.StreamResponse:
@@ -208,9 +207,15 @@
         return answer.refusal(HTTP_TOO_LARGE, "the request body is too large")
 
     def _refuse_without_memory(
-        self, answer: CallerResponse, error: MemoryExhausted
+        self, incoming: IncomingRequest, answer: CallerResponse, error: MemoryExhausted
     ) -> web.StreamResponse:
         self._count("refusal.no-memory")
+        log(
+            Part.REQUESTS,
+            "Refused, as the node has no memory for the request; it has not run.",
+            id=incoming.request_id,
+            retry_after_s=NO_ROOM_RETRY_S,
+        )
         response = answer.refusal(HTTP_UNAVAILABLE, str(error), NO_ROOM_RETRY_S)
         response.force_close()
         return response
@@ -248,7 +253,7 @@
             try:
                 answer.reserve_stream()
             except MemoryExhausted as error:
-                return self._refuse_without_memory(answer, error)
+                return self._refuse_without_memory(incoming, answer, error)
         answer.may_have_run, answer.resumable = True, routed.route.resumable
         return await RequestExecution(self._context, routed, answer).serve()
 
--- a/packages/node/tests/test_memory_budget.py
+++ b/packages/node/tests/test_memory_budget.py
@@ -6,7 +6,7 @@
 import pytest
 
 from eelgrass_node.process.memory_budget import (
-    GRACE_S,
+    GRACE_PERIOD_S,
     LARGE_BYTES,
     SEARCH_INTERVAL_S,
     Budgets,
@@ -29,55 +29,55 @@
         )
         self.closed = []
 
-    def holding(self, name, amount=0, is_awaited=True):
+    def reservation(self, name, amount=0, is_awaited=True):
         activity = PeerActivity(lambda: self.now, lambda: self.closed.append(name))
         activity.set_awaited(is_awaited)
-        holding = self.budget.open(activity)
-        assert holding.resize(amount)
-        return holding
+        reservation = self.budget.open(activity)
+        assert reservation.resize(amount)
+        return reservation
 
     def fill(self, amount=SMALL, is_awaited=True):
         count = self.budget.capacity // amount
-        return [self.holding(n, amount, is_awaited) for n in range(count)]
+        return [self.reservation(n, amount, is_awaited) for n in range(count)]
 
     def pass_grace(self):
-        self.now += GRACE_S + SEARCH_INTERVAL_S
+        self.now += GRACE_PERIOD_S + SEARCH_INTERVAL_S
 
 
 class TestRoom:
-    # Guards against holdings that together exceed the capacity.
+    # Guards against reservations that together exceed the capacity.
     def test_no_more_than_the_capacity_is_held(self):
         peers = Peers()
         held = peers.fill()
-        assert not peers.holding("more").resize(SMALL)
+        assert not peers.reservation("more").resize(SMALL)
         assert peers.budget.used == CAPACITY and peers.closed == []
         held[0].release()
-        assert peers.holding("more").resize(SMALL)
+        assert peers.reservation("more").resize(SMALL)
         assert peers.budget.peak == CAPACITY
 
     # Guards against bytes that are never given back, or twice.
     def test_all_of_it_is_given_back_once(self):
         peers = Peers()
         held = peers.fill()
-        for holding in held:
-            assert holding.resize(0)
-            holding.release()
-            holding.release()
-            assert not holding.resize(1)
+        for reservation in held:
+            assert reservation.resize(0)
+            reservation.release()
+            reservation.release()
+            assert not reservation.resize(1)
         assert peers.budget.used == 0
         assert len(peers.fill()) == len(held)
 
     # Guards against one crowd of large requests that takes the room of all small ones.
     def test_large_ones_leave_room_for_small_ones(self):
         peers = Peers()
-        large = [peers.holding(n) for n in range(20)]
-        served = [holding.resize(2 * LARGE_BYTES) for holding in large]
+        large = [peers.reservation(n) for n in range(20)]
+        served = [reservation.resize(2 * LARGE_BYTES) for reservation in large]
         assert served.count(True) == 5
-        assert all(peers.holding("small").resize(SMALL) for _ in range(40))
+        assert all(peers.reservation("small").resize(SMALL) for _ in range(40))
 
     # Guards against a largest legal request that is refused in calm.
     def test_a_single_large_one_may_use_all(self):
-        assert Peers().holding("only", CAPACITY).amount == CAPACITY
+        assert Peers().reservation("only", CAPACITY).amount == CAPACITY
 
 
 class TestSlowPeers:
@@ -86,22 +86,22 @@
         peers = Peers()
         peers.fill()
         peers.pass_grace()
-        assert peers.holding("ordinary").resize(SMALL)
+        assert peers.reservation("ordinary").resize(SMALL)
         assert peers.closed == [0] or len(peers.closed) == 1
         assert peers.budget.used == CAPACITY
 
     # Guards against the same by peers that trickle.
     def test_those_that_trickle_go_before_a_slow_honest_one(self):
         peers = Peers()
-        honest = peers.holding("honest", SMALL)
-        others = [peers.holding(n, SMALL) for n in range(CAPACITY // SMALL - 1)]
+        honest = peers.reservation("honest", SMALL)
+        others = [peers.reservation(n, SMALL) for n in range(CAPACITY // SMALL - 1)]
         for _ in range(20):
             peers.now += 0.1
             honest.peer.record(SMALL // 20)
             for other in others:
                 other.peer.record(1)
         for number in range(len(others)):
-            assert peers.holding(f"ordinary-{number}").resize(SMALL)
+            assert peers.reservation(f"ordinary-{number}").resize(SMALL)
         assert "honest" not in peers.closed and len(peers.closed) == len(others)
 
     # Guards against requests that are cut off while a server works on them.
@@ -109,33 +109,33 @@
         peers = Peers()
         peers.fill(is_awaited=False)
         peers.pass_grace()
-        assert not peers.holding("ordinary").resize(SMALL)
+        assert not peers.reservation("ordinary").resize(SMALL)
         assert peers.closed == []
 
     # Guards against a burst that closes requests which have only just begun.
     def test_those_that_have_just_begun_stay(self):
         peers = Peers()
         peers.fill()
-        assert not peers.holding("ordinary").resize(SMALL)
+        assert not peers.reservation("ordinary").resize(SMALL)
         assert peers.closed == []
 
     # Guards against peers that are closed although that does not make enough room.
     def test_none_is_closed_in_vain(self):
         peers = Peers()
-        peers.holding("stopped", SMALL)
-        peers.holding("served", CAPACITY - SMALL, is_awaited=False)
+        peers.reservation("stopped", SMALL)
+        peers.reservation("served", CAPACITY - SMALL, is_awaited=False)
         peers.pass_grace()
-        assert not peers.holding("large").resize(2 * SMALL)
+        assert not peers.reservation("large").resize(2 * SMALL)
         assert peers.closed == []
 
     # Guards against small requests that are closed for what only large ones lack.
     def test_large_ones_give_way_to_a_large_one(self):
         peers = Peers()
-        peers.holding("small", SMALL)
+        peers.reservation("small", SMALL)
         for n in range(5):
-            peers.holding(n, 2 * LARGE_BYTES)
+            peers.reservation(n, 2 * LARGE_BYTES)
         peers.pass_grace()
-        assert peers.holding("ordinary").resize(2 * LARGE_BYTES)
+        assert peers.reservation("ordinary").resize(2 * LARGE_BYTES)
         assert len(peers.closed) == 1 and "small" not in peers.closed
 
 
@@ -147,7 +147,7 @@
         done = []
 
         async def wait(name):
-            await peers.holding(name).wait_resize(SMALL)
+            await peers.reservation(name).wait_resize(SMALL)
             done.append(name)
 
         tasks = [asyncio.create_task(wait(name)) for name in ("first", "second")]
@@ -163,8 +163,8 @@
     async def test_a_cancelled_wait_is_forgotten(self):
         peers = Peers()
         held = peers.fill(is_awaited=False)
-        first = asyncio.create_task(peers.holding("first").wait_resize(CAPACITY))
-        second = asyncio.create_task(peers.holding("second").wait_resize(SMALL))
+        first = asyncio.create_task(peers.reservation("first").wait_resize(CAPACITY))
+        second = asyncio.create_task(peers.reservation("second").wait_resize(SMALL))
         await asyncio.sleep(0)
         held[0].release()
         first.cancel()
@@ -177,7 +177,7 @@
         peers = Peers()
         peers.fill()
         peers.pass_grace()
-        await peers.holding("answer").wait_resize(SMALL)
+        await peers.reservation("answer").wait_resize(SMALL)
         assert len(peers.closed) == 1
 
 
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -18,6 +18,7 @@
 from support.crowds import (
     Crowd,
     LimitedDeployment,
+    Usage,
     UsageWatch,
     chunk,
     is_answered,
@@ -53,6 +54,7 @@
     size: int
     parts: Callable[[int], Iterator[bytes]]
     pause_s: float = 0.0
+    stagger_s: float = 0.0
 
 
 def by_length(path: str, body: bytes, *fields: str):
@@ -166,16 +168,17 @@
         await response.write(b"id: %d\n%s" % (number, LARGE_EVENT))
 
 
-async def check_crowd(deployment, case: Case, address: str) -> None:
+async def check_crowd(deployment, case: Case, address: str) -> Usage:
     [node] = deployment.soak_nodes
     async with UsageWatch(node.process.pid) as watch:
-        async with Crowd(address, case.size, case.parts, case.pause_s):
+        async with Crowd(address, case.size, case.parts, case.pause_s, case.stagger_s):
             assert await is_answered(node.callers, ordinary_request)
         assert await is_answered(node.callers, ordinary_request)
         watch.sample()
     assert node.process.running()
     assert watch.peak.bytes <= deployment.memory_bytes
     assert watch.peak.descriptors <= deployment.max_descriptors
+    return watch.peak
 
 
 @pytest.mark.parametrize("name", BODIES)
