Connections: one that makes room for another is closed at once

What callers saw: with callers that stop within a body, a node held three times as many connections as it allows.

Cause: a connection that was evicted for a new one was refused like any other, and stayed open for up to 2 s so that its caller could read that; its place was already taken.

Fix: it is aborted. A caller that sends again finds the place that it would have waited for.

--- a/packages/node/src/eelgrass_node/connection/bounded_server.py
+++ b/packages/node/src/eelgrass_node/connection/bounded_server.py
@@ -278,11 +278,15 @@
             super()._resume_transport_reading()
 
     def _on_evicted(self) -> None:
-        """Give up what is held for the peer."""
+        """Give up what is held for the peer.
+
+        A connection that has to make room for another one is closed at once, without
+        the time in which its peer could read a refusal.
+        """
         is_body_arriving = self._body is not None and not self._body.is_eof()
         is_head_arriving = self._body is None and self._meter.unparsed_bytes > 0
         is_sending = self._is_answering or self.writing_paused
-        if is_sending or self._is_input_ended:
+        if is_sending or self._is_input_ended or self._slot.is_released:
             self._abort()
         elif is_body_arriving or is_head_arriving:
             self._end_input()
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -298,6 +298,14 @@
     return await asyncio.gather(*map(answer_to, requests))
 
 
+class FewDescriptors(LimitedDeployment):
+    """A node that may open few connections."""
+
+    max_descriptors = 600
+    # What callers' connections may use of them, beside those for files.
+    caller_descriptors = 200 + 120
+
+
 class TestDescriptors:
     # Guards against connections that use up all descriptors and are never closed.
     @pytest.mark.parametrize("sent", [b"", b"POST /safe/x HTTP/1.1\r\n"])
@@ -306,6 +314,14 @@
             address = deployment.soak_nodes[0].callers
             await check_crowd(deployment, Case(1500, lambda _: iter([sent])), address)
 
+    # Guards against refused connections that stay open while others take their place.
+    async def test_connections_that_are_evicted(self, tmp_path):
+        async with FewDescriptors(tmp_path) as deployment:
+            address = deployment.soak_nodes[0].callers
+            case = Case(3000, by_length("/safe/x", b"x"), stagger_s=0.001)
+            peak = await check_crowd(deployment, case, address)
+            assert peak.descriptors <= deployment.caller_descriptors
+
 
 DOORS = ("readiness", "internal", "metrics")
 
