Answers: a head counts only if it is sound, and one place says what that is

What callers saw: answers with status 000 or 600, of HTTP/2.0, with a NUL in the reason or an indented first field reached clients as whole answers; heads of streams with status 101 and bodies with a transfer coding that nobody undoes did, too. A refusal in such a head made the host say that a request has not run.

Cause: whatever the client library's parser lets through was taken for an answer. The parser is lenient with answers on purpose, the compiled one in another way than the pure Python one, and no code of ours looked at the head behind it. has_length read Transfer-Encoding by itself, in a third way. Stage calls took a head that the parser refused for a server that had crashed.

Fix: connection/answer_syntax reads every head before a parser gets it, line by line, by the grammar of RFC 9112, and refuses what two readers could understand differently. All sessions use the same connections, so this holds for requests, stage calls, reports, calls between hosts and those to the store, also through relays. A head that is refused raises the same error as one that the parser refuses: the call failed with bad_answer, the connection is aborted, and one log line names the peer. The parser gets the head in a form that both parsers read alike: a tab behind `chunked` made the compiled one take the framing for the body, and an interim answer with `Connection: close` or an upgrade made one of them lose the answer. has_length relies on the check, and stage calls count such heads as the server's failure.

The relayed test of test_unended_heads was not relayed, as its server was not among those that a node can be cut off from; the server that it shares with the new tests is.

--- a/packages/node/src/eelgrass_node/connection/answer_bounds.py
+++ b/packages/node/src/eelgrass_node/connection/answer_bounds.py
@@ -6,12 +6,11 @@
 """
 
 import aiohttp
-from aiohttp.http import HttpProcessingError, RawResponseMessage
 
 from eelgrass_coordination import StallAwareTimeout
 
 from ..exceptions import AnswerTooLong
-from .response_handler import SolicitedResponseHandler, is_final
+from .response_handler import SolicitedResponseHandler
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -21,10 +20,6 @@
     "read_bounded",
 ]
 
-# All bytes up to the end of the head, with interim answers.
-MAX_HEAD_BYTES = 1 << 16
-# Servers send one interim answer, if any.
-MAX_INTERIM_ANSWERS = 8
 # A complete body is kept in memory until it is forwarded.
 MAX_BODY_BYTES = 4 << 20
 # Bytes of a body's framing, such as the sizes of chunks, that bring no data.
@@ -37,36 +32,20 @@
 
 
 class BoundedResponseHandler(SolicitedResponseHandler):
-    """A connection that is closed if a head, or the framing of a body, does not end."""
+    """A connection that is closed if the framing of a body does not end.
+
+    Heads are bounded by :mod:`.answer_syntax`.
+    """
 
     def set_response_params(self, **parameters) -> None:
         """Begin a call; the library passes how to parse its answer."""
-        self._unanswered_bytes = 0
-        self._interim_answers = 0
         self._framing_bytes = self._body_bytes = 0
         super().set_response_params(**parameters)
 
-    def feed_data(
-        self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
-    ) -> None:
-        """Pass on the head of an answer, and the reader of its body."""
-        if not is_final(data[0].code):
-            self._interim_answers += 1
-        super().feed_data(data, size)
-
     def _receive(self, data: bytes) -> None:
         super()._receive(data)
-        if self._parser is None:
-            return
-        if self._body is not None:
+        if self._parser is not None and self._body is not None:
             self._check_body(len(data))
-            return
-        self._unanswered_bytes += len(data)
-        if (
-            self._unanswered_bytes > MAX_HEAD_BYTES
-            or self._interim_answers > MAX_INTERIM_ANSWERS
-        ):
-            self._reject()
 
     def _check_body(self, received: int) -> None:
         body = self._body
@@ -81,15 +60,6 @@
             body.set_exception(AnswerTooLong(MAX_FRAMING_BYTES))
             self.transport.abort()
 
-    def _reject(self) -> None:
-        message = (
-            f"no answer in {self._unanswered_bytes} bytes and "
-            f"{self._interim_answers} interim answers"
-        )
-        self.set_exception(HttpProcessingError(code=502, message=message))
-        if self.transport is not None:
-            self.transport.abort()
-
 
 async def read_bounded(
     response: aiohttp.ClientResponse, max_bytes: int, parts: list[bytes] | None = None
--- /dev/null
+++ b/packages/node/src/eelgrass_node/connection/answer_syntax.py
@@ -0,0 +1,196 @@
+"""What the bytes of an answer must be to count as one (RFC 9112).
+
+The parsers of the client library are lenient, each in its own way: they accept statuses
+and versions that do not exist, and guess where a body ends. All answers pass the
+readers of this module first, so that the same answers count with either parser. Both
+get blanks and interim answers in the only form that they read alike.
+
+An answer is refused if two readers of it could disagree: where its head names its
+length twice, a length beside chunks, or another transfer coding than ``chunked``, which
+is the only one that this node can undo. Folded lines and bare line feeds are refused
+for the same reason.
+"""
+
+import re
+from http import HTTPStatus
+
+import msgspec
+
+from ..exceptions import AnswerMalformed
+
+__all__ = ["MAX_HEAD_BYTES", "HeadReader", "RawHead"]
+
+# All bytes up to the end of the head, with interim answers.
+MAX_HEAD_BYTES = 1 << 16
+MAX_LINE_BYTES = 1 << 13
+MAX_FIELDS = 128
+# Servers send one interim answer, if any.
+MAX_INTERIM_ANSWERS = 8
+# Lengths and sizes fit into a signed integer of 64 bits everywhere.
+MAX_BODY_BYTES = (1 << 63) - 1
+MAX_LENGTH_DIGITS = len(str(MAX_BODY_BYTES))
+EXCERPT_BYTES = 60
+LINE_END = b"\r\n"
+VERSION_START = b"HTTP/1."
+
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+# The blank behind a status without a reason is often left out.
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: %s)?" % _TEXT)
+_FIELD_LINE = re.compile(rb"(%s):(%s)" % (_TOKEN, _TEXT))
+_LENGTH = b"content-length"
+_CODING = b"transfer-encoding"
+
+
+class RawHead(msgspec.Struct, frozen=True):
+    """A complete head, and how it delimits its body.
+
+    ``data`` is the head for a parser: without blanks around the values of its fields,
+    and without the fields of an interim answer. ``length`` is that of the body in
+    bytes. A body with neither a length nor chunks ends with its connection.
+    """
+
+    data: bytes
+    status: int
+    length: int | None
+    is_chunked: bool
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no other answer to the same request follows."""
+        return self.status >= HTTPStatus.OK
+
+
+class HeadReader:
+    """Reads the heads of one answer: those of interim answers, and the final one.
+
+    Bytes may come in any pieces. :meth:`read` raises :class:`AnswerMalformed` at the
+    first line that a head cannot have. For example::
+
+        head, body = HeadReader().read(b"HTTP/1.1 204 No Content\r\n\r\n")
+    """
+
+    def __init__(self) -> None:
+        self._received_bytes = 0
+        self._interim_answers = 0
+        self._begin()
+
+    def read(self, data: bytes) -> tuple[RawHead | None, bytes]:
+        """Return the next head, None if it is not complete, and the bytes behind it."""
+        start = 0
+        while (end := data.find(b"\n", start)) >= 0:
+            line = self._line + data[start : end + 1]
+            start, self._line = end + 1, b""
+            if self._add(line):
+                return self._complete(), data[start:]
+        self._line += data[start:]
+        self._check_start()
+        return None, b""
+
+    def _begin(self) -> None:
+        self._line = b""
+        # The lines for a parser, without their ends.
+        self._lines: list[bytes] = []
+        self._status = 0
+        self._is_version_1_0 = False
+        self._lengths: list[bytes] = []
+        self._codings: list[bytes] = []
+
+    def _add(self, line: bytes) -> bool:
+        """Add a complete line; return whether it ends the head."""
+        self._received_bytes += len(line)
+        if self._received_bytes > MAX_HEAD_BYTES:
+            raise AnswerMalformed(f"no answer in {self._received_bytes} bytes")
+        text = _without_end(line)
+        if not self._status:
+            self._read_status(text)
+        elif not text:
+            return True
+        else:
+            self._read_field(text)
+        return False
+
+    def _read_status(self, text: bytes) -> None:
+        found = _STATUS_LINE.fullmatch(text)
+        if found is None:
+            raise AnswerMalformed(f"status line {_excerpt(text)}")
+        self._lines.append(text)
+        self._is_version_1_0 = found[1] == b"0"
+        self._status = int(found[2])
+        if self._status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise AnswerMalformed("a switch of protocols that was not asked for")
+
+    def _read_field(self, text: bytes) -> None:
+        name, value = _parse_field(text)
+        self._lines.append(name + b": " + value)
+        if len(self._lines) > MAX_FIELDS + 1:
+            raise AnswerMalformed(f"more than {MAX_FIELDS} header fields")
+        if name.lower() == _LENGTH:
+            self._lengths.append(value)
+        elif name.lower() == _CODING:
+            self._codings.append(value)
+
+    def _complete(self) -> RawHead:
+        is_interim = self._status < HTTPStatus.OK
+        if is_interim:
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                raise AnswerMalformed(f"{self._interim_answers} interim answers")
+            if self._lengths or self._codings:
+                raise AnswerMalformed("an interim answer with a body")
+        lines = self._lines[:1] if is_interim else self._lines
+        data = LINE_END.join((*lines, b"", b""))
+        head = RawHead(data, self._status, self._length(), self._is_chunked())
+        self._begin()
+        return head
+
+    def _length(self) -> int | None:
+        if not self._lengths:
+            return None
+        if len(self._lengths) > 1 or self._codings:
+            raise AnswerMalformed("more than one statement of where its body ends")
+        [value] = self._lengths
+        is_number = value.isdigit() and len(value) <= MAX_LENGTH_DIGITS
+        if not is_number or int(value) > MAX_BODY_BYTES:
+            raise AnswerMalformed(f"content length {_excerpt(value)}")
+        return int(value)
+
+    def _is_chunked(self) -> bool:
+        if not self._codings:
+            return False
+        is_chunked = [value.lower() for value in self._codings] == [b"chunked"]
+        if not is_chunked or self._is_version_1_0:
+            raise AnswerMalformed(f"transfer coding {_excerpt(self._codings[0])}")
+        return True
+
+    def _check_start(self) -> None:
+        """Check the beginning of a line."""
+        _check_length(self._line)
+        start = self._line[: len(VERSION_START)]
+        if not self._status and not VERSION_START.startswith(start):
+            raise AnswerMalformed(f"status line {_excerpt(self._line)}")
+
+
+def _without_end(line: bytes) -> bytes:
+    """Return a line without its end."""
+    _check_length(line)
+    if not line.endswith(LINE_END):
+        raise AnswerMalformed(f"a bare line feed behind {_excerpt(line[:-1])}")
+    return line[: -len(LINE_END)]
+
+
+def _check_length(line: bytes) -> None:
+    if len(line) > MAX_LINE_BYTES:
+        raise AnswerMalformed(f"a line of more than {MAX_LINE_BYTES} bytes")
+
+
+def _parse_field(text: bytes) -> tuple[bytes, bytes]:
+    """Return the name and the value of a header field or trailer."""
+    found = _FIELD_LINE.fullmatch(text)
+    if found is None:
+        raise AnswerMalformed(f"header field {_excerpt(text)}")
+    return found[1], found[2].strip(b" \t")
+
+
+def _excerpt(text: bytes) -> str:
+    return repr(text[:EXCERPT_BYTES])
--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -361,13 +361,13 @@
 def has_length(response: aiohttp.ClientResponse) -> bool:
     """Return whether a response says where its body ends, or can have none.
 
-    Otherwise the body ends when the connection is closed.
+    Otherwise the body ends when the connection is closed. A head with another coding
+    than ``chunked`` is no answer; see :mod:`.answer_syntax`.
     """
     if response.method == "HEAD" or response.status in BODILESS_STATUSES:
         return True
-    encoding = response.headers.get("Transfer-Encoding", "")
-    is_chunked = encoding.lower().rstrip().endswith("chunked")
-    return "Content-Length" in response.headers or is_chunked
+    headers = response.headers
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
 
 
 _closing_tasks: set[asyncio.Task] = set()
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -104,7 +104,12 @@
             return _all_failed(items, ItemFailure.CONNECT_FAILED)
         except RequestWithheld:
             return _all_failed(items, ItemFailure.RESTING)
-        except (ValueError, AnswerTooLong, BatchAnswerMalformed):
+        except (
+            aiohttp.ClientResponseError,
+            ValueError,
+            AnswerTooLong,
+            BatchAnswerMalformed,
+        ):
             return _all_failed(items, ItemFailure.UNREACHABLE)
         except (aiohttp.ClientError, OSError):
             backend.connections.suspect_path()
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -1,8 +1,9 @@
-"""Client connections that receive bytes only while a call awaits its response.
+"""Client connections that receive nothing but responses, while a call awaits one.
 
 Bytes that arrive before a request is sent, or after its response has ended, belong to
 no call. The connection is aborted then: what was read of it would be kept without a
-bound, and could be taken for the response to the next call.
+bound, and could be taken for the response to the next call. So is one whose response is
+malformed.
 """
 
 import asyncio
@@ -10,26 +11,33 @@
 import socket
 from collections.abc import Callable
 from enum import Enum
-from http import HTTPStatus
 
 from aiohttp import StreamReader
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import RawResponseMessage
+from aiohttp.http import HttpProcessingError, RawResponseMessage
 
+from ..exceptions import AnswerMalformed
 from ..log import Part, log
+from .answer_syntax import MAX_HEAD_BYTES, HeadReader, RawHead
 
 __all__ = [
     "ConnectionEnd",
     "SolicitedResponseHandler",
-    "is_final",
+    "log_malformed",
     "is_readable",
     "is_socket_readable",
 ]
 
 # Most that one call of the event loop reads from a connection.
 READ_BYTES = 1 << 14
-# Ends a head, and the trailers of a chunked body.
+# Ends the trailers of a chunked body.
 EMPTY_LINE = b"\r\n\r\n"
+# Heads are bounded before the library's parser gets them.
+PARSER_LIMITS = {
+    "max_line_size": MAX_HEAD_BYTES,
+    "max_field_size": MAX_HEAD_BYTES,
+    "max_headers": MAX_HEAD_BYTES,
+}
 
 
 class ConnectionEnd(Enum):
@@ -45,9 +53,11 @@
     """A connection that is aborted at the first byte that belongs to no call.
 
     Bytes behind a response are kept from the parser, so that a response that is
-    complete reaches its caller whatever follows it. ``is_new`` is True until a call
-    gets the connection. ``end`` is how it has ended, and ``ended_at`` when, in seconds
-    of the event loop.
+    complete reaches its caller whatever follows it. The parser gets a head once it is
+    complete and sound.
+
+    ``is_new`` is True until a call gets the connection. ``end`` is how it has ended,
+    and ``ended_at`` when, in seconds of the event loop.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -69,21 +79,27 @@
         """Begin a call; the library passes how to parse its response."""
         self._awaits_response = True
         self._begin_response()
-        super().set_response_params(**parameters)
+        super().set_response_params(**parameters | PARSER_LIMITS)
 
     def data_received(self, data: bytes) -> None:
         """Pass on bytes of the server; empty if the library resumes the parser."""
         while self._awaits_response:
-            cut = self._next_cut(data)
-            if data and not cut:
+            is_head = self._body is None
+            try:
+                piece, rest = self._next_piece(data)
+            except AnswerMalformed as error:
+                self._reject(error)
+                return
+            if is_head and not piece:
+                return
+            if data and not piece:
                 # The parser is paused within the body, and these bytes are behind it.
                 self.force_close()
                 return
-            piece, data = data[:cut], data[cut:]
-            self._last_bytes = (self._last_bytes + piece)[1 - len(EMPTY_LINE) :]
             self._receive(piece)
             if self.exception() is not None:
                 return
+            data = rest
             self._awaits_response = not self._is_complete()
             if not data:
                 return
@@ -123,16 +139,10 @@
             # The parser has read on in the bytes behind a chunked body.
             self.force_close()
             return
-        message, body = data
-        if is_final(message.code):
+        _, body = data
+        if self._head is not None and self._head.is_final:
             self._body = body
-            self._is_chunked = message.chunked
-            if self._last_bytes == EMPTY_LINE[1:]:
-                self._body_bytes_left = _body_length(message)
-            else:
-                # The head ended in another way, so it is not known how many bytes of
-                # the body the parser has.
-                self.force_close()
+            self._body_bytes_left = self._head.length
         super().feed_data(data, size)
 
     def _receive(self, data: bytes) -> None:
@@ -140,35 +150,50 @@
         super().data_received(data)
 
     def _begin_response(self) -> None:
+        self._heads = HeadReader()
+        self._head: RawHead | None = None
         self._body: StreamReader | None = None
-        self._is_chunked = False
         self._body_bytes_left: int | None = None
         self._last_bytes = b""
 
-    def _next_cut(self, data: bytes) -> int:
-        """Return how many of some bytes to parse before looking at the others."""
+    def _next_piece(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return what to parse before looking at the rest, and the rest.
+
+        The first is empty if a head is not complete yet, or the body has ended.
+        """
         if self._body is None:
-            return self._through_empty_line(data, bytes.find)
-        if self._is_chunked:
-            return self._through_empty_line(data, bytes.rfind)
-        if self._body_bytes_left is None:
-            return len(data)
-        cut = min(len(data), self._body_bytes_left)
-        self._body_bytes_left -= cut
-        return cut
-
-    def _through_empty_line(
-        self, data: bytes, find: Callable[[bytes, bytes], int]
-    ) -> int:
-        joined = self._last_bytes + data
-        position = find(joined, EMPTY_LINE)
+            self._head, rest = self._heads.read(data)
+            return b"" if self._head is None else self._head.data, rest
+        cut = len(data)
+        if self._head.is_chunked:
+            cut = self._through_empty_line(data)
+            self._last_bytes = (self._last_bytes + data[:cut])[1 - len(EMPTY_LINE) :]
+        elif self._body_bytes_left is not None:
+            cut = min(cut, self._body_bytes_left)
+            self._body_bytes_left -= cut
+        return data[:cut], data[cut:]
+
+    def _through_empty_line(self, data: bytes) -> int:
+        position = (self._last_bytes + data).rfind(EMPTY_LINE)
         if position < 0:
             return len(data)
         return position + len(EMPTY_LINE) - len(self._last_bytes)
 
+    def _peer(self) -> str:
+        transport = self.transport
+        return str(transport and transport.get_extra_info("peername"))
+
     def _is_complete(self) -> bool:
         return self._body is not None and self._body.is_eof()
 
+    def _reject(self, error: AnswerMalformed) -> None:
+        """End the call whose answer is malformed, and the connection."""
+        log_malformed(self._peer(), error)
+        self.set_exception(HttpProcessingError(code=502, message=str(error)), error)
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
     def _abort_unsolicited(self, count: int) -> None:
         transport = self.transport
         if transport is None:
@@ -176,16 +201,21 @@
         log(
             Part.HOSTS,
             "Bytes that belong to no call arrived; closing the connection.",
-            peer=str(transport.get_extra_info("peername")),
+            peer=self._peer(),
             bytes=count,
         )
         self.force_close()
         transport.abort()
 
 
-def is_final(status: int) -> bool:
-    """Return whether no further response to the same request follows."""
-    return status >= HTTPStatus.OK or status == HTTPStatus.SWITCHING_PROTOCOLS
+def log_malformed(peer: str, error: AnswerMalformed) -> None:
+    """Log that the answer of ``peer``, an address, is malformed."""
+    log(
+        Part.HOSTS,
+        "A peer's answer is malformed; closing its connection.",
+        peer=peer,
+        error=str(error),
+    )
 
 
 def is_readable(handler: ResponseHandler) -> bool:
@@ -202,10 +232,3 @@
     poll = select.poll()
     poll.register(opened.fileno(), select.POLLIN)
     return bool(poll.poll(0))
-
-
-def _body_length(message: RawResponseMessage) -> int | None:
-    """Return how long a body is in bytes; None if its head does not say so."""
-    if message.chunked or "Content-Length" not in message.headers:
-        return None
-    return int(message.headers["Content-Length"])
--- a/packages/node/src/eelgrass_node/exceptions.py
+++ b/packages/node/src/eelgrass_node/exceptions.py
@@ -5,6 +5,7 @@
 from .request.reasons import Outcome, RefusalReason, RetryReason, refusal_kind
 
 __all__ = [
+    "AnswerMalformed",
     "AnswerTooLong",
     "CallFailed",
     "CallerGone",
@@ -224,6 +225,16 @@
         self.not_run = not_run
 
 
+class AnswerMalformed(NodeError):
+    """A peer sent bytes that cannot be an answer."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(
+            f"The answer is malformed: {reason}. Try another server, and check what "
+            "listens at this one's address."
+        )
+
+
 class AnswerTooLong(NodeError):
     """A server's answer is longer than one to its call may be, or has no end."""
 
--- a/packages/node/src/eelgrass_node/request/attempt.py
+++ b/packages/node/src/eelgrass_node/request/attempt.py
@@ -166,7 +166,9 @@
 def _failure_reason(error: Exception) -> RetryReason:
     if isinstance(error, IdleTimeout):
         return RetryReason.CONNECTION_SILENT
-    if isinstance(error, (msgspec.MsgspecError, ValueError)):
+    if isinstance(
+        error, (aiohttp.ClientResponseError, msgspec.MsgspecError, ValueError)
+    ):
         return RetryReason.BAD_ANSWER
     return RetryReason.CONNECTION_LOST
 
--- a/tests/support/raw_engine.py
+++ b/tests/support/raw_engine.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 
 import msgspec
 
+from eelgrass_standins.ports import free_addresses
+
 from .connections import Listener, listen
-from .entry import COMPLETE_STREAM
+from .entry import COMPLETE_STREAM, EntryDeployment, until
 
-__all__ = ["RawEngine", "Send"]
+__all__ = ["RawEngine", "Send", "only_server"]
 
 HEADER_END = b"\r\n\r\n"
+_numbers = itertools.count(1)
 
 # Sends the head and the body of an answer; returns whether the connection goes on.
 Send = Callable[
@@ -54,8 +58,9 @@
                 _, path, _ = head.decode("latin-1").split(" ", 2)
                 lines = head.split(b"\r\n")[1:-2]
                 headers = dict(line.lower().split(b": ", 1) for line in lines)
-                length = int(headers.get(b"content-length", 0))
-                body = await reader.readexactly(length)
+                body = await self._read_body(
+                    reader, int(headers.get(b"content-length", 0))
+                )
                 self.answered.append(path)
                 echoed = [n for n in lines if n.startswith(b"Eelgrassward-Attempt")]
                 self.request_ids += [n.split(b": ")[1].decode() for n in echoed]
@@ -69,6 +74,9 @@
         finally:
             writer.close()
 
+    async def _read_body(self, reader: asyncio.StreamReader, length: int) -> bytes:
+        return await reader.readexactly(length)
+
     def _body(self, path: str, body: bytes) -> bytes:
         if path.startswith("/stream/"):
             return COMPLETE_STREAM
@@ -77,3 +85,35 @@
             handles = [f"{self.address}/{next(self._numbers):x}" for _ in items]
             return msgspec.json.encode({"Items": [{"Handle": h} for h in handles]})
         return b"answer of " + body
+
+
+@asynccontextmanager
+async def only_server(
+    deployment: EntryDeployment,
+    service: str,
+    send: Send,
+    engine_class: type[RawEngine] = RawEngine,
+) -> AsyncIterator[RawEngine]:
+    """Have a server with such answers take the place of a service's own ones."""
+    [address] = free_addresses(1)
+    server = engine_class(f"{service}-faulty-{next(_numbers)}", address, send)
+    await server.start()
+    engines = deployment.engines_by_service[service]
+    for engine in engines:
+        deployment.store.remove("servers", engine.server_id)
+    # So that nodes can be cut off from it.
+    engines.append(server)
+    try:
+        deployment.list_engine(service, server)
+        await until(
+            lambda: all(
+                [s.entry.id for s in node.backends.by_service[service]]
+                == [server.server_id]
+                for node in deployment.nodes
+            )
+        )
+        yield server
+    finally:
+        engines.remove(server)
+        deployment.store.remove("servers", server.server_id)
+        server.stop()
--- a/tests/test_unended_heads.py
+++ b/tests/test_unended_heads.py
@@ -3,7 +3,6 @@
 import asyncio
 import socket
 import struct
-from contextlib import asynccontextmanager
 from enum import Enum
 
 import aiohttp
@@ -15,11 +14,10 @@
 from eelgrass_node.connection.sockets import new_session
 from eelgrass_node.exceptions import PeerUnreachable, StoreUnavailable
 from eelgrass_node.platform.store import RowStore
-from eelgrass_standins.ports import free_addresses
 from support.connections import listen
-from support.entry import COMPLETE_STREAM, EntryDeployment, until
+from support.entry import COMPLETE_STREAM, EntryDeployment
 from support.host_links import LinkedDeployment, cut_off
-from support.raw_engine import RawEngine
+from support.raw_engine import only_server
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CALLS = 6
@@ -60,28 +58,6 @@
     return send
 
 
-@asynccontextmanager
-async def only_server(deployment, service, how):
-    """Have a server with such answers take the place of a service's own ones."""
-    [address] = free_addresses(1)
-    server = RawEngine(f"{service}-faulty", address, ending(how, []))
-    await server.start()
-    try:
-        for engine in deployment.engines_by_service[service]:
-            deployment.store.remove("servers", engine.server_id)
-        deployment.list_engine(service, server)
-        await until(
-            lambda: all(
-                [s.entry.id for s in node.backends.by_service[service]]
-                == [server.server_id]
-                for node in deployment.nodes
-            )
-        )
-        yield server
-    finally:
-        server.stop()
-
-
 async def statuses_of(deployment, target, **headers):
     """Send calls one after the other; return the status of each, 0 for none."""
 
@@ -104,7 +80,7 @@
                 ("desk", ("/safe/x", "/once/x")),
                 ("readers", ("/stream/resumed/x", "/stream/single/x")),
             ):
-                async with only_server(deployment, service, how) as server:
+                async with only_server(deployment, service, ending(how, [])) as server:
                     for target in targets:
                         assert 200 not in await statuses_of(deployment, target)
                     assert server.answered
@@ -113,7 +89,7 @@
     async def test_to_relayed_requests(self, how):
         async with LinkedDeployment(nodes=2, servers=1) as deployment:
             await cut_off(deployment)
-            async with only_server(deployment, "desk", how) as server:
+            async with only_server(deployment, "desk", ending(how, [])) as server:
                 for target in ("/safe/x", "/once/x"):
                     assert 200 not in await statuses_of(deployment, target)
                 assert server.answered
@@ -124,7 +100,7 @@
             headers = {"Eelgrassward_Segments": "2,1,5"}
             status, _, body = await deployment.ask("/stream/staged/x", **headers)
             assert (status, body) == (200, COMPLETE_STREAM)
-            async with only_server(deployment, "portal", how) as server:
+            async with only_server(deployment, "portal", ending(how, [])) as server:
                 statuses = await statuses_of(deployment, "/stream/staged/x", **headers)
                 assert 200 not in statuses
                 assert server.answered
