Answers: a chunked body that breaks is a cut one, with either parser

What callers saw: 500 for a size of a chunk or a trailer that cannot be read, after a wait, with the compiled parser; with the pure Python one some of these bodies counted as whole. The server was not charged and no other one was tried.

Cause: the parser's error about a body is of a kind that no caller of the library expects, and the compiled parser does not tell the reader of the body at all. Which framing can be read was left to the parser.

Fix: ChunkReader follows the framing of a chunked body before a parser gets it, up to the end of the trailers, so that the end of a body is exact in place of a search for an empty line. Framing that breaks ends the body with the library's error for one that is cut off, which all readers know: connection_lost, the connection is aborted, one log line. So does an error that only the parser has.

--- a/packages/node/src/eelgrass_node/connection/answer_syntax.py
+++ b/packages/node/src/eelgrass_node/connection/answer_syntax.py
@@ -12,13 +12,14 @@
 """
 
 import re
+from enum import Enum
 from http import HTTPStatus
 
 import msgspec
 
 from ..exceptions import AnswerMalformed
 
-__all__ = ["MAX_HEAD_BYTES", "HeadReader", "RawHead"]
+__all__ = ["MAX_HEAD_BYTES", "MAX_LINE_BYTES", "ChunkReader", "HeadReader", "RawHead"]
 
 # All bytes up to the end of the head, with interim answers.
 MAX_HEAD_BYTES = 1 << 16
@@ -38,6 +39,17 @@
 # The blank behind a status without a reason is often left out.
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: %s)?" % _TEXT)
 _FIELD_LINE = re.compile(rb"(%s):(%s)" % (_TOKEN, _TEXT))
+_EXTENSION = rb';%s(?:=(?:%s|"(?:[^"\\\x00-\x08\x0a-\x1f\x7f]|\\%s)*"))?' % (
+    _TOKEN,
+    _TOKEN,
+    rb"[\t\x20-\x7e\x80-\xff]",
+)
+# Some servers pad sizes with blanks.
+_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:%s)*" % _EXTENSION)
+# What the lines of a chunked body may begin with, by the state of its reader.
+_SIZE_START = re.compile(rb"[0-9A-Fa-f]{1,16}[ \t]*(?:;%s)?\r?" % _TEXT)
+_DATA_END_START = re.compile(rb"\r")
+_TRAILER_START = re.compile(rb"%s(?::%s\r?)?|\r" % (_TOKEN, _TEXT))
 _LENGTH = b"content-length"
 _CODING = b"transfer-encoding"
 
@@ -171,6 +183,88 @@
             raise AnswerMalformed(f"status line {_excerpt(self._line)}")
 
 
+class ChunkState(Enum):
+    """What comes next in a chunked body."""
+
+    SIZE = "the size of a chunk"
+    DATA = "the data of a chunk"
+    DATA_END = "the end of a chunk"
+    TRAILERS = "the trailers"
+    END = "nothing"
+
+
+_START_BY_STATE = {
+    ChunkState.SIZE: _SIZE_START,
+    ChunkState.DATA_END: _DATA_END_START,
+    ChunkState.TRAILERS: _TRAILER_START,
+}
+
+
+class ChunkReader:
+    """Follows the framing of a chunked body, up to the end of its trailers."""
+
+    def __init__(self) -> None:
+        self._state = ChunkState.SIZE
+        self._line = b""
+        self._data_left = 0
+        self._trailers = 0
+
+    def read(self, data: bytes) -> int:
+        """Return how many bytes belong to the body: all of them up to its end.
+
+        Raises :class:`AnswerMalformed`.
+        """
+        position = 0
+        while position < len(data) and self._state is not ChunkState.END:
+            if self._state is ChunkState.DATA:
+                position += self._skip_data(len(data) - position)
+                continue
+            end = data.find(b"\n", position) + 1
+            self._line += data[position : end or len(data)]
+            if not end:
+                self._check_start()
+                return len(data)
+            position = end
+            line, self._line = self._line, b""
+            self._read_line(_without_end(line))
+        return position
+
+    def _skip_data(self, available: int) -> int:
+        skipped = min(available, self._data_left)
+        self._data_left -= skipped
+        if not self._data_left:
+            self._state = ChunkState.DATA_END
+        return skipped
+
+    def _read_line(self, text: bytes) -> None:
+        if self._state is ChunkState.SIZE:
+            found = _SIZE_LINE.fullmatch(text)
+            size = MAX_BODY_BYTES + 1 if found is None else int(found[1], 16)
+            if size > MAX_BODY_BYTES:
+                raise AnswerMalformed(f"size of a chunk {_excerpt(text)}")
+            self._data_left = size
+            self._state = ChunkState.DATA if size else ChunkState.TRAILERS
+        elif self._state is ChunkState.DATA_END:
+            if text:
+                raise AnswerMalformed(f"end of a chunk {_excerpt(text)}")
+            self._state = ChunkState.SIZE
+        elif text:
+            name, _ = _parse_field(text)
+            if name.lower() in (_LENGTH, _CODING):
+                raise AnswerMalformed(f"trailer {_excerpt(text)}")
+            self._trailers += 1
+            if self._trailers > MAX_FIELDS:
+                raise AnswerMalformed(f"more than {MAX_FIELDS} trailers")
+        else:
+            self._state = ChunkState.END
+
+    def _check_start(self) -> None:
+        """Check the beginning of a line."""
+        _check_length(self._line)
+        if not _START_BY_STATE[self._state].fullmatch(self._line):
+            raise AnswerMalformed(f"{self._state.value} {_excerpt(self._line)}")
+
+
 def _without_end(line: bytes) -> bytes:
     """Return a line without its end."""
     _check_length(line)
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -12,13 +12,13 @@
 from collections.abc import Callable
 from enum import Enum
 
-from aiohttp import StreamReader
+from aiohttp import ClientPayloadError, StreamReader
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 
 from ..exceptions import AnswerMalformed
 from ..log import Part, log
-from .answer_syntax import MAX_HEAD_BYTES, HeadReader, RawHead
+from .answer_syntax import MAX_HEAD_BYTES, ChunkReader, HeadReader, RawHead
 
 __all__ = [
     "ConnectionEnd",
@@ -30,8 +30,6 @@
 
 # Most that one call of the event loop reads from a connection.
 READ_BYTES = 1 << 14
-# Ends the trailers of a chunked body.
-EMPTY_LINE = b"\r\n\r\n"
 # Heads are bounded before the library's parser gets them.
 PARSER_LIMITS = {
     "max_line_size": MAX_HEAD_BYTES,
@@ -54,7 +52,7 @@
 
     Bytes behind a response are kept from the parser, so that a response that is
     complete reaches its caller whatever follows it. The parser gets a head once it is
-    complete and sound.
+    complete and sound, and a malformed body ends as if it was cut off.
 
     ``is_new`` is True until a call gets the connection. ``end`` is how it has ended,
     and ``ended_at`` when, in seconds of the event loop.
@@ -98,6 +96,7 @@
                 return
             self._receive(piece)
             if self.exception() is not None:
+                self._reject(AnswerMalformed(repr(self.exception())))
                 return
             data = rest
             self._awaits_response = not self._is_complete()
@@ -143,6 +142,7 @@
         if self._head is not None and self._head.is_final:
             self._body = body
             self._body_bytes_left = self._head.length
+            self._chunks = ChunkReader() if self._head.is_chunked else None
         super().feed_data(data, size)
 
     def _receive(self, data: bytes) -> None:
@@ -154,7 +154,7 @@
         self._head: RawHead | None = None
         self._body: StreamReader | None = None
         self._body_bytes_left: int | None = None
-        self._last_bytes = b""
+        self._chunks: ChunkReader | None = None
 
     def _next_piece(self, data: bytes) -> tuple[bytes, bytes]:
         """Return what to parse before looking at the rest, and the rest.
@@ -165,20 +165,13 @@
             self._head, rest = self._heads.read(data)
             return b"" if self._head is None else self._head.data, rest
         cut = len(data)
-        if self._head.is_chunked:
-            cut = self._through_empty_line(data)
-            self._last_bytes = (self._last_bytes + data[:cut])[1 - len(EMPTY_LINE) :]
+        if self._chunks is not None:
+            cut = self._chunks.read(data)
         elif self._body_bytes_left is not None:
             cut = min(cut, self._body_bytes_left)
             self._body_bytes_left -= cut
         return data[:cut], data[cut:]
 
-    def _through_empty_line(self, data: bytes) -> int:
-        position = (self._last_bytes + data).rfind(EMPTY_LINE)
-        if position < 0:
-            return len(data)
-        return position + len(EMPTY_LINE) - len(self._last_bytes)
-
     def _peer(self) -> str:
         transport = self.transport
         return str(transport and transport.get_extra_info("peername"))
@@ -189,7 +182,10 @@
     def _reject(self, error: AnswerMalformed) -> None:
         """End the call whose answer is malformed, and the connection."""
         log_malformed(self._peer(), error)
-        self.set_exception(HttpProcessingError(code=502, message=str(error)), error)
+        if self._body is None:
+            self.set_exception(HttpProcessingError(code=502, message=str(error)), error)
+        else:
+            self._body.set_exception(ClientPayloadError(str(error)), error)
         self.force_close()
         if self.transport is not None:
             self.transport.abort()
--- a/tests/support/broken_answers.py
+++ b/tests/support/broken_answers.py
@@ -1,4 +1,4 @@
-"""Answers with a broken head, and sound ones that look unusual.
+"""Answers with a broken head or a broken body, and sound ones that look unusual.
 
 In all of them ``@`` stands for the signature and the id of a sound answer, and
 ``LEAK`` is what no caller may get of a broken one.
@@ -9,6 +9,7 @@
 from .raw_engine import Send
 
 __all__ = [
+    "BROKEN_BODIES",
     "BROKEN_HEADS",
     "LEAK",
     "SIGN_HEADS",
@@ -131,6 +132,37 @@
     "broken answer behind an interim one": b"HTTP/1.1 100 Continue\r\n\r\n"
     + _status_line(b"HTTP/1.1 000 OK"),
 }
+# The head is sound, and so is the first chunk of most.
+BROKEN_BODIES = {
+    "no size": CHUNKED + PIECE + b"\r\nhello\r\n0\r\n\r\n",
+    "letters as a size": CHUNKED + PIECE + b"zz\r\nhello\r\n0\r\n\r\n",
+    "first size": CHUNKED + b"zz\r\nhello\r\n0\r\n\r\n",
+    "size with a sign": CHUNKED + PIECE + b"+5\r\nhello\r\n0\r\n\r\n",
+    "negative size": CHUNKED + PIECE + b"-5\r\nhello\r\n0\r\n\r\n",
+    "size with a prefix": CHUNKED + PIECE + b"0x5\r\nhello\r\n0\r\n\r\n",
+    "size with an underscore": CHUNKED + PIECE + b"0_5\r\nhello\r\n0\r\n\r\n",
+    "blank before a size": CHUNKED + PIECE + b" 5\r\nhello\r\n0\r\n\r\n",
+    "two sizes": CHUNKED + PIECE + b"5 5\r\nhello\r\n0\r\n\r\n",
+    "size without bounds": CHUNKED + PIECE + b"f" * 20 + b"\r\nhello\r\n0\r\n\r\n",
+    "size of 64 bits": CHUNKED + PIECE + b"8" + b"0" * 15 + b"\r\nhello\r\n0\r\n\r\n",
+    "bare line feed behind a size": CHUNKED + PIECE + b"5\nhello\r\n0\r\n\r\n",
+    "bare line feed behind a chunk": CHUNKED + PIECE + b"5\r\nhello\n0\r\n\r\n",
+    "chunk longer than its size": CHUNKED + PIECE + b"3\r\nhello\r\n0\r\n\r\n",
+    "chunk shorter than its size": CHUNKED + PIECE + b"9\r\nhello\r\n0\r\n\r\n",
+    "control byte in an extension": CHUNKED + PIECE + b"5;a\x01\r\nhello\r\n0\r\n\r\n",
+    "trailer without a colon": CHUNKED + PIECE + b"0\r\ntrailer\r\n\r\n",
+    "trailer without a name": CHUNKED + PIECE + b"0\r\n: trailer\r\n\r\n",
+    "blank in a trailer's name": CHUNKED + PIECE + b"0\r\nX Trailer: a\r\n\r\n",
+    "length in a trailer": CHUNKED + PIECE + b"0\r\nContent-Length: 5\r\n\r\n",
+    "start of a size": CHUNKED + PIECE + b"\r",
+    "start of a trailer": CHUNKED + PIECE + b"0\r\n\x1c",
+    "NUL in a trailer": CHUNKED + PIECE + b"0\r\nX-Trailer: \0\r\n\r\n",
+    "folded trailer": CHUNKED + PIECE + b"0\r\nX-Trailer: a\r\n b\r\n\r\n",
+    "bare line feed behind a trailer": CHUNKED + PIECE + b"0\r\nX-Trailer: a\n\r\n",
+    "cut inside a chunk": CHUNKED + PIECE + b"5\r\nhe",
+    "cut before the last chunk": CHUNKED + PIECE,
+    "cut inside the trailers": CHUNKED + PIECE + b"0\r\nX-Trailer: a\r\n",
+}
 
 
 def _sound(head: bytes) -> bytes:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,4 +1,4 @@
-"""Broken heads are no answers, wherever they come from.
+"""Broken heads are no answers and broken bodies are cut ones, wherever they come from.
 
 The client library's parsers are lenient, each in its own way, so that the tests of what
 counts run with both of them.
@@ -25,6 +25,7 @@
 from eelgrass_node.request.reasons import RetryReason
 from eelgrass_standins.ports import free_addresses
 from support.broken_answers import (
+    BROKEN_BODIES,
     BROKEN_HEADS,
     LEAK,
     SIGN_HEADS,
@@ -116,6 +117,15 @@
             await self.get(answer, closed)
         assert closed == [True]
 
+    # Guards against a body that raises errors which no caller expects, or that ends
+    # where the parser in use gives up.
+    @cases(BROKEN_BODIES)
+    async def test_a_broken_body_is_a_cut_one(self, answer):
+        closed, is_cut = [], answer.endswith((b"he", b"hello\r\n", b"X-Trailer: a\r\n"))
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await self.get(answer, closed, lines=0 if is_cut else 1)
+        assert closed == [not is_cut]
+
     # Guards against sound answers that a rule for broken ones refuses.
     @cases(SOUND_ANSWERS)
     async def test_a_sound_answer_counts(self, answer):
@@ -199,6 +209,29 @@
             answered = await raw_answer(deployment, "/once/x")
             assert answered.startswith(b"HTTP/1.1 502 ")
 
+    # Guards against clients that get 500, or a part of a body as whole.
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "letters as a size",
+            "blank before a size",
+            "chunk longer than its size",
+            "trailer without a colon",
+            "cut before the last chunk",
+        ],
+    )
+    async def test_a_broken_body_is_a_cut_one(self, name):
+        send = sending(BROKEN_BODIES[name])
+        async with EntryDeployment(nodes=1, servers=1) as deployment:
+            for service, targets in TARGETS_BY_SERVICE.items():
+                async with only_server(deployment, service, send):
+                    answered = await raw_answer(deployment, targets[1])
+                    if service == "desk":
+                        assert answered.startswith(b"HTTP/1.1 502 "), answered
+                    else:
+                        assert not answered.endswith(b"\r\n0\r\n\r\n")
+                        assert b" 500 " not in answered
+
 
 class TestRelayedRequests:
     # Guards against the same on connections through another host.
