Relays: a broken answer to CONNECT opens nothing and ends no request

What callers saw: an answer of a relay without a status line ended the request with an error of the host itself (IndexError); one with any text before its `200` opened a connection.

Cause: the relay's client takes the second word of the head for the status, whatever stands around it.

Fix: it reads the head with the reader that all other answers pass. A broken one is logged and counts as the relay's failure, as a reset does: another relay is asked.

Evidence: tests/test_broken_answers.py, TestAnswersOfRelays: 6 of 6 fail on, also without the check of the log line.

--- a/packages/node/src/eelgrass_node/connection/relay_client.py
+++ b/packages/node/src/eelgrass_node/connection/relay_client.py
@@ -8,18 +8,19 @@
 
 from eelgrass_coordination import Member, StallAwareTimeout
 
-from ..exceptions import RelayUnavailable
+from ..exceptions import AnswerMalformed, RelayUnavailable
 from ..process.listening import Listening
 from ..process.relay_choice import RelayChoice
+from .answer_syntax import HeadReader, RawHead
 from .races import first_success
 from .relays import (
-    HEAD_END,
     MAX_HEAD_BYTES,
     OPENED_STATUS,
     PASSES_END_ON,
     REFUSED_STATUS,
     TIMED_OUT_STATUS,
 )
+from .response_handler import log_malformed
 from .sockets import open_socket
 
 __all__ = ["RelayClient", "RelayedSocket"]
@@ -95,9 +96,8 @@
         opened = open_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ()))
         try:
             head = await _ask(opened, member, address)
-            status = head.split(None, 2)[1]
-            if status != OPENED_STATUS:
-                raise RelayUnavailable(address, _listening(status))
+            if head.status != OPENED_STATUS:
+                raise RelayUnavailable(address, _listening(head.status))
         except BaseException as error:
             opened.close()
             if isinstance(error, (OSError, TimeoutError, RelayUnavailable)):
@@ -106,7 +106,7 @@
                     raise RelayUnavailable(address, None) from error
             raise
         self._choice.on_fit(member)
-        return RelayedSocket(opened, member, PASSES_END_ON in head)
+        return RelayedSocket(opened, member, PASSES_END_ON in head.data)
 
     async def answers(self, member: Member, address: str) -> bool:
         """Return whether a relay answers now, connected to a server or not."""
@@ -120,7 +120,7 @@
         return True
 
 
-async def _ask(opened: socket.socket, member: Member, address: str) -> bytes:
+async def _ask(opened: socket.socket, member: Member, address: str) -> RawHead:
     """Ask a relay for a connection to a server; return the head of its answer."""
     host, _, port = member.gossip.rpartition(":")
     opened.setblocking(False)
@@ -129,22 +129,32 @@
         await loop.sock_connect(opened, (host, int(port)))
         request = f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n"
         await loop.sock_sendall(opened, request.encode())
-        return await _read_head(opened)
+        try:
+            return await _read_head(opened)
+        except AnswerMalformed as error:
+            log_malformed(member.gossip, error)
+            raise ConnectionAbortedError(str(error)) from error
 
 
-async def _read_head(opened: socket.socket) -> bytes:
+async def _read_head(opened: socket.socket) -> RawHead:
     """Return the head of the answer to a CONNECT request.
 
     The answer has no body, and a server sends nothing before it has a request.
     """
     loop = asyncio.get_running_loop()
-    head = b""
-    while not head.endswith(HEAD_END):
+    reader = HeadReader()
+    received = 0
+    while received <= MAX_HEAD_BYTES:
         data = await loop.sock_recv(opened, MAX_HEAD_BYTES)
-        if not data or len(head) > MAX_HEAD_BYTES:
+        if not data:
             raise ConnectionResetError("the relay closed the connection")
-        head += data
-    return head
+        received += len(data)
+        head, rest = reader.read(data)
+        if rest:
+            raise AnswerMalformed(f"{len(rest)} bytes behind its head")
+        if head is not None and head.is_final:
+            return head
+    raise AnswerMalformed(f"no answer in {received} bytes")
 
 
 def _combined(found: list[Listening | None]) -> Listening | None:
@@ -158,7 +168,7 @@
     return Listening.NO if Listening.NO in found else None
 
 
-def _listening(status: bytes) -> Listening | None:
-    if status == b"%d" % REFUSED_STATUS:
+def _listening(status: int) -> Listening | None:
+    if status == REFUSED_STATUS:
         return Listening.NO
-    return Listening.UNKNOWN if status == b"%d" % TIMED_OUT_STATUS else None
+    return Listening.UNKNOWN if status == TIMED_OUT_STATUS else None
--- a/packages/node/src/eelgrass_node/connection/relays.py
+++ b/packages/node/src/eelgrass_node/connection/relays.py
@@ -29,7 +29,6 @@
 from .sockets import open_socket, set_buffers, set_reset_on_close, set_timeouts
 
 __all__ = [
-    "HEAD_END",
     "MAX_HEAD_BYTES",
     "OPENED_STATUS",
     "PASSES_END_ON",
@@ -54,7 +53,7 @@
 # Relayed connections may use this part of the file descriptors, two for each.
 DESCRIPTOR_FRACTION = 0.25
 HEAD_END = b"\r\n\r\n"
-OPENED_STATUS = b"200"
+OPENED_STATUS = 200
 # Says that the relay closes the connection regularly only where the server does.
 PASSES_END_ON = b"Close: passed-on"
 OPENED = b"HTTP/1.1 200 Connection established\r\n%s\r\n\r\n" % PASSES_END_ON
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -5,18 +5,23 @@
 """
 
 import asyncio
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
 from aiohttp import http_parser
 
+from eelgrass_coordination import Member
 from eelgrass_coordination.exceptions import OutcomeUnknown
+from eelgrass_coordination.ids import DataCentre, NodeId
 from eelgrass_coordination.platform_call import call_platform
 from eelgrass_node.connection.peer_calls import PeerCalls
+from eelgrass_node.connection.relay_client import RelayClient
 from eelgrass_node.connection.sockets import new_session
 from eelgrass_node.exceptions import (
     CallFailed,
     PeerUnreachable,
+    RelayUnavailable,
     StoreUnavailable,
 )
 from eelgrass_node.platform import requests
@@ -318,3 +323,37 @@
                 await call_platform(session, "GET", f"http://{address}", None, 1.0)
         await store.close()
         server.close()
+
+
+class TestAnswersOfRelays:
+    # Guards against a relay's answer that ends the request with an error of its own,
+    # or that counts although it is broken.
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"",
+            b"HTTP/1.1",
+            b"HTTP/2.0 200 Connection established",
+            b"HTTP/1.1 200 Connection\0established",
+            b"HTTP/1.1 200 Connection established\r\nA Name: x",
+            b"garbage 200",
+        ],
+    )
+    async def test_a_broken_head_opens_nothing(self, head):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + b"\r\n\r\n")
+
+        server, address = await listen(serve)
+        relay = Member(NodeId("relay"), DataCentre("a"), address, address, 1)
+        unfit = []
+        client = RelayClient(
+            SimpleNamespace(on_unfit=unfit.append, on_fit=lambda member: None)
+        )
+        with log_lines() as lines:
+            with pytest.raises(RelayUnavailable):
+                await client.open_through(relay, "127.0.0.1:1")
+            assert not await client.answers(relay, "127.0.0.1:1")
+        assert unfit == [relay]
+        assert len(written(lines)) == 2
+        server.close()
