Tests: early answers to uploads, and requests that come late in a planned stop

An early 200 without a length to an upload of 4 MB of which the server reads 64 kB, reset or closed with the upload unread, at once to 0.2 s later, 0 to 3 more pieces, by length and in chunks, directly and through another host: 502, or a stream that is broken off. The links of the test have no proxy, because that of LinkedDeployment turns a reset into a regular close. Not covered: stage calls, whose bodies are small, and slow callers.

Twenty callers that send on through the notice and the grace of a planned stop: what has run is answered, what is not answered has not run. Not covered: relays, stages, the product's own front door.

--- a/tests/support/host_links.py
+++ b/tests/support/host_links.py
@@ -41,9 +41,15 @@
 class LinkedDeployment(EntryDeployment):
     """A deployment in which tests cut the links of nodes to all servers.
 
-    Servers see the connections of each node come from an address of its own.
+    Servers see the connections of each node come from an address of its own. With
+    ``proxied`` False there is no proxy between nodes and servers, so that both sides
+    see how a connection ends; a cut then affects new connections only.
     """
 
+    def __init__(self, *arguments: Any, proxied: bool = True, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._proxied = proxied
+
     async def __aenter__(self) -> "LinkedDeployment":
         """Start the deployment, with a proxy for each pair of node and server."""
         self._cut_by_node: dict[int, Cut] = {}
@@ -99,6 +105,9 @@
             await asyncio.Event().wait()
         elif cut is not None:
             raise ConnectionRefusedError(f"{server} is cut off from node {node}")
+        if not self._proxied:
+            await self._sock_connect(sock, address)
+            return
         host, _, port = (await self._proxy_address(node, server)).rpartition(":")
         sock.bind((source_ip(node), 0))
         await self._sock_connect(sock, (host, int(port)))
--- /dev/null
+++ b/tests/test_early_answers.py
@@ -0,0 +1,104 @@
+"""Answers without a length to uploads that their server has not read."""
+
+import asyncio
+
+import pytest
+
+from support.connections import connect
+from support.entry import EntryDeployment, configuration, until
+from support.host_links import LinkedDeployment, cut_off
+from support.raw_calls import request_bytes
+from support.raw_engine import RawEngine, only_server
+
+UPLOAD_BYTES = 4 << 20
+DEADLINE_S = 3.0
+# Bytes of the upload that the server reads before it resets or closes the connection.
+READ_BYTES = 1 << 16
+PART = b"id: 1\ndata: piece-1\n\n"
+SERVICE_BY_TARGET = {"/once/x": "desk", "/stream/single/x": "readers"}
+
+
+class EarlyEngine(RawEngine):
+    """Answers as soon as it has the head of a request."""
+
+    async def _read_body(self, reader, length):
+        return b""
+
+
+def early(delay_s, is_reset, pieces):
+    """Return how a part of an answer is sent before its connection ends."""
+
+    async def send(head, body, reader, writer):
+        writer.write(head + b"\r\n" + PART)
+        for _ in range(pieces):
+            await asyncio.sleep(delay_s)
+            writer.write(PART)
+        await reader.read(READ_BYTES)
+        if is_reset:
+            writer.transport.abort()
+        # Otherwise the kernel resets the connection, because bytes are left unread.
+        return False
+
+    return send
+
+
+async def upload(deployment, target, is_chunked):
+    """Send a long request to the first node; return all bytes of its answer.
+
+    No two are alike, as one that is cut often counts as one that crashes servers.
+    """
+    reader, writer = await connect(deployment.nodes[0].settings.callers)
+    number = next(deployment._numbers)
+    sent = {"Connection": "close"}
+    request = request_bytes(target, f"id-{number}", b"", DEADLINE_S, sent)
+    body = b"%8d" % number * (UPLOAD_BYTES // 8)
+    framing = b"Content-Length: %d" % UPLOAD_BYTES
+    if is_chunked:
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (UPLOAD_BYTES, body)
+        framing = b"Transfer-Encoding: chunked"
+    try:
+        writer.write(request.replace(b"Content-Length: 0", framing) + body)
+        async with asyncio.timeout(DEADLINE_S + 1.0):
+            return await reader.read()
+    except ConnectionResetError:
+        return b""
+    finally:
+        writer.close()
+
+
+async def check(deployment, is_chunked):
+    """Fail if a part of an answer is passed off as whole."""
+    large = configuration(2)
+    large["Limits"]["MaxBodyBytes"] = UPLOAD_BYTES
+    deployment.store.put("op", "config", large)
+    nodes = deployment.nodes
+    await until(lambda: all(n.deployments.current.number == 2 for n in nodes))
+    for target, service in SERVICE_BY_TARGET.items():
+        for delay_s, pieces in ((0.0, 0), (0.02, 3), (0.2, 1)):
+            for is_reset in (True, False):
+                send = early(delay_s, is_reset, pieces)
+                async with only_server(
+                    deployment, service, send, EarlyEngine
+                ) as server:
+                    answered = await upload(deployment, target, is_chunked)
+                    case = (target, delay_s, pieces, is_reset, answered)
+                    assert server.answered.count(target) == 1, case
+                    if service == "desk":
+                        assert answered.startswith(b"HTTP/1.1 502 "), case
+                    else:
+                        assert not answered.endswith(b"\r\n0\r\n\r\n"), case
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
+class TestUploads:
+    # Guards against a part of an answer that counts as whole because its server began
+    # it before it reset the connection.
+    async def test_directly(self, is_chunked):
+        async with EntryDeployment(nodes=1, servers=1) as deployment:
+            await check(deployment, is_chunked)
+
+    # Guards against the same on connections through another host.
+    async def test_through_another_host(self, is_chunked):
+        async with LinkedDeployment(nodes=2, servers=1, proxied=False) as deployment:
+            await cut_off(deployment)
+            await check(deployment, is_chunked)
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -1,6 +1,7 @@
 """Requests that are still in flight when the time of a planned stop is over."""
 
 import asyncio
+import itertools
 import re
 
 import pytest
@@ -12,12 +13,14 @@
 from eelgrass_standins.entry_engines import EngineFault
 from support.connections import connect
 from support.entry import HOST, KEY, EntryDeployment, until
-from support.raw_calls import read_answer
+from support.raw_calls import AnswerCut, read_answer
 
 pytestmark = pytest.mark.asyncio
 
 LIMIT_S = 0.3
 PIPELINED = 4
+LATE_CALLERS = 20
+SERVICES = ("desk", "readers")
 
 
 def request_bytes(target, body=b"body", length=4):
@@ -119,6 +122,50 @@
             assert await stop
 
 
+class TestRequestsThatComeLate:
+    # Guards against requests that are taken late in a planned stop, passed on and then
+    # cut, so that they have run without an answer.
+    @pytest.mark.parametrize("target", ["/once/x", "/stream/single/x"])
+    async def test_each_is_answered_or_has_not_run(self, target):
+        async with EntryDeployment(nodes=1, event_s=0.05) as entry:
+            node = entry.nodes[0]
+            node.stopping._notice_s, node.stopping._limit_s = 0.5, 2.0
+            outcomes: dict[str, int] = {}
+
+            async def call_on(caller):
+                reader, writer = await connect(node.settings.callers)
+                try:
+                    for number in itertools.count():
+                        request_id = f"{caller}-{number}"
+                        outcomes[request_id] = 0
+                        writer.write(
+                            request_bytes(target).replace(
+                                b": one", f": {request_id}".encode()
+                            )
+                        )
+                        answer = await read_answer(reader)
+                        outcomes[request_id] = answer.status
+                        if not answer.stays_open:
+                            return
+                except (AnswerCut, OSError):
+                    pass
+                finally:
+                    writer.close()
+
+            callers = [asyncio.create_task(call_on(n)) for n in range(LATE_CALLERS)]
+            await until(lambda: len(outcomes) > 2 * LATE_CALLERS)
+            node.stopping.request()
+            assert await node.run_until_stopped()
+            await node.close()
+            await asyncio.wait_for(asyncio.gather(*callers), 2.0)
+            runs = [
+                run.request_id for service in SERVICES for run in entry.runs(service)
+            ]
+            assert len(runs) == len(set(runs))
+            assert set(runs) == {n for n, status in outcomes.items() if status == 200}
+            assert set(outcomes.values()) <= {0, 200, 503}
+
+
 class TestTime:
     # Guards against a wait for refusals that takes time that the stop does not have.
     async def test_it_is_within_the_reserve_of_the_stop(self):
