Answers: one without a length that has ended is not a malformed one

What callers saw, since: 502 for whole answers without a length, and a log line about a malformed answer, wherever the library resumes its parser after the connection has been closed.

Cause: any error of a connection was taken for one of its parser, also that it has been closed.

Fix: only the parser's errors end a call as malformed, and they do so once.

--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -95,8 +95,10 @@
                 self.force_close()
                 return
             self._receive(piece)
-            if self.exception() is not None:
-                self._reject(AnswerMalformed(repr(self.exception())))
+            error = self.exception()
+            if isinstance(error, HttpProcessingError):
+                self._reject(AnswerMalformed(repr(error)))
+            if error is not None:
                 return
             data = rest
             self._awaits_response = not self._is_complete()
@@ -182,6 +184,7 @@
     def _reject(self, error: AnswerMalformed) -> None:
         """End the call whose answer is malformed, and the connection."""
         log_malformed(self._peer(), error)
+        self._awaits_response = False
         if self._body is None:
             self.set_exception(HttpProcessingError(code=502, message=str(error)), error)
         else:
--- a/tests/support/broken_answers.py
+++ b/tests/support/broken_answers.py
@@ -174,6 +174,8 @@
     "no reason and no blank": _sound(b"HTTP/1.1 200\r\n"),
     "reason in other letters": _sound("HTTP/1.1 200 Schön\r\n".encode()),
     "version 1.0": _sound(b"HTTP/1.0 200 OK\r\n"),
+    "no length": b"HTTP/1.1 200 OK\r\n@\r\nhello",
+    "no length in version 1.0": b"HTTP/1.0 200 OK\r\n@\r\nhello",
     "status 299": _sound(b"HTTP/1.1 299 OK\r\n"),
     "all marks in a name": _sound(b"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: a\r\n"),
     "empty value": _sound(b"HTTP/1.1 200 OK\r\nX-Empty:\r\n"),
