Answer syntax: parsers are called parsers, messages name fields

Reading the change as a newcomer: HeadParser, ChunkParser and ParsedHead in place of readers and a raw head that is normalized; messages say status line, field line and which fields conflict; a comment where the library's parser refuses what this one accepts.

--- a/packages/node/src/eelgrass_node/connection/answer_syntax.py
+++ b/packages/node/src/eelgrass_node/connection/answer_syntax.py
@@ -2,13 +2,13 @@
 
 The parsers of the client library are lenient, each in its own way: they accept statuses
 and versions that do not exist, and guess where a body ends. All answers pass the
-readers of this module first, so that the same answers count with either parser. Both
-get blanks and interim answers in the only form that they read alike.
+parsers of this module first, so that the same answers count with either of them. Heads
+are normalized for the library, whose parsers differ in whitespace behind field values
+and in the fields of interim answers.
 
-An answer is refused if two readers of it could disagree: its head names its length
-twice, or a length beside chunks, or a transfer coding other than ``chunked``, the only
-one that this node can undo. Folded lines and bare line feeds are refused for the same
-reason.
+An answer whose framing is ambiguous is malformed: one with several lengths, with a
+length beside a transfer coding, or with a transfer coding other than ``chunked``, the
+only one that this node can decode. So are folded lines and bare line feeds.
 """
 
 import re
@@ -19,7 +19,7 @@
 
 from ..exceptions import AnswerMalformed
 
-__all__ = ["MAX_HEAD_BYTES", "ChunkReader", "HeadReader", "RawHead"]
+__all__ = ["MAX_HEAD_BYTES", "ChunkParser", "HeadParser", "ParsedHead"]
 
 # All bytes up to the end of the head, with interim answers.
 MAX_HEAD_BYTES = 1 << 16
@@ -55,7 +55,7 @@
 _CODING = b"transfer-encoding"
 
 
-class RawHead(msgspec.Struct, frozen=True):
+class ParsedHead(msgspec.Struct, frozen=True):
     """A complete head, and how it delimits its body.
 
     ``data`` is the head for a parser: without blanks around the values of its fields,
@@ -74,13 +74,13 @@
         return self.status >= HTTPStatus.OK
 
 
-class HeadReader:
-    r"""Reads the heads of one answer: those of interim answers, and the final one.
+class HeadParser:
+    r"""Parses the heads of one answer: those of interim answers, and the final one.
 
     Bytes may come in any pieces. :meth:`read` raises :class:`AnswerMalformed` at the
     first line that a head cannot have. For example::
 
-        head, body = HeadReader().read(b"HTTP/1.1 204 No Content\r\n\r\n")
+        head, body = HeadParser().read(b"HTTP/1.1 204 No Content\r\n\r\n")
     """
 
     def __init__(self) -> None:
@@ -88,7 +88,7 @@
         self._interim_answers = 0
         self._begin()
 
-    def read(self, data: bytes) -> tuple[RawHead | None, bytes]:
+    def read(self, data: bytes) -> tuple[ParsedHead | None, bytes]:
         """Return the next head, None if it is not complete, and the bytes behind it."""
         start = 0
         while (end := data.find(b"\n", start)) >= 0:
@@ -131,7 +131,7 @@
         self._is_version_1_0 = found[1] == b"0"
         self._status = int(found[2])
         if self._status == HTTPStatus.SWITCHING_PROTOCOLS:
-            raise AnswerMalformed("a switch of protocols that was not asked for")
+            raise AnswerMalformed("status 101 without a request to switch protocols")
 
     def _read_field(self, text: bytes) -> None:
         name, value = _parse_field(text)
@@ -143,7 +143,7 @@
         elif name.lower() == _CODING:
             self._codings.append(value)
 
-    def _complete(self) -> RawHead:
+    def _complete(self) -> ParsedHead:
         is_interim = self._status < HTTPStatus.OK
         if is_interim:
             self._interim_answers += 1
@@ -153,7 +153,7 @@
                 raise AnswerMalformed("an interim answer with a body")
         lines = self._lines[:1] if is_interim else self._lines
         data = LINE_END.join((*lines, b"", b""))
-        head = RawHead(data, self._status, self._length(), self._is_chunked())
+        head = ParsedHead(data, self._status, self._length(), self._is_chunked())
         self._begin()
         return head
 
@@ -161,7 +161,9 @@
         if not self._lengths:
             return None
         if len(self._lengths) > 1 or self._codings:
-            raise AnswerMalformed("more than one statement of where its body ends")
+            raise AnswerMalformed(
+                "several Content-Length, or one beside Transfer-Encoding"
+            )
         [value] = self._lengths
         is_number = value.isdigit() and len(value) <= MAX_LENGTH_DIGITS
         if not is_number or int(value) > MAX_LENGTH_BYTES:
@@ -190,7 +192,7 @@
     SIZE = "the size of a chunk"
     DATA = "the data of a chunk"
     DATA_END = "the end of a chunk"
-    TRAILERS = "the trailers"
+    TRAILERS = "a trailer"
     END = "nothing"
 
 
@@ -201,7 +203,7 @@
 }
 
 
-class ChunkReader:
+class ChunkParser:
     """Follows the framing of a chunked body, up to the end of its trailers.
 
     The data of its chunks is not kept. Bytes may come in any pieces.
@@ -245,17 +247,17 @@
             found = _SIZE_LINE.fullmatch(text)
             size = MAX_LENGTH_BYTES + 1 if found is None else int(found[1], 16)
             if size > MAX_LENGTH_BYTES:
-                raise AnswerMalformed(f"size of a chunk {_excerpt(text)}")
+                raise AnswerMalformed(f"{self._state.value} {_excerpt(text)}")
             self._data_left = size
             self._state = ChunkState.DATA if size else ChunkState.TRAILERS
         elif self._state is ChunkState.DATA_END:
             if text:
-                raise AnswerMalformed(f"end of a chunk {_excerpt(text)}")
+                raise AnswerMalformed(f"{self._state.value} {_excerpt(text)}")
             self._state = ChunkState.SIZE
         elif text:
             name, _ = _parse_field(text)
             if name.lower() in (_LENGTH, _CODING):
-                raise AnswerMalformed(f"trailer {_excerpt(text)}")
+                raise AnswerMalformed(f"framing in a trailer {_excerpt(text)}")
             self._trailers += 1
             if self._trailers > MAX_FIELDS:
                 raise AnswerMalformed(f"more than {MAX_FIELDS} trailers")
@@ -286,7 +288,7 @@
     """Return the name and the value of a header field or trailer."""
     found = _FIELD_LINE.fullmatch(text)
     if found is None:
-        raise AnswerMalformed(f"header field {_excerpt(text)}")
+        raise AnswerMalformed(f"field line {_excerpt(text)}")
     return found[1], found[2].strip(b" \t")
 
 
--- a/packages/node/src/eelgrass_node/connection/relay_client.py
+++ b/packages/node/src/eelgrass_node/connection/relay_client.py
@@ -11,7 +11,7 @@
 from ..exceptions import AnswerMalformed, RelayUnavailable
 from ..process.listening import Listening
 from ..process.relay_choice import RelayChoice
-from .answer_syntax import HeadReader, RawHead
+from .answer_syntax import HeadParser, ParsedHead
 from .races import first_success
 from .relays import (
     MAX_HEAD_BYTES,
@@ -120,7 +120,7 @@
         return True
 
 
-async def _ask(opened: socket.socket, member: Member, address: str) -> RawHead:
+async def _ask(opened: socket.socket, member: Member, address: str) -> ParsedHead:
     """Ask a relay for a connection to a server; return the head of its answer."""
     host, _, port = member.gossip.rpartition(":")
     opened.setblocking(False)
@@ -136,13 +136,13 @@
             raise ConnectionAbortedError(str(error)) from error
 
 
-async def _read_head(opened: socket.socket) -> RawHead:
+async def _read_head(opened: socket.socket) -> ParsedHead:
     """Return the head of the answer to a CONNECT request.
 
     The answer has no body, and a server sends nothing before it has a request.
     """
     loop = asyncio.get_running_loop()
-    reader = HeadReader()
+    reader = HeadParser()
     received = 0
     while received <= MAX_HEAD_BYTES:
         data = await loop.sock_recv(opened, MAX_HEAD_BYTES)
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -18,14 +18,14 @@
 
 from ..exceptions import AnswerMalformed
 from ..log import Part, log
-from .answer_syntax import MAX_HEAD_BYTES, ChunkReader, HeadReader, RawHead
+from .answer_syntax import MAX_HEAD_BYTES, ChunkParser, HeadParser, ParsedHead
 
 __all__ = [
     "ConnectionEnd",
     "SolicitedResponseHandler",
-    "log_malformed",
     "is_readable",
     "is_socket_readable",
+    "log_malformed",
 ]
 
 # Most that one call of the event loop reads from a connection.
@@ -97,6 +97,7 @@
             self._receive(piece)
             error = self.exception()
             if isinstance(error, HttpProcessingError):
+                # The library refuses what answer_syntax accepts.
                 self._reject(AnswerMalformed(repr(error)))
             if error is not None:
                 return
@@ -144,7 +145,7 @@
         if self._head is not None and self._head.is_final:
             self._body = body
             self._body_bytes_left = self._head.length
-            self._chunks = ChunkReader() if self._head.is_chunked else None
+            self._chunks = ChunkParser() if self._head.is_chunked else None
         super().feed_data(data, size)
 
     def _receive(self, data: bytes) -> None:
@@ -152,11 +153,11 @@
         super().data_received(data)
 
     def _begin_response(self) -> None:
-        self._heads = HeadReader()
-        self._head: RawHead | None = None
+        self._heads = HeadParser()
+        self._head: ParsedHead | None = None
         self._body: StreamReader | None = None
         self._body_bytes_left: int | None = None
-        self._chunks: ChunkReader | None = None
+        self._chunks: ChunkParser | None = None
 
     def _next_piece(self, data: bytes) -> tuple[bytes, bytes]:
         """Return what to parse before looking at the rest, and the rest.
