--- a/packages/node/src/eelgrass_node/connection/answer_syntax.py
+++ b/packages/node/src/eelgrass_node/connection/answer_syntax.py
@@ -47,7 +47,7 @@
 )
 # Some servers pad sizes with blanks.
 _SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:%s)*" % _EXTENSION)
-# What the lines of a chunked body may begin with, by the state of its reader.
+# What the lines of a chunked body may begin with, by the state of its parser.
 _SIZE_START = re.compile(rb"[0-9A-Fa-f]{1,16}[ \t]*(?:;%s)?\r?" % _TEXT)
 _DATA_END_START = re.compile(rb"\r")
 _TRAILER_START = re.compile(rb"%s(?::%s\r?)?|\r" % (_TOKEN, _TEXT))
@@ -77,10 +77,10 @@
 class HeadParser:
     r"""Parses the heads of one answer: those of interim answers, and the final one.
 
-    Bytes may come in any pieces. :meth:`read` raises :class:`AnswerMalformed` at the
+    Bytes may come in any pieces. :meth:`feed` raises :class:`AnswerMalformed` at the
     first line that a head cannot have. For example::
 
-        head, body = HeadParser().read(b"HTTP/1.1 204 No Content\r\n\r\n")
+        head, body = HeadParser().feed(b"HTTP/1.1 204 No Content\r\n\r\n")
     """
 
     def __init__(self) -> None:
@@ -88,7 +88,7 @@
         self._interim_answers = 0
         self._begin()
 
-    def read(self, data: bytes) -> tuple[ParsedHead | None, bytes]:
+    def feed(self, data: bytes) -> tuple[ParsedHead | None, bytes]:
         """Return the next head, None if it is not complete, and the bytes behind it."""
         start = 0
         while (end := data.find(b"\n", start)) >= 0:
@@ -215,7 +215,7 @@
         self._data_left = 0
         self._trailers = 0
 
-    def read(self, data: bytes) -> int:
+    def feed(self, data: bytes) -> int:
         """Return how many bytes belong to the body: all of them up to its end.
 
         Raises :class:`AnswerMalformed`.
--- a/packages/node/src/eelgrass_node/connection/relay_client.py
+++ b/packages/node/src/eelgrass_node/connection/relay_client.py
@@ -142,14 +142,14 @@
     The answer has no body, and a server sends nothing before it has a request.
     """
     loop = asyncio.get_running_loop()
-    reader = HeadParser()
+    parser = HeadParser()
     received = 0
     while received <= MAX_HEAD_BYTES:
         data = await loop.sock_recv(opened, MAX_HEAD_BYTES)
         if not data:
             raise ConnectionResetError("the relay closed the connection")
         received += len(data)
-        head, rest = reader.read(data)
+        head, rest = parser.feed(data)
         if rest:
             raise AnswerMalformed(f"{len(rest)} bytes behind its head")
         if head is not None and head.is_final:
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -137,10 +137,6 @@
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Pass on the head of a response, and the reader of its body."""
-        if self._body is not None:
-            # The parser has read on in the bytes behind a chunked body.
-            self.force_close()
-            return
         _, body = data
         if self._head is not None and self._head.is_final:
             self._body = body
@@ -165,11 +161,11 @@
         The first is empty if a head is not complete yet, or the body has ended.
         """
         if self._body is None:
-            self._head, rest = self._heads.read(data)
+            self._head, rest = self._heads.feed(data)
             return b"" if self._head is None else self._head.data, rest
         cut = len(data)
         if self._chunks is not None:
-            cut = self._chunks.read(data)
+            cut = self._chunks.feed(data)
         elif self._body_bytes_left is not None:
             cut = min(cut, self._body_bytes_left)
             self._body_bytes_left -= cut
--- a/tests/support/broken_answers.py
+++ b/tests/support/broken_answers.py
@@ -12,7 +12,7 @@
     "BROKEN_BODIES",
     "BROKEN_HEADS",
     "LEAK",
-    "SIGN_HEADS",
+    "TYPICAL_HEADS",
     "SOUND_ANSWERS",
     "sending",
 ]
@@ -45,8 +45,8 @@
     return b"HTTP/1.1 200 OK\r\n@X-Leak: leaked\r\n" + lines + b"\r\nleaked"
 
 
-# One of each cause, for calls that take longer to set up.
-SIGN_HEADS = {
+# One for each rule, for tests that take longer to set up.
+TYPICAL_HEADS = {
     "status 000": _status_line(b"HTTP/1.1 000 OK"),
     "status 000 without a length": _status_line(b"HTTP/1.1 000 OK", UNSIZED),
     "status 600": _status_line(b"HTTP/1.1 600 OK"),
@@ -63,7 +63,7 @@
     "length without bounds": _lengths(b"9" * 40),
 }
 BROKEN_HEADS = {
-    **SIGN_HEADS,
+    **TYPICAL_HEADS,
     "status 001": _status_line(b"HTTP/1.1 001 OK"),
     "status 099": _status_line(b"HTTP/1.1 099 OK"),
     "status 099 without a length": _status_line(b"HTTP/1.1 099 OK", UNSIZED),
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -24,8 +24,8 @@
     BROKEN_BODIES,
     BROKEN_HEADS,
     LEAK,
-    SIGN_HEADS,
     SOUND_ANSWERS,
+    TYPICAL_HEADS,
     sending,
 )
 from support.connections import connect, listen
@@ -155,7 +155,7 @@
     # Guards against broken heads that reach clients, as whole answers, as begun
     # streams or as errors.
     @with_both_parsers
-    @cases(SIGN_HEADS)
+    @cases(TYPICAL_HEADS)
     async def test_nothing_is_passed_on(self, answer):
         async with EntryDeployment(nodes=1, servers=1) as deployment:
             with log_lines() as lines:
@@ -174,7 +174,7 @@
                         lines.clear()
 
     # Guards against requests that fail though another server would answer them.
-    @cases(SIGN_HEADS)
+    @cases(TYPICAL_HEADS)
     async def test_another_server_is_tried(self, answer):
         async with EntryDeployment(nodes=1, servers=1) as deployment:
             for service in TARGETS_BY_SERVICE:
@@ -235,7 +235,7 @@
     async def test_nothing_is_passed_on(self):
         async with LinkedDeployment(nodes=2, servers=1) as deployment:
             await cut_off(deployment)
-            for name, answer in SIGN_HEADS.items():
+            for name, answer in TYPICAL_HEADS.items():
                 async with only_server(deployment, "desk", sending(answer)) as server:
                     answered = await raw_answer(deployment, "/once/x")
                     assert answered.startswith(b"HTTP/1.1 502 "), name
@@ -282,7 +282,7 @@
     # Guards against a start of a server that is read from a broken answer.
     async def test_a_broken_head_reports_nothing(self):
         async with EntryDeployment(nodes=1, servers=1) as deployment:
-            for name, answer in SIGN_HEADS.items():
+            for name, answer in TYPICAL_HEADS.items():
                 async with only_server(deployment, "desk", sending(answer)) as server:
                     backend = deployment.nodes[0].backends.by_id[server.server_id]
                     with pytest.raises(CallFailed) as failed:
@@ -295,7 +295,7 @@
     """Calls to the store, to other hosts and to the product's own platform."""
 
     # Guards against a table, or a state, that is read from a broken answer.
-    @cases(SIGN_HEADS)
+    @cases(TYPICAL_HEADS)
     async def test_a_broken_head_is_no_answer(self, answer):
         async def serve(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
