--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -76,7 +76,7 @@
     """Return ports of an address that are free for TCP and UDP."""
     ports: list[int] = []
     while len(ports) < count:
-        port = random.randint(10_000, 31_000)
+        port = random.SystemRandom().randint(10_000, 31_000)
         if port in ports:
             continue
         try:
