--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -18,7 +18,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -463,6 +463,13 @@
             self._beating.cancel()
         await super().stop(is_reset)
 
+    def begin_anew(self) -> None:
+        """Forget everything, as an engine does that starts again under its id."""
+        self.born = int(time.time() * 1000)
+        self.results = {}
+        self.running = self.waiting = 0
+        self._turn = asyncio.Semaphore(self.slots)
+
     def entry(self) -> dict:
         """Return the engine's entry in the list."""
         return {
@@ -923,6 +930,7 @@
         self.foreign: list[dict] = []
         self.gossip_port = free_ports("127.0.0.1", 1)[0]
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self._tasks: set[asyncio.Task] = set()
 
     def seeds(self) -> list[str]:
         """Return the control addresses of the first three nodes."""
@@ -954,6 +962,12 @@
             self.foreign.append(found)
             self.record("FOREIGN", **found)
 
+    def later(self, work: Coroutine[None, None, None]) -> None:
+        """Do something beside what goes on."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def configure(self, configuration: dict) -> float:
         """Write the operator's configuration; return the time of its confirmation."""
         self.record("configuration", version=configuration["Version"])
