Answers: one counts for a call only if it can belong to no other

Copies of other answers made requests fail with 503.

Cause: HTTP/1.1 matches answers to calls by their order, and answers to stage calls, freed results and reports name no attempt. Requests were checked by their id, but only after what the answer says of its server (load, limit, rest, leaving) had been applied, and their connection was kept.

Now connection/calls.py decides for all calls to backend servers before anything of an answer is used. One that names an attempt belongs to that attempt only; one that names none counts only as the first answer of its connection, where no earlier answer can have come again. So calls without an attempt get a connection each, as do repeated calls of a request, whose answers name the same attempt. It rests on nothing that engines might do: no copy of an earlier answer can exist on a new connection. After an answer that may belong to another call, kept connections to that server are not used for 15 s, as long as idle ones live, because others may be out of step as well.

A call that engines refuse behind each stage call serves nothing, as a 421 names no attempt.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -2,7 +2,8 @@
 
 Redirects are not followed, because following a 307 would send the call a second time.
 A call that must not be repeated gets a new connection: on a kept-alive one it could
-fail because the server has just closed that connection.
+fail because the server has just closed that connection. So does a call whose answer
+names no attempt; see :mod:`.calls`.
 """
 
 import asyncio
@@ -17,12 +18,22 @@
 
 from eelgrass_coordination import Member
 
+from ..log import Part, log
 from ..process.listening import Listening
 from .answer_bounds import BoundedResponseHandler
 from .answer_head import AnswerHead, OnAnswer
+from .calls import (
+    ATTEMPT_HEADER,
+    AttemptOf,
+    Call,
+    CallConnector,
+    CallPath,
+    MisattributedAnswer,
+    NamedAttempt,
+    attempt_in_header,
+)
 from .listen_probe import probe_listening
 from .piecewise_payload import PiecewisePayload
-from .response_handler import SolicitedResponseHandler
 from .sockets import Connector, new_session
 
 if TYPE_CHECKING:
@@ -32,7 +43,6 @@
 __all__ = [
     "READ_BUFFER_BYTES",
     "BackendConnections",
-    "CallPath",
     "RequestWithheld",
     "ServerLimited",
     "ServerResting",
@@ -64,32 +74,13 @@
     """The server names a request limit, and this node has no permit."""
 
 
-class CallPath:
-    """The network path of one call.
-
-    ``connection`` is None until the call has one, and ``relay`` the node that it passes
-    through, None for a direct one. A path that is lost affects direct connections only.
-    ``is_end_passed_on`` is True if the relay closes the connection regularly only where
-    the server does.
-    """
-
-    def __init__(self) -> None:
-        self.connection: SolicitedResponseHandler | None = None
-        self.relay: Member | None = None
-        self.is_end_passed_on = False
-
-    @property
-    def is_direct(self) -> bool:
-        """Whether the call has a connection that passes through no other node."""
-        return self.connection is not None and self.relay is None
-
-
 class BackendConnections:
     """Opens and keeps connections to ``address``, an IP address and port.
 
     With a ``link``, connections are opened through other nodes if necessary.
-    ``on_answer`` is called with the head of each answer, before who made the call sees
-    it.
+    ``on_answer`` is called with the head of each answer that belongs to its call,
+    before who made the call sees it. ``attempt_of`` returns the attempt that an answer
+    names.
     """
 
     def __init__(
@@ -97,14 +88,17 @@
         address: str,
         link: "ServerLink | None" = None,
         on_answer: OnAnswer = lambda answer: None,
+        attempt_of: AttemptOf = attempt_in_header,
     ) -> None:
         self.address = address
         self._link = link
         self._on_answer = on_answer
+        self._attempt_of = attempt_of
         self._session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
         self._calls_in_flight = 0
+        self._reuse_from_s = 0.0
         self._path_lost_callbacks: list[Callable[[], None]] = []
         self._closing = False
         self._responses: weakref.WeakSet[aiohttp.ClientResponse] = weakref.WeakSet()
@@ -115,18 +109,20 @@
         """Begin a POST.
 
         Connecting may take up to ``connect_s`` seconds, but no more than ``CONNECT_S``.
-        Without ``reuse`` the call gets a connection of its own.
+        Without ``reuse`` the call gets a connection of its own. It raises
+        :class:`.MisattributedAnswer` if the answer may belong to another call.
         """
-        session = self._get_session() if reuse else self._get_single_use_session()
+        session = self._session_for(reuse)
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=min(connect_s, CONNECT_S)
         )
         return session.post(
             f"http://{self.address}{path}",
             data=body,
-            headers={"Content-Type": "application/json", "Attempt-Id": attempt_id},
+            headers={"Content-Type": "application/json", ATTEMPT_HEADER: attempt_id},
             timeout=timeout,
             allow_redirects=False,
+            trace_request_ctx=Call(NamedAttempt(attempt_id), lambda: None, CallPath()),
         )
 
     def request(
@@ -136,14 +132,18 @@
         headers: CIMultiDict[str],
         body: bytes,
         connect_s: float,
-        reuse: bool,
+        attempt: NamedAttempt | None = None,
+        reuse: bool = False,
         on_sent: Callable[[], None] | None = None,
         path: CallPath | None = None,
     ) -> "aiohttp.client._RequestContextManager":
         """Begin a call whose target, headers and body are sent unchanged.
 
-        ``on_sent`` is called once a connection is open and the headers are sent, and
-        ``path`` is set once it is open.
+        ``attempt`` is the one that the call and its answer name. Only with it, and with
+        ``reuse``, the call may get a connection that has served others. ``on_sent`` is
+        called once a connection is open and the headers are sent, and ``path`` is set
+        once it is open. It raises :class:`.MisattributedAnswer` if the answer may
+        belong to another call.
         """
 
         def on_headers_sent() -> None:
@@ -153,7 +153,7 @@
                 loop = asyncio.get_running_loop()
                 loop.call_later(ACKNOWLEDGE_S, self._check_acknowledged)
 
-        session = self._get_session() if reuse else self._get_single_use_session()
+        session = self._session_for(reuse and attempt is not None)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s)
         return session.request(
             method,
@@ -163,7 +163,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=_CallTrace(on_headers_sent, path or CallPath()),
+            trace_request_ctx=Call(attempt, on_headers_sent, path or CallPath()),
         )
 
     def replace(self) -> None:
@@ -280,6 +280,12 @@
             if session is not None:
                 await session.close()
 
+    def _session_for(self, reuse: bool) -> aiohttp.ClientSession:
+        """Return the session for a call, which may get a kept connection or not."""
+        if reuse and asyncio.get_running_loop().time() >= self._reuse_from_s:
+            return self._get_session()
+        return self._get_single_use_session()
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = self._open_session(KEEP_ALIVE_S)
@@ -300,7 +306,7 @@
 
     def _new_connector(self, **options: Any) -> Connector:
         if self._link is None:
-            return Connector(BoundedResponseHandler, **options)
+            return CallConnector(BoundedResponseHandler, **options)
         return self._link.connector(**options)
 
     def _new_trace(self) -> aiohttp.TraceConfig:
@@ -313,6 +319,8 @@
 
         async def answered(session, context, parameters) -> None:
             response = parameters.response
+            if context.trace_request_ctx is not None:
+                self._check_answer(context.trace_request_ctx, response)
             self._on_answer(
                 AnswerHead(
                     response.status,
@@ -327,6 +335,27 @@
         trace.on_request_end.append(answered)
         return trace
 
+    def _check_answer(self, call: Call, response: aiohttp.ClientResponse) -> None:
+        """Check that an answer belongs to a call; see :meth:`.Call.check_answer`.
+
+        If not, the server's other connections may be out of step as well. None is used
+        again until those that are open now have been idle for too long.
+        """
+        try:
+            call.check_answer(self._attempt_of(response.raw_headers))
+        except MisattributedAnswer as error:
+            self._reuse_from_s = asyncio.get_running_loop().time() + KEEP_ALIVE_S
+            log(
+                Part.HOSTS,
+                "An answer may belong to another call; it is dropped with its "
+                "connection.",
+                address=self.address,
+                path=response.url.raw_path,
+                status=response.status,
+                error=str(error),
+            )
+            raise
+
     def _check_acknowledged(self) -> None:
         for session in (self._session, self._single_use_session):
             if session is None or session.connector is None:
@@ -350,14 +379,6 @@
         self._retired = []
 
 
-class _CallTrace:
-    """What the library passes to the traces of one call."""
-
-    def __init__(self, on_headers_sent: Callable[[], None], path: CallPath) -> None:
-        self.on_headers_sent = on_headers_sent
-        self.path = path
-
-
 def has_length(response: aiohttp.ClientResponse) -> bool:
     """Return whether a response says where its body ends, or can have none.
 
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -14,7 +14,8 @@
 from ..process.backends import Backend
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
 from .answer_bounds import MAX_REPORT_BYTES, read_bounded
-from .backend import CallPath, RequestWithheld, has_length
+from .backend import RequestWithheld, has_length
+from .calls import CallPath, MisattributedAnswer
 
 __all__ = ["BatchCalls", "BatchCodec"]
 
@@ -109,6 +110,7 @@
             ValueError,
             AnswerTooLong,
             BatchAnswerMalformed,
+            MisattributedAnswer,
         ):
             return _all_failed(items, ItemFailure.UNREACHABLE)
         except (aiohttp.ClientError, OSError):
@@ -170,7 +172,6 @@
                 headers,
                 body,
                 CONNECT_TIMEOUT_S,
-                reuse=True,
                 path=call_path,
             ) as response:
                 connections.track(response)
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -54,13 +54,15 @@
     complete reaches its caller whatever follows it. The parser gets a head once it is
     complete and sound, and a malformed body ends as if it was cut off.
 
-    ``is_new`` is True until a call gets the connection. ``end`` is how it has ended,
-    and ``ended_at`` when, in seconds of the event loop.
+    ``is_new`` is True until a call gets the connection, and ``calls`` the number of
+    calls that it has carried. ``end`` is how it has ended, and ``ended_at`` when, in
+    seconds of the event loop.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_new = True
+        self.calls = 0
         self.end = ConnectionEnd.OPEN
         self.ended_at = float("inf")
         self._has_peer_closed = False
@@ -75,6 +77,7 @@
 
     def set_response_params(self, **parameters) -> None:
         """Begin a call; the library passes how to parse its response."""
+        self.calls += 1
         self._awaits_response = True
         self._begin_response()
         super().set_response_params(**parameters | PARSER_LIMITS)
@@ -108,6 +111,19 @@
         if data:
             self._abort_unsolicited(len(data))
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def retire(self) -> None:
+        """Close the connection once the response that it receives is complete."""
+        self.force_close()
+        if not self._awaits_response:
+            # The library may have put it back into its pool.
+            self.close()
+
     def on_end(self, callback: Callable[[], None]) -> None:
         """Call back once the connection has ended, at once if it has."""
         if self.end is ConnectionEnd.OPEN:
@@ -186,9 +202,7 @@
             self.set_exception(HttpProcessingError(code=502, message=str(error)), error)
         else:
             self._body.set_exception(ClientPayloadError(str(error)), error)
-        self.force_close()
-        if self.transport is not None:
-            self.transport.abort()
+        self.abort()
 
     def _abort_unsolicited(self, count: int) -> None:
         transport = self.transport
@@ -200,8 +214,7 @@
             peer=self._peer(),
             bytes=count,
         )
-        self.force_close()
-        transport.abort()
+        self.abort()
 
 
 def log_malformed(peer: str, error: AnswerMalformed) -> None:
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -21,11 +21,12 @@
 from ..process.server_paths import Path, ServerPaths
 from .answer_bounds import BoundedResponseHandler
 from .backend import ServerLimited, ServerResting
+from .calls import Call, CallConnector
 from .end_witness import Confirm, EndWitnesses, WitnessLease
 from .races import first_success
 from .relay_client import RelayClient, RelayedSocket
 from .response_handler import SolicitedResponseHandler, is_readable
-from .sockets import Connector, open_socket
+from .sockets import open_socket
 
 __all__ = ["ServerConnector", "ServerLink"]
 
@@ -147,14 +148,14 @@
         return opened
 
 
-class ServerConnector(Connector):
-    """A pool of connections to one server."""
+class ServerConnector(CallConnector):
+    """A pool of connections to one server, direct or through other nodes."""
 
     def __init__(self, link: ServerLink, **options: Any) -> None:
         super().__init__(BoundedResponseHandler, **options)
         self._link = link
 
-    async def connect(
+    async def _admit(
         self,
         req: aiohttp.ClientRequest,
         traces: list[aiohttp.tracing.Trace],
@@ -166,7 +167,7 @@
         have asked for rest since it was chosen, or have named a limit. Calls of all
         kinds pass here.
         """
-        connection = await super().connect(req, traces, timeout)
+        connection = await super()._admit(req, traces, timeout)
         try:
             if self._link.is_resting():
                 raise ServerResting(f"{self._link.address} has asked for rest")
@@ -178,18 +179,16 @@
         if is_readable(connection.protocol):
             # Something has arrived while the permit was awaited.
             connection.close()
-            connection = await super().connect(req, traces, timeout)
-        for trace in traces:
-            # The library has no public way from a connection to its request.
-            call = trace._trace_config_ctx.trace_request_ctx
-            if call is not None:
-                call.path.connection = connection.protocol
-                relayed = self._link.relayed.get(connection.protocol)
-                if relayed is not None:
-                    call.path.relay = relayed.relay
-                    call.path.is_end_passed_on = relayed.is_end_passed_on
+            connection = await super()._admit(req, traces, timeout)
         return connection
 
+    def _assign(self, handler: SolicitedResponseHandler, call: Call) -> None:
+        super()._assign(handler, call)
+        relayed = self._link.relayed.get(handler)
+        if relayed is not None:
+            call.path.relay = relayed.relay
+            call.path.is_end_passed_on = relayed.is_end_passed_on
+
     def is_unacknowledged(self) -> bool:
         """Return whether bytes that were sent directly are not acknowledged yet."""
         return any(
--- a/packages/node/src/eelgrass_node/connection/server_links.py
+++ b/packages/node/src/eelgrass_node/connection/server_links.py
@@ -16,6 +16,7 @@
 from ..process.stopping import Stopping
 from .answer_head import AnswerHead
 from .backend import BackendConnections
+from .calls import AttemptOf
 from .listen_probe import probe_listening
 from .relay_client import RelayClient
 from .relay_rests import RelayRests, TellRelay
@@ -29,9 +30,10 @@
     """The links of a node: ``paths`` to servers, and the ``server`` for other nodes.
 
     ``backends`` must open the connections to its servers by :meth:`connections_to`.
-    ``on_answer`` is called with the head of each answer of a server, and ``tell_relay``
-    tells another node for how long a server rests. ``take_permit`` returns whether one
-    more request may be sent to a server now.
+    ``attempt_of`` returns the attempt that an answer names. ``on_answer`` is called
+    with the head of each answer of a server, and ``tell_relay`` tells another node for
+    how long a server rests. ``take_permit`` returns whether one more request may be
+    sent to a server now.
     """
 
     def __init__(
@@ -42,10 +44,12 @@
         stopping: Stopping,
         budgets: Budgets,
         count: Callable[[str], None],
+        attempt_of: AttemptOf,
         on_answer: Callable[[ServerIncarnation, AnswerHead], None],
         tell_relay: TellRelay,
         take_permit: Callable[[ServerIncarnation], Awaitable[bool]],
     ) -> None:
+        self._attempt_of = attempt_of
         self._on_answer = on_answer
         self._take_permit = take_permit
         self._relay_rests = RelayRests(tell_relay)
@@ -86,7 +90,7 @@
             lambda: self._backends.owns_address(entry),
         )
         on_answer = partial(self._receive, link, server)
-        return BackendConnections(entry.address, link, on_answer)
+        return BackendConnections(entry.address, link, on_answer, self._attempt_of)
 
     def on_members_changed(self, members: Iterable[Member]) -> None:
         """Replace connections through relays if a node has begun to leave."""
--- a/packages/node/src/eelgrass_node/entry_node.py
+++ b/packages/node/src/eelgrass_node/entry_node.py
@@ -176,6 +176,7 @@
             self.stopping,
             self.budgets,
             self.counters.count,
+            requests.named_attempt,
             self._on_server_answer,
             RestClient(self.peer_calls).tell,
             lambda server: self.request_limits.admission.take(server),
--- a/packages/node/src/eelgrass_node/platform/requests.py
+++ b/packages/node/src/eelgrass_node/platform/requests.py
@@ -7,6 +7,7 @@
 
 from eelgrass_coordination import decode_json
 
+from ..connection.calls import NamedAttempt, RawHeaders
 from ..exceptions import RequestMalformed
 from ..request.incoming_request import (
     IncomingRequest,
@@ -112,6 +113,15 @@
     return headers
 
 
+def named_attempt(raw_headers: RawHeaders) -> NamedAttempt | None:
+    """Return the attempt that an answer names; None if it names none.
+
+    Answers to stage calls, freed results and reports name none.
+    """
+    attempt = CIMultiDict(_decode_headers(raw_headers)).get(names.ATTEMPT_ID)
+    return NamedAttempt(attempt) if attempt else None
+
+
 def decode_head(
     status: int, raw_headers: tuple[tuple[bytes, bytes], ...]
 ) -> ResponseHead:
--- a/packages/node/src/eelgrass_node/request/answer_end.py
+++ b/packages/node/src/eelgrass_node/request/answer_end.py
@@ -26,7 +26,7 @@
 
 from eelgrass_coordination import stall_aware_sleep
 
-from ..connection.backend import CallPath
+from ..connection.calls import CallPath
 from ..connection.end_witness import WitnessLease
 from ..connection.response_handler import ConnectionEnd
 from ..exceptions import CallFailed
@@ -150,9 +150,7 @@
             return EndEvidence.NOT_LISTENING
         if listening is Listening.YES:
             try:
-                started = await reported_start(
-                    end.codec, end.backend, REPORT_TIMEOUT_S, reuse=True
-                )
+                started = await reported_start(end.codec, end.backend, REPORT_TIMEOUT_S)
                 return _evidence_of_start(end, started, is_witness_lost)
             except CallFailed as failed:
                 resets += failed.reason in NO_REPORT_REASONS
--- a/packages/node/src/eelgrass_node/request/attempt.py
+++ b/packages/node/src/eelgrass_node/request/attempt.py
@@ -16,6 +16,7 @@
 from eelgrass_coordination import StallAwareTimeout, decode_json, send_allowance_s
 from eelgrass_coordination.ids import AttemptId, new_id
 
+from ..connection.calls import MisattributedAnswer
 from ..process.backends import Backend
 from ..version import Stage
 from .model import CallerRequest
@@ -135,6 +136,9 @@
             response.close()
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         return not_run_result(RetryReason.CONNECT_FAILED)
+    except MisattributedAnswer:
+        attempt.on_discard(DiscardReason.WRONG_ATTEMPT)
+        return unknown_result(RetryReason.WRONG_ATTEMPT)
     except (aiohttp.ClientError, OSError, msgspec.MsgspecError, ValueError) as error:
         return unknown_result(_failure_reason(error))
     finally:
--- a/packages/node/src/eelgrass_node/request/client_errors.py
+++ b/packages/node/src/eelgrass_node/request/client_errors.py
@@ -3,6 +3,7 @@
 import aiohttp
 
 from ..connection.backend import ServerLimited, ServerResting
+from ..connection.calls import MisattributedAnswer
 from ..exceptions import AnswerTooLong, CallFailed
 from .reasons import RetryReason
 
@@ -23,6 +24,8 @@
         return CallFailed(RetryReason.CONNECT_SILENT, not_run=True)
     if isinstance(error, aiohttp.ClientConnectorError):
         return CallFailed(RetryReason.CONNECT_FAILED, not_run=True)
+    if isinstance(error, MisattributedAnswer):
+        return CallFailed(RetryReason.WRONG_ATTEMPT, not_run=False)
     if isinstance(error, TimeoutError):
         return CallFailed(RetryReason.CONNECTION_SILENT, not_run=False)
     if isinstance(error, (aiohttp.ClientResponseError, AnswerTooLong, ValueError)):
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -16,7 +16,8 @@
 from eelgrass_coordination import running_time, send_allowance_s
 
 from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon
-from ..connection.backend import READ_BUFFER_BYTES, CallPath, has_length
+from ..connection.backend import READ_BUFFER_BYTES, has_length
+from ..connection.calls import CallPath, NamedAttempt
 from ..connection.end_witness import WitnessLease
 from ..exceptions import AnswerTooLong, CallFailed
 from ..process.backends import Backend
@@ -49,7 +50,8 @@
     The user of this class enforces the request's deadline, because its expiry says
     nothing about the server. ``on_sent`` is called when the request is sent.
     ``copy_from`` is the address of an engine that has the prompt prefix cached, and
-    ``reserve`` reserves the memory for a complete body.
+    ``reserve`` reserves the memory for a complete body. ``may_reuse`` must be False if
+    the request has been sent before, because both answers would name it.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         body_timeout_s: float = math.inf,
         wait: AnswerWait | None = None,
         reserve: Callable[[int], Awaitable[None]] | None = None,
+        may_reuse: bool = True,
     ) -> None:
         self._codec = codec
         self._routed = routed
@@ -75,6 +78,7 @@
         self._on_sent = on_sent
         self._copy_from = copy_from
         self._reserve = reserve or _has_room
+        self._reuse = may_reuse and routed.route.repeatable
         self._response: aiohttp.ClientResponse | None = None
         self._path = CallPath()
         # Keeps the server's connections open until close(), even if the server is
@@ -195,7 +199,8 @@
             headers,
             incoming.body,
             connect_s=min(CONNECT_S, remaining_s),
-            reuse=routed.route.repeatable,
+            attempt=NamedAttempt(incoming.request_id),
+            reuse=self._reuse,
             on_sent=self._on_request_sent,
             path=self._path,
         )
@@ -242,15 +247,11 @@
             self._wait.on_path_lost()
 
     def _check_head(self, head: ResponseHead) -> None:
-        if head.request_id is None and head.not_run:
+        if head.not_run:
             raise CallFailed(_refusal_reason(head), not_run=True)
         if head.request_id is None:
-            # Servers state the id in all answers, those to other requests as well.
+            # Servers state the id in all answers but refusals.
             raise CallFailed(RetryReason.BAD_ANSWER, not_run=False)
-        if head.request_id != self._routed.incoming.request_id:
-            raise CallFailed(RetryReason.WRONG_ATTEMPT, not_run=False)
-        if head.not_run:
-            raise CallFailed(_refusal_reason(head), not_run=True)
         if not head.signed or "Content-Encoding" in head.headers:
             raise CallFailed(RetryReason.BAD_ANSWER, not_run=False)
 
--- a/packages/node/src/eelgrass_node/request/incarnation_check.py
+++ b/packages/node/src/eelgrass_node/request/incarnation_check.py
@@ -18,6 +18,7 @@
 
 from ..connection.answer_bounds import MAX_REPORT_BYTES, read_bounded
 from ..connection.backend import RequestWithheld
+from ..connection.calls import MisattributedAnswer
 from ..exceptions import AnswerTooLong, CallFailed
 from ..log import Part, log
 from ..process.backends import Backend
@@ -26,8 +27,8 @@
 from .reasons import RetryReason
 
 __all__ = [
+    "check_answering",
     "check_incarnation",
-    "check_on_new_connection",
     "confirms_start",
     "first_confirmed",
     "reported_start",
@@ -114,33 +115,31 @@
     Nothing is checked if its entry does not state when it was started.
     """
     if server.entry.started:
-        await _check_start(codec, server, timeout_s, reuse=True)
+        await check_answering(codec, server, timeout_s)
 
 
-async def check_on_new_connection(
-    codec: WireCodec, server: Backend, timeout_s: float
-) -> None:
-    """Raise :class:`CallFailed` unless the server answers, and has not restarted.
-
-    Open connections are not used, because the network path may have dropped them.
-    """
-    await _check_start(codec, server, timeout_s, reuse=False)
+async def check_answering(codec: WireCodec, server: Backend, timeout_s: float) -> None:
+    """Raise :class:`CallFailed` unless the server answers, and has not restarted."""
+    started = await reported_start(codec, server, timeout_s)
+    if server.entry.started and started not in (None, server.entry.started):
+        raise CallFailed(RetryReason.BACKEND_REPLACED, not_run=True)
 
 
 async def reported_start(
-    codec: WireCodec, server: Backend, timeout_s: float, reuse: bool
+    codec: WireCodec, server: Backend, timeout_s: float
 ) -> int | None:
     """Return when a server says that it was started; None if it does not say.
 
-    Raises :class:`CallFailed` if it does not answer, or reports an error. Without
-    ``reuse`` it is asked on a new connection.
+    The server is asked on a new connection: the network path may have dropped open
+    ones, and a report names no attempt. Raises :class:`CallFailed` if it does not
+    answer, or reports an error.
     """
     connections = server.connections
     connections.begin_call()
     try:
         async with StallAwareTimeout(timeout_s):
             context = connections.request(
-                "GET", codec.REPORT_PATH, CIMultiDict(), b"", CONNECT_S, reuse
+                "GET", codec.REPORT_PATH, CIMultiDict(), b"", CONNECT_S
             )
             async with context as response:
                 if response.status >= HTTP_SERVER_ERROR:
@@ -150,7 +149,12 @@
                 )
     except TimeoutError as error:
         raise CallFailed(RetryReason.CONNECT_SILENT, not_run=True) from error
-    except (RequestWithheld, AnswerTooLong, aiohttp.ClientResponseError) as error:
+    except (
+        RequestWithheld,
+        AnswerTooLong,
+        MisattributedAnswer,
+        aiohttp.ClientResponseError,
+    ) as error:
         raise CallFailed(call_failure(error).reason, not_run=True) from error
     except (aiohttp.ClientError, OSError) as error:
         # Not a lost connection: the request was not running there.
@@ -166,15 +170,7 @@
     answer.
     """
     try:
-        started = await reported_start(codec, server, CONFIRM_TIMEOUT_S, reuse=True)
+        started = await reported_start(codec, server, CONFIRM_TIMEOUT_S)
     except CallFailed:
         return None if server.entry.started else True
     return not server.entry.started or started in (None, server.entry.started)
-
-
-async def _check_start(
-    codec: WireCodec, server: Backend, timeout_s: float, reuse: bool
-) -> None:
-    started = await reported_start(codec, server, timeout_s, reuse)
-    if server.entry.started and started not in (None, server.entry.started):
-        raise CallFailed(RetryReason.BACKEND_REPLACED, not_run=True)
--- a/packages/node/src/eelgrass_node/request/request_execution.py
+++ b/packages/node/src/eelgrass_node/request/request_execution.py
@@ -87,8 +87,7 @@
         self._quarantine = QuarantineCheck(context, routed)
         self._calling = False
         self._step = Step.ADMISSION
-        self._staged_at = self._staged_running_s = 0.0
-        self._headed_at = 0.0
+        self._staged_at = self._staged_running_s = self._headed_at = 0.0
         self._copied_from: BackendId | None = None
         self._release_timer: asyncio.TimerHandle | None = None
         self._events = EventSplitter(routed.incoming.last_event_id)
@@ -258,6 +257,7 @@
             self._limits.body_timeout_s(),
             self._failover.wait_for(backend),
             self._answer.reserve,
+            may_reuse=not self._tried,
         )
         began, began_running_s = _now(), running_time()
         try:
--- a/packages/node/src/eelgrass_node/request/server_checks.py
+++ b/packages/node/src/eelgrass_node/request/server_checks.py
@@ -5,7 +5,7 @@
 
 from ..exceptions import CallFailed
 from ..process.backends import Backend, ServerIncarnation
-from .incarnation_check import check_on_new_connection
+from .incarnation_check import check_answering
 from .incoming_request import WireCodec
 
 __all__ = ["ServerChecks"]
@@ -40,7 +40,7 @@
 
     async def _failure_of(self, server: Backend) -> CallFailed | None:
         try:
-            await check_on_new_connection(self._codec, server, TIMEOUT_S)
+            await check_answering(self._codec, server, TIMEOUT_S)
         except CallFailed as failure:
             return failure
         return None
--- a/packages/node/src/eelgrass_node/request/stream_version.py
+++ b/packages/node/src/eelgrass_node/request/stream_version.py
@@ -129,7 +129,7 @@
             return
         try:
             started = await reported_start(
-                self._context.codec, server, CONFIRM_TIMEOUT_S, reuse=True
+                self._context.codec, server, CONFIRM_TIMEOUT_S
             )
         except CallFailed:
             started = None
--- a/packages/standins/src/eelgrass_standins/backend.py
+++ b/packages/standins/src/eelgrass_standins/backend.py
@@ -19,6 +19,7 @@
 
 IDLE_POLL_INTERVAL_S = 0.02
 STATE_HEADER = "Backend-State"
+ATTEMPT_HEADER = "Attempt-Id"
 
 
 class RunCall(msgspec.Struct):
@@ -78,7 +79,11 @@
         return web.json_response({"ok": True})
 
     def add_routes(self, app: web.Application) -> None:
-        """Add the routes that every backend server has."""
+        """Add the routes that every backend server has.
+
+        Each answer names the attempt of its call.
+        """
+        app.on_response_prepare.append(_name_attempt)
         app.router.add_post("/v1/load", self.handle_load)
         app.router.add_post("/control/leaving", self.handle_leaving)
         app.router.add_post("/control/faults", self.faults.handle_control)
@@ -134,6 +139,12 @@
         return web.json_response(message, headers=self.headers())
 
 
+async def _name_attempt(request: web.Request, response: web.StreamResponse) -> None:
+    attempt_id = request.headers.get(ATTEMPT_HEADER)
+    if attempt_id is not None:
+        response.headers[ATTEMPT_HEADER] = attempt_id
+
+
 def perform(call: RunCall) -> Any:
     """Return the result of an operation.
 
--- a/packages/standins/src/eelgrass_standins/entry_engines.py
+++ b/packages/standins/src/eelgrass_standins/entry_engines.py
@@ -22,6 +22,7 @@
 EVENTS = 6
 # Unix time, in milliseconds, of the first start of each server.
 STARTED_MS = 1_700_000_000_000
+ATTEMPT_HEADER = "Eelgrassward-Attempt-Id"
 MAX_BODY_BYTES = 64 << 20
 # Time constant, in seconds, with which a run disappears from the load that a server
 # reports. Hosts use reports for 1.5 s; without a decay they would choose servers in
@@ -191,8 +192,11 @@
         return web.Response(status=HTTP_UNAVAILABLE, headers=headers)
 
     async def _add_notice(
-        self, _request: web.Request, response: web.StreamResponse
+        self, request: web.Request, response: web.StreamResponse
     ) -> None:
+        attempt_id = request.headers.get(ATTEMPT_HEADER)
+        if attempt_id is not None and response.status != HTTP_MISDIRECTED:
+            response.headers.setdefault(ATTEMPT_HEADER, attempt_id)
         if self.says_leaving:
             response.headers["Server-Leaving"] = "1"
         if self.limit is not None:
@@ -216,7 +220,7 @@
 
     def _headers(self, request: web.Request) -> dict[str, str]:
         return {
-            "Eelgrassward-Attempt-Id": request.headers["Eelgrassward-Attempt-Id"],
+            ATTEMPT_HEADER: request.headers[ATTEMPT_HEADER],
             "Eelgrassward-Engine-Signature": f"signed-by-{self.server_id}",
             "Eelgrassward-Engine-Load": f"{self._load()},0,64",
         }
@@ -246,7 +250,7 @@
             return web.Response(status=HTTP_CONFLICT, headers=refused)
         self.runs.append(
             Run(
-                request.headers["Eelgrassward-Attempt-Id"],
+                request.headers[ATTEMPT_HEADER],
                 request.method,
                 request.raw_path,
                 dict(request.headers),
@@ -265,7 +269,7 @@
             request.transport.abort()
             return web.Response()
         if self._consume_fault(EngineFault.OTHER_ID):
-            headers["Eelgrassward-Attempt-Id"] = "of-another-request"
+            headers[ATTEMPT_HEADER] = "of-another-request"
         if self._consume_fault(EngineFault.UNSIGNED):
             del headers["Eelgrassward-Engine-Signature"]
         if self._consume_fault(EngineFault.ERROR):
@@ -350,5 +354,5 @@
     if kind is CallKind.STAGE_CALL:
         items = msgspec.json.decode(await request.read())["Items"]
         return tuple(item["Id"] for item in items)
-    request_id = request.headers.get("Eelgrassward-Attempt-Id")
+    request_id = request.headers.get(ATTEMPT_HEADER)
     return () if request_id is None else (request_id,)
--- a/tests/support/raw_engine.py
+++ b/tests/support/raw_engine.py
@@ -57,7 +57,9 @@
                 head = await reader.readuntil(HEADER_END)
                 _, path, _ = head.decode("latin-1").split(" ", 2)
                 lines = head.split(b"\r\n")[1:-2]
-                headers = dict(line.lower().split(b": ", 1) for line in lines)
+                headers = dict(line.split(b": ", 1) for line in lines)
+                headers = {name.lower(): value for name, value in headers.items()}
+                self._receive_head(headers)
                 body = await self._read_body(
                     reader, int(headers.get(b"content-length", 0))
                 )
@@ -74,6 +76,9 @@
         finally:
             writer.close()
 
+    def _receive_head(self, headers: dict[bytes, bytes]) -> None:
+        """Look at the headers of a call; their names are in lower case."""
+
     async def _read_body(self, reader: asyncio.StreamReader, length: int) -> bytes:
         return await reader.readexactly(length)
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -286,7 +286,7 @@
                 async with only_server(deployment, "desk", sending(answer)) as server:
                     backend = deployment.nodes[0].backends.by_id[server.server_id]
                     with pytest.raises(CallFailed) as failed:
-                        await reported_start(requests, backend, DEADLINE_S, reuse=True)
+                        await reported_start(requests, backend, DEADLINE_S)
                     assert failed.value.reason is RetryReason.BAD_ANSWER, name
 
 
