Answers: one that is closed before the request is sent ends when that is

Callers got a part of an answer as a complete one: a server answered an upload of 4 MB early with a 200 without a length, closed its direction, and reset the connection 0.05 or 0.6 s later, the upload unread.

Cause: the host closed the connection at the end of the server's direction and dropped what was left of the upload.

Evidence: tests/test_early_answers.py on, directly: CLOSE_BEFORE_RESET and CLOSE_WELL_BEFORE_RESET fail, with a length and in chunks.

Now the connection stays open while bytes of the request are undelivered, and the answer ends once all are. A server in trouble resets the connection meanwhile, or takes nothing for 1.5 s, and the answer is cut off. Sound servers that read the upload and then close, or close and then read it, stay whole. To take each end with undelivered bytes for a cut would lose the latter.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -33,7 +33,6 @@
     attempt_in_header,
 )
 from .listen_probe import probe_listening
-from .piecewise_payload import PiecewisePayload
 from .sockets import Connector, new_session
 
 if TYPE_CHECKING:
@@ -142,10 +141,11 @@
         ``attempt`` is the one that the call and its answer name. Only with it, and with
         ``reuse``, the call may get a connection that has served others. ``on_sent`` is
         called once a connection is open and the headers are sent, and ``path`` is set
-        once it is open. It raises :class:`.MisattributedAnswer` if the answer may
-        belong to another call.
+        once it is open. Raises :class:`.MisattributedAnswer` as :meth:`post` does.
         """
 
+        path = path or CallPath()
+
         def on_headers_sent() -> None:
             if on_sent is not None:
                 on_sent()
@@ -158,12 +158,12 @@
         return session.request(
             method,
             URL(f"http://{self.address}{target}", encoded=True),
-            data=PiecewisePayload(body) if body else None,
+            data=path.payload(body),
             headers=headers,
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=Call(attempt, on_headers_sent, path or CallPath()),
+            trace_request_ctx=Call(attempt, on_headers_sent, path),
         )
 
     def replace(self) -> None:
--- a/packages/node/src/eelgrass_node/connection/calls.py
+++ b/packages/node/src/eelgrass_node/connection/calls.py
@@ -21,6 +21,7 @@
 
 from eelgrass_coordination import Member
 
+from .piecewise_payload import PiecewisePayload
 from .response_handler import SolicitedResponseHandler
 from .sockets import Connector
 
@@ -66,10 +67,11 @@
     ``connection`` is None until the call has one, and ``relay`` the node that it passes
     through, None for a direct one. A path that is lost affects direct connections only.
     ``is_end_passed_on`` is True if the relay closes the connection regularly only where
-    the server does.
+    the server does. ``unsent_bytes`` is how much of the body has not been sent.
     """
 
     def __init__(self) -> None:
+        self.unsent_bytes = 0
         self.connection: SolicitedResponseHandler | None = None
         self.relay: Member | None = None
         self.is_end_passed_on = False
@@ -79,6 +81,14 @@
         """Whether the call has a connection that passes through no other node."""
         return self.connection is not None and self.relay is None
 
+    def payload(self, body: bytes) -> PiecewisePayload | None:
+        """Return a body to be sent; its bytes are counted as they leave."""
+        self.unsent_bytes = len(body)
+        return PiecewisePayload(body, self._note_sent) if body else None
+
+    def _note_sent(self, count: int) -> None:
+        self.unsent_bytes -= count
+
 
 class Call:
     """What the library passes to the connector and the traces of one call.
@@ -141,6 +151,7 @@
 
     def _assign(self, handler: SolicitedResponseHandler, call: Call) -> None:
         call.path.connection = handler
+        handler.unsent_bytes = lambda: call.path.unsent_bytes
 
 
 def _calls_of(traces: list[aiohttp.tracing.Trace]) -> list[Call]:
--- a/packages/node/src/eelgrass_node/connection/end_witness.py
+++ b/packages/node/src/eelgrass_node/connection/end_witness.py
@@ -11,7 +11,8 @@
 from collections.abc import Awaitable, Callable
 
 from ..log import Part, log
-from .response_handler import SolicitedResponseHandler, is_socket_readable
+from .response_handler import SolicitedResponseHandler
+from .socket_state import is_socket_readable
 
 __all__ = ["EndWitnesses", "WitnessLease"]
 
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -4,11 +4,13 @@
 no call. The connection is aborted then: what was read of it would be kept without a
 bound, and could be taken for the response to the next call. So is one whose response is
 malformed.
+
+A response without a length ends with its connection. If the server closes it while the
+request is still on its way, the end is known only once the rest of the request is
+delivered: a server that answers early reads on, one in trouble resets the connection.
 """
 
 import asyncio
-import select
-import socket
 from collections.abc import Callable
 from enum import Enum
 
@@ -19,17 +21,20 @@
 from ..exceptions import AnswerMalformed
 from ..log import Part, log
 from .answer_syntax import MAX_HEAD_BYTES, ChunkParser, HeadParser, ParsedHead
+from .socket_state import has_failed, is_socket_readable, unacknowledged_bytes
 
 __all__ = [
     "ConnectionEnd",
     "SolicitedResponseHandler",
     "is_readable",
-    "is_socket_readable",
     "log_malformed",
 ]
 
 # Most that one call of the event loop reads from a connection.
 READ_BYTES = 1 << 14
+# A sound server may be silent for a second or so.
+DELIVERY_POLL_S = 0.02
+MAX_POLLS_WITHOUT_PROGRESS = 75
 # Heads are bounded before the library's parser gets them.
 PARSER_LIMITS = {
     "max_line_size": MAX_HEAD_BYTES,
@@ -55,8 +60,9 @@
     complete and sound, and a malformed body ends as if it was cut off.
 
     ``is_new`` is True until a call gets the connection, and ``calls`` the number of
-    calls that it has carried. ``end`` is how it has ended, and ``ended_at`` when, in
-    seconds of the event loop.
+    calls that it has carried. ``unsent_bytes`` returns how much of the request's body
+    has not been given to the transport. ``end`` is how the connection has ended, and
+    ``ended_at`` when, in seconds of the event loop.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -65,7 +71,9 @@
         self.calls = 0
         self.end = ConnectionEnd.OPEN
         self.ended_at = float("inf")
+        self.unsent_bytes: Callable[[], int] = lambda: 0
         self._has_peer_closed = False
+        self._is_cut = False
         self._end_callbacks: list[Callable[[], None]] = []
         self._awaits_response = False
         self._begin_response()
@@ -131,15 +139,22 @@
         else:
             callback()
 
-    def eof_received(self) -> None:
-        """Note that the peer has closed the connection regularly."""
+    def eof_received(self) -> bool:
+        """Note that the peer has closed the connection regularly.
+
+        Returns whether the connection stays open until the request is delivered.
+        """
         self._has_peer_closed = True
         super().eof_received()
+        if not self._ends_with_connection() or not self._undelivered_bytes():
+            return False
+        self._await_delivery(0, MAX_POLLS_WITHOUT_PROGRESS)
+        return True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note how the connection ends, before readers of the body learn of it."""
         self.ended_at = self._loop.time()
-        if exc is not None:
+        if exc is not None or self._is_cut:
             self.end = ConnectionEnd.LOST
         elif self._has_peer_closed:
             self.end = ConnectionEnd.BY_PEER
@@ -187,6 +202,39 @@
             self._body_bytes_left -= cut
         return data[:cut], data[cut:]
 
+    def _ends_with_connection(self) -> bool:
+        """Return whether the response that is received has no other end."""
+        has_length = self._chunks is not None or self._body_bytes_left is not None
+        return self._awaits_response and self._body is not None and not has_length
+
+    def _undelivered_bytes(self) -> int:
+        """Return how many bytes of the request the peer has not acknowledged."""
+        transport = self.transport
+        opened = transport.get_extra_info("socket")
+        buffered = transport.get_write_buffer_size()
+        return self.unsent_bytes() + buffered + unacknowledged_bytes(opened)
+
+    def _await_delivery(self, before: int, polls_left: int) -> None:
+        """Close the connection once the request is delivered, or cannot be.
+
+        ``before`` is how many bytes were undelivered at the last poll.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        undelivered = self._undelivered_bytes()
+        if undelivered != before:
+            polls_left = MAX_POLLS_WITHOUT_PROGRESS
+        if has_failed(transport.get_extra_info("socket")) or not polls_left:
+            self._is_cut = True
+            transport.abort()
+        elif not undelivered:
+            transport.close()
+        else:
+            self._loop.call_later(
+                DELIVERY_POLL_S, self._await_delivery, undelivered, polls_left - 1
+            )
+
     def _peer(self) -> str:
         transport = self.transport
         return str(transport and transport.get_extra_info("peername"))
@@ -232,12 +280,3 @@
     return is_socket_readable(
         handler.transport and handler.transport.get_extra_info("socket")
     )
-
-
-def is_socket_readable(opened: socket.socket | None) -> bool:
-    """Return whether bytes, or an end, have arrived; a closed socket counts."""
-    if opened is None or opened.fileno() < 0:
-        return True
-    poll = select.poll()
-    poll.register(opened.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
--- a/packages/node/src/eelgrass_node/connection/server_connector.py
+++ b/packages/node/src/eelgrass_node/connection/server_connector.py
@@ -2,10 +2,7 @@
 
 import asyncio
 import errno
-import fcntl
 import socket
-import struct
-import termios
 import weakref
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -26,6 +23,7 @@
 from .races import first_success
 from .relay_client import RelayClient, RelayedSocket
 from .response_handler import SolicitedResponseHandler, is_readable
+from .socket_state import unacknowledged_bytes
 from .sockets import open_socket
 
 __all__ = ["ServerConnector", "ServerLink"]
@@ -192,7 +190,7 @@
     def is_unacknowledged(self) -> bool:
         """Return whether bytes that were sent directly are not acknowledged yet."""
         return any(
-            _unacknowledged_bytes(protocol.transport)
+            unacknowledged_bytes(protocol.transport.get_extra_info("socket"))
             for protocol in self._direct_in_use()
         )
 
@@ -252,12 +250,3 @@
             and protocol.transport is not None
             and protocol not in self._link.relayed
         ]
-
-
-def _unacknowledged_bytes(transport: Any) -> int:
-    """Return how many bytes in a socket's send queue the peer has not acknowledged."""
-    opened = transport.get_extra_info("socket")
-    if opened is None or opened.fileno() < 0:
-        return 0
-    buffer = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    return struct.unpack("i", buffer)[0]
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -17,8 +17,7 @@
 DEADLINE_S = 3.0
 # Bytes of the upload that the server reads before it resets or closes the connection.
 READ_BYTES = 1 << 16
-CLOSED_S = 0.05
-PART = b"id: 1\ndata: piece-1\n\n"
+LAST_CHUNK = b"\r\n0\r\n\r\n"
 SERVICE_BY_TARGET = {"/once/x": "desk", "/stream/single/x": "readers"}
 
 
@@ -36,24 +35,46 @@
     first, and resets it once more of the upload arrives.
     """
 
+    READ_ALL = "read all, then close"
+    CLOSE_AND_READ_ALL = "close the answer, then read all"
     RESET = "reset"
     CLOSE = "close"
     CLOSE_BEFORE_RESET = "close before reset"
+    CLOSE_WELL_BEFORE_RESET = "close well before reset"
+
+    @property
+    def is_sound(self):
+        """Whether the server gets the whole request, so that its answer is whole."""
+        return self in (Ending.READ_ALL, Ending.CLOSE_AND_READ_ALL)
+
+
+# For how long the server's direction is closed before the reset.
+CLOSED_S = {Ending.CLOSE_BEFORE_RESET: 0.05, Ending.CLOSE_WELL_BEFORE_RESET: 0.6}
+
+
+def part(number):
+    """Return a part of a body, which is an event of a stream as well."""
+    return b"id: %d\ndata: piece\n\n" % (number + 1)
 
 
 def early(delay_s, ending, pieces):
     """Return how a part of an answer is sent before its connection ends."""
 
     async def send(head, body, reader, writer):
-        writer.write(head + b"\r\n" + PART)
-        for _ in range(pieces):
+        writer.write(head + b"\r\n" + part(0))
+        for number in range(1, pieces + 1):
             await asyncio.sleep(delay_s)
-            writer.write(PART)
-        await reader.read(READ_BYTES)
+            writer.write(part(number))
         opened = writer.get_extra_info("socket")
-        if ending is Ending.CLOSE_BEFORE_RESET:
+        if ending is Ending.CLOSE_AND_READ_ALL:
+            opened.shutdown(socket.SHUT_WR)
+        if ending.is_sound:
+            await reader.readexactly(UPLOAD_BYTES)
+            return False
+        await reader.read(READ_BYTES)
+        if ending in CLOSED_S:
             opened.shutdown(socket.SHUT_WR)
-            await asyncio.sleep(CLOSED_S)
+            await asyncio.sleep(CLOSED_S[ending])
         set_reset_on_close(opened, ending is not Ending.CLOSE)
         writer.transport.abort()
         return False
@@ -99,17 +120,22 @@
                 answered = await upload(deployment, target, is_chunked)
                 case = (target, delay_s, pieces, answered)
                 assert server.answered.count(target) == 1, case
-                if service == "desk":
+                if ending.is_sound:
+                    assert answered.startswith(b"HTTP/1.1 200 "), case
+                    assert answered.count(b"piece") == 1 + pieces, case
+                    assert service == "desk" or answered.endswith(LAST_CHUNK), case
+                elif service == "desk":
                     assert answered.startswith(b"HTTP/1.1 502 "), case
                 else:
-                    assert not answered.endswith(b"\r\n0\r\n\r\n"), case
+                    assert not answered.endswith(LAST_CHUNK), case
 
 
 @pytest.mark.parametrize("ending", Ending)
 @pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
 class TestUploads:
     # Guards against a part of an answer that counts as whole because its server began
-    # it before it reset the connection.
+    # or closed it before it reset the connection, and against a whole one that does
+    # not because its server read the upload later.
     async def test_directly(self, is_chunked, ending):
         async with EntryDeployment(nodes=1, servers=1) as deployment:
             await check(deployment, is_chunked, ending)
