--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -158,7 +158,7 @@
         return session.request(
             method,
             URL(f"http://{self.address}{target}", encoded=True),
-            data=path.payload(body),
+            data=path.unsent.payload(body),
             headers=headers,
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
--- a/packages/node/src/eelgrass_node/connection/calls.py
+++ b/packages/node/src/eelgrass_node/connection/calls.py
@@ -21,7 +21,7 @@
 
 from eelgrass_coordination import Member
 
-from .piecewise_payload import PiecewisePayload
+from .piecewise_payload import UnsentBytes
 from .response_handler import SolicitedResponseHandler
 from .sockets import Connector
 
@@ -67,11 +67,11 @@
     ``connection`` is None until the call has one, and ``relay`` the node that it passes
     through, None for a direct one. A path that is lost affects direct connections only.
     ``is_end_passed_on`` is True if the relay closes the connection regularly only where
-    the server does. ``unsent_bytes`` is how much of the body has not been sent.
+    the server does. ``unsent`` counts the bytes of the body.
     """
 
     def __init__(self) -> None:
-        self.unsent_bytes = 0
+        self.unsent = UnsentBytes()
         self.connection: SolicitedResponseHandler | None = None
         self.relay: Member | None = None
         self.is_end_passed_on = False
@@ -81,14 +81,6 @@
         """Whether the call has a connection that passes through no other node."""
         return self.connection is not None and self.relay is None
 
-    def payload(self, body: bytes) -> PiecewisePayload | None:
-        """Return a body to be sent; its bytes are counted as they leave."""
-        self.unsent_bytes = len(body)
-        return PiecewisePayload(body, self._note_sent) if body else None
-
-    def _note_sent(self, count: int) -> None:
-        self.unsent_bytes -= count
-
 
 class Call:
     """What the library passes to the connector and the traces of one call.
@@ -151,7 +143,7 @@
 
     def _assign(self, handler: SolicitedResponseHandler, call: Call) -> None:
         call.path.connection = handler
-        handler.unsent_bytes = lambda: call.path.unsent_bytes
+        handler.unsent = call.path.unsent
 
 
 def _calls_of(traces: list[aiohttp.tracing.Trace]) -> list[Call]:
--- a/packages/node/src/eelgrass_node/connection/piecewise_payload.py
+++ b/packages/node/src/eelgrass_node/connection/piecewise_payload.py
@@ -5,11 +5,26 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.payload import Payload
 
-__all__ = ["PIECE_BYTES", "PiecewisePayload"]
+__all__ = ["PIECE_BYTES", "PiecewisePayload", "UnsentBytes"]
 
 PIECE_BYTES = 1 << 14
 
 
+class UnsentBytes:
+    """How many bytes of a body have not left; it does not keep the body in memory."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def payload(self, body: bytes) -> "PiecewisePayload | None":
+        """Return a body to be sent, whose bytes are counted; None if it is empty."""
+        self.count = len(body)
+        return PiecewisePayload(body, self._note_sent) if body else None
+
+    def _note_sent(self, count: int) -> None:
+        self.count -= count
+
+
 class PiecewisePayload(Payload):
     """A body of bytes; ``on_sent`` is called with the size of each piece that left."""
 
--- a/packages/node/src/eelgrass_node/connection/response_handler.py
+++ b/packages/node/src/eelgrass_node/connection/response_handler.py
@@ -21,6 +21,7 @@
 from ..exceptions import AnswerMalformed
 from ..log import Part, log
 from .answer_syntax import MAX_HEAD_BYTES, ChunkParser, HeadParser, ParsedHead
+from .piecewise_payload import UnsentBytes
 from .socket_state import has_failed, is_socket_readable, unacknowledged_bytes
 
 __all__ = [
@@ -60,9 +61,9 @@
     complete and sound, and a malformed body ends as if it was cut off.
 
     ``is_new`` is True until a call gets the connection, and ``calls`` the number of
-    calls that it has carried. ``unsent_bytes`` returns how much of the request's body
-    has not been given to the transport. ``end`` is how the connection has ended, and
-    ``ended_at`` when, in seconds of the event loop.
+    calls that it has carried. ``unsent`` counts the bytes of the request's body that
+    have not left. ``end`` is how the connection has ended, and ``ended_at`` when, in
+    seconds of the event loop.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -71,7 +72,7 @@
         self.calls = 0
         self.end = ConnectionEnd.OPEN
         self.ended_at = float("inf")
-        self.unsent_bytes: Callable[[], int] = lambda: 0
+        self.unsent = UnsentBytes()
         self._has_peer_closed = False
         self._is_cut = False
         self._end_callbacks: list[Callable[[], None]] = []
@@ -212,7 +213,7 @@
         transport = self.transport
         opened = transport.get_extra_info("socket")
         buffered = transport.get_write_buffer_size()
-        return self.unsent_bytes() + buffered + unacknowledged_bytes(opened)
+        return self.unsent.count + buffered + unacknowledged_bytes(opened)
 
     def _await_delivery(self, before: int, polls_left: int) -> None:
         """Close the connection once the request is delivered, or cannot be.
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -1,8 +1,10 @@
 """Whether answers belong to the calls on whose connections they arrive."""
 
 import asyncio
+import gc
 import itertools
 import socket
+import weakref
 from contextlib import asynccontextmanager
 
 import pytest
@@ -97,6 +99,35 @@
             assert server.connections == [2, 1, 1]
             assert [head.status for head in heads] == [200, 200, 200]
 
+    # Guards against kept connections that keep their last request in memory.
+    async def test_a_kept_connection_does_not_hold_the_call_before(self):
+        class Request:
+            def on_sent(self):
+                pass
+
+        async def send(connections):
+            request = Request()
+            context = connections.request(
+                "POST",
+                "/x",
+                CIMultiDict(),
+                b"body",
+                1.0,
+                attempt="a",
+                reuse=True,
+                on_sent=request.on_sent,
+            )
+            async with context as response:
+                await response.read()
+            return weakref.ref(request)
+
+        async with connected([answer("a")]) as (connections, server, _):
+            request = await send(connections)
+            await asyncio.sleep(0)
+            gc.collect()
+            assert request() is None
+            assert server.connections == [1]
+
     # Guards against refusals that are ignored because they name no attempt.
     async def test_the_first_answer_may_name_none(self):
         answers = [answer(None, 503), answer("b")]
--- a/tests/support/repeating_engine.py
+++ b/tests/support/repeating_engine.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .raw_engine import RawEngine
+from .raw_engine import RawEngine, Send
 
 __all__ = ["RepeatingEngine", "Repetition", "Results", "repeating"]
 
@@ -81,9 +81,7 @@
             self.results.use(request_id, inputs.decode().split(","))
 
 
-def repeating(
-    repetition: Repetition, should_repeat: Callable[[], bool]
-) -> Callable[..., asyncio.Future]:
+def repeating(repetition: Repetition, should_repeat: Callable[[], bool]) -> Send:
     """Return how a server sends its answers, some of them twice."""
     answers_by_writer: dict[asyncio.StreamWriter, list[bytes | None]] = {}
 
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -16,7 +16,7 @@
 CALLS_PER_S = 40
 SHARE = 0.3
 SERVICES = ("portal", "clerks", "readers")
-# No two requests have the same number of items in all stages, and many in some.
+# Many calls have equally many items, so that a copy fits the call behind it.
 ITEMS = ("2,1,4", "1,1,4", "2,2,4", "1,2,4")
 
 
