Results: calls that free them share connections of their own

Since answers without an attempt count only as the first of their connection, each stage call and each call that frees results opened one.

Nothing depends on which of these calls an answer belongs to: each says only that the server frees what it was told to. So they share connections that carry no other call. What an answer says of its server still counts only if it is the first one of its connection. The new test guards both.

--- a/packages/node/src/eelgrass_node/connection/answer_head.py
+++ b/packages/node/src/eelgrass_node/connection/answer_head.py
@@ -1,10 +1,14 @@
 """The head of an answer of a backend server, whatever call it answers."""
 
 from collections.abc import Callable, Mapping
+from http import HTTPStatus
 
+import aiohttp
 import msgspec
 
-__all__ = ["AnswerHead", "OnAnswer"]
+__all__ = ["AnswerHead", "OnAnswer", "has_length"]
+
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
@@ -22,3 +26,15 @@
 
 # Called with the head of an answer.
 OnAnswer = Callable[[AnswerHead], None]
+
+
+def has_length(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response says where its body ends, or can have none.
+
+    Otherwise the body ends when the connection is closed. A head with another coding
+    than ``chunked`` is no answer; see :mod:`.answer_syntax`.
+    """
+    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    headers = response.headers
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -9,7 +9,6 @@
 import asyncio
 import weakref
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -45,7 +44,6 @@
     "RequestWithheld",
     "ServerLimited",
     "ServerResting",
-    "has_length",
 ]
 
 CONNECT_S = 1.0
@@ -56,7 +54,6 @@
 # What is buffered of an answer before its connection is not read any more.
 READ_BUFFER_BYTES = 1 << 14
 SESSION_OPTIONS = {"auto_decompress": False, "read_bufsize": READ_BUFFER_BYTES}
-BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 # Headers that the client library would add to a request that is forwarded unchanged.
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -95,6 +92,7 @@
         self._attempt_of = attempt_of
         self._session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
+        self._undecisive_session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
         self._calls_in_flight = 0
         self._reuse_from_s = 0.0
@@ -133,15 +131,17 @@
         connect_s: float,
         attempt: NamedAttempt | None = None,
         reuse: bool = False,
+        decides: bool = True,
         on_sent: Callable[[], None] | None = None,
         path: CallPath | None = None,
     ) -> "aiohttp.client._RequestContextManager":
         """Begin a call whose target, headers and body are sent unchanged.
 
         ``attempt`` is the one that the call and its answer name. Only with it, and with
-        ``reuse``, the call may get a connection that has served others. ``on_sent`` is
-        called once a connection is open and the headers are sent, and ``path`` is set
-        once it is open. Raises :class:`.MisattributedAnswer` as :meth:`post` does.
+        ``reuse``, the call may get a connection that has served others, or if its
+        answer ``decides`` nothing. ``on_sent`` is called once a connection is open and
+        the headers are sent, and ``path`` is set once it is open. Raises
+        :class:`.MisattributedAnswer` as :meth:`post` does.
         """
 
         path = path or CallPath()
@@ -153,7 +153,7 @@
                 loop = asyncio.get_running_loop()
                 loop.call_later(ACKNOWLEDGE_S, self._check_acknowledged)
 
-        session = self._session_for(reuse and attempt is not None)
+        session = self._session_for(reuse and attempt is not None, decides)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=connect_s)
         return session.request(
             method,
@@ -163,7 +163,7 @@
             skip_auto_headers=AUTOMATIC_HEADERS,
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=Call(attempt, on_headers_sent, path),
+            trace_request_ctx=Call(attempt, on_headers_sent, path, decides),
         )
 
     def replace(self) -> None:
@@ -172,9 +172,10 @@
         Called after a connection has gone silent. A firewall or NAT on the path that
         dropped its state may have dropped that of the idle connections as well.
         """
-        if self._session is not None:
-            self._retire(self._session)
-            self._session = None
+        for session in (self._session, self._undecisive_session):
+            if session is not None:
+                self._retire(session)
+        self._session = self._undecisive_session = None
         if self._link is not None:
             self._link.close_witnesses(only_idle=True)
 
@@ -271,17 +272,24 @@
 
     async def close(self) -> None:
         """Close all connections immediately."""
-        sessions = [self._session, self._single_use_session, *self._retired]
-        self._session = self._single_use_session = None
+        sessions = [*self._open_sessions(), *self._retired]
+        self._session = self._single_use_session = self._undecisive_session = None
         self._retired = []
         if self._link is not None:
             self._link.close_witnesses()
         for session in sessions:
-            if session is not None:
-                await session.close()
+            await session.close()
 
-    def _session_for(self, reuse: bool) -> aiohttp.ClientSession:
+    def _open_sessions(self) -> list[aiohttp.ClientSession]:
+        sessions = (self._session, self._single_use_session, self._undecisive_session)
+        return [session for session in sessions if session is not None]
+
+    def _session_for(self, reuse: bool, decides: bool = True) -> aiohttp.ClientSession:
         """Return the session for a call, which may get a kept connection or not."""
+        if not decides:
+            if self._undecisive_session is None:
+                self._undecisive_session = self._open_session(KEEP_ALIVE_S)
+            return self._undecisive_session
         if reuse and asyncio.get_running_loop().time() >= self._reuse_from_s:
             return self._get_session()
         return self._get_single_use_session()
@@ -318,9 +326,9 @@
                 context.trace_request_ctx.on_headers_sent()
 
         async def answered(session, context, parameters) -> None:
-            response = parameters.response
-            if context.trace_request_ctx is not None:
-                self._check_answer(context.trace_request_ctx, response)
+            response, call = parameters.response, context.trace_request_ctx
+            if call is not None and not self._check_answer(call, response):
+                return
             self._on_answer(
                 AnswerHead(
                     response.status,
@@ -335,14 +343,14 @@
         trace.on_request_end.append(answered)
         return trace
 
-    def _check_answer(self, call: Call, response: aiohttp.ClientResponse) -> None:
-        """Check that an answer belongs to a call; see :meth:`.Call.check_answer`.
+    def _check_answer(self, call: Call, response: aiohttp.ClientResponse) -> bool:
+        """Return whether an answer belongs to a call; see :meth:`.Call.check_answer`.
 
-        If not, the server's other connections may be out of step as well. None is used
-        again until those that are open now have been idle for too long.
+        If it raises, the server's other connections may be out of step as well. None is
+        used again until those that are open now have been idle for too long.
         """
         try:
-            call.check_answer(self._attempt_of(response.raw_headers))
+            return call.check_answer(self._attempt_of(response.raw_headers))
         except MisattributedAnswer as error:
             self._reuse_from_s = asyncio.get_running_loop().time() + KEEP_ALIVE_S
             log(
@@ -357,10 +365,8 @@
             raise
 
     def _check_acknowledged(self) -> None:
-        for session in (self._session, self._single_use_session):
-            if session is None or session.connector is None:
-                continue
-            if session.connector.is_unacknowledged():
+        for session in self._open_sessions():
+            if session.connector is not None and session.connector.is_unacknowledged():
                 self._link.suspect()
 
     def _retire(self, session: aiohttp.ClientSession) -> None:
@@ -370,8 +376,8 @@
 
     def _close_retired(self) -> None:
         if self._closing:
-            self._retired += [s for s in (self._session, self._single_use_session) if s]
-            self._session = self._single_use_session = None
+            self._retired += self._open_sessions()
+            self._session = self._single_use_session = self._undecisive_session = None
             if self._link is not None:
                 self._link.close_witnesses()
         for session in self._retired:
@@ -379,18 +385,6 @@
         self._retired = []
 
 
-def has_length(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a response says where its body ends, or can have none.
-
-    Otherwise the body ends when the connection is closed. A head with another coding
-    than ``chunked`` is no answer; see :mod:`.answer_syntax`.
-    """
-    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
-        return True
-    headers = response.headers
-    return "Content-Length" in headers or "Transfer-Encoding" in headers
-
-
 _closing_tasks: set[asyncio.Task] = set()
 
 
--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -14,7 +14,8 @@
 from ..process.backends import Backend
 from ..process.batch_items import BatchItem, ItemFailure, ItemOutcome
 from .answer_bounds import MAX_REPORT_BYTES, read_bounded
-from .backend import RequestWithheld, has_length
+from .answer_head import has_length
+from .backend import RequestWithheld
 from .calls import CallPath, MisattributedAnswer
 
 __all__ = ["BatchCalls", "BatchCodec"]
@@ -127,12 +128,15 @@
     async def free(self, backend: Backend, handles: list[str]) -> bool:
         """Free results; return whether the server did so.
 
-        A failure is harmless, because results expire by themselves.
+        A failure is harmless, because results expire by themselves. So is an answer to
+        another such call: the server has got this one.
         """
         body = self._codec.encode_free(handles)
         try:
             async with StallAwareTimeout(FREE_TIMEOUT_S):
-                answer = await self._post(backend, self._codec.FREE_PATH, body)
+                answer = await self._post(
+                    backend, self._codec.FREE_PATH, body, decides=False
+                )
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -160,6 +164,7 @@
         body: bytes,
         call_path: CallPath | None = None,
         on_path_lost: Callable[[], None] | None = None,
+        decides: bool = True,
     ) -> _Answer:
         headers = self._codec.call_headers(backend.entry.id)
         headers["Content-Type"] = "application/json"
@@ -172,6 +177,7 @@
                 headers,
                 body,
                 CONNECT_TIMEOUT_S,
+                decides=decides,
                 path=call_path,
             ) as response:
                 connections.track(response)
--- a/packages/node/src/eelgrass_node/connection/calls.py
+++ b/packages/node/src/eelgrass_node/connection/calls.py
@@ -8,10 +8,12 @@
   is sent again, that call therefore gets a connection of its own as well.
 - An answer that names none counts only as the first one on its connection, where no
   earlier answer can have come again. The connection gets no further call.
+- Calls whose answers decide nothing share connections that carry no others. What such
+  an answer says of its server counts only if it is the first one.
 
-Calls that name no attempt therefore get a connection each. Calls to other nodes and to
-the store are exempt: these run this project's code or keep its contract, and do not
-send answers again.
+Other calls that name no attempt therefore get a connection each. Calls to other nodes
+and to the store are exempt: these run this project's code or keep its contract, and do
+not send answers again.
 """
 
 from collections.abc import Callable
@@ -85,7 +87,8 @@
 class Call:
     """What the library passes to the connector and the traces of one call.
 
-    ``attempt`` is the attempt that the call names, None if it names none.
+    ``attempt`` is the attempt that the call names, None if it names none. ``decides``
+    is whether anything depends on which call its answer belongs to.
     """
 
     def __init__(
@@ -93,23 +96,29 @@
         attempt: NamedAttempt | None,
         on_headers_sent: Callable[[], None],
         path: CallPath,
+        decides: bool = True,
     ) -> None:
         self.attempt = attempt
+        self.decides = decides
         self.on_headers_sent = on_headers_sent
         self.path = path
 
-    def check_answer(self, named: NamedAttempt | None) -> None:
-        """Check that an answer that names the attempt ``named`` belongs to the call.
+    def check_answer(self, named: NamedAttempt | None) -> bool:
+        """Return whether an answer that names the attempt ``named`` is the call's own.
 
-        Raises :class:`MisattributedAnswer` if it may belong to another call. The
-        connection is aborted then, because the answers behind it are out of step, too.
+        Raises :class:`MisattributedAnswer` if it may not be and the call depends on it.
+        The connection is aborted then, because the answers behind it are out of step,
+        too.
         """
         connection = self.path.connection
-        if named is None and connection.calls == 1:
+        is_first = connection.calls == 1
+        if named is None and not self.decides:
+            return is_first
+        if named is None and is_first:
             connection.retire()
-            return
+            return True
         if named is not None and named == self.attempt:
-            return
+            return True
         connection.abort()
         raise MisattributedAnswer(
             f"the answer to call {connection.calls} on a connection names attempt "
--- a/packages/node/src/eelgrass_node/request/engine_call.py
+++ b/packages/node/src/eelgrass_node/request/engine_call.py
@@ -16,7 +16,8 @@
 from eelgrass_coordination import running_time, send_allowance_s
 
 from ..connection.answer_bounds import MAX_BODY_BYTES, ends_soon
-from ..connection.backend import READ_BUFFER_BYTES, has_length
+from ..connection.answer_head import has_length
+from ..connection.backend import READ_BUFFER_BYTES
 from ..connection.calls import CallPath, NamedAttempt
 from ..connection.end_witness import WitnessLease
 from ..exceptions import AnswerTooLong, CallFailed
--- a/packages/node/tests/test_calls.py
+++ b/packages/node/tests/test_calls.py
@@ -65,10 +65,10 @@
         listener.close()
 
 
-async def call(connections, attempt=None, reuse=True):
+async def call(connections, attempt=None, reuse=True, decides=True):
     """Make a call; return the status and body of its answer."""
     context = connections.request(
-        "GET", "/x", CIMultiDict(), b"", 1.0, attempt=attempt, reuse=reuse
+        "GET", "/x", CIMultiDict(), b"", 1.0, attempt, reuse, decides
     )
     async with context as response:
         return response.status, await response.read()
@@ -165,6 +165,20 @@
             assert heads == []
 
 
+class TestCallsWhoseAnswersDecideNothing:
+    # Guards against such an answer that counts for another kind of call, and against
+    # what it says of its server if it may have come again.
+    async def test_they_share_connections_with_no_other_call(self):
+        answers = [answer(status=200 + number) for number in range(4)]
+        async with connected(answers) as (connections, server, heads):
+            for _ in range(2):
+                await call(connections, decides=False)
+            assert await call(connections) == (202, b"body")
+            await call(connections, decides=False)
+            assert server.connections == [3, 1]
+            assert [head.status for head in heads] == [200, 202]
+
+
 class TestOwnProtocol:
     # Guards against front doors that take the answer to one call for that to another.
     async def test_an_answer_of_another_attempt(self):
