Results: freed once more if a shared connection broke under the call

Cause: a copy is taken for the answer, and the answer itself then breaks the connection as bytes of no call, under the next call that frees results. Those results count as held until they expire, so that the stages have no room.

Such a call is sent again on a connection of its own: freeing results twice is harmless.

--- a/packages/node/src/eelgrass_node/connection/batch_calls.py
+++ b/packages/node/src/eelgrass_node/connection/batch_calls.py
@@ -134,9 +134,7 @@
         body = self._codec.encode_free(handles)
         try:
             async with StallAwareTimeout(FREE_TIMEOUT_S):
-                answer = await self._post(
-                    backend, self._codec.FREE_PATH, body, decides=False
-                )
+                answer = await self._post_free(backend, body)
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -147,6 +145,16 @@
             return False
         return answer.status == HTTP_OK
 
+    async def _post_free(self, backend: Backend, body: bytes) -> _Answer:
+        path = self._codec.FREE_PATH
+        try:
+            return await self._post(backend, path, body, decides=False)
+        except aiohttp.ClientConnectorError:
+            raise
+        except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError):
+            # An answer that came again has broken a shared connection.
+            return await self._post(backend, path, body)
+
     def _decode(self, answer: _Answer, count: int) -> list[ItemOutcome]:
         """Decode the outcomes of items; raises :class:`BatchAnswerMalformed`."""
         try:
