Calls: an empty attempt header names none; the log line says what is done

A server of the product's own protocol that sends an empty Attempt-Id had its answers refused as those of another call. The session that calls share whose answers decide nothing is named after that.

--- a/packages/node/src/eelgrass_node/connection/backend.py
+++ b/packages/node/src/eelgrass_node/connection/backend.py
@@ -92,7 +92,7 @@
         self._attempt_of = attempt_of
         self._session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
-        self._undecisive_session: aiohttp.ClientSession | None = None
+        self._shared_session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
         self._calls_in_flight = 0
         self._reuse_from_s = 0.0
@@ -172,10 +172,10 @@
         Called after a connection has gone silent. A firewall or NAT on the path that
         dropped its state may have dropped that of the idle connections as well.
         """
-        for session in (self._session, self._undecisive_session):
+        for session in (self._session, self._shared_session):
             if session is not None:
                 self._retire(session)
-        self._session = self._undecisive_session = None
+        self._session = self._shared_session = None
         if self._link is not None:
             self._link.close_witnesses(only_idle=True)
 
@@ -273,7 +273,7 @@
     async def close(self) -> None:
         """Close all connections immediately."""
         sessions = [*self._open_sessions(), *self._retired]
-        self._session = self._single_use_session = self._undecisive_session = None
+        self._session = self._single_use_session = self._shared_session = None
         self._retired = []
         if self._link is not None:
             self._link.close_witnesses()
@@ -281,15 +281,15 @@
             await session.close()
 
     def _open_sessions(self) -> list[aiohttp.ClientSession]:
-        sessions = (self._session, self._single_use_session, self._undecisive_session)
+        sessions = (self._session, self._single_use_session, self._shared_session)
         return [session for session in sessions if session is not None]
 
     def _session_for(self, reuse: bool, decides: bool = True) -> aiohttp.ClientSession:
         """Return the session for a call, which may get a kept connection or not."""
         if not decides:
-            if self._undecisive_session is None:
-                self._undecisive_session = self._open_session(KEEP_ALIVE_S)
-            return self._undecisive_session
+            if self._shared_session is None:
+                self._shared_session = self._open_session(KEEP_ALIVE_S)
+            return self._shared_session
         if reuse and asyncio.get_running_loop().time() >= self._reuse_from_s:
             return self._get_session()
         return self._get_single_use_session()
@@ -360,6 +360,7 @@
                 address=self.address,
                 path=response.url.raw_path,
                 status=response.status,
+                no_reuse_s=KEEP_ALIVE_S,
                 error=str(error),
             )
             raise
@@ -377,7 +378,7 @@
     def _close_retired(self) -> None:
         if self._closing:
             self._retired += self._open_sessions()
-            self._session = self._single_use_session = self._undecisive_session = None
+            self._session = self._single_use_session = self._shared_session = None
             if self._link is not None:
                 self._link.close_witnesses()
         for session in self._retired:
--- a/packages/node/src/eelgrass_node/connection/calls.py
+++ b/packages/node/src/eelgrass_node/connection/calls.py
@@ -55,7 +55,7 @@
     """Return the attempt that an answer in the project's own protocol names."""
     for name, value in raw_headers:
         if name.lower() == ATTEMPT_HEADER.lower().encode():
-            return NamedAttempt(value.decode("latin-1"))
+            return NamedAttempt(value.decode("latin-1")) if value else None
     return None
 
 
